--- /dev/null
+++ b/stoatpath/__init__.py
@@ -0,0 +1,3 @@
+"""A model-aware router for versions and cascades."""
+
+VERSION = "0.1.0"
--- /dev/null
+++ b/stoatpath/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decides who is served next, who waits and who is refused."""
--- /dev/null
+++ b/stoatpath/admission/gates.py
@@ -0,0 +1,60 @@
+"""Lets requests wait for their slot."""
+
+import asyncio
+
+from stoatpath.admission.messages import QUEUED
+from stoatpath.outcomes import DEADLINE_UNREACHABLE, Failure
+
+
+class AdmissionGate:
+    """Waits on behalf of requests for what the admission queue decides."""
+
+    __slots__ = ("_queue", "_clock", "_waiters_by_id")
+
+    def __init__(self, queue, clock):
+        self._queue = queue
+        self._clock = clock
+        self._waiters_by_id = {}
+
+    async def enter(self, request):
+        """Return a grant, or a failure by the request's deadline."""
+        verdict = self._queue.offer(request, self._clock.now_ms())
+        if verdict is not QUEUED:
+            return verdict
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters_by_id[request.request_id] = waiter
+        patience_ms = request.deadline_ms - request.expected_ms - self._clock.now_ms()
+        try:
+            async with asyncio.timeout(max(0.0, patience_ms / 1000)):
+                return await waiter
+        except TimeoutError:
+            now_ms = self._clock.now_ms()
+            detail = "no slot freed in time"
+            return Failure(DEADLINE_UNREACHABLE, detail, retry_at_ms=now_ms)
+        finally:
+            self._abandon(request.request_id, waiter)
+
+    def leave(self, grant):
+        """Give a slot back."""
+        self._deliver(self._queue.release(grant, self._clock.now_ms()))
+
+    def set_capacities(self, slots_by_pool):
+        """Set the slots of pools and serve whoever that lets in."""
+        for pool, slots in slots_by_pool.items():
+            self._queue.set_capacity(pool, slots)
+        self._deliver(self._queue.serve(self._clock.now_ms()))
+
+    def _deliver(self, grants):
+        for grant in grants:
+            waiter = self._waiters_by_id.get(grant.request_id)
+            if waiter is None or waiter.done():
+                self.leave(grant)
+            else:
+                waiter.set_result(grant)
+
+    def _abandon(self, request_id, waiter):
+        self._waiters_by_id.pop(request_id, None)
+        self._queue.withdraw(request_id)
+        cancelled = asyncio.current_task().cancelling() > 0
+        if cancelled and waiter.done() and not waiter.cancelled():
+            self.leave(waiter.result())
--- /dev/null
+++ b/stoatpath/admission/messages.py
@@ -0,0 +1,58 @@
+"""Messages of admission."""
+
+
+class AdmissionRequest:
+    """Asks for a slot in one of several pools, in order of preference.
+
+    A pool is a version of a model or a plain service. `expected_ms` is the time
+    that the work needs once it runs.
+    """
+
+    __slots__ = (
+        "request_id",
+        "organisation",
+        "weight",
+        "pools",
+        "deadline_ms",
+        "expected_ms",
+        "is_short",
+    )
+
+    def __init__(
+        self,
+        request_id,
+        organisation,
+        weight,
+        pools,
+        deadline_ms,
+        expected_ms,
+        is_short,
+    ):
+        self.request_id = request_id
+        self.organisation = organisation
+        self.weight = weight
+        self.pools = pools
+        self.deadline_ms = deadline_ms
+        self.expected_ms = expected_ms
+        self.is_short = is_short
+
+
+class Grant:
+    """A slot held in a pool until it is released."""
+
+    __slots__ = ("request_id", "organisation", "pool", "granted_ms")
+
+    def __init__(self, request_id, organisation, pool, granted_ms):
+        self.request_id = request_id
+        self.organisation = organisation
+        self.pool = pool
+        self.granted_ms = granted_ms
+
+
+class Queued:
+    """The request waits; a grant or a failure follows."""
+
+    __slots__ = ()
+
+
+QUEUED = Queued()
--- /dev/null
+++ b/stoatpath/billing/__init__.py
@@ -0,0 +1,1 @@
+"""Writes one billing record per request."""
--- /dev/null
+++ b/stoatpath/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The listener that callers reach."""
--- /dev/null
+++ b/stoatpath/callers/messages.py
@@ -0,0 +1,94 @@
+"""Messages between the listener and the pipeline that serves requests."""
+
+
+class CallerRequest:
+    """One authenticated request of a caller.
+
+    `deadline_ms` and `arrived_ms` are clock readings. `session` is the value
+    that the caller sent, a token or an identifier, or "". `body` is the decoded
+    JSON of a chat completion or the raw bytes of a call of a plain service.
+    """
+
+    __slots__ = (
+        "request_id",
+        "organisation",
+        "service",
+        "purpose",
+        "arrived_ms",
+        "deadline_ms",
+        "session",
+        "idempotency_key",
+        "body_digest",
+        "is_repeatable",
+        "is_stream",
+        "method",
+        "path",
+        "content_type",
+        "body",
+    )
+
+    def __init__(
+        self,
+        request_id,
+        organisation,
+        service,
+        purpose,
+        arrived_ms,
+        deadline_ms,
+        session,
+        idempotency_key,
+        body_digest,
+        is_repeatable,
+        is_stream,
+        method,
+        path,
+        content_type,
+        body,
+    ):
+        self.request_id = request_id
+        self.organisation = organisation
+        self.service = service
+        self.purpose = purpose
+        self.arrived_ms = arrived_ms
+        self.deadline_ms = deadline_ms
+        self.session = session
+        self.idempotency_key = idempotency_key
+        self.body_digest = body_digest
+        self.is_repeatable = is_repeatable
+        self.is_stream = is_stream
+        self.method = method
+        self.path = path
+        self.content_type = content_type
+        self.body = body
+
+
+class Served:
+    """A whole answer as it goes to the caller.
+
+    `stages` lists what ran, `cost` is their total price, `session` the token
+    for the caller's next request or "". `session_moved` says why a session left
+    its version, or "".
+    """
+
+    __slots__ = (
+        "status",
+        "content_type",
+        "body",
+        "version",
+        "stages",
+        "cost",
+        "session",
+        "session_moved",
+        "is_replay",
+    )
+
+    def __init__(self, status, content_type, body, version, stages, cost):
+        self.status = status
+        self.content_type = content_type
+        self.body = body
+        self.version = version
+        self.stages = stages
+        self.cost = cost
+        self.session = ""
+        self.session_moved = ""
+        self.is_replay = False
--- /dev/null
+++ b/stoatpath/callers/parsers.py
@@ -0,0 +1,158 @@
+"""Turns headers and bodies into caller requests."""
+
+import hashlib
+import re
+
+from stoatpath.callers.messages import CallerRequest
+from stoatpath.configuration.documents import MODEL_SERVICE, PLAIN_SERVICE
+from stoatpath.outcomes import BAD_REQUEST, FORBIDDEN, NOT_FOUND, Failure, is_failure
+from stoatpath.utils import decode_json, new_id
+
+TIMEOUT_HEADER = "Stoatpath-Timeout-Ms"
+SESSION_HEADER = "Stoatpath-Session"
+PURPOSE_HEADER = "Stoatpath-Purpose"
+KEY_HEADER = "Idempotency-Key"
+MAX_KEY_CHARS = 255
+MAX_SESSION_CHARS = 2_048
+ROLES = ("system", "user", "assistant", "tool", "developer")
+_PRINTABLE = re.compile(r"^[\x21-\x7e]+$")
+
+
+class RequestHead:
+    """The parts of an HTTP request that are known before its body."""
+
+    __slots__ = ("method", "path", "headers", "arrived_ms")
+
+    def __init__(self, method, path, headers, arrived_ms):
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.arrived_ms = arrived_ms
+
+
+def parse_completion(snapshot, organisation, head, data, max_timeout_ms):
+    """Return the caller request of a chat completion, or a failure."""
+    body = decode_json(data)
+    problem = _check_completion(body)
+    if problem is not None:
+        return problem
+    service = snapshot.services_by_name.get(body["model"])
+    if service is None or service.kind != MODEL_SERVICE:
+        return Failure(NOT_FOUND, f"no service {body['model']!r}", field="model")
+    is_stream = body.get("stream", False)
+    return _build(organisation, service, head, data, body, is_stream, max_timeout_ms)
+
+
+def parse_call(snapshot, organisation, head, service_name, data, max_timeout_ms):
+    """Return the caller request of a call of a plain service, or a failure."""
+    service = snapshot.services_by_name.get(service_name)
+    if service is None or service.kind != PLAIN_SERVICE:
+        return Failure(NOT_FOUND, f"no service {service_name!r}", field="service")
+    return _build(organisation, service, head, data, data, False, max_timeout_ms)
+
+
+def _build(organisation, service, head, data, body, is_stream, max_timeout_ms):
+    if service.name not in organisation.allowed_by_service:
+        detail = f"{organisation.name} may not use {service.name}"
+        return Failure(FORBIDDEN, detail, field="model")
+    purpose = _find_purpose(service, head.headers)
+    if is_failure(purpose):
+        return purpose
+    timeout_ms = _find_timeout_ms(purpose, head.headers, max_timeout_ms)
+    if is_failure(timeout_ms):
+        return timeout_ms
+    key = _find_token(head.headers, KEY_HEADER, MAX_KEY_CHARS)
+    if is_failure(key):
+        return key
+    session = _find_token(head.headers, SESSION_HEADER, MAX_SESSION_CHARS)
+    if is_failure(session):
+        return session
+    is_repeatable = purpose.is_repeatable
+    if service.kind == PLAIN_SERVICE:
+        is_repeatable = is_repeatable and head.method in service.repeatable_methods
+    return CallerRequest(
+        request_id=new_id("req"),
+        organisation=organisation,
+        service=service,
+        purpose=purpose,
+        arrived_ms=head.arrived_ms,
+        deadline_ms=head.arrived_ms + timeout_ms,
+        session=session,
+        idempotency_key=key,
+        body_digest=_digest(head, data) if key else "",
+        is_repeatable=is_repeatable,
+        is_stream=is_stream,
+        method=head.method,
+        path=head.path,
+        content_type=head.headers.get("Content-Type", ""),
+        body=body,
+    )
+
+
+def _digest(head, data):
+    text = f"{head.method} {head.path}\n".encode()
+    return hashlib.sha256(text + data).hexdigest()
+
+
+def _find_purpose(service, headers):
+    name = headers.get(PURPOSE_HEADER, service.default_purpose)
+    purpose = service.by_purpose.get(name)
+    if purpose is not None:
+        return purpose
+    detail = f"{name!r} is none of {sorted(service.by_purpose)}"
+    return Failure(BAD_REQUEST, detail, field=PURPOSE_HEADER)
+
+
+def _find_timeout_ms(purpose, headers, max_timeout_ms):
+    text = headers.get(TIMEOUT_HEADER)
+    if text is None:
+        return purpose.timeout_ms
+    if text.isascii() and text.isdigit() and 0 < len(text) < 10:
+        timeout_ms = int(text)
+        if 0 < timeout_ms <= max_timeout_ms:
+            return timeout_ms
+    detail = f"expected milliseconds from 1 to {max_timeout_ms}"
+    return Failure(BAD_REQUEST, detail, field=TIMEOUT_HEADER)
+
+
+def _find_token(headers, name, max_chars):
+    text = headers.get(name, "")
+    if not text or (len(text) <= max_chars and _PRINTABLE.match(text)):
+        return text
+    detail = f"expected at most {max_chars} printable ASCII characters"
+    return Failure(BAD_REQUEST, detail, field=name)
+
+
+def _check_completion(body):
+    if not isinstance(body, dict):
+        return _bad("body", "expected a JSON object")
+    if not isinstance(body.get("model"), str):
+        return _bad("model", "expected the name of a service")
+    if not isinstance(body.get("stream", False), bool):
+        return _bad("stream", "expected true or false")
+    max_tokens = body.get("max_tokens")
+    if max_tokens is not None and not _is_count(max_tokens):
+        return _bad("max_tokens", "expected a whole number from 1 up")
+    return _check_chat(body.get("messages"))
+
+
+def _is_count(value):
+    return isinstance(value, int) and not isinstance(value, bool) and value > 0
+
+
+def _check_chat(messages):
+    if not isinstance(messages, list) or not messages:
+        return _bad("messages", "expected a list with at least one message")
+    for index, message in enumerate(messages):
+        where = f"messages.{index}"
+        if not isinstance(message, dict):
+            return _bad(where, "expected an object")
+        if message.get("role") not in ROLES:
+            return _bad(f"{where}.role", f"expected one of {', '.join(ROLES)}")
+        if not isinstance(message.get("content"), str):
+            return _bad(f"{where}.content", "expected text")
+    return None
+
+
+def _bad(field, detail):
+    return Failure(BAD_REQUEST, detail, field=field)
--- /dev/null
+++ b/stoatpath/cascades/__init__.py
@@ -0,0 +1,1 @@
+"""Plans which versions a request tries, from cheap to dear."""
--- /dev/null
+++ b/stoatpath/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Accepts, validates and distributes configurations."""
--- /dev/null
+++ b/stoatpath/configuration/messages.py
@@ -0,0 +1,128 @@
+"""Messages between operators, controllers and the stored configuration."""
+
+MODEL = "model"
+SERVICE = "service"
+TEMPLATE = "template"
+ORGANISATION = "organisation"
+ROLLOUT = "rollout"
+KINDS = (MODEL, SERVICE, TEMPLATE, ORGANISATION, ROLLOUT)
+
+
+class Change:
+    """Sets one document, or deletes it when `body` is None."""
+
+    __slots__ = ("kind", "name", "body")
+
+    def __init__(self, kind, name, body):
+        self.kind = kind
+        self.name = name
+        self.body = body
+
+    @classmethod
+    def from_json(cls, data):
+        """Build a change from its wire form."""
+        return cls(data["kind"], data["name"], data["body"])
+
+    def to_json(self):
+        """Return the wire form."""
+        return {"kind": self.kind, "name": self.name, "body": self.body}
+
+
+class Submission:
+    """Changes that an operator wants accepted together.
+
+    `base_revision` is the revision that the operator looked at; changes of the
+    same documents accepted after it are conflicts.
+    """
+
+    __slots__ = ("submission_id", "operator", "base_revision", "changes")
+
+    def __init__(self, submission_id, operator, base_revision, changes):
+        self.submission_id = submission_id
+        self.operator = operator
+        self.base_revision = base_revision
+        self.changes = changes
+
+    @classmethod
+    def from_json(cls, data):
+        """Build a submission from its wire form."""
+        changes = [Change.from_json(change) for change in data["changes"]]
+        return cls(
+            data["submission_id"], data["operator"], data["base_revision"], changes
+        )
+
+    def to_json(self):
+        """Return the wire form."""
+        return {
+            "submission_id": self.submission_id,
+            "operator": self.operator,
+            "base_revision": self.base_revision,
+            "changes": [change.to_json() for change in self.changes],
+        }
+
+
+class AcceptedChange:
+    """A history row: a submission as accepted under a revision."""
+
+    __slots__ = ("revision", "accepted_at_ms", "submission")
+
+    def __init__(self, revision, accepted_at_ms, submission):
+        self.revision = revision
+        self.accepted_at_ms = accepted_at_ms
+        self.submission = submission
+
+    @classmethod
+    def from_json(cls, data):
+        """Build a history row from its stored form."""
+        submission = Submission.from_json(data["submission"])
+        return cls(data["revision"], data["accepted_at_ms"], submission)
+
+    def to_json(self):
+        """Return the stored form."""
+        return {
+            "revision": self.revision,
+            "accepted_at_ms": self.accepted_at_ms,
+            "submission": self.submission.to_json(),
+        }
+
+
+class Problem:
+    """One thing wrong with a submission: where, what stands there, what should."""
+
+    __slots__ = ("path", "value", "expected")
+
+    def __init__(self, path, value, expected):
+        self.path = path
+        self.value = value
+        self.expected = expected
+
+    def to_json(self):
+        """Return the wire form."""
+        return {"path": self.path, "value": self.value, "expected": self.expected}
+
+
+class Accepted:
+    """The submission is accepted under a revision."""
+
+    __slots__ = ("revision",)
+
+    def __init__(self, revision):
+        self.revision = revision
+
+
+class Invalid:
+    """The submission is refused for its problems."""
+
+    __slots__ = ("problems",)
+
+    def __init__(self, problems):
+        self.problems = problems
+
+
+class Conflict:
+    """Another operator changed the same documents since the base revision."""
+
+    __slots__ = ("accepted_changes",)
+
+    def __init__(self, accepted_changes):
+        self.accepted_changes = accepted_changes
--- /dev/null
+++ b/stoatpath/controllers.py
@@ -0,0 +1,40 @@
+"""Assembles one controller process: what operators reach."""
+
+from stoatpath.clock import Clock
+from stoatpath.configuration.listeners import OperatorListener
+from stoatpath.nodes import Node
+
+CONTROLLER = "controller"
+
+
+class Controller:
+    """Accepts configurations and works on what instances share."""
+
+    __slots__ = ("settings", "clock", "node", "listener")
+
+    def __init__(self, settings, clock):
+        self.settings = settings
+        self.clock = clock
+        self.node = Node.from_settings(settings, CONTROLLER, clock)
+        self.listener = OperatorListener(self.node, settings.operator_keys)
+
+    @classmethod
+    def from_settings(cls, settings, clock=None):
+        """Build a controller that is not yet started."""
+        return cls(settings, clock or Clock())
+
+    @property
+    def address(self):
+        """Return where operators reach this controller, as `host:port`."""
+        return self.listener.address
+
+    async def start(self):
+        """Start all tasks and listen."""
+        await self.node.start()
+        await self.listener.start(self.settings.operator_listen_address)
+
+    async def stop(self):
+        """Stop gracefully."""
+        self.node.members.leave()
+        await self.listener.stop()
+        await self.node.stop()
--- /dev/null
+++ b/stoatpath/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Sends attempts to backend servers and checks their answers."""
--- /dev/null
+++ b/stoatpath/explanations/__init__.py
@@ -0,0 +1,1 @@
+"""Keeps and logs the decisions made for each request."""
--- /dev/null
+++ b/stoatpath/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Claims idempotency keys so that a request runs at most once."""
--- /dev/null
+++ b/stoatpath/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded experiments, load runs and reports."""
--- /dev/null
+++ b/stoatpath/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Tracks live instances and backend servers."""
--- /dev/null
+++ b/stoatpath/nodes.py
@@ -0,0 +1,91 @@
+"""What routers and controllers have in common: platform, peers, configuration."""
+
+import asyncio
+import logging
+import random
+
+from stoatpath.configuration.followers import ConfigurationFollower
+from stoatpath.configuration.stores import ConfigurationStore
+from stoatpath.configuration.topics import ConfigurationTopic
+from stoatpath.membership.gossip import Gossip
+from stoatpath.membership.members import MemberTable
+from stoatpath.membership.messages import LIVE, Member
+from stoatpath.membership.peers import PeerClient, PeerServer, PeerSigner
+from stoatpath.outcomes import is_failure
+from stoatpath.platform.instance_lists import InstanceList
+from stoatpath.platform.tables import Table
+from stoatpath.utils import cancel_and_wait
+
+logger = logging.getLogger(__name__)
+
+SEED_PERIOD_MS = 5_000
+
+
+class Node:
+    """One member: its clients of the platform, its peers, its configuration."""
+
+    __slots__ = (
+        "settings",
+        "clock",
+        "role",
+        "incarnation",
+        "table",
+        "instance_list",
+        "store",
+        "follower",
+        "members",
+        "peer_server",
+        "peer_client",
+        "gossip",
+        "_tasks",
+    )
+
+    def __init__(self, settings, role, clock):
+        self.settings = settings
+        self.clock = clock
+        self.role = role
+        self.incarnation = clock.wall_ms()
+        self.table = Table.from_url(settings.table_url)
+        self.instance_list = InstanceList.from_url(settings.instance_list_url)
+        self.store = ConfigurationStore(self.table, clock)
+        self.follower = ConfigurationFollower(self.store, clock)
+        signer = PeerSigner(settings.peer_keys)
+        self.peer_server = PeerServer(signer)
+        self.peer_client = PeerClient(signer)
+        own = Member(settings.name, role, "", settings.zone, self.incarnation, 0, LIVE)
+        self.members = MemberTable(own)
+        self.gossip = Gossip(
+            self.members, self.peer_client, self.peer_server, clock, random.Random()
+        )
+        self.gossip.add_topic(ConfigurationTopic(self.follower, clock))
+        self._tasks = []
+
+    @classmethod
+    def from_settings(cls, settings, role, clock):
+        """Build a node that is not yet started."""
+        return cls(settings, role, clock)
+
+    async def start(self):
+        """Listen to peers, read the configuration once, start all tasks."""
+        await self.peer_server.start(self.settings.peer_listen_address)
+        self.members.own.address = self.peer_server.address
+        await self.follower.poll()
+        jobs = (self.follower.run(), self.gossip.run(), self._seed())
+        self._tasks = [asyncio.create_task(job) for job in jobs]
+
+    async def stop(self):
+        """End all tasks and close all connections."""
+        await cancel_and_wait(self._tasks)
+        await self.peer_server.stop()
+        await self.peer_client.close()
+        await self.table.close()
+        await self.instance_list.close()
+
+    async def _seed(self):
+        while True:
+            entries = await self.instance_list.read()
+            if is_failure(entries):
+                logger.warning("membership.seed-failed", extra={"why": entries.detail})
+            else:
+                self.gossip.seed(entries.values())
+            await self.clock.sleep_until(self.clock.now_ms() + SEED_PERIOD_MS)
--- /dev/null
+++ b/stoatpath/outcomes.py
@@ -0,0 +1,85 @@
+"""Outcomes of requests, and failures as sentinel values with a reason."""
+
+from enum import Enum
+
+
+class Outcome(Enum):
+    """What is known about the execution of a request."""
+
+    COMPLETED = "completed"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Reason:
+    """A sentinel naming one way to fail. Compare with `is`.
+
+    `status` is the HTTP status shown to a caller, `retryable` tells the caller
+    whether the same request may succeed later.
+    """
+
+    __slots__ = ("name", "status", "retryable")
+
+    def __init__(self, name, status, retryable=False):
+        self.name = name
+        self.status = status
+        self.retryable = retryable
+
+    def __repr__(self):
+        return f"<Reason {self.name}>"
+
+
+# Faults of the caller.
+BAD_REQUEST = Reason("bad-request", 400)
+UNAUTHENTICATED = Reason("unauthenticated", 401)
+FORBIDDEN = Reason("forbidden", 403)
+NOT_FOUND = Reason("not-found", 404)
+BODY_TOO_SLOW = Reason("body-too-slow", 408, retryable=True)
+CONFLICT = Reason("conflict", 409)
+BODY_TOO_LARGE = Reason("body-too-large", 413)
+KEY_REUSED = Reason("idempotency-key-reused", 422)
+RATE_LIMITED = Reason("rate-limited", 429, retryable=True)
+
+# Faults of the system or of backend servers.
+OVERLOADED = Reason("overloaded", 503, retryable=True)
+DEADLINE_UNREACHABLE = Reason("deadline-unreachable", 503, retryable=True)
+NO_BACKEND = Reason("no-backend", 503, retryable=True)
+STALE_CONFIGURATION = Reason("stale-configuration", 503, retryable=True)
+SHUTTING_DOWN = Reason("shutting-down", 503, retryable=True)
+PLATFORM_UNAVAILABLE = Reason("platform-unavailable", 503, retryable=True)
+CONNECT_FAILED = Reason("connect-failed", 502, retryable=True)
+REFUSED_BY_BACKEND = Reason("refused-by-backend", 503, retryable=True)
+BROKEN_ANSWER = Reason("broken-answer", 502)
+FOREIGN_ANSWER = Reason("foreign-answer", 502)
+BACKEND_ERROR = Reason("backend-error", 502)
+TIMED_OUT = Reason("timed-out", 504)
+IN_PROGRESS = Reason("in-progress", 409, retryable=True)
+CALLER_GONE = Reason("caller-gone", 499)
+INTERNAL = Reason("internal", 500)
+
+
+class Failure:
+    """A failed step: a reason, what is known of execution, and a detail.
+
+    `field` names the offending header or path of a body; `retry_at_ms` is the
+    clock reading from which a retry makes sense, or None.
+    """
+
+    __slots__ = ("reason", "outcome", "detail", "field", "retry_at_ms")
+
+    def __init__(
+        self, reason, detail, outcome=Outcome.NOT_RUN, field=None, retry_at_ms=None
+    ):
+        self.reason = reason
+        self.detail = detail
+        self.outcome = outcome
+        self.field = field
+        self.retry_at_ms = retry_at_ms
+
+    def __repr__(self):
+        return f"<Failure {self.reason.name} {self.outcome.value}: {self.detail}>"
+
+
+def is_failure(value):
+    """Return whether a value is a failure."""
+    return isinstance(value, Failure)
--- /dev/null
+++ b/stoatpath/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which engine holds which version and sends the orders."""
--- /dev/null
+++ b/stoatpath/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the services that the platform gives."""
--- /dev/null
+++ b/stoatpath/platform/connections.py
@@ -0,0 +1,59 @@
+"""One HTTP connection pool to a platform service, with counted calls."""
+
+import asyncio
+
+import aiohttp
+
+from stoatpath.outcomes import PLATFORM_UNAVAILABLE, Failure, Outcome
+from stoatpath.utils import decode_json, encode_json
+
+
+class PlatformConnection:
+    """Posts JSON to one platform service and counts calls and bytes."""
+
+    __slots__ = ("_url", "_session", "_timeout_s", "calls", "bytes_sent", "bytes_read")
+
+    def __init__(self, url, timeout_ms):
+        self._url = url.rstrip("/")
+        self._timeout_s = timeout_ms / 1000
+        self._session = None
+        self.calls = 0
+        self.bytes_sent = 0
+        self.bytes_read = 0
+
+    async def post(self, path, message):
+        """Return the decoded answer or a failure.
+
+        A failure says `not-run` only if the connection was never made or the
+        service itself refused the call.
+        """
+        payload = encode_json(message)
+        self.calls += 1
+        self.bytes_sent += len(payload)
+        try:
+            return await self._exchange(path, payload)
+        except aiohttp.ClientConnectorError as error:
+            return Failure(PLATFORM_UNAVAILABLE, str(error))
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+            detail = f"{path}: {type(error).__name__}"
+            return Failure(PLATFORM_UNAVAILABLE, detail, Outcome.UNKNOWN)
+
+    async def _exchange(self, path, payload):
+        if self._session is None:
+            timeout = aiohttp.ClientTimeout(total=self._timeout_s)
+            self._session = aiohttp.ClientSession(timeout=timeout)
+        async with self._session.post(self._url + path, data=payload) as response:
+            body = await response.read()
+            self.bytes_read += len(body)
+            if response.status in (429, 503):
+                return Failure(PLATFORM_UNAVAILABLE, f"{path}: {response.status}")
+            answer = decode_json(body) if response.status == 200 else None
+            if answer is None:
+                detail = f"{path}: status {response.status}"
+                return Failure(PLATFORM_UNAVAILABLE, detail, Outcome.UNKNOWN)
+            return answer
+
+    async def close(self):
+        """Close the connection pool."""
+        if self._session is not None:
+            await self._session.close()
--- /dev/null
+++ b/stoatpath/platform/messages.py
@@ -0,0 +1,115 @@
+"""Messages of the platform's table service.
+
+Rows have a key, a JSON value and a version that grows with each write. Version
+0 stands for an absent row.
+"""
+
+
+class Row:
+    """A row as read: key, version and JSON value."""
+
+    __slots__ = ("key", "version", "value")
+
+    def __init__(self, key, version, value):
+        self.key = key
+        self.version = version
+        self.value = value
+
+    @classmethod
+    def from_json(cls, data):
+        """Build a row from its wire form."""
+        return cls(data["key"], data["version"], data["value"])
+
+
+class Condition:
+    """Requires a row to have a version before a transaction applies."""
+
+    __slots__ = ("key", "version")
+
+    def __init__(self, key, version):
+        self.key = key
+        self.version = version
+
+    def to_json(self):
+        """Return the wire form."""
+        return {"key": self.key, "version": self.version}
+
+
+class Put:
+    """Writes a JSON value to a row."""
+
+    __slots__ = ("key", "value")
+
+    def __init__(self, key, value):
+        self.key = key
+        self.value = value
+
+    def to_json(self):
+        """Return the wire form."""
+        return {"key": self.key, "value": self.value}
+
+
+class Transaction:
+    """Conditions and writes that apply together or not at all."""
+
+    __slots__ = ("conditions", "puts")
+
+    def __init__(self, conditions, puts):
+        self.conditions = conditions
+        self.puts = puts
+
+    def to_json(self):
+        """Return the wire form."""
+        return {
+            "conditions": [condition.to_json() for condition in self.conditions],
+            "puts": [put.to_json() for put in self.puts],
+        }
+
+
+class Applied:
+    """The transaction took effect."""
+
+    __slots__ = ()
+
+
+class Rejected:
+    """A condition failed; `by_key` holds the conditioned rows as they stand."""
+
+    __slots__ = ("by_key",)
+
+    def __init__(self, by_key):
+        self.by_key = by_key
+
+
+class LiveInstance:
+    """An entry of the platform's lagging instance list.
+
+    `role` is `router`, `controller`, `engine` or `service`; `serves` names the
+    service of a backend server; `state` is `live` or `leaving`.
+    """
+
+    __slots__ = ("name", "role", "address", "zone", "serves", "state")
+
+    def __init__(self, name, role, address, zone, serves, state):
+        self.name = name
+        self.role = role
+        self.address = address
+        self.zone = zone
+        self.serves = serves
+        self.state = state
+
+    @classmethod
+    def from_json(cls, data):
+        """Build an entry from its wire form."""
+        return cls(
+            data["name"],
+            data["role"],
+            data["address"],
+            data["zone"],
+            data.get("serves", ""),
+            data.get("state", "live"),
+        )
+
+    def to_json(self):
+        """Return the wire form."""
+        return {name: getattr(self, name) for name in self.__slots__}
--- /dev/null
+++ b/stoatpath/platform/ratings.py
@@ -0,0 +1,35 @@
+"""Client of the platform's service that rates answers."""
+
+from stoatpath.outcomes import is_failure
+from stoatpath.platform.connections import PlatformConnection
+
+RATING_TIMEOUT_MS = 1_000
+
+
+class RatingService:
+    """Asks for the quality of an answer, from 0 to 1."""
+
+    __slots__ = ("connection",)
+
+    def __init__(self, connection):
+        self.connection = connection
+
+    @classmethod
+    def from_url(cls, url, timeout_ms=RATING_TIMEOUT_MS):
+        """Build a client of the service at a base URL."""
+        return cls(PlatformConnection(url, timeout_ms))
+
+    async def rate(self, request_id, purpose, version, answer):
+        """Return a score between 0 and 1, or a failure."""
+        question = {
+            "request_id": request_id,
+            "purpose": purpose,
+            "version": version,
+            "answer": answer,
+        }
+        reply = await self.connection.post("/v1/ratings", question)
+        return reply if is_failure(reply) else float(reply["score"])
+
+    async def close(self):
+        """Close the connections."""
+        await self.connection.close()
--- /dev/null
+++ b/stoatpath/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Steps, judges and suspends roll-outs of versions."""
--- /dev/null
+++ b/stoatpath/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Chooses a backend server for one attempt."""
--- /dev/null
+++ b/stoatpath/routing/messages.py
@@ -0,0 +1,57 @@
+"""Messages of the choice of a backend server."""
+
+
+class RoutingQuery:
+    """What an attempt needs: a version or a plain service, and by when.
+
+    `excluded` holds names of backend servers that this request already tried.
+    """
+
+    __slots__ = (
+        "request_id",
+        "service",
+        "version",
+        "expected_tokens",
+        "deadline_ms",
+        "excluded",
+    )
+
+    def __init__(
+        self, request_id, service, version, expected_tokens, deadline_ms, excluded
+    ):
+        self.request_id = request_id
+        self.service = service
+        self.version = version
+        self.expected_tokens = expected_tokens
+        self.deadline_ms = deadline_ms
+        self.excluded = excluded
+
+
+class Candidate:
+    """A backend server that was considered, and what spoke for or against it."""
+
+    __slots__ = ("name", "expected_ms", "verdict")
+
+    def __init__(self, name, expected_ms, verdict):
+        self.name = name
+        self.expected_ms = expected_ms
+        self.verdict = verdict
+
+    def to_json(self):
+        """Return the form used in logs."""
+        return {
+            "name": self.name,
+            "expected_ms": self.expected_ms,
+            "verdict": self.verdict,
+        }
+
+
+class Choice:
+    """The backend server chosen, with all candidates."""
+
+    __slots__ = ("backend", "candidates", "reason")
+
+    def __init__(self, backend, candidates, reason):
+        self.backend = backend
+        self.candidates = candidates
+        self.reason = reason
--- /dev/null
+++ b/stoatpath/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Keeps each session on its version."""
--- /dev/null
+++ b/stoatpath/sessions/tokens.py
@@ -0,0 +1,84 @@
+"""Signed session tokens that any instance can read."""
+
+import base64
+import hashlib
+import hmac
+
+from stoatpath.utils import decode_json, encode_json
+
+TOKEN_PREFIX = "st1."
+SIGNATURE_BYTES = 16
+
+
+class SessionPin:
+    """The version that a session of an organisation keeps for a service."""
+
+    __slots__ = ("session_id", "organisation", "service", "version", "started_at_ms")
+
+    def __init__(self, session_id, organisation, service, version, started_at_ms):
+        self.session_id = session_id
+        self.organisation = organisation
+        self.service = service
+        self.version = version
+        self.started_at_ms = started_at_ms
+
+
+class TokenSigner:
+    """Signs pins with the newest key and verifies them with every key.
+
+    Keys are given as `by_id`, oldest first.
+    """
+
+    __slots__ = ("_keys_by_id", "_newest")
+
+    def __init__(self, keys_by_id):
+        self._keys_by_id = {key_id: key.encode() for key_id, key in keys_by_id.items()}
+        self._newest = list(keys_by_id)[-1]
+
+    def sign(self, pin):
+        """Return the token of a pin."""
+        fields = [
+            self._newest,
+            pin.session_id,
+            pin.organisation,
+            pin.service,
+            pin.version,
+            pin.started_at_ms,
+        ]
+        payload = _encode(encode_json(fields))
+        return f"{TOKEN_PREFIX}{payload}.{self._signature(self._newest, payload)}"
+
+    def read(self, token):
+        """Return the pin of a token, or None when it was not signed here."""
+        payload, _, signature = token[len(TOKEN_PREFIX) :].partition(".")
+        fields = decode_json(_decode(payload))
+        if not isinstance(fields, list) or len(fields) != 6:
+            return None
+        key_id = fields[0]
+        if not isinstance(key_id, str) or key_id not in self._keys_by_id:
+            return None
+        if not hmac.compare_digest(
+            self._signature(key_id, payload).encode(), signature.encode()
+        ):
+            return None
+        return SessionPin(*fields[1:])
+
+    def _signature(self, key_id, payload):
+        digest = hmac.digest(self._keys_by_id[key_id], payload.encode(), hashlib.sha256)
+        return _encode(digest[:SIGNATURE_BYTES])
+
+
+def is_token(text):
+    """Return whether a session header holds a token and not an identifier."""
+    return text.startswith(TOKEN_PREFIX)
+
+
+def _encode(data):
+    return base64.urlsafe_b64encode(data).decode().rstrip("=")
+
+
+def _decode(text):
+    try:
+        return base64.urlsafe_b64decode(text + "=" * (-len(text) % 4))
+    except ValueError:
+        return b""
--- /dev/null
+++ b/stoatpath/settings.py
@@ -0,0 +1,122 @@
+"""Settings of the programs: defaults, loading, checks and corrections."""
+
+import difflib
+import logging
+
+import pyjson5
+
+logger = logging.getLogger(__name__)
+
+DEFAULTS = {
+    # Who this process is and where it listens.
+    "NAME": "",
+    "ZONE": "",
+    "LISTEN_ADDRESS": "127.0.0.1:0",
+    "PEER_LISTEN_ADDRESS": "127.0.0.1:0",
+    "OPERATOR_LISTEN_ADDRESS": "127.0.0.1:0",
+    # The platform's services.
+    "TABLE_URL": "",
+    "OBJECTS_URL": "",
+    "INSTANCE_LIST_URL": "",
+    "RATINGS_URL": "",
+    "WEIGHTS_URL": "",
+    # Secrets, newest last; the newest signs, all verify.
+    "SESSION_KEYS": {},
+    "PEER_KEYS": {},
+    "OPERATOR_KEYS": {},
+    # Limits towards callers.
+    "MAX_BODY_BYTES": 4 * 1024 * 1024,
+    "MAX_HEADER_BYTES": 16 * 1024,
+    "BODY_TIMEOUT_MS": 10_000,
+    "MAX_TIMEOUT_MS": 600_000,
+    "MAX_QUEUED_REQUESTS": 1_000,
+    # Behaviour under faults.
+    "STALENESS_LIMIT_MS": 12_000,
+    "SERVE_WHEN_CUT_OFF": False,
+    "BALANCER_LAG_MS": 2_000,
+    "SHUTDOWN_TIMEOUT_MS": 120_000,
+    # Logs.
+    "LOG_LEVEL": "INFO",
+}
+REQUIRED = ("NAME", "ZONE", "TABLE_URL", "INSTANCE_LIST_URL")
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+
+
+class SettingProblem:
+    """One thing wrong with a settings file."""
+
+    __slots__ = ("name", "value", "expected")
+
+    def __init__(self, name, value, expected):
+        self.name = name
+        self.value = value
+        self.expected = expected
+
+    def __str__(self):
+        return f"{self.name} = {self.value!r}: expected {self.expected}"
+
+
+class Settings:
+    """Checked settings; each default is an attribute in lower case."""
+
+    __slots__ = tuple(name.lower() for name in DEFAULTS)
+
+    def __init__(self, by_name):
+        for name, value in by_name.items():
+            setattr(self, name.lower(), value)
+
+    @classmethod
+    def from_mapping(cls, given):
+        """Return settings and a list of problems; settings is None if any."""
+        problems = find_problems(given)
+        if problems:
+            return None, problems
+        return cls({**DEFAULTS, **given}), []
+
+    @classmethod
+    def from_file(cls, path):
+        """Return settings read from JSON with comments, and a list of problems."""
+        try:
+            with open(path, encoding="utf-8") as file:
+                given = pyjson5.decode_io(file)
+        except OSError as error:
+            problem = SettingProblem(path, error.strerror, "a file that can be read")
+            return None, [problem]
+        except pyjson5.Json5DecoderException as error:
+            problem = SettingProblem(path, str(error), "JSON with comments")
+            return None, [problem]
+        if not isinstance(given, dict):
+            problem = SettingProblem(path, type(given).__name__, "an object")
+            return None, [problem]
+        return cls.from_mapping(given)
+
+
+def find_problems(given):
+    """Return everything that is wrong with given settings at once."""
+    problems = []
+    for name, value in given.items():
+        if name not in DEFAULTS:
+            problems.append(SettingProblem(name, value, _nearest(name)))
+        elif not _has_type_of(DEFAULTS[name], value):
+            expected = type(DEFAULTS[name]).__name__
+            problems.append(SettingProblem(name, value, f"a value of type {expected}"))
+        elif isinstance(value, int) and value < 0:
+            problems.append(SettingProblem(name, value, "a number from 0 up"))
+    for name in REQUIRED:
+        if not given.get(name):
+            problems.append(SettingProblem(name, given.get(name), "a value"))
+    if given.get("LOG_LEVEL", "INFO") not in LOG_LEVELS:
+        expected = f"one of {', '.join(LOG_LEVELS)}"
+        problems.append(SettingProblem("LOG_LEVEL", given["LOG_LEVEL"], expected))
+    return problems
+
+
+def _nearest(name):
+    near = difflib.get_close_matches(name.upper(), DEFAULTS, n=1, cutoff=0.5)
+    return f"a known setting; did you mean {near[0]}?" if near else "a known setting"
+
+
+def _has_type_of(default, value):
+    if isinstance(default, bool) or isinstance(value, bool):
+        return isinstance(default, bool) and isinstance(value, bool)
+    return isinstance(value, type(default))
--- /dev/null
+++ b/stoatpath/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small replacements of outside systems, for tests and first use."""
--- /dev/null
+++ b/stoatpath/standins/engines.py
@@ -0,0 +1,236 @@
+"""Stand-in of a model engine that serves chat completions.
+
+Endpoints: `/v1/chat/completions`, `/v1/cancel`, `/v1/load`, `/v1/orders`.
+The engine refuses with the header `Engine-Not-Run: true` when it ran nothing.
+"""
+
+import asyncio
+
+from aiohttp import web
+
+from stoatpath.standins.faults import FaultTable
+from stoatpath.standins.servers import StandinServer, drop_connection
+from stoatpath.utils import decode_json, encode_json
+
+NOT_RUN_HEADER = "Engine-Not-Run"
+DEFAULT_TOKENS = 16
+STALL_S = 30.0
+
+
+class Execution:
+    """One request that the engine began to run."""
+
+    __slots__ = ("request_id", "version", "prompt", "finished")
+
+    def __init__(self, request_id, version, prompt):
+        self.request_id = request_id
+        self.version = version
+        self.prompt = prompt
+        self.finished = False
+
+
+class EngineStandin:
+    """Serves loaded versions with a quality, a token time and a slot limit.
+
+    `by_version` maps a version such as `small@1` to its quality from 0 to 1.
+    """
+
+    __slots__ = (
+        "name",
+        "by_version",
+        "slots",
+        "token_ms",
+        "faults",
+        "executions",
+        "running",
+        "leaving",
+        "fencing",
+        "checks_fencing",
+        "orders",
+        "_cancelled",
+        "_server",
+    )
+
+    def __init__(self, name, by_version, slots=32, token_ms=0.5, checks_fencing=True):
+        self.name = name
+        self.by_version = dict(by_version)
+        self.slots = slots
+        self.token_ms = token_ms
+        self.faults = FaultTable()
+        self.executions = []
+        self.running = 0
+        self.leaving = False
+        self.fencing = 0
+        self.checks_fencing = checks_fencing
+        self.orders = []
+        self._cancelled = set()
+        self._server = StandinServer(
+            [
+                web.post("/v1/chat/completions", self._complete),
+                web.post("/v1/cancel", self._cancel),
+                web.get("/v1/load", self._load),
+                web.post("/v1/orders", self._order),
+            ]
+        )
+
+    async def start(self):
+        """Listen and return the address as `host:port`."""
+        return await self._server.start()
+
+    async def stop(self):
+        """Stop listening and drop all connections."""
+        await self._server.stop()
+
+    def _refuse(self, status, detail):
+        headers = {NOT_RUN_HEADER: "true"}
+        return web.json_response({"error": detail}, status=status, headers=headers)
+
+    async def _complete(self, request):
+        fault = self.faults.take("complete")
+        if fault is not None and fault.kind == "reset-before":
+            drop_connection(request)
+            return self._refuse(503, "reset")
+        message = decode_json(await request.read())
+        version = message["version"]
+        if fault is not None and fault.kind == "not-run":
+            return self._refuse(503, "the engine ran nothing")
+        if version not in self.by_version:
+            return self._refuse(404, f"{version} is not loaded")
+        if self.leaving or self.running >= self.slots:
+            return self._refuse(503, "no free slot")
+        prompt = message["messages"][-1]["content"]
+        execution = Execution(message["request_id"], version, prompt)
+        self.executions.append(execution)
+        self.running += 1
+        try:
+            return await self._run(request, message, execution, fault)
+        finally:
+            self.running -= 1
+
+    async def _run(self, request, message, execution, fault):
+        kind = fault.kind if fault is not None else ""
+        if kind == "slow":
+            await asyncio.sleep(fault.delay_ms / 1000)
+        if kind == "error-after":
+            return web.json_response({"error": "failed after running"}, status=500)
+        if kind == "reset-after":
+            drop_connection(request)
+            return web.Response(status=500)
+        tokens = self._tokens(message, execution)
+        if message.get("stream"):
+            return await self._stream(request, message, execution, tokens, kind)
+        await asyncio.sleep(len(tokens) * self.token_ms / 1000)
+        execution.finished = True
+        body = encode_json(self._answer(message, execution, tokens, kind))
+        if kind == "half-answer":
+            return await self._half(request, body)
+        return web.Response(body=body, content_type="application/json")
+
+    def _tokens(self, message, execution):
+        quality = self.by_version[execution.version]
+        text = (
+            f"[quality {quality:.3f}] {execution.version} answers: {execution.prompt}"
+        )
+        count = message.get("max_tokens") or DEFAULT_TOKENS
+        words = text.split(" ")
+        padding = [f"w{index}" for index in range(len(words), count)]
+        return [word + " " for word in words + padding]
+
+    def _answer(self, message, execution, tokens, kind):
+        request_id = "foreign" if kind == "wrong-id" else execution.request_id
+        version = "wrong@0" if kind == "wrong-version" else execution.version
+        content = "".join(tokens).rstrip()
+        choice = {
+            "index": 0,
+            "message": {"role": "assistant", "content": content},
+            "finish_reason": "stop",
+        }
+        return {
+            "id": request_id,
+            "object": "chat.completion",
+            "model": version,
+            "choices": [choice],
+            "usage": self._usage(message, tokens),
+        }
+
+    def _usage(self, message, tokens):
+        prompt = sum(len(each["content"].split()) for each in message["messages"])
+        return {
+            "prompt_tokens": prompt,
+            "completion_tokens": len(tokens),
+            "total_tokens": prompt + len(tokens),
+        }
+
+    async def _half(self, request, body):
+        response = web.StreamResponse()
+        response.content_type = "application/json"
+        response.content_length = len(body)
+        await response.prepare(request)
+        await response.write(body[: len(body) // 2])
+        drop_connection(request)
+        return response
+
+    async def _stream(self, request, message, execution, tokens, kind):
+        response = web.StreamResponse()
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        first = message.get("resume_from", 0)
+        for index in range(first, len(tokens)):
+            if kind and index == len(tokens) // 2:
+                if kind == "stream-cut":
+                    drop_connection(request)
+                    return response
+                if kind == "stream-ends":
+                    return response
+                if kind == "stream-stall":
+                    await asyncio.sleep(STALL_S)
+            if execution.request_id in self._cancelled:
+                drop_connection(request)
+                return response
+            event = self._event(execution, tokens[index], index, kind, len(tokens))
+            await response.write(b"data: " + encode_json(event) + b"\n\n")
+            if self.token_ms:
+                await asyncio.sleep(self.token_ms / 1000)
+        execution.finished = True
+        final = self._event(execution, "", len(tokens), kind, len(tokens))
+        final["choices"][0]["finish_reason"] = "stop"
+        final["usage"] = self._usage(message, tokens)
+        await response.write(b"data: " + encode_json(final) + b"\n\n")
+        await response.write(b"data: [DONE]\n\n")
+        return response
+
+    def _event(self, execution, token, index, kind, total):
+        foreign = kind == "foreign-event" and index == total // 2
+        delta = {"content": token}
+        choice = {"index": 0, "delta": delta, "finish_reason": None}
+        return {
+            "id": "foreign" if foreign else execution.request_id,
+            "object": "chat.completion.chunk",
+            "model": "wrong@0" if kind == "wrong-version" else execution.version,
+            "choices": [choice],
+        }
+
+    async def _cancel(self, request):
+        message = decode_json(await request.read())
+        self._cancelled.add(message["request_id"])
+        return web.json_response({"cancelled": True})
+
+    async def _load(self, request):
+        report = {
+            "name": self.name,
+            "versions": sorted(self.by_version),
+            "running": self.running,
+            "slots": self.slots,
+            "leaving": self.leaving,
+            "token_ms": self.token_ms,
+        }
+        return web.json_response(report)
+
+    async def _order(self, request):
+        message = decode_json(await request.read())
+        if self.checks_fencing and message["fencing"] < self.fencing:
+            return web.json_response({"fencing": self.fencing}, status=409)
+        self.fencing = max(self.fencing, message["fencing"])
+        self.orders.append(message)
+        self.by_version = dict(message["versions"])
+        return web.json_response({"fencing": self.fencing})
--- /dev/null
+++ b/stoatpath/standins/ratings.py
@@ -0,0 +1,41 @@
+"""Stand-in of the platform's service that rates answers.
+
+An answer of a stand-in engine carries its quality in words, so that the rating
+can be read back from the text alone.
+"""
+
+import re
+
+from aiohttp import web
+
+from stoatpath.standins.servers import StandinServer
+from stoatpath.utils import decode_json
+
+_QUALITY = re.compile(r"\[quality (\d\.\d+)\]")
+
+
+class RatingStandin:
+    """Scores answers by the quality mark in their text."""
+
+    __slots__ = ("down", "ratings", "_server")
+
+    def __init__(self):
+        self.down = False
+        self.ratings = 0
+        self._server = StandinServer([web.post("/v1/ratings", self._rate)])
+
+    async def start(self):
+        """Listen and return the base URL."""
+        return f"http://{await self._server.start()}"
+
+    async def stop(self):
+        """Stop listening."""
+        await self._server.stop()
+
+    async def _rate(self, request):
+        if self.down:
+            return web.Response(status=503)
+        message = decode_json(await request.read())
+        self.ratings += 1
+        mark = _QUALITY.search(message["answer"])
+        return web.json_response({"score": float(mark.group(1)) if mark else 0.0})
--- /dev/null
+++ b/stoatpath/standins/servers.py
@@ -0,0 +1,39 @@
+"""A small HTTP server that each stand-in runs on."""
+
+from aiohttp import web
+
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+class StandinServer:
+    """Serves the routes of one stand-in on a loopback port."""
+
+    __slots__ = ("_app", "_runner", "address")
+
+    def __init__(self, routes):
+        self._app = web.Application(client_max_size=MAX_BODY_BYTES)
+        self._app.add_routes(routes)
+        self._runner = None
+        self.address = ""
+
+    async def start(self, host="127.0.0.1", port=0):
+        """Listen and return the address as `host:port`."""
+        self._runner = web.AppRunner(self._app, access_log=None)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, host, port, shutdown_timeout=0.1)
+        await site.start()
+        bound = site._server.sockets[0].getsockname()
+        self.address = f"{bound[0]}:{bound[1]}"
+        return self.address
+
+    async def stop(self):
+        """Close the listener and all connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+
+def drop_connection(request):
+    """Close the TCP connection of a request without an answer."""
+    if request.transport is not None:
+        request.transport.abort()
--- /dev/null
+++ b/stoatpath/standins/sites.py
@@ -0,0 +1,144 @@
+"""A whole small site on loopback: stand-ins, routers and a controller."""
+
+import glob
+import os
+
+from stoatpath.controllers import Controller
+from stoatpath.platform.messages import LiveInstance
+from stoatpath.routers import Router
+from stoatpath.settings import Settings
+from stoatpath.standins.engines import EngineStandin
+from stoatpath.standins.instance_lists import InstanceListStandin
+from stoatpath.standins.ratings import RatingStandin
+from stoatpath.standins.services import ServiceStandin
+from stoatpath.standins.tables import TableStandin
+
+SAMPLES = os.path.join(
+    os.path.dirname(os.path.dirname(os.path.dirname(__file__))), "samples"
+)
+ZONES = ("zone-a", "zone-b")
+SMALL_QUALITY = 0.75
+LARGE_QUALITY = 0.95
+SMALL_MODELS = ("tern-small", "stoat-small")
+LARGE_MODELS = ("tern-large", "stoat-large")
+PLAIN_SERVICES = ("booking-desk", "watch-app")
+ENGINES_PER_MODEL = 2
+OPERATOR = "site-operator"
+OPERATOR_SECRET = "site-operator-secret"
+
+
+class Site:
+    """Stand-ins by name, routers and one controller, as tasks of one process."""
+
+    __slots__ = (
+        "table",
+        "instance_list",
+        "ratings",
+        "engines_by_name",
+        "services_by_name",
+        "routers_by_name",
+        "controllers_by_name",
+        "_urls_by_setting",
+    )
+
+    def __init__(self):
+        self.table = TableStandin()
+        self.instance_list = InstanceListStandin()
+        self.ratings = RatingStandin()
+        self.engines_by_name = {}
+        self.services_by_name = {}
+        self.routers_by_name = {}
+        self.controllers_by_name = {}
+        self._urls_by_setting = {}
+
+    async def start(self, routers=2):
+        """Start everything; return once all processes listen."""
+        self._urls_by_setting = {
+            "TABLE_URL": await self.table.start(),
+            "INSTANCE_LIST_URL": await self.instance_list.start(),
+            "RATINGS_URL": await self.ratings.start(),
+        }
+        await self._start_engines()
+        await self._start_services()
+        for index in range(routers):
+            await self.start_router(f"router-{index + 1}", ZONES[index % len(ZONES)])
+        await self.start_controller("controller-1", ZONES[0])
+
+    async def stop(self):
+        """Stop everything, programs before stand-ins."""
+        for router in list(self.routers_by_name.values()):
+            await router.stop()
+        for controller in list(self.controllers_by_name.values()):
+            await controller.stop()
+        for standin in self._standins():
+            await standin.stop()
+
+    async def start_router(self, name, zone, **overrides):
+        """Start one more router and list it."""
+        router = Router.from_settings(self.settings(name, zone, **overrides))
+        await router.start()
+        self.routers_by_name[name] = router
+        self._list(name, "router", router.node.peer_server.address, zone)
+        return router
+
+    async def start_controller(self, name, zone, **overrides):
+        """Start one more controller and list it."""
+        controller = Controller.from_settings(self.settings(name, zone, **overrides))
+        await controller.start()
+        self.controllers_by_name[name] = controller
+        self._list(name, "controller", controller.node.peer_server.address, zone)
+        return controller
+
+    def settings(self, name, zone, **overrides):
+        """Return the settings of a process of this site."""
+        given = {
+            "NAME": name,
+            "ZONE": zone,
+            "SESSION_KEYS": {"1": "sample-session-key"},
+            "PEER_KEYS": {"1": "sample-peer-key"},
+            "OPERATOR_KEYS": {OPERATOR: OPERATOR_SECRET},
+            **self._urls_by_setting,
+            **overrides,
+        }
+        settings, problems = Settings.from_mapping(given)
+        if problems:
+            raise ValueError("; ".join(map(str, problems)))
+        return settings
+
+    def sample_files(self):
+        """Return the paths of the sample configurations."""
+        return sorted(glob.glob(os.path.join(SAMPLES, "*", "organisations.json5")))
+
+    async def _start_engines(self):
+        qualities = [(name, SMALL_QUALITY) for name in SMALL_MODELS]
+        qualities += [(name, LARGE_QUALITY) for name in LARGE_MODELS]
+        for model, quality in qualities:
+            for index in range(ENGINES_PER_MODEL):
+                name = f"engine-{model}-{index + 1}"
+                by_version = {f"{model}@1": quality, f"{model}@2": quality}
+                engine = EngineStandin(name, by_version)
+                self.engines_by_name[name] = engine
+                zone = ZONES[index % len(ZONES)]
+                self._list(name, "engine", await engine.start(), zone, model)
+
+    async def _start_services(self):
+        for service in PLAIN_SERVICES:
+            for index in range(2):
+                name = f"{service}-{index + 1}"
+                standin = ServiceStandin(name)
+                self.services_by_name[name] = standin
+                zone = ZONES[index % len(ZONES)]
+                self._list(name, "service", await standin.start(), zone, service)
+
+    def _list(self, name, role, address, zone, serves=""):
+        entry = LiveInstance(name, role, address, zone, serves, "live")
+        self.instance_list.add(entry)
+
+    def _standins(self):
+        return [
+            self.table,
+            self.instance_list,
+            self.ratings,
+            *self.engines_by_name.values(),
+            *self.services_by_name.values(),
+        ]
--- /dev/null
+++ b/stoatpath/standins/tables.py
@@ -0,0 +1,142 @@
+"""Stand-in of the platform's transactional table service.
+
+A transaction counts as one write against the budget, a read or a page of a
+scan as one read.
+"""
+
+import asyncio
+import bisect
+
+from aiohttp import web
+
+from stoatpath.clock import Clock
+from stoatpath.standins.faults import FaultTable
+from stoatpath.standins.servers import StandinServer, drop_connection
+from stoatpath.utils import decode_json
+
+WRITES_PER_S = 400
+READS_PER_S = 2_000
+THROTTLED_STATUS = 429
+DOWN_STATUS = 503
+
+
+class TableStandin:
+    """Rows in memory, with conditional transactions, budgets and faults."""
+
+    __slots__ = (
+        "faults",
+        "rows",
+        "writes",
+        "reads",
+        "throttled",
+        "_keys",
+        "_clock",
+        "_window",
+        "_server",
+    )
+
+    def __init__(self, clock=None):
+        self.faults = FaultTable()
+        self.rows = {}
+        self.writes = 0
+        self.reads = 0
+        self.throttled = 0
+        self._keys = []
+        self._clock = clock or Clock()
+        self._window = [0, 0, 0]
+        self._server = StandinServer(
+            [
+                web.post("/v1/transact", self._transact),
+                web.post("/v1/read", self._read),
+                web.post("/v1/scan", self._scan),
+            ]
+        )
+
+    async def start(self):
+        """Listen and return the base URL."""
+        return f"http://{await self._server.start()}"
+
+    async def stop(self):
+        """Stop listening."""
+        await self._server.stop()
+
+    def put(self, key, value):
+        """Write a row."""
+        version, _ = self.rows.get(key, (0, None))
+        if version == 0:
+            bisect.insort(self._keys, key)
+        self.rows[key] = (version + 1, value)
+
+    def _over_budget(self, is_write):
+        second = int(self._clock.now_ms() / 1000)
+        if self._window[0] != second:
+            self._window = [second, 0, 0]
+        index = 1 if is_write else 2
+        self._window[index] += 1
+        return self._window[index] > (WRITES_PER_S if is_write else READS_PER_S)
+
+    async def _admit(self, request, operation):
+        """Apply budget and faults; return an early response or None, and the fault."""
+        is_write = operation == "transact"
+        if self._over_budget(is_write):
+            self.throttled += 1
+            return web.Response(status=THROTTLED_STATUS), None
+        fault = self.faults.take(operation)
+        if fault is None:
+            return None, None
+        if fault.kind == "down":
+            return web.Response(status=DOWN_STATUS), fault
+        if fault.kind == "slow":
+            await asyncio.sleep(fault.delay_ms / 1000)
+        if fault.kind == "request-lost":
+            drop_connection(request)
+            return web.Response(status=DOWN_STATUS), fault
+        return None, fault
+
+    async def _transact(self, request):
+        message = decode_json(await request.read())
+        early, fault = await self._admit(request, "transact")
+        if early is not None:
+            return early
+        if fault is not None and fault.kind == "write-lost":
+            return web.json_response({"applied": True, "current": []})
+        self.writes += 1
+        conditions = message["conditions"]
+        held = all(self._version(each["key"]) == each["version"] for each in conditions)
+        if held:
+            for put in message["puts"]:
+                self.put(put["key"], put["value"])
+        current = [] if held else [self._row(each["key"]) for each in conditions]
+        if fault is not None and fault.kind == "reply-lost":
+            drop_connection(request)
+        return web.json_response({"applied": held, "current": current})
+
+    async def _read(self, request):
+        message = decode_json(await request.read())
+        early, _ = await self._admit(request, "read")
+        if early is not None:
+            return early
+        self.reads += 1
+        return web.json_response({"rows": [self._row(key) for key in message["keys"]]})
+
+    async def _scan(self, request):
+        message = decode_json(await request.read())
+        early, _ = await self._admit(request, "scan")
+        if early is not None:
+            return early
+        self.reads += 1
+        prefix = message["prefix"]
+        start = (
+            bisect.bisect_right(self._keys, message["after"]) if message["after"] else 0
+        )
+        start = max(start, bisect.bisect_left(self._keys, prefix))
+        page = self._keys[start : start + message["limit"]]
+        rows = [self._row(key) for key in page if key.startswith(prefix)]
+        return web.json_response({"rows": rows})
+
+    def _version(self, key):
+        return self.rows.get(key, (0, None))[0]
+
+    def _row(self, key):
+        version, value = self.rows.get(key, (0, None))
+        return {"key": key, "version": version, "value": value}
--- /dev/null
+++ b/stoatpath/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line programs."""
--- /dev/null
+++ b/stoatpath/tools/demonstrations.py
@@ -0,0 +1,382 @@
+"""The requests of `make run`, their table, and the checks of the promises."""
+
+import time
+
+import aiohttp
+
+from stoatpath.billing.outboxes import read_ledger
+from stoatpath.configuration.files import read_changes
+from stoatpath.platform.tables import Table
+from stoatpath.standins.sites import OPERATOR, OPERATOR_SECRET
+from stoatpath.utils import decode_json, encode_json, new_id
+
+DONE_EVENT = b"data: [DONE]\n\n"
+COLUMNS = ("request", "organisation", "outcome", "version", "stages", "cost", "ms")
+
+
+class Call:
+    """One request to send and what is expected of it."""
+
+    __slots__ = ("label", "organisation", "method", "path", "body", "headers")
+
+    def __init__(self, label, organisation, method, path, body, **headers):
+        self.label = label
+        self.organisation = organisation
+        self.method = method
+        self.path = path
+        self.body = body
+        self.headers = headers
+
+
+class Reply:
+    """What came back for a call."""
+
+    __slots__ = ("call", "status", "headers", "body", "elapsed_ms")
+
+    def __init__(self, call, status, headers, body, elapsed_ms):
+        self.call = call
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.elapsed_ms = elapsed_ms
+
+    @property
+    def request_id(self):
+        """Return the identifier that the router gave."""
+        return self.headers.get("Stoatpath-Request-Id", "")
+
+    @property
+    def is_stream(self):
+        """Return whether the answer is a stream of events."""
+        return self.headers.get("Content-Type", "").startswith("text/event-stream")
+
+    @property
+    def outcome(self):
+        """Return the outcome that the router stated; a stream states it by its end."""
+        if self.is_stream:
+            return "completed" if self.body.endswith(DONE_EVENT) else "unknown"
+        return self.headers.get("Stoatpath-Outcome", "none")
+
+
+def chat(service, text, stream=False, max_tokens=24):
+    """Return the body of a chat completion."""
+    return {
+        "model": service,
+        "messages": [{"role": "user", "content": text}],
+        "stream": stream,
+        "max_tokens": max_tokens,
+    }
+
+
+class Demonstration:
+    """Drives one site through its HTTP interfaces."""
+
+    __slots__ = ("_site", "_replies", "_checks", "_next_router")
+
+    def __init__(self, site):
+        self._site = site
+        self._replies = []
+        self._checks = []
+        self._next_router = 0
+
+    async def submit_samples(self):
+        """Submit every sample file; return once in force at every router."""
+        address = next(iter(self._site.controllers_by_name.values())).address
+        headers = {"Authorization": f"Bearer {OPERATOR}.{OPERATOR_SECRET}"}
+        revision = 0
+        async with aiohttp.ClientSession(headers=headers) as session:
+            for path in self._site.sample_files():
+                changes, _ = read_changes(path)
+                submission = {
+                    "submission_id": new_id("sub"),
+                    "base_revision": revision,
+                    "changes": [change.to_json() for change in changes],
+                }
+                url = f"http://{address}/v1/submissions"
+                async with session.post(url, data=encode_json(submission)) as response:
+                    answer = await response.json()
+                    if response.status != 200:
+                        raise ValueError(f"{path} was refused: {answer}")
+                    revision = answer["revision"]
+        for router in self._site.routers_by_name.values():
+            await router.follower.wait_for(revision)
+
+    def print_addresses(self):
+        """Print how to reach the site."""
+        for name, router in self._site.routers_by_name.items():
+            print(f"{name}: http://{router.address}")
+        for name, controller in self._site.controllers_by_name.items():
+            print(f"{name}: http://{controller.address}")
+        router = next(iter(self._site.routers_by_name.values()))
+        body = encode_json(chat("desk-assist", "When is high tide?")).decode()
+        print("\nTry:\n")
+        print(
+            f"curl -i http://{router.address}/v1/chat/completions \\\n"
+            "  -H 'Authorization: Bearer "
+            "reef-villages.reef-villages-sample-secret' \\\n"
+            f"  -d '{body}'\n"
+        )
+
+    async def run(self):
+        """Send every kind of request, print what happened, return the exit code."""
+        async with aiohttp.ClientSession() as session:
+            for call in _calls():
+                self._replies.append(await self._send(session, call))
+            await self._check_session(session)
+            await self._check_withdrawal(session)
+        await self._check_ledger()
+        self._check_executions()
+        self._print_table()
+        return self._print_checks()
+
+    async def _send(self, session, call):
+        routers = list(self._site.routers_by_name.values())
+        router = routers[self._next_router % len(routers)]
+        self._next_router += 1
+        secret = f"{call.organisation}.{call.organisation}-sample-secret"
+        headers = {"Authorization": f"Bearer {secret}", **call.headers}
+        data = None if call.body is None else encode_json(call.body)
+        started = time.monotonic()
+        url = f"http://{router.address}{call.path}"
+        async with session.request(
+            call.method, url, data=data, headers=headers
+        ) as response:
+            body = await response.read()
+        elapsed_ms = (time.monotonic() - started) * 1000
+        return Reply(call, response.status, response.headers, body, elapsed_ms)
+
+    async def _check_session(self, session):
+        versions = set()
+        token = "guest-7"
+        for turn in range(4):
+            body = chat("desk-assist", f"turn {turn}")
+            call = Call(
+                f"session turn {turn + 1}",
+                "reef-villages",
+                "POST",
+                "/v1/chat/completions",
+                body,
+                **{"Stoatpath-Session": token},
+            )
+            reply = await self._send(session, call)
+            self._replies.append(reply)
+            versions.add(reply.headers.get("Stoatpath-Version"))
+            token = reply.headers.get("Stoatpath-Session", token)
+        self._check("a session keeps its version", len(versions) == 1)
+
+    async def _check_withdrawal(self, session):
+        """Withdraw a version; no engine may run it for requests sent after."""
+        address = next(iter(self._site.controllers_by_name.values())).address
+        headers = {"Authorization": f"Bearer {OPERATOR}.{OPERATOR_SECRET}"}
+        base = f"http://{address}/v1"
+        async with session.get(f"{base}/configuration", headers=headers) as response:
+            configuration = decode_json(await response.read())
+        body = configuration["by_kind"]["model"]["tern-small"]
+        body["current"] = "2"
+        body["versions"]["1"]["state"] = "withdrawn"
+        change = {"kind": "model", "name": "tern-small", "body": body}
+        submission = {
+            "submission_id": new_id("sub"),
+            "base_revision": configuration["revision"],
+            "changes": [change],
+        }
+        async with session.post(
+            f"{base}/submissions", data=encode_json(submission), headers=headers
+        ) as response:
+            revision = (await response.json())["revision"]
+        for router in self._site.routers_by_name.values():
+            await router.follower.wait_for(revision)
+        before = self._ran("tern-small@1")
+        for turn in range(4):
+            body = chat("desk-assist", f"after the withdrawal {turn}")
+            call = Call(
+                "after withdrawal",
+                "lagoon-stalls",
+                "POST",
+                "/v1/chat/completions",
+                body,
+                **{"Stoatpath-Purpose": "tide-note"},
+            )
+            self._replies.append(await self._send(session, call))
+        is_kept = self._ran("tern-small@1") == before
+        self._check("a withdrawn version gets no new work", is_kept)
+
+    async def _check_ledger(self):
+        table = Table.from_url(self._site.settings("check", "zone-a").table_url)
+        records = await read_ledger(table)
+        await table.close()
+        billed = [record["request_id"] for record in records]
+        whole = [
+            reply.request_id
+            for reply in self._replies
+            if reply.outcome == "completed" and "Stoatpath-Replay" not in reply.headers
+        ]
+        is_kept = sorted(billed) == sorted(whole)
+        self._check("each whole answer is billed exactly once", is_kept)
+
+    def _check_executions(self):
+        ran = self._execution_counts()
+        not_run = [
+            reply.request_id for reply in self._replies if reply.outcome == "not-run"
+        ]
+        is_kept = not any(ran.get(request_id) for request_id in not_run)
+        self._check("`not-run` truly did not run", is_kept)
+        posts = [
+            call
+            for service in self._site.services_by_name.values()
+            for call in service.executions
+            if call[1] == "POST"
+        ]
+        bodies = [body for _, _, _, body in posts]
+        is_kept = len(bodies) == len(set(bodies)) > 0
+        self._check("a call that may not be repeated ran at most once", is_kept)
+        is_kept = all(
+            decode_json(reply.body)["id"] == reply.request_id
+            for reply in self._replies
+            if reply.outcome == "completed"
+            and reply.call.path == "/v1/chat/completions"
+            and not reply.call.body["stream"]
+        )
+        self._check("each caller got the answer to its own request", is_kept)
+        streams = [reply for reply in self._replies if reply.is_stream]
+        is_kept = bool(streams) and all(
+            reply.outcome == "completed" for reply in streams
+        )
+        self._check("each stream ends with its end marker", is_kept)
+
+    def _execution_counts(self):
+        counts = {}
+        for engine in self._site.engines_by_name.values():
+            for execution in engine.executions:
+                request_id = execution.request_id
+                counts[request_id] = counts.get(request_id, 0) + 1
+        for service in self._site.services_by_name.values():
+            for request_id, _, _, _ in service.executions:
+                counts[request_id] = counts.get(request_id, 0) + 1
+        return counts
+
+    def _ran(self, version):
+        return sum(
+            execution.version == version
+            for engine in self._site.engines_by_name.values()
+            for execution in engine.executions
+        )
+
+    def _check(self, promise, is_kept):
+        self._checks.append((promise, is_kept))
+
+    def _print_table(self):
+        rows = [self._row(reply) for reply in self._replies]
+        widths = [
+            max(len(str(row[index])) for row in [COLUMNS, *rows])
+            for index in range(len(COLUMNS))
+        ]
+        for row in [COLUMNS, *rows]:
+            cells = (str(cell).ljust(width) for cell, width in zip(row, widths))
+            print("  ".join(cells).rstrip())
+
+    def _row(self, reply):
+        stages, cost = self._stages(reply.request_id)
+        return (
+            reply.call.label,
+            reply.call.organisation,
+            f"{reply.outcome} ({reply.status})",
+            reply.headers.get("Stoatpath-Version", "-"),
+            stages,
+            cost,
+            f"{reply.elapsed_ms:.1f}",
+        )
+
+    def _stages(self, request_id):
+        for router in self._site.routers_by_name.values():
+            decisions = router.ring.explain(request_id) if request_id else None
+            for decision in decisions or ():
+                if decision.step == "ended" and "cost" in decision.details:
+                    plan = next(each for each in decisions if each.step == "plan")
+                    stages = " > ".join(plan.details["stages"])
+                    return stages, f"{decision.details['cost']:.4f}"
+        return "-", "-"
+
+    def _print_checks(self):
+        print()
+        for promise, is_kept in self._checks:
+            print(f"{'kept  ' if is_kept else 'BROKEN'}  {promise}")
+        return 0 if all(is_kept for _, is_kept in self._checks) else 1
+
+
+def _calls():
+    completions = "/v1/chat/completions"
+    booking = "/services/booking-desk/bookings"
+    hut = {"hut": 12, "night": "2027-01-04"}
+    key = {"Idempotency-Key": "booking-12"}
+    return [
+        Call(
+            "guest question",
+            "reef-villages",
+            "POST",
+            completions,
+            chat("desk-assist", "May we light a fire on the beach?"),
+        ),
+        Call(
+            "tide note",
+            "lagoon-stalls",
+            "POST",
+            completions,
+            chat("desk-assist", "Tide at six?"),
+            **{"Stoatpath-Purpose": "tide-note"},
+        ),
+        Call(
+            "lease summary",
+            "foreshore-officers",
+            "POST",
+            completions,
+            chat("desk-assist", "Summarise lease 44.", stream=True, max_tokens=200),
+            **{"Stoatpath-Purpose": "lease-summary"},
+        ),
+        Call(
+            "availability",
+            "sunset-huts",
+            "GET",
+            "/services/booking-desk/huts/12?night=2027-01-04",
+            None,
+        ),
+        Call("booking", "sunset-huts", "POST", booking, hut, **key),
+        Call("booking, same key", "sunset-huts", "POST", booking, hut, **key),
+        Call(
+            "same key, other body", "sunset-huts", "POST", booking, {"hut": 13}, **key
+        ),
+        Call("booking, no key", "craft-market", "POST", booking, {"hut": 14}),
+        Call(
+            "risk note",
+            "taf-homes",
+            "POST",
+            completions,
+            chat("stoat-llm", "Resident 4, fluids?"),
+        ),
+        Call(
+            "ward briefing",
+            "nedd-homes",
+            "POST",
+            completions,
+            chat("stoat-llm", "Briefing for ward B.", stream=True, max_tokens=120),
+            **{"Stoatpath-Purpose": "ward-briefing"},
+        ),
+        Call("home status", "tywi-homes", "GET", "/services/watch-app/homes/3", None),
+        Call(
+            "callout",
+            "tywi-homes",
+            "POST",
+            "/services/watch-app/callouts",
+            {"home": 3},
+            **{"Idempotency-Key": "callout-3"},
+        ),
+        Call("bad key", "nobody", "POST", completions, chat("desk-assist", "Hello?")),
+        Call(
+            "not allowed",
+            "taf-homes",
+            "POST",
+            completions,
+            chat("desk-assist", "Hello?"),
+        ),
+        Call("bad body", "taf-homes", "POST", completions, {"model": "stoat-llm"}),
+    ]
--- /dev/null
+++ b/stoatpath/tools/programs.py
@@ -0,0 +1,53 @@
+"""What the daemons' command lines have in common."""
+
+import asyncio
+import signal
+import sys
+
+from absl import flags
+
+import stoatpath
+from stoatpath import log
+from stoatpath.settings import Settings
+
+FLAGS = flags.FLAGS
+EXIT_OK = 0
+EXIT_BAD_SETTINGS = 2
+
+
+def define_flags():
+    """Define the flags that every daemon has."""
+    flags.DEFINE_string("settings", None, "Settings file, JSON with comments.")
+    flags.DEFINE_bool("check", False, "Check the settings and exit.")
+    flags.DEFINE_bool("version", False, "Print the version and exit.")
+
+
+def run_daemon(program, build):
+    """Run the daemon that `build(settings)` makes until SIGTERM; return its code."""
+    if FLAGS.version:
+        print(f"{program} {stoatpath.VERSION}")
+        return EXIT_OK
+    if FLAGS.settings is None:
+        print(f"{program}: --settings FILE is needed", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    settings, problems = Settings.from_file(FLAGS.settings)
+    for problem in problems:
+        print(f"{FLAGS.settings}: {problem}", file=sys.stderr)
+    if problems:
+        return EXIT_BAD_SETTINGS
+    if FLAGS.check:
+        print(f"{FLAGS.settings}: no problems found")
+        return EXIT_OK
+    log.setup(program, settings.name, settings.log_level)
+    return asyncio.run(_serve(build(settings)))
+
+
+async def _serve(daemon):
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await daemon.start()
+    await stopping.wait()
+    await daemon.stop()
+    return EXIT_OK
--- /dev/null
+++ b/stoatpath/utils.py
@@ -0,0 +1,44 @@
+"""Small helpers shared by all slices."""
+
+import asyncio
+import secrets
+
+import msgspec
+from xxhash import xxh3_64_intdigest
+
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder()
+
+
+def encode_json(value):
+    """Return compact JSON bytes."""
+    return _encoder.encode(value)
+
+
+def decode_json(data):
+    """Return the value of JSON bytes, or None when they are not JSON."""
+    try:
+        return _decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+
+
+def new_id(prefix):
+    """Return a fresh identifier with 96 random bits."""
+    return f"{prefix}-{secrets.token_hex(12)}"
+
+
+def rendezvous_rank(key, names):
+    """Return the names in order of their rendezvous weight for a key."""
+    return sorted(
+        names,
+        key=lambda name: (xxh3_64_intdigest(f"{name}\0{key}"), name),
+        reverse=True,
+    )
+
+
+async def cancel_and_wait(tasks):
+    """Cancel tasks and return once all of them have ended."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
