--- a/stoatpath/settings.py
+++ b/stoatpath/settings.py
@@ -1,11 +1,13 @@
-"""Settings of the programs: defaults, loading, checks and corrections."""
+"""Settings of the programs: defaults, loading, checks and corrections.
+
+`docs/SETTINGS.md` lists every setting with its unit and meaning.
+"""
 
 import difflib
-import logging
 
 import pyjson5
 
-logger = logging.getLogger(__name__)
+from stoatpath.settings_checks import CHECKS_BY_NAME, check_type
 
 DEFAULTS = {
     # Who this process is and where it listens.
@@ -14,6 +16,7 @@
     "LISTEN_ADDRESS": "127.0.0.1:0",
     "PEER_LISTEN_ADDRESS": "127.0.0.1:0",
     "OPERATOR_LISTEN_ADDRESS": "127.0.0.1:0",
+    "METRICS_LISTEN_ADDRESS": "127.0.0.1:0",
     # The platform's services.
     "TABLE_URL": "",
     "OBJECTS_URL": "",
@@ -39,7 +42,6 @@
     "LOG_LEVEL": "INFO",
 }
 REQUIRED = ("NAME", "ZONE", "TABLE_URL", "INSTANCE_LIST_URL")
-LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
 class SettingProblem:
@@ -82,7 +84,7 @@
         except OSError as error:
             problem = SettingProblem(path, error.strerror, "a file that can be read")
             return None, [problem]
-        except pyjson5.Json5DecoderException as error:
+        except (pyjson5.Json5DecoderException, UnicodeDecodeError) as error:
             problem = SettingProblem(path, str(error), "JSON with comments")
             return None, [problem]
         if not isinstance(given, dict):
@@ -95,28 +97,28 @@
     """Return everything that is wrong with given settings at once."""
     problems = []
     for name, value in given.items():
-        if name not in DEFAULTS:
-            problems.append(SettingProblem(name, value, _nearest(name)))
-        elif not _has_type_of(DEFAULTS[name], value):
-            expected = type(DEFAULTS[name]).__name__
-            problems.append(SettingProblem(name, value, f"a value of type {expected}"))
-        elif isinstance(value, int) and value < 0:
-            problems.append(SettingProblem(name, value, "a number from 0 up"))
+        expected = _find_expected(name, value)
+        if expected is not None:
+            problems.append(SettingProblem(name, value, expected))
     for name in REQUIRED:
-        if not given.get(name):
-            problems.append(SettingProblem(name, given.get(name), "a value"))
-    if given.get("LOG_LEVEL", "INFO") not in LOG_LEVELS:
-        expected = f"one of {', '.join(LOG_LEVELS)}"
-        problems.append(SettingProblem("LOG_LEVEL", given["LOG_LEVEL"], expected))
+        if name not in given:
+            problems.append(SettingProblem(name, None, "a value"))
     return problems
 
 
+def _find_expected(name, value):
+    """Return what should stand in place of a wrong setting, or None."""
+    if name not in DEFAULTS:
+        return _nearest(name)
+    expected = check_type(DEFAULTS[name], value)
+    if expected is not None:
+        return expected
+    if name in REQUIRED and not value:
+        return "a value"
+    check = CHECKS_BY_NAME.get(name)
+    return check(value) if check is not None and value != DEFAULTS[name] else None
+
+
 def _nearest(name):
     near = difflib.get_close_matches(name.upper(), DEFAULTS, n=1, cutoff=0.5)
     return f"a known setting; did you mean {near[0]}?" if near else "a known setting"
-
-
-def _has_type_of(default, value):
-    if isinstance(default, bool) or isinstance(value, bool):
-        return isinstance(default, bool) and isinstance(value, bool)
-    return isinstance(value, type(default))
--- /dev/null
+++ b/stoatpath/settings_checks.py
@@ -0,0 +1,106 @@
+"""Checks of single settings. Each returns what was expected, or None."""
+
+import ipaddress
+from urllib.parse import urlsplit
+
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+MIN_SECRET_CHARS = 8
+MAX_PORT = 65_535
+TLS_FILES = ("certificate", "key")
+ROLES = ("reader", "operator")
+
+
+def check_type(default, value):
+    """Return the type expected of a setting when its value has another one."""
+    if isinstance(default, bool) or isinstance(value, bool):
+        is_right = isinstance(default, bool) and isinstance(value, bool)
+    else:
+        is_right = isinstance(value, type(default))
+    if not is_right:
+        return f"a value of type {type(default).__name__}"
+    if isinstance(value, int) and value < 0:
+        return "a number from 0 up"
+    return None
+
+
+def check_address(value):
+    """Expect `IP:PORT`, with brackets around an IPv6 address."""
+    host, _, port = value.rpartition(":")
+    if _is_ip(host.strip("[]")) and _is_port(port):
+        return None
+    return "an IP number and a port, such as 10.0.0.7:8080"
+
+
+def check_url(value):
+    """Expect a base URL whose host is an IP number."""
+    parts = urlsplit(value)
+    try:
+        has_port = parts.port is not None
+    except ValueError:
+        has_port = False
+    if parts.scheme in ("http", "https") and has_port and _is_ip(parts.hostname or ""):
+        return None
+    return "a URL with an IP number and a port, such as http://10.0.0.9:7000"
+
+
+def check_secrets(value):
+    """Expect secrets by identifier."""
+    if all(
+        isinstance(each, str) and len(each) >= MIN_SECRET_CHARS
+        for each in value.values()
+    ):
+        return None
+    return f"identifiers with secrets of at least {MIN_SECRET_CHARS} characters"
+
+
+def check_log_level(value):
+    """Expect one of the log levels."""
+    return None if value in LOG_LEVELS else f"one of {', '.join(LOG_LEVELS)}"
+
+
+def check_positive(value):
+    """Expect a number above 0."""
+    return None if value > 0 else "a number from 1 up"
+
+
+def check_tls(value):
+    """Expect the files of a TLS identity, and optionally of an authority."""
+    known = {*TLS_FILES, "authority"}
+    has_identity = all(isinstance(value.get(name), str) for name in TLS_FILES)
+    if has_identity and set(value) <= known:
+        return None
+    return "an object with the file names certificate, key and optionally authority"
+
+
+def _is_ip(text):
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_port(text):
+    return text.isascii() and text.isdigit() and int(text) <= MAX_PORT
+
+
+CHECKS_BY_NAME = {
+    "LISTEN_ADDRESS": check_address,
+    "PEER_LISTEN_ADDRESS": check_address,
+    "OPERATOR_LISTEN_ADDRESS": check_address,
+    "METRICS_LISTEN_ADDRESS": check_address,
+    "TABLE_URL": check_url,
+    "OBJECTS_URL": check_url,
+    "INSTANCE_LIST_URL": check_url,
+    "RATINGS_URL": check_url,
+    "WEIGHTS_URL": check_url,
+    "SESSION_KEYS": check_secrets,
+    "PEER_KEYS": check_secrets,
+    "MAX_BODY_BYTES": check_positive,
+    "MAX_HEADER_BYTES": check_positive,
+    "BODY_TIMEOUT_MS": check_positive,
+    "MAX_TIMEOUT_MS": check_positive,
+    "MAX_QUEUED_REQUESTS": check_positive,
+    "STALENESS_LIMIT_MS": check_positive,
+    "LOG_LEVEL": check_log_level,
+}
