One HTTP server for all listeners, TLS for each listener and client

Cause: four listeners built the same aiohttp runner; nothing was encrypted. Change: servers.HttpServer; tls.TlsContexts from settings, re-read on change.

--- a/stoatpath/callers/listeners.py
+++ b/stoatpath/callers/listeners.py
@@ -15,6 +15,7 @@
     Outcome,
     is_failure,
 )
+from stoatpath.servers import HttpServer
 from stoatpath.utils import encode_json
 
 MIN_RETRY_AFTER_S = 1
@@ -56,12 +57,12 @@
 class Listener:
     """Reads caller requests and writes what the pipeline returns."""
 
-    __slots__ = ("_parts", "_pipeline", "_runner", "_open", "address", "is_closing")
+    __slots__ = ("_parts", "_pipeline", "_server", "_open", "address", "is_closing")
 
     def __init__(self, parts, pipeline):
         self._parts = parts
         self._pipeline = pipeline
-        self._runner = None
+        self._server = None
         self._open = 0
         self.address = ""
         self.is_closing = False
@@ -69,33 +70,27 @@
     async def start(self, address):
         """Listen on `host:port`; port 0 takes a free one."""
         settings = self._parts.settings
-        app = web.Application(client_max_size=settings.max_body_bytes)
-        app.add_routes(
-            [
-                web.post("/v1/chat/completions", self._complete),
-                web.route("*", "/services/{service}/{path:.*}", self._call),
-                web.get("/healthz", self._health),
-                web.get("/readyz", self._ready),
-                web.route("*", "/{path:.*}", self._unknown),
-            ]
-        )
-        self._runner = web.AppRunner(
-            app,
-            access_log=None,
+        routes = [
+            web.post("/v1/chat/completions", self._complete),
+            web.route("*", "/services/{service}/{path:.*}", self._call),
+            web.get("/healthz", self._health),
+            web.get("/readyz", self._ready),
+            web.route("*", "/{path:.*}", self._unknown),
+        ]
+        self._server = HttpServer(
+            routes,
+            self._parts.node.tls.callers,
+            settings.max_body_bytes,
             max_field_size=settings.max_header_bytes,
             max_line_size=settings.max_header_bytes,
         )
-        await self._runner.setup()
-        host, _, port = address.rpartition(":")
-        site = web.TCPSite(self._runner, host, int(port))
-        await site.start()
-        bound = self._runner.addresses[0]
-        self.address = f"{bound[0]}:{bound[1]}"
+        await self._server.start(address)
+        self.address = self._server.address
 
     async def stop(self):
         """Close the listener and its connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._server is not None:
+            await self._server.stop()
 
     async def drain(self):
         """Return once no request is in flight."""
--- a/stoatpath/configuration/listeners.py
+++ b/stoatpath/configuration/listeners.py
@@ -7,8 +7,11 @@
 
 from stoatpath.configuration.messages import Accepted, Conflict, Invalid, Submission
 from stoatpath.outcomes import Failure
+from stoatpath.servers import HttpServer
 from stoatpath.utils import decode_json, encode_json
 
+MAX_SUBMISSION_BYTES = 8 * 1024 * 1024
+
 
 class OperatorListener:
     """Takes submissions and answers questions about the configuration.
@@ -16,35 +19,30 @@
     Operator keys are given as operator name to secret.
     """
 
-    __slots__ = ("_node", "_keys_by_operator", "_runner", "address")
+    __slots__ = ("_node", "_keys_by_operator", "_server", "address")
 
     def __init__(self, node, keys_by_operator):
         self._node = node
         self._keys_by_operator = keys_by_operator
-        self._runner = None
+        self._server = None
         self.address = ""
 
     async def start(self, address):
         """Listen on `host:port`; port 0 takes a free one."""
-        app = web.Application()
-        app.add_routes(
-            [
-                web.post("/v1/submissions", self._submit),
-                web.get("/v1/configuration", self._show),
-                web.get("/healthz", self._health),
-            ]
-        )
-        self._runner = web.AppRunner(app, access_log=None)
-        await self._runner.setup()
-        host, _, port = address.rpartition(":")
-        await web.TCPSite(self._runner, host, int(port)).start()
-        bound = self._runner.addresses[0]
-        self.address = f"{bound[0]}:{bound[1]}"
+        routes = [
+            web.post("/v1/submissions", self._submit),
+            web.get("/v1/configuration", self._show),
+            web.get("/healthz", self._health),
+        ]
+        tls = self._node.tls.operators
+        self._server = HttpServer(routes, tls, MAX_SUBMISSION_BYTES)
+        await self._server.start(address)
+        self.address = self._server.address
 
     async def stop(self):
         """Close the listener."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._server is not None:
+            await self._server.stop()
 
     def _operator(self, request):
         """Return the operator whose key the request carries, or None."""
--- a/stoatpath/dispatch/senders.py
+++ b/stoatpath/dispatch/senders.py
@@ -18,6 +18,7 @@
     Outcome,
     is_failure,
 )
+from stoatpath.tls import scheme
 from stoatpath.utils import encode_json
 
 CONNECT_TIMEOUT_MS = 500
@@ -32,10 +33,11 @@
     Requests that may not be repeated never use a connection that stood idle.
     """
 
-    __slots__ = ("_clock", "_pooled", "_fresh")
+    __slots__ = ("_clock", "_tls", "_pooled", "_fresh")
 
-    def __init__(self, clock):
+    def __init__(self, clock, tls=None):
         self._clock = clock
+        self._tls = tls
         self._pooled = None
         self._fresh = None
 
@@ -45,10 +47,14 @@
             total=None, sock_connect=CONNECT_TIMEOUT_MS / 1000
         )
         self._pooled = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0), timeout=timeout
+            connector=aiohttp.TCPConnector(limit=0, ssl=self._tls or True),
+            timeout=timeout,
         )
         self._fresh = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True), timeout=timeout
+            connector=aiohttp.TCPConnector(
+                limit=0, force_close=True, ssl=self._tls or True
+            ),
+            timeout=timeout,
         )
 
     async def close(self):
@@ -82,7 +88,7 @@
             headers["Content-Type"] = request.content_type
         call = session.request(
             request.method,
-            f"http://{attempt.backend.address}{request.path}",
+            f"{scheme(self._tls)}://{attempt.backend.address}{request.path}",
             data=_payload(attempt),
             headers=headers,
             allow_redirects=False,
--- a/stoatpath/membership/backends.py
+++ b/stoatpath/membership/backends.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from stoatpath.outcomes import is_failure
+from stoatpath.tls import scheme
 from stoatpath.utils import decode_json
 
 logger = logging.getLogger(__name__)
@@ -109,9 +110,10 @@
 class BackendWatcher:
     """Reads the platform's list and the load reports of backend servers."""
 
-    __slots__ = ("_servers", "_instance_list", "_clock", "_session")
+    __slots__ = ("_servers", "_instance_list", "_clock", "_tls", "_session")
 
-    def __init__(self, servers, instance_list, clock):
+    def __init__(self, servers, instance_list, clock, tls=None):
+        self._tls = tls
         self._servers = servers
         self._instance_list = instance_list
         self._clock = clock
@@ -120,7 +122,10 @@
     async def run(self):
         """Poll until cancelled."""
         timeout = aiohttp.ClientTimeout(total=LOAD_TIMEOUT_MS / 1000)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        connector = aiohttp.TCPConnector(limit=0, ssl=self._tls or True)
+        async with aiohttp.ClientSession(
+            connector=connector, timeout=timeout
+        ) as session:
             self._session = session
             next_list_ms = self._clock.now_ms()
             while True:
@@ -145,7 +150,8 @@
     async def _read_load(self, backend):
         path = "/v1/load" if backend.kind == ENGINE else "/stoatpath/load"
         try:
-            async with self._session.get(f"http://{backend.address}{path}") as response:
+            url = f"{scheme(self._tls)}://{backend.address}{path}"
+            async with self._session.get(url) as response:
                 report = decode_json(await response.read())
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
             return
--- a/stoatpath/membership/peers.py
+++ b/stoatpath/membership/peers.py
@@ -8,6 +8,8 @@
 from aiohttp import web
 
 from stoatpath.outcomes import CONNECT_FAILED, Failure, Outcome
+from stoatpath.servers import HttpServer
+from stoatpath.tls import scheme
 from stoatpath.utils import decode_json, encode_json
 
 PEER_TIMEOUT_MS = 1_000
@@ -48,12 +50,13 @@
 class PeerServer:
     """Listens for messages of other members and hands them to their topic."""
 
-    __slots__ = ("_signer", "_handlers_by_topic", "_runner", "address")
+    __slots__ = ("_signer", "_tls", "_handlers_by_topic", "_server", "address")
 
-    def __init__(self, signer):
+    def __init__(self, signer, tls=None):
         self._signer = signer
+        self._tls = tls
         self._handlers_by_topic = {}
-        self._runner = None
+        self._server = None
         self.address = ""
 
     def register(self, topic, handler):
@@ -62,20 +65,15 @@
 
     async def start(self, address):
         """Listen on `host:port`; port 0 takes a free one."""
-        app = web.Application(client_max_size=MAX_PEER_BODY_BYTES)
-        app.add_routes([web.post("/peers/v1/{topic}", self._handle)])
-        self._runner = web.AppRunner(app, access_log=None)
-        await self._runner.setup()
-        host, _, port = address.rpartition(":")
-        site = web.TCPSite(self._runner, host, int(port), shutdown_timeout=0.5)
-        await site.start()
-        bound = self._runner.addresses[0]
-        self.address = f"{bound[0]}:{bound[1]}"
+        routes = [web.post("/peers/v1/{topic}", self._handle)]
+        self._server = HttpServer(routes, self._tls, MAX_PEER_BODY_BYTES)
+        await self._server.start(address)
+        self.address = self._server.address
 
     async def stop(self):
         """Close the listener."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._server is not None:
+            await self._server.stop()
 
     async def _handle(self, request):
         topic = request.match_info["topic"]
@@ -94,10 +92,11 @@
 class PeerClient:
     """Sends messages to other members and counts bytes."""
 
-    __slots__ = ("_signer", "_session", "bytes_sent", "bytes_read")
+    __slots__ = ("_signer", "_tls", "_session", "bytes_sent", "bytes_read")
 
-    def __init__(self, signer):
+    def __init__(self, signer, tls=None):
         self._signer = signer
+        self._tls = tls
         self._session = None
         self.bytes_sent = 0
         self.bytes_read = 0
@@ -105,11 +104,12 @@
     async def ask(self, address, topic, message, timeout_ms=PEER_TIMEOUT_MS):
         """Return the decoded answer of a member, or a failure."""
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            connector = aiohttp.TCPConnector(limit=0, ssl=self._tls or True)
+            self._session = aiohttp.ClientSession(connector=connector)
         payload = encode_json(message)
         headers = {SIGNATURE_HEADER: self._signer.sign(topic, payload)}
         self.bytes_sent += len(payload)
-        url = f"http://{address}/peers/v1/{topic}"
+        url = f"{scheme(self._tls)}://{address}/peers/v1/{topic}"
         timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000)
         try:
             async with self._session.post(
--- a/stoatpath/metrics.py
+++ b/stoatpath/metrics.py
@@ -8,6 +8,9 @@
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
+from stoatpath.servers import HttpServer
+
+MAX_QUESTION_BYTES = 1_024
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
@@ -63,31 +66,28 @@
     Each source is a callable that returns samples.
     """
 
-    __slots__ = ("_registry", "_runner", "address")
+    __slots__ = ("_registry", "_server", "address")
 
     def __init__(self, sources):
         self._registry = CollectorRegistry(auto_describe=False)
         self._registry.register(_Collector(sources))
-        self._runner = None
+        self._server = None
         self.address = ""
 
     async def start(self, address):
         """Listen on `host:port`; port 0 takes a free one."""
-        app = web.Application()
-        app.add_routes(
-            [web.get("/metrics", self._metrics), web.get("/healthz", self._health)]
-        )
-        self._runner = web.AppRunner(app, access_log=None)
-        await self._runner.setup()
-        host, _, port = address.rpartition(":")
-        await web.TCPSite(self._runner, host, int(port)).start()
-        bound = self._runner.addresses[0]
-        self.address = f"{bound[0]}:{bound[1]}"
+        routes = [
+            web.get("/metrics", self._metrics),
+            web.get("/healthz", self._health),
+        ]
+        self._server = HttpServer(routes, None, MAX_QUESTION_BYTES)
+        await self._server.start(address)
+        self.address = self._server.address
 
     async def stop(self):
         """Close the listener."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        if self._server is not None:
+            await self._server.stop()
 
     async def _metrics(self, request):
         body = generate_latest(self._registry)
--- a/stoatpath/nodes.py
+++ b/stoatpath/nodes.py
@@ -14,6 +14,7 @@
 from stoatpath.outcomes import is_failure
 from stoatpath.platform.instance_lists import InstanceList
 from stoatpath.platform.tables import Table
+from stoatpath.tls import TlsContexts
 from stoatpath.utils import cancel_and_wait
 
 logger = logging.getLogger(__name__)
@@ -29,6 +30,7 @@
         "clock",
         "role",
         "incarnation",
+        "tls",
         "table",
         "instance_list",
         "store",
@@ -45,13 +47,16 @@
         self.clock = clock
         self.role = role
         self.incarnation = clock.wall_ms()
-        self.table = Table.from_url(settings.table_url)
-        self.instance_list = InstanceList.from_url(settings.instance_list_url)
+        self.tls = TlsContexts.from_settings(settings)
+        self.table = Table.from_url(settings.table_url, self.tls.platform)
+        self.instance_list = InstanceList.from_url(
+            settings.instance_list_url, self.tls.platform
+        )
         self.store = ConfigurationStore(self.table, clock)
         self.follower = ConfigurationFollower(self.store, clock)
         signer = PeerSigner(settings.peer_keys)
-        self.peer_server = PeerServer(signer)
-        self.peer_client = PeerClient(signer)
+        self.peer_server = PeerServer(signer, self.tls.peers_in)
+        self.peer_client = PeerClient(signer, self.tls.peers_out)
         own = Member(settings.name, role, "", settings.zone, self.incarnation, 0, LIVE)
         self.members = MemberTable(own)
         self.gossip = Gossip(
@@ -70,7 +75,12 @@
         await self.peer_server.start(self.settings.peer_listen_address)
         self.members.own.address = self.peer_server.address
         await self.follower.poll()
-        jobs = (self.follower.run(), self.gossip.run(), self._seed())
+        jobs = (
+            self.follower.run(),
+            self.gossip.run(),
+            self.tls.run(self.clock),
+            self._seed(),
+        )
         self._tasks = [asyncio.create_task(job) for job in jobs]
 
     async def stop(self):
--- a/stoatpath/platform/connections.py
+++ b/stoatpath/platform/connections.py
@@ -11,10 +11,19 @@
 class PlatformConnection:
     """Posts JSON to one platform service and counts calls and bytes."""
 
-    __slots__ = ("_url", "_session", "_timeout_s", "calls", "bytes_sent", "bytes_read")
+    __slots__ = (
+        "_url",
+        "_tls",
+        "_session",
+        "_timeout_s",
+        "calls",
+        "bytes_sent",
+        "bytes_read",
+    )
 
-    def __init__(self, url, timeout_ms):
+    def __init__(self, url, timeout_ms, tls=None):
         self._url = url.rstrip("/")
+        self._tls = tls
         self._timeout_s = timeout_ms / 1000
         self._session = None
         self.calls = 0
@@ -41,7 +50,8 @@
     async def _exchange(self, path, payload):
         if self._session is None:
             timeout = aiohttp.ClientTimeout(total=self._timeout_s)
-            self._session = aiohttp.ClientSession(timeout=timeout)
+            connector = aiohttp.TCPConnector(ssl=self._tls or True)
+            self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
         async with self._session.post(self._url + path, data=payload) as response:
             body = await response.read()
             self.bytes_read += len(body)
--- a/stoatpath/platform/instance_lists.py
+++ b/stoatpath/platform/instance_lists.py
@@ -16,9 +16,9 @@
         self.connection = connection
 
     @classmethod
-    def from_url(cls, url, timeout_ms=LIST_TIMEOUT_MS):
+    def from_url(cls, url, tls=None, timeout_ms=LIST_TIMEOUT_MS):
         """Build a client of the service at a base URL."""
-        return cls(PlatformConnection(url, timeout_ms))
+        return cls(PlatformConnection(url, timeout_ms, tls))
 
     async def read(self):
         """Return entries by name, or a failure."""
--- a/stoatpath/platform/ratings.py
+++ b/stoatpath/platform/ratings.py
@@ -15,9 +15,9 @@
         self.connection = connection
 
     @classmethod
-    def from_url(cls, url, timeout_ms=RATING_TIMEOUT_MS):
+    def from_url(cls, url, tls=None, timeout_ms=RATING_TIMEOUT_MS):
         """Build a client of the service at a base URL."""
-        return cls(PlatformConnection(url, timeout_ms))
+        return cls(PlatformConnection(url, timeout_ms, tls))
 
     async def rate(self, request_id, purpose, version, answer):
         """Return a score between 0 and 1, or a failure."""
--- a/stoatpath/platform/tables.py
+++ b/stoatpath/platform/tables.py
@@ -17,9 +17,9 @@
         self.connection = connection
 
     @classmethod
-    def from_url(cls, url, timeout_ms=TABLE_TIMEOUT_MS):
+    def from_url(cls, url, tls=None, timeout_ms=TABLE_TIMEOUT_MS):
         """Build a client of the service at a base URL."""
-        return cls(PlatformConnection(url, timeout_ms))
+        return cls(PlatformConnection(url, timeout_ms, tls))
 
     async def transact(self, transaction):
         """Return `Applied`, `Rejected` or a failure."""
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -64,20 +64,24 @@
         self.node = Node.from_settings(settings, ROUTER, clock)
         self.follower = self.node.follower
         self.ring = DecisionRing(clock)
-        self.ratings = RatingService.from_url(settings.ratings_url)
+        self.ratings = RatingService.from_url(
+            settings.ratings_url, self.node.tls.platform
+        )
         self.claims = ClaimKeeper(self.node.table)
         self.outbox = Outbox(
             self.node.table, clock, settings.name, self.node.incarnation
         )
         self.backends = BackendServers()
-        self.watcher = BackendWatcher(self.backends, self.node.instance_list, clock)
+        self.watcher = BackendWatcher(
+            self.backends, self.node.instance_list, clock, self.node.tls.backends
+        )
         self.chooser = Chooser(settings.zone, rng)
         self.gate = AdmissionGate(AdmissionQueue(settings.max_queued_requests), clock)
         self.assigner = VersionAssigner()
         self.estimates = QualityEstimates()
         self.planner = Planner(self.estimates)
         self.pins = SessionPins(TokenSigner(settings.session_keys))
-        self.sender = Sender(clock)
+        self.sender = Sender(clock, self.node.tls.backends)
         self.retry_budget = RetryBudget()
         self.attempts = AttemptRunner(self)
         self.stages = StageRunner(self)
--- a/stoatpath/settings.py
+++ b/stoatpath/settings.py
@@ -27,6 +27,12 @@
     "SESSION_KEYS": {},
     "PEER_KEYS": {},
     "OPERATOR_KEYS": {},
+    # TLS: files of an identity (certificate, key, authority), or authorities alone.
+    "LISTEN_TLS": {},
+    "OPERATOR_TLS": {},
+    "PEER_TLS": {},
+    "PLATFORM_AUTHORITY": "",
+    "BACKEND_AUTHORITY": "",
     # Limits towards callers.
     "MAX_BODY_BYTES": 4 * 1024 * 1024,
     "MAX_HEADER_BYTES": 16 * 1024,
--- /dev/null
+++ b/stoatpath/tls.py
@@ -0,0 +1,128 @@
+"""TLS contexts of listeners and clients, re-read when their files change."""
+
+import logging
+import os
+import ssl
+
+logger = logging.getLogger(__name__)
+
+CHECK_PERIOD_MS = 5_000
+
+
+class TlsContexts:
+    """SSL contexts by use; None where the settings name no files.
+
+    `callers` and `operators` are for listeners, `peers_in` and `peers_out` for
+    messages between members, `platform` and `backends` for clients.
+    """
+
+    __slots__ = (
+        "callers",
+        "operators",
+        "peers_in",
+        "peers_out",
+        "platform",
+        "backends",
+        "_loads_by_path",
+        "_times_by_path",
+    )
+
+    def __init__(self):
+        self.callers = None
+        self.operators = None
+        self.peers_in = None
+        self.peers_out = None
+        self.platform = None
+        self.backends = None
+        self._loads_by_path = {}
+        self._times_by_path = {}
+
+    @classmethod
+    def from_settings(cls, settings):
+        """Load every file that the settings name."""
+        contexts = cls()
+        contexts.callers = contexts._listener(settings.listen_tls)
+        contexts.operators = contexts._listener(settings.operator_tls)
+        contexts.peers_in = contexts._listener(settings.peer_tls)
+        contexts.peers_out = contexts._client(settings.peer_tls.get("authority", ""))
+        if contexts.peers_out is not None:
+            contexts._load_identity(contexts.peers_out, settings.peer_tls)
+        contexts.platform = contexts._client(settings.platform_authority)
+        contexts.backends = contexts._client(settings.backend_authority)
+        return contexts
+
+    async def run(self, clock):
+        """Re-read changed files until cancelled."""
+        while True:
+            await clock.sleep_until(clock.now_ms() + CHECK_PERIOD_MS)
+            self.reload_changed()
+
+    def reload_changed(self):
+        """Load the files that changed; a broken file leaves the old one in use."""
+        for path, loads in self._loads_by_path.items():
+            changed_at = _modified_at(path)
+            if changed_at == self._times_by_path[path]:
+                continue
+            try:
+                for load in loads:
+                    load()
+            except (OSError, ssl.SSLError) as error:
+                logger.error(
+                    "tls.reload-failed", extra={"path": path, "why": str(error)}
+                )
+                continue
+            self._times_by_path[path] = changed_at
+            logger.info("tls.reloaded", extra={"path": path})
+
+    def _listener(self, files):
+        if not files:
+            return None
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        self._load_identity(context, files)
+        if "authority" in files:
+            context.verify_mode = ssl.CERT_REQUIRED
+            self._load_authority(context, files["authority"])
+        return context
+
+    def _client(self, authority):
+        if not authority:
+            return None
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        self._load_authority(context, authority)
+        return context
+
+    def _load_identity(self, context, files):
+        certificate = files["certificate"]
+        key = files["key"]
+
+        def load():
+            context.load_cert_chain(certificate, key)
+
+        load()
+        self._watch(certificate, load)
+        self._watch(key, load)
+
+    def _load_authority(self, context, path):
+        def load():
+            context.load_verify_locations(path)
+
+        load()
+        self._watch(path, load)
+
+    def _watch(self, path, load):
+        self._loads_by_path.setdefault(path, []).append(load)
+        self._times_by_path[path] = _modified_at(path)
+
+
+def scheme(context):
+    """Return the URL scheme of connections with a context or None."""
+    return "http" if context is None else "https"
+
+
+def _modified_at(path):
+    try:
+        return os.stat(path).st_mtime_ns
+    except OSError:
+        return None
