--- a/stoatpath/platform/connections.py
+++ b/stoatpath/platform/connections.py
@@ -4,19 +4,30 @@
 
 import aiohttp
 
-from stoatpath.outcomes import PLATFORM_UNAVAILABLE, Failure, Outcome
+from stoatpath.outcomes import PLATFORM_UNAVAILABLE, Failure, Outcome, is_failure
 from stoatpath.utils import decode_json, encode_json
 
+THROTTLED_STATUS = 429
+UNAVAILABLE_STATUS = 503
+UNREADABLE = (AttributeError, KeyError, TypeError, ValueError)
+
 
 class PlatformConnection:
-    """Posts JSON to one platform service and counts calls and bytes."""
+    """Posts JSON to one platform service and counts calls and bytes.
+
+    Every call is a POST, which aiohttp never repeats by itself on a kept-alive
+    connection that was closed: one call here is at most one call there.
+    `failures` counts calls whose result was a failure.
+    """
 
     __slots__ = (
         "_url",
-        "_tls",
         "_session",
         "_timeout_s",
+        "_tls",
         "calls",
+        "failures",
+        "throttled",
         "bytes_sent",
         "bytes_read",
     )
@@ -27,9 +38,23 @@
         self._timeout_s = timeout_ms / 1000
         self._session = None
         self.calls = 0
+        self.failures = 0
+        self.throttled = 0
         self.bytes_sent = 0
         self.bytes_read = 0
 
+    async def call(self, path, message, build):
+        """Return `build(answer)`, or a failure when the answer can't be read."""
+        answer = await self.post(path, message)
+        if is_failure(answer):
+            return answer
+        try:
+            return build(answer)
+        except UNREADABLE as error:
+            self.failures += 1
+            detail = f"{path}: unreadable answer ({type(error).__name__})"
+            return Failure(PLATFORM_UNAVAILABLE, detail, Outcome.UNKNOWN)
+
     async def post(self, path, message):
         """Return the decoded answer or a failure.
 
@@ -39,10 +64,18 @@
         payload = encode_json(message)
         self.calls += 1
         self.bytes_sent += len(payload)
+        answer = await self._attempt(path, payload)
+        if is_failure(answer):
+            self.failures += 1
+        return answer
+
+    async def _attempt(self, path, payload):
         try:
             return await self._exchange(path, payload)
         except aiohttp.ClientConnectorError as error:
             return Failure(PLATFORM_UNAVAILABLE, str(error))
+        except aiohttp.ConnectionTimeoutError:
+            return Failure(PLATFORM_UNAVAILABLE, f"{path}: no connection in time")
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             detail = f"{path}: {type(error).__name__}"
             return Failure(PLATFORM_UNAVAILABLE, detail, Outcome.UNKNOWN)
@@ -55,7 +88,8 @@
         async with self._session.post(self._url + path, data=payload) as response:
             body = await response.read()
             self.bytes_read += len(body)
-            if response.status in (429, 503):
+            if response.status in (THROTTLED_STATUS, UNAVAILABLE_STATUS):
+                self.throttled += response.status == THROTTLED_STATUS
                 return Failure(PLATFORM_UNAVAILABLE, f"{path}: {response.status}")
             answer = decode_json(body) if response.status == 200 else None
             if answer is None:
--- a/stoatpath/platform/instance_lists.py
+++ b/stoatpath/platform/instance_lists.py
@@ -1,6 +1,5 @@
 """Client of the platform's lagging list of live and leaving instances."""
 
-from stoatpath.outcomes import is_failure
 from stoatpath.platform.connections import PlatformConnection
 from stoatpath.platform.messages import LiveInstance
 
@@ -22,12 +21,13 @@
 
     async def read(self):
         """Return entries by name, or a failure."""
-        answer = await self.connection.post("/v1/instances", {})
-        if is_failure(answer):
-            return answer
-        entries = map(LiveInstance.from_json, answer["instances"])
-        return {entry.name: entry for entry in entries}
+        return await self.connection.call("/v1/instances", {}, _build_entries)
 
     async def close(self):
         """Close the connections."""
         await self.connection.close()
+
+
+def _build_entries(answer):
+    entries = map(LiveInstance.from_json, answer["instances"])
+    return {entry.name: entry for entry in entries}
--- a/stoatpath/platform/messages.py
+++ b/stoatpath/platform/messages.py
@@ -18,7 +18,7 @@
     @classmethod
     def from_json(cls, data):
         """Build a row from its wire form."""
-        return cls(data["key"], data["version"], data["value"])
+        return cls(str(data["key"]), int(data["version"]), data["value"])
 
 
 class Condition:
@@ -50,21 +50,40 @@
 
 
 class Transaction:
-    """Conditions and writes that apply together or not at all."""
+    """Conditions and writes that apply together or not at all.
 
-    __slots__ = ("conditions", "puts")
+    `deletes` holds keys of rows to remove; a removed row has version 0 again.
+    """
+
+    __slots__ = ("conditions", "puts", "deletes")
 
-    def __init__(self, conditions, puts):
+    def __init__(self, conditions, puts, deletes=()):
         self.conditions = conditions
         self.puts = puts
+        self.deletes = deletes
 
     def to_json(self):
         """Return the wire form."""
         return {
             "conditions": [condition.to_json() for condition in self.conditions],
             "puts": [put.to_json() for put in self.puts],
+            "deletes": list(self.deletes),
         }
 
+    def is_seen_in(self, by_key):
+        """Return whether rows show that this very transaction took effect.
+
+        Sure only if every conditioned row is also written, with a value that
+        no other writer writes.
+        """
+        written = {put.key: put.value for put in self.puts}
+        return bool(self.conditions) and all(
+            condition.key in written
+            and by_key[condition.key].version == condition.version + 1
+            and by_key[condition.key].value == written[condition.key]
+            for condition in self.conditions
+        )
+
 
 class Applied:
     """The transaction took effect."""
--- a/stoatpath/platform/ratings.py
+++ b/stoatpath/platform/ratings.py
@@ -1,6 +1,5 @@
 """Client of the platform's service that rates answers."""
 
-from stoatpath.outcomes import is_failure
 from stoatpath.platform.connections import PlatformConnection
 
 RATING_TIMEOUT_MS = 1_000
@@ -27,9 +26,15 @@
             "version": version,
             "answer": answer,
         }
-        reply = await self.connection.post("/v1/ratings", question)
-        return reply if is_failure(reply) else float(reply["score"])
+        return await self.connection.call("/v1/ratings", question, _build_score)
 
     async def close(self):
         """Close the connections."""
         await self.connection.close()
+
+
+def _build_score(answer):
+    score = float(answer["score"])
+    if not 0.0 <= score <= 1.0:
+        raise ValueError("a score lies between 0 and 1")
+    return score
--- a/stoatpath/standins/faults.py
+++ b/stoatpath/standins/faults.py
@@ -1,4 +1,18 @@
-"""Fault tables: which calls of a stand-in fail, how, and how often."""
+"""Fault tables: which calls of a stand-in fail, how, and how often.
+
+Kinds that every platform stand-in knows: `down`, `throttled`, `slow`,
+`request-lost`, `reply-lost`, `write-lost` (answered as done, not done),
+`garbage` (not JSON) and `wrong-shape` (JSON of another form).
+"""
+
+import asyncio
+
+from aiohttp import web
+
+from stoatpath.standins.servers import drop_connection
+
+THROTTLED_STATUS = 429
+DOWN_STATUS = 503
 
 
 class Fault:
@@ -44,3 +58,30 @@
             if fault.count <= 0:
                 faults.pop(0)
         return fault
+
+
+async def answer_early(fault, request):
+    """Return the answer that a fault gives before the call is run, or None."""
+    if fault is None:
+        return None
+    if fault.kind == "slow":
+        await asyncio.sleep(fault.delay_ms / 1000)
+    if fault.kind == "request-lost":
+        drop_connection(request)
+    if fault.kind in ("down", "request-lost"):
+        return web.Response(status=DOWN_STATUS)
+    if fault.kind == "throttled":
+        return web.Response(status=THROTTLED_STATUS)
+    return None
+
+
+def answer_late(fault, request, answer):
+    """Return the answer of a call that was run, as a fault leaves it."""
+    kind = fault.kind if fault is not None else ""
+    if kind == "reply-lost":
+        drop_connection(request)
+    if kind == "garbage":
+        return web.Response(text="<html>bad gateway</html>")
+    if kind == "wrong-shape":
+        return web.json_response({"unexpected": [1, None]})
+    return web.json_response(answer)
--- a/stoatpath/standins/instance_lists.py
+++ b/stoatpath/standins/instance_lists.py
@@ -2,16 +2,19 @@
 
 from aiohttp import web
 
+from stoatpath.standins.faults import FaultTable, answer_early, answer_late
 from stoatpath.standins.servers import StandinServer
 
 
 class InstanceListStandin:
     """Entries by name as the platform would publish them."""
 
-    __slots__ = ("by_name", "down", "_server")
+    __slots__ = ("faults", "by_name", "reads", "down", "_server")
 
     def __init__(self):
+        self.faults = FaultTable()
         self.by_name = {}
+        self.reads = 0
         self.down = False
         self._server = StandinServer([web.post("/v1/instances", self._read)])
 
@@ -34,5 +37,10 @@
     async def _read(self, request):
         if self.down:
             return web.Response(status=503)
+        fault = self.faults.take("read")
+        early = await answer_early(fault, request)
+        if early is not None:
+            return early
+        self.reads += 1
         entries = [entry.to_json() for entry in self.by_name.values()]
-        return web.json_response({"instances": entries})
+        return answer_late(fault, request, {"instances": entries})
--- a/stoatpath/standins/ratings.py
+++ b/stoatpath/standins/ratings.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from stoatpath.standins.faults import FaultTable, answer_early, answer_late
 from stoatpath.standins.servers import StandinServer
 from stoatpath.utils import decode_json
 
@@ -17,9 +18,10 @@
 class RatingStandin:
     """Scores answers by the quality mark in their text."""
 
-    __slots__ = ("down", "ratings", "_server")
+    __slots__ = ("faults", "down", "ratings", "_server")
 
     def __init__(self):
+        self.faults = FaultTable()
         self.down = False
         self.ratings = 0
         self._server = StandinServer([web.post("/v1/ratings", self._rate)])
@@ -36,6 +38,11 @@
         if self.down:
             return web.Response(status=503)
         message = decode_json(await request.read())
+        fault = self.faults.take("rate")
+        early = await answer_early(fault, request)
+        if early is not None:
+            return early
         self.ratings += 1
         mark = _QUALITY.search(message["answer"])
-        return web.json_response({"score": float(mark.group(1)) if mark else 0.0})
+        answer = {"score": float(mark.group(1)) if mark else 0.0}
+        return answer_late(fault, request, answer)
--- a/stoatpath/standins/tables.py
+++ b/stoatpath/standins/tables.py
@@ -4,20 +4,22 @@
 scan as one read.
 """
 
-import asyncio
 import bisect
 
 from aiohttp import web
 
 from stoatpath.clock import Clock
-from stoatpath.standins.faults import FaultTable
-from stoatpath.standins.servers import StandinServer, drop_connection
+from stoatpath.standins.faults import (
+    THROTTLED_STATUS,
+    FaultTable,
+    answer_early,
+    answer_late,
+)
+from stoatpath.standins.servers import StandinServer
 from stoatpath.utils import decode_json
 
 WRITES_PER_S = 400
 READS_PER_S = 2_000
-THROTTLED_STATUS = 429
-DOWN_STATUS = 503
 
 
 class TableStandin:
@@ -67,6 +69,12 @@
             bisect.insort(self._keys, key)
         self.rows[key] = (version + 1, value)
 
+    def delete(self, key):
+        """Remove a row."""
+        if key in self.rows:
+            del self.rows[key]
+            self._keys.pop(bisect.bisect_left(self._keys, key))
+
     def _over_budget(self, is_write):
         second = int(self._clock.now_ms() / 1000)
         if self._window[0] != second:
@@ -82,16 +90,7 @@
             self.throttled += 1
             return web.Response(status=THROTTLED_STATUS), None
         fault = self.faults.take(operation)
-        if fault is None:
-            return None, None
-        if fault.kind == "down":
-            return web.Response(status=DOWN_STATUS), fault
-        if fault.kind == "slow":
-            await asyncio.sleep(fault.delay_ms / 1000)
-        if fault.kind == "request-lost":
-            drop_connection(request)
-            return web.Response(status=DOWN_STATUS), fault
-        return None, fault
+        return await answer_early(fault, request), fault
 
     async def _transact(self, request):
         message = decode_json(await request.read())
@@ -106,22 +105,23 @@
         if held:
             for put in message["puts"]:
                 self.put(put["key"], put["value"])
+            for key in message.get("deletes", ()):
+                self.delete(key)
         current = [] if held else [self._row(each["key"]) for each in conditions]
-        if fault is not None and fault.kind == "reply-lost":
-            drop_connection(request)
-        return web.json_response({"applied": held, "current": current})
+        return answer_late(fault, request, {"applied": held, "current": current})
 
     async def _read(self, request):
         message = decode_json(await request.read())
-        early, _ = await self._admit(request, "read")
+        early, fault = await self._admit(request, "read")
         if early is not None:
             return early
         self.reads += 1
-        return web.json_response({"rows": [self._row(key) for key in message["keys"]]})
+        rows = [self._row(key) for key in message["keys"]]
+        return answer_late(fault, request, {"rows": rows})
 
     async def _scan(self, request):
         message = decode_json(await request.read())
-        early, _ = await self._admit(request, "scan")
+        early, fault = await self._admit(request, "scan")
         if early is not None:
             return early
         self.reads += 1
@@ -132,7 +132,7 @@
         start = max(start, bisect.bisect_left(self._keys, prefix))
         page = self._keys[start : start + message["limit"]]
         rows = [self._row(key) for key in page if key.startswith(prefix)]
-        return web.json_response({"rows": rows})
+        return answer_late(fault, request, {"rows": rows})
 
     def _version(self, key):
         return self.rows.get(key, (0, None))[0]
