Drive the chooser in virtual time and compare ways to choose

A driver with an event queue, seeded workloads and engines that batch continuously drives the router's own Chooser beside random, round robin, least reported load and an oracle with exact state. Trials of all experiments share a pool of processes.

--- a/stoatpath/measure/experiments.py
+++ b/stoatpath/measure/experiments.py
@@ -1,10 +1,5 @@
-"""The experiments by name. Each module has `run(seed)`, which returns a report."""
+"""The experiments by name, each with the module that runs it."""
 
-import importlib
-
-MODULES_BY_NAME = {}
-
-
-def run_experiment(name, seed):
-    """Run one experiment and return its report."""
-    return importlib.import_module(MODULES_BY_NAME[name]).run(seed)
+MODULES_BY_NAME = {
+    "routing": "stoatpath.measure.routing_loads",
+}
--- /dev/null
+++ b/stoatpath/measure/workloads.py
@@ -0,0 +1,124 @@
+"""Seeded arrivals: bursts, an afternoon peak, heavy tails, sessions."""
+
+import math
+
+PEAK_AT = 0.65
+PEAK_WIDTH = 0.18
+PEAK_HEIGHT = 1.0
+OFF_PEAK = 0.5
+BURST_FACTOR = 2.0
+BURST_S = 0.5
+BURST_PERIOD_S = 8.0
+MAX_TOKENS = 4_000
+MAX_SESSION_TURNS = 8
+SESSIONS_OPEN = 40
+
+
+class Arrival:
+    """One request of a workload.
+
+    `session` is "" or a name, `turn` counts the earlier requests of the session,
+    and `difficulty` from 0 to 1 is the same whoever answers.
+    """
+
+    __slots__ = (
+        "request_id",
+        "at_ms",
+        "organisation",
+        "purpose",
+        "prompt_tokens",
+        "tokens",
+        "session",
+        "turn",
+        "deadline_ms",
+        "difficulty",
+    )
+
+    def __init__(self, request_id, at_ms, organisation, purpose):
+        self.request_id = request_id
+        self.at_ms = at_ms
+        self.organisation = organisation
+        self.purpose = purpose
+        self.prompt_tokens = 0
+        self.tokens = 0
+        self.session = ""
+        self.turn = 0
+        self.deadline_ms = at_ms + purpose.timeout_ms
+        self.difficulty = 0.0
+
+
+class Workload:
+    """Makes the arrivals of one day pressed into `seconds`.
+
+    `peak_per_s` is the mean rate at the top of the afternoon peak; bursts come
+    on top of it, so that the mean over a burst period stays the same.
+    """
+
+    __slots__ = ("_deployment", "_rng", "_peak_per_s", "_seconds", "_open_sessions")
+
+    def __init__(self, deployment, rng, peak_per_s, seconds):
+        self._deployment = deployment
+        self._rng = rng
+        self._peak_per_s = peak_per_s
+        self._seconds = seconds
+        self._open_sessions = []
+
+    def arrivals(self):
+        """Return all arrivals in order of time."""
+        arrivals = []
+        at_s = 0.0
+        top = self._peak_per_s * BURST_FACTOR
+        while True:
+            at_s += self._rng.expovariate(top)
+            if at_s >= self._seconds:
+                return arrivals
+            if self._rng.random() * top < self._rate_per_s(at_s):
+                arrivals.append(self._arrival(len(arrivals), at_s * 1000))
+
+    def mean_tokens(self):
+        """Return the mean answer length over all purposes."""
+        return sum(
+            traffic.share * traffic.tokens for _, traffic in self._deployment.traffic()
+        )
+
+    def _rate_per_s(self, at_s):
+        offset = (at_s / self._seconds - PEAK_AT) / PEAK_WIDTH
+        hump = OFF_PEAK + (PEAK_HEIGHT - OFF_PEAK) * math.exp(-offset * offset)
+        burst_share = BURST_S / BURST_PERIOD_S
+        calm = (1 - BURST_FACTOR * burst_share) / (1 - burst_share)
+        is_burst = at_s % BURST_PERIOD_S < BURST_S
+        return self._peak_per_s * hump * (BURST_FACTOR if is_burst else calm)
+
+    def _arrival(self, index, at_ms):
+        rng = self._rng
+        deployment = self._deployment
+        pairs = deployment.traffic()
+        weights = [traffic.share for _, traffic in pairs]
+        purpose, traffic = rng.choices(pairs, weights)[0]
+        organisations = deployment.organisations
+        weights = [organisation.weight for organisation in organisations]
+        organisation = rng.choices(organisations, weights)[0]
+        arrival = Arrival(f"req-{index}", at_ms, organisation, purpose)
+        arrival.prompt_tokens = self._length(traffic.prompt_tokens, 0.5)
+        arrival.tokens = self._length(traffic.tokens, traffic.tokens_sigma)
+        arrival.difficulty = rng.betavariate(1.6, 3.0)
+        if rng.random() < traffic.session_share:
+            self._join_session(arrival)
+        return arrival
+
+    def _length(self, mean, sigma):
+        value = self._rng.lognormvariate(math.log(mean) - sigma * sigma / 2, sigma)
+        return max(4, min(MAX_TOKENS, int(value)))
+
+    def _join_session(self, arrival):
+        sessions = self._open_sessions
+        if len(sessions) < SESSIONS_OPEN:
+            sessions.append([f"session-{arrival.request_id}", 0, arrival.prompt_tokens])
+        session = self._rng.choice(sessions)
+        arrival.session = session[0]
+        arrival.turn = session[1]
+        arrival.prompt_tokens = session[2]
+        session[1] += 1
+        session[2] += arrival.tokens + arrival.prompt_tokens // (session[1] + 1)
+        if session[1] >= MAX_SESSION_TURNS:
+            sessions.remove(session)
--- a/stoatpath/tools/measure.py
+++ b/stoatpath/tools/measure.py
@@ -4,13 +4,15 @@
 
 from absl import app, flags
 
-from stoatpath.measure.experiments import MODULES_BY_NAME, run_experiment
+from stoatpath.measure.experiments import MODULES_BY_NAME
+from stoatpath.measure.trials import run_experiments
 
 FLAGS = flags.FLAGS
 EXIT_BAD_NAME = 2
 
 flags.DEFINE_string("experiment", "all", "The experiment to run, or all.")
 flags.DEFINE_integer("seed", 1, "The seed of all random choices.")
+flags.DEFINE_bool("plots", False, "Draw the figures, with matplotlib installed.")
 
 
 def main(argv):
@@ -23,14 +25,22 @@
             known = ", ".join(sorted(MODULES_BY_NAME))
             print(f"no experiment {name!r}; there are: {known}", file=sys.stderr)
             return EXIT_BAD_NAME
-        print(f"running {name} ...", flush=True)
-        report = run_experiment(name, FLAGS.seed)
+    print(f"running {', '.join(names)} ...", flush=True)
+    for report in run_experiments(names, FLAGS.seed):
         path = report.write()
         report.print_table()
-        print(f"  written to {path}")
+        print(f"  written to {path}", flush=True)
+        if FLAGS.plots:
+            _draw(report)
     return 0
 
 
+def _draw(report):
+    from stoatpath.measure.plots import draw_report
+
+    print(f"  {draw_report(report)}")
+
+
 def run():
     """Entry point of the program."""
     app.run(main)
