--- a/stoatpath/measure/experiments.py
+++ b/stoatpath/measure/experiments.py
@@ -1,5 +1,6 @@
 """The experiments by name, each with the module that runs it."""
 
 MODULES_BY_NAME = {
+    "decision-costs": "stoatpath.measure.decision_costs",
     "routing": "stoatpath.measure.routing_loads",
 }
--- a/stoatpath/membership/backends.py
+++ b/stoatpath/membership/backends.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from stoatpath.membership.backend_indexes import BackendIndex
 from stoatpath.outcomes import is_failure
 from stoatpath.tls import scheme
 from stoatpath.utils import decode_json
@@ -23,7 +24,8 @@
 
     `slots` and `running` count requests, `token_ms` is the time of one token,
     `reported_ms` the clock reading of the report, `in_flight` what this router
-    itself has under way there, `joined_ms` when this router first saw it.
+    itself has under way there, `in_flight_at_report` what it had when the last
+    report came, `joined_ms` when this router first saw it.
     """
 
     __slots__ = (
@@ -40,6 +42,7 @@
         "reported_ms",
         "joined_ms",
         "in_flight",
+        "in_flight_at_report",
     )
 
     def __init__(self, name, kind, service, address, zone, joined_ms):
@@ -56,15 +59,18 @@
         self.reported_ms = float("-inf")
         self.joined_ms = joined_ms
         self.in_flight = 0
+        self.in_flight_at_report = 0
 
 
 class BackendServers:
-    """Backend servers by name."""
+    """Backend servers by name, indexed by version and by plain service."""
 
-    __slots__ = ("by_name",)
+    __slots__ = ("by_name", "_by_version", "_by_service")
 
     def __init__(self):
         self.by_name = {}
+        self._by_version = BackendIndex()
+        self._by_service = BackendIndex()
 
     def apply_list(self, entries_by_name, now_ms):
         """Take the platform's list: add the new, mark the leaving, drop the gone."""
@@ -73,38 +79,53 @@
                 continue
             known = self.by_name.get(name)
             if known is None or known.address != entry.address:
+                self._forget(known)
                 known = BackendServer(
                     name, entry.role, entry.serves, entry.address, entry.zone, now_ms
                 )
                 self.by_name[name] = known
+                if known.kind == SERVICE:
+                    self._by_service.add(known.service, known)
             if entry.state == "leaving":
                 known.is_leaving = True
-        for name in set(self.by_name) - set(entries_by_name):
-            del self.by_name[name]
+        for name in [name for name in self.by_name if name not in entries_by_name]:
+            self._forget(self.by_name.pop(name))
 
     def apply_report(self, name, report, now_ms):
         """Take a load report of a backend server."""
         backend = self.by_name.get(name)
         if backend is None:
             return
-        backend.versions = frozenset(report["versions"])
+        self._set_versions(backend, frozenset(report["versions"]))
         backend.slots = report["slots"]
         backend.running = report["running"]
         backend.token_ms = report["token_ms"]
         backend.is_leaving = backend.is_leaving or report["leaving"]
         backend.reported_ms = now_ms
+        backend.in_flight_at_report = backend.in_flight
 
     def serving(self, version):
         """Return the backend servers that report a version as loaded."""
-        return [each for each in self.by_name.values() if version in each.versions]
+        return self._by_version.members(version)
 
     def of_service(self, service):
         """Return the backend servers of a plain service."""
-        return [
-            each
-            for each in self.by_name.values()
-            if each.kind == SERVICE and each.service == service
-        ]
+        return self._by_service.members(service)
+
+    def _set_versions(self, backend, versions):
+        if versions == backend.versions:
+            return
+        for version in backend.versions - versions:
+            self._by_version.remove(version, backend)
+        for version in sorted(versions - backend.versions):
+            self._by_version.add(version, backend)
+        backend.versions = versions
+
+    def _forget(self, backend):
+        if backend is None:
+            return
+        self._set_versions(backend, frozenset())
+        self._by_service.remove(backend.service, backend)
 
 
 class BackendWatcher:
