Dispatch tells the truth about what ran, under every fault of a connection

Cause: aiohttp repeats PUT, DELETE and GET by itself when a connection closes, so work that may not be repeated could run twice; a connect time-out was taken for 'unknown'; a caller that left mid-stream counted as the engine's fault and was retried; an idle connection that had gone silent held a request to its deadline; a late answer of a plain service without an echo could reach another request. Change: a pool for each backend server that is dropped as a cohort on silence; deadlines of the first and the next bytes; retries with budget and jitter, one more chance on a fresh connection; hedges; streams resumed with an overlap that must be equal; cancellation at the engine; every attempt reported to observers.

--- a/stoatpath/callers/messages.py
+++ b/stoatpath/callers/messages.py
@@ -7,6 +7,7 @@
     `deadline_ms` and `arrived_ms` are clock readings. `session` is the value
     that the caller sent, a token or an identifier, or "". `body` is the decoded
     JSON of a chat completion or the raw bytes of a call of a plain service.
+    `was_sent` says that a backend server may have received it.
     """
 
     __slots__ = (
@@ -25,6 +26,7 @@
         "path",
         "content_type",
         "body",
+        "was_sent",
     )
 
     def __init__(
@@ -60,6 +62,7 @@
         self.path = path
         self.content_type = content_type
         self.body = body
+        self.was_sent = False
 
 
 class Served:
--- /dev/null
+++ b/stoatpath/dispatch/cancellations.py
@@ -0,0 +1,59 @@
+"""Tells engines to stop attempts whose answer nobody waits for."""
+
+import asyncio
+import logging
+
+import aiohttp
+
+from stoatpath.tls import scheme
+from stoatpath.utils import cancel_and_wait, encode_json
+
+logger = logging.getLogger(__name__)
+
+CANCEL_TIMEOUT_MS = 1_000
+MAX_CANCELS = 200
+
+
+class Canceller:
+    """Sends cancellations in the background, a bounded number at a time."""
+
+    __slots__ = ("_tls", "_session", "_tasks")
+
+    def __init__(self, tls=None):
+        self._tls = tls
+        self._session = None
+        self._tasks = set()
+
+    def cancel(self, attempt):
+        """Tell the engine of an attempt to stop it; nothing waits for that."""
+        if len(self._tasks) >= MAX_CANCELS:
+            return
+        task = asyncio.get_running_loop().create_task(self._post(attempt))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self):
+        """Give up what is still under way."""
+        await cancel_and_wait(list(self._tasks))
+        if self._session is not None:
+            await self._session.close()
+
+    async def _post(self, attempt):
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(force_close=True, ssl=self._tls or True),
+                timeout=aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_MS / 1000),
+            )
+        message = {
+            "request_id": attempt.request.request_id,
+            "attempt_id": attempt.attempt_id,
+        }
+        url = f"{scheme(self._tls)}://{attempt.backend.address}/v1/cancel"
+        try:
+            async with self._session.post(url, data=encode_json(message)) as response:
+                await response.read()
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+            logger.info(
+                "dispatch.cancel-failed",
+                extra={"attempt": attempt.attempt_id, "why": type(error).__name__},
+            )
--- a/stoatpath/dispatch/checks.py
+++ b/stoatpath/dispatch/checks.py
@@ -4,6 +4,8 @@
 from stoatpath.outcomes import BROKEN_ANSWER, FOREIGN_ANSWER, Failure, Outcome
 from stoatpath.utils import decode_json
 
+BODYLESS_STATUSES = (204, 304)
+
 
 def check_completion(request_id, version, body):
     """Return the answer in the body of a buffered chat completion, or a failure."""
@@ -12,14 +14,25 @@
         return broken("the answer is not a JSON object")
     if data.get("id") != request_id or data.get("model") != version:
         return foreign(data)
-    choices = data.get("choices")
-    usage = data.get("usage")
-    if not choices or not isinstance(usage, dict):
+    try:
+        choice = data["choices"][0]
+        text = choice["message"].get("content") or ""
+        tokens = data["usage"]["total_tokens"]
+        is_finished = choice.get("finish_reason") is not None
+    except (AttributeError, IndexError, KeyError, TypeError):
         return broken("the answer has no choices or no usage")
-    if choices[0].get("finish_reason") is None:
+    if not is_finished:
         return broken("the answer has no finish reason")
-    text = choices[0].get("message", {}).get("content") or ""
-    return Answer(200, "application/json", body, text, usage["total_tokens"])
+    return Answer(200, "application/json", body, text, tokens)
+
+
+def has_known_end(method, response):
+    """Return whether the end of a response body can be told from a cut."""
+    if method == "HEAD" or response.status in BODYLESS_STATUSES:
+        return True
+    if response.content_length is not None:
+        return True
+    return "chunked" in response.headers.get("Transfer-Encoding", "").lower()
 
 
 def broken(detail):
--- /dev/null
+++ b/stoatpath/dispatch/features/steps/dispatch_rig.py
@@ -0,0 +1,170 @@
+"""Real senders and stand-ins with the other slices of a router left out."""
+
+import asyncio
+import random
+import socket
+from types import SimpleNamespace
+
+from stoatpath.callers.messages import CallerRequest
+from stoatpath.clock import Clock
+from stoatpath.configuration.documents import (
+    ACTIVE,
+    MODEL_SERVICE,
+    PLAIN_SERVICE,
+    Version,
+)
+from stoatpath.dispatch.attempts import AttemptRunner
+from stoatpath.dispatch.retries import RetryBudget
+from stoatpath.dispatch.senders import Sender
+from stoatpath.membership.backends import BackendServer, BackendServers
+from stoatpath.outcomes import is_failure
+from stoatpath.routing.choosers import Chooser
+from stoatpath.standins.engines import EngineStandin
+from stoatpath.standins.faults import Fault, FaultTable
+from stoatpath.standins.services import ServiceStandin
+
+VERSION = Version("tern@1", "tern", 1.0, ACTIVE)
+PLAIN = Version("booking-desk", "booking-desk", 1.0, ACTIVE)
+TIMEOUT_MS = 3_000
+SHORT_MS = 150
+
+
+class Caller:
+    """Stands for the listener's stream; may leave after some events."""
+
+    def __init__(self, leaves_after=None):
+        self.has_begun = False
+        self.received = b""
+        self.writes = 0
+        self.leaves_after = leaves_after
+
+    async def write(self, events):
+        if self.leaves_after is not None and self.writes >= self.leaves_after:
+            raise ConnectionResetError("gone")
+        self.has_begun = True
+        self.writes += 1
+        self.received += events
+
+
+class Rig:
+    """Backend servers that share one fault table, and a runner of attempts."""
+
+    def __init__(self, first_byte_ms=SHORT_MS):
+        self.clock = Clock()
+        self.faults = FaultTable()
+        self.engines = []
+        self.services = []
+        self.results = []
+        self.decisions = []
+        self.parts = SimpleNamespace(
+            clock=self.clock,
+            settings=SimpleNamespace(
+                first_byte_timeout_ms=first_byte_ms, hedge_min_ms=30
+            ),
+            backends=BackendServers(),
+            chooser=Chooser("zone-a", random.Random(1)),
+            sender=Sender(self.clock, SHORT_MS),
+            retry_budget=RetryBudget(),
+            ring=SimpleNamespace(note=self._note),
+        )
+        self.attempts = AttemptRunner(self.parts, random.Random(1))
+        self.attempts.observers.append(self.results.append)
+
+    def _note(self, request_id, step, reason, **details):
+        self.decisions.append((step, reason, details))
+
+    async def start(self, engines=2, services=2, token_ms=0.1):
+        await self.parts.sender.start()
+        for index in range(engines):
+            engine = EngineStandin(f"e{index}", {"tern@1": 0.9}, token_ms=token_ms)
+            engine.faults = self.faults
+            self.engines.append(engine)
+            self._list(engine.name, "engine", "tern", await engine.start())
+        for index in range(services):
+            service = ServiceStandin(f"s{index}")
+            service.faults = self.faults
+            self.services.append(service)
+            self._list(service.name, "service", "booking-desk", await service.start())
+
+    def _list(self, name, kind, service, address):
+        now_ms = self.clock.now_ms()
+        backend = BackendServer(name, kind, service, address, "zone-a", now_ms)
+        backend.versions = frozenset(["tern@1"] if kind == "engine" else [])
+        backend.slots = 8
+        backend.token_ms = 0.1
+        backend.resumes = True
+        backend.reported_ms = now_ms + 60_000
+        self.parts.backends.by_name[name] = backend
+
+    async def stop(self):
+        await self.parts.sender.close()
+        for standin in self.engines + self.services:
+            await standin.stop()
+
+    def arrange(self, kind, count=1, delay_ms=0):
+        for operation in ("complete", "serve"):
+            self.faults.add(Fault(operation, kind, count, delay_ms))
+
+    def refuse_connections(self, name):
+        """Let a backend server point at a port where nobody listens."""
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            port = unused.getsockname()[1]
+        self.parts.backends.by_name[name].address = f"127.0.0.1:{port}"
+
+    def request(self, number, plain=False, stream=False, repeatable=True, **changes):
+        service = SimpleNamespace(
+            name="booking-desk" if plain else "desk",
+            kind=PLAIN_SERVICE if plain else MODEL_SERVICE,
+        )
+        body = {
+            "messages": [{"role": "user", "content": f"question {number}"}],
+            "stream": stream,
+            "max_tokens": 40,
+        }
+        given = {
+            "request_id": f"req-{number}",
+            "organisation": None,
+            "service": service,
+            "purpose": None,
+            "arrived_ms": self.clock.now_ms(),
+            "deadline_ms": self.clock.now_ms() + TIMEOUT_MS,
+            "session": "",
+            "idempotency_key": "",
+            "body_digest": "",
+            "is_repeatable": repeatable,
+            "is_stream": stream,
+            "method": "POST",
+            "path": "/bookings" if plain else "/v1/chat/completions",
+            "content_type": "application/json",
+            "body": f"booking {number}".encode() if plain else body,
+        }
+        return CallerRequest(**{**given, **changes})
+
+    async def run(self, request, caller=None):
+        plain = request.service.kind == PLAIN_SERVICE
+        stream = caller or (Caller() if request.is_stream else None)
+        result = await self.attempts.run(request, PLAIN if plain else VERSION, stream)
+        return result, stream
+
+    def runs(self, request_id):
+        """Count what the stand-ins really ran for a request."""
+        ran = [each for engine in self.engines for each in engine.executions]
+        called = [call for service in self.services for call in service.executions]
+        return sum(each.request_id == request_id for each in ran) + sum(
+            call[0] == request_id for call in called
+        )
+
+    def cancelled(self):
+        return {name for engine in self.engines for name in engine.cancelled}
+
+
+async def wait_until(check):
+    """Return once a check holds; steps fail after ten seconds."""
+    async with asyncio.timeout(10):
+        while not check():
+            await asyncio.sleep(0.005)
+
+
+def outcome_of(result):
+    return result.outcome.value if is_failure(result) else "completed"
--- a/stoatpath/dispatch/messages.py
+++ b/stoatpath/dispatch/messages.py
@@ -4,17 +4,77 @@
 class Attempt:
     """One sending of a request to one backend server.
 
-    `stream` receives the events of a streamed answer, or is None.
+    `number` counts the attempts of the request; it names this one towards the
+    engine. `relay` takes the events of a streamed answer, or is None.
+    `first_byte_at_ms` is the clock reading by which an answer must begin.
+    `resume_from` is the first event asked of a stream that has begun.
+    `needs_fresh` asks for a new connection; `was_pooled` says that a connection
+    was used that may have stood idle.
     """
 
-    __slots__ = ("request", "version", "backend", "deadline_ms", "stream")
+    __slots__ = (
+        "request",
+        "version",
+        "backend",
+        "number",
+        "first_byte_at_ms",
+        "relay",
+        "resume_from",
+        "needs_fresh",
+        "was_pooled",
+        "deadlines",
+    )
 
-    def __init__(self, request, version, backend, deadline_ms, stream):
+    def __init__(self, request, version, backend, number, first_byte_at_ms, relay):
         self.request = request
         self.version = version
         self.backend = backend
-        self.deadline_ms = deadline_ms
-        self.stream = stream
+        self.number = number
+        self.first_byte_at_ms = first_byte_at_ms
+        self.relay = relay
+        self.resume_from = relay.resume_from if relay is not None else 0
+        self.needs_fresh = False
+        self.was_pooled = False
+        self.deadlines = None
+
+    @property
+    def attempt_id(self):
+        """Return the name of this attempt."""
+        return f"{self.request.request_id}.{self.number}"
+
+    def supersede(self):
+        """End the attempt because another one answers."""
+        if self.deadlines is not None:
+            self.deadlines.supersede()
+
+
+class AttemptResult:
+    """How one attempt ended, for circuit breakers and load estimates.
+
+    `reason` is None after a whole answer. `first_byte_ms` and `ended_ms` are
+    clock readings; `first_byte_ms` is None when nothing came.
+    """
+
+    __slots__ = (
+        "backend",
+        "version",
+        "reason",
+        "outcome",
+        "started_ms",
+        "first_byte_ms",
+        "ended_ms",
+    )
+
+    def __init__(
+        self, backend, version, reason, outcome, started_ms, first_byte_ms, ended_ms
+    ):
+        self.backend = backend
+        self.version = version
+        self.reason = reason
+        self.outcome = outcome
+        self.started_ms = started_ms
+        self.first_byte_ms = first_byte_ms
+        self.ended_ms = ended_ms
 
 
 class Answer:
--- a/stoatpath/dispatch/retries.py
+++ b/stoatpath/dispatch/retries.py
@@ -1,10 +1,29 @@
-"""Decides whether a failed attempt is tried again."""
+"""Decides whether a failed attempt is tried again, and when."""
 
-from stoatpath.outcomes import Outcome
+from stoatpath.outcomes import (
+    BACKEND_ERROR,
+    BROKEN_ANSWER,
+    CONNECT_FAILED,
+    FOREIGN_ANSWER,
+    REFUSED_BY_BACKEND,
+    SILENT_CONNECTION,
+    Outcome,
+)
 
-MAX_ATTEMPTS = 3
+MAX_ATTEMPTS = 4
 BUDGET_RATIO = 0.1
 BUDGET_CAP = 20.0
+HEDGE_RESERVE = 10.0
+BACKOFF_BASE_MS = 5.0
+BACKOFF_CAP_MS = 250.0
+WORTH_RETRYING = (
+    BACKEND_ERROR,
+    BROKEN_ANSWER,
+    CONNECT_FAILED,
+    FOREIGN_ANSWER,
+    REFUSED_BY_BACKEND,
+    SILENT_CONNECTION,
+)
 
 
 class RetryBudget:
@@ -26,12 +45,24 @@
         self._tokens -= 1.0
         return True
 
+    def spend_on_hedge(self):
+        """Take one hedge; return False when only the retries' reserve is left."""
+        return self._tokens >= HEDGE_RESERVE + 1.0 and self.spend()
 
-def may_retry(request, failure, has_begun):
+
+def may_retry(request, failure, relay, may_resume):
     """Return whether another attempt keeps every promise.
 
-    `has_begun` says that a part of the answer has reached the caller.
+    A streamed answer that has begun goes on only where engines can resume it.
     """
-    if has_begun:
+    if failure.reason not in WORTH_RETRYING:
         return False
+    if relay is not None and relay.has_begun:
+        return request.is_repeatable and may_resume
     return failure.outcome is Outcome.NOT_RUN or request.is_repeatable
+
+
+def backoff_ms(retries, random):
+    """Return a wait with full jitter before the next attempt."""
+    limit_ms = min(BACKOFF_CAP_MS, BACKOFF_BASE_MS * 2**retries)
+    return random.uniform(0.0, limit_ms)
--- a/stoatpath/dispatch/senders.py
+++ b/stoatpath/dispatch/senders.py
@@ -1,11 +1,12 @@
 """Sends one attempt to one backend server and classifies what came back."""
 
-import asyncio
-
 import aiohttp
 
 from stoatpath.configuration.documents import MODEL_SERVICE
-from stoatpath.dispatch.checks import broken, check_completion, foreign
+from stoatpath.dispatch.cancellations import Canceller
+from stoatpath.dispatch.checks import broken, check_completion, foreign, has_known_end
+from stoatpath.dispatch.connections import ConnectionPools
+from stoatpath.dispatch.deadlines import ExchangeDeadlines
 from stoatpath.dispatch.messages import Answer
 from stoatpath.dispatch.streams import EventReader
 from stoatpath.outcomes import (
@@ -13,6 +14,8 @@
     BROKEN_ANSWER,
     CONNECT_FAILED,
     REFUSED_BY_BACKEND,
+    SILENT_CONNECTION,
+    SUPERSEDED,
     TIMED_OUT,
     Failure,
     Outcome,
@@ -21,10 +24,10 @@
 from stoatpath.tls import scheme
 from stoatpath.utils import encode_json
 
-CONNECT_TIMEOUT_MS = 500
 NOT_RUN_HEADER = "Engine-Not-Run"
 REQUEST_ID_HEADER = "Stoatpath-Request-Id"
 DEADLINE_HEADER = "Stoatpath-Timeout-Ms"
+FOREVER_MS = float("inf")
 
 
 class Sender:
@@ -33,60 +36,78 @@
     Requests that may not be repeated never use a connection that stood idle.
     """
 
-    __slots__ = ("_clock", "_tls", "_pooled", "_fresh")
+    __slots__ = ("_clock", "_between_bytes_ms", "_tls", "_pools", "_canceller")
 
-    def __init__(self, clock, tls=None):
+    def __init__(self, clock, between_bytes_ms, tls=None):
         self._clock = clock
+        self._between_bytes_ms = between_bytes_ms
         self._tls = tls
-        self._pooled = None
-        self._fresh = None
+        self._pools = ConnectionPools(clock, tls)
+        self._canceller = Canceller(tls)
 
     async def start(self):
         """Open the connection pools."""
-        timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=CONNECT_TIMEOUT_MS / 1000
-        )
-        self._pooled = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, ssl=self._tls or True),
-            timeout=timeout,
-        )
-        self._fresh = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0, force_close=True, ssl=self._tls or True
-            ),
-            timeout=timeout,
-        )
+        self._pools.start()
 
     async def close(self):
         """Close all connections."""
-        await self._pooled.close()
-        await self._fresh.close()
+        await self._canceller.close()
+        await self._pools.close()
+
+    async def trim(self):
+        """Close the connections to backend servers that are no longer used."""
+        await self._pools.trim()
 
     async def send(self, attempt):
         """Return an answer, or a failure that says whether the attempt ran."""
-        remaining_ms = attempt.deadline_ms - self._clock.now_ms()
-        if remaining_ms <= 0:
+        request = attempt.request
+        if request.deadline_ms <= self._clock.now_ms():
             return Failure(TIMED_OUT, "the deadline passed before sending")
+        address = attempt.backend.address
+        is_model = request.service.kind == MODEL_SERVICE
+        may_pool = request.is_repeatable and not attempt.needs_fresh
+        may_pool = may_pool and (is_model or self._pools.echoes(address))
+        cohort = self._pools.lend(address, may_pool)
+        attempt.was_pooled = may_pool
+        result = None
         try:
-            async with asyncio.timeout(remaining_ms / 1000):
-                return await self._exchange(attempt, remaining_ms)
-        except TimeoutError:
-            return Failure(TIMED_OUT, "no whole answer in time", Outcome.UNKNOWN)
+            result = await self._send_on(cohort, attempt)
+            if is_failure(result) and result.reason is SILENT_CONNECTION:
+                await self._pools.drop(cohort)
+            return result
+        finally:
+            if is_model and (result is None or _may_still_run(result)):
+                self._canceller.cancel(attempt)
+            await self._pools.give_back(cohort)
+
+    async def _send_on(self, cohort, attempt):
+        request = attempt.request
+        between_ms = self._between_bytes_ms if request.is_repeatable else FOREVER_MS
+        deadlines = ExchangeDeadlines(
+            self._clock, request.deadline_ms, attempt.first_byte_at_ms, between_ms
+        )
+        attempt.deadlines = deadlines
+        try:
+            async with deadlines:
+                return await self._exchange(cohort, attempt, deadlines)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Failure(CONNECT_FAILED, type(error).__name__)
-        except (aiohttp.ClientError, OSError) as error:
+        except TimeoutError:
+            return _timed_out(deadlines)
+        except (aiohttp.ClientError, OSError, ValueError) as error:
             return Failure(BROKEN_ANSWER, type(error).__name__, Outcome.UNKNOWN)
 
-    async def _exchange(self, attempt, remaining_ms):
+    async def _exchange(self, cohort, attempt, deadlines):
         request = attempt.request
-        session = self._pooled if request.is_repeatable else self._fresh
+        remaining_ms = request.deadline_ms - self._clock.now_ms()
         headers = {
             REQUEST_ID_HEADER: request.request_id,
             DEADLINE_HEADER: str(int(remaining_ms)),
         }
         if request.content_type:
             headers["Content-Type"] = request.content_type
-        call = session.request(
+        request.was_sent = True
+        call = cohort.session.request(
             request.method,
             f"{scheme(self._tls)}://{attempt.backend.address}{request.path}",
             data=_payload(attempt),
@@ -94,44 +115,73 @@
             allow_redirects=False,
         )
         async with call as response:
-            if response.headers.get(NOT_RUN_HEADER) == "true":
-                return Failure(REFUSED_BY_BACKEND, f"status {response.status}")
-            if request.service.kind == MODEL_SERVICE:
-                return await self._read_completion(attempt, response)
-            return await self._read_call(attempt, response)
+            deadlines.note_bytes()
+            answer = await self._read(cohort, attempt, response, deadlines)
+            if is_failure(answer):
+                response.close()
+            return answer
 
-    async def _read_completion(self, attempt, response):
+    async def _read(self, cohort, attempt, response, deadlines):
+        request_id = attempt.request.request_id
+        echoed = response.headers.get(REQUEST_ID_HEADER)
+        if echoed is not None and echoed != request_id:
+            return foreign({"id": echoed})
+        if response.headers.get(NOT_RUN_HEADER) == "true":
+            is_ours = echoed == request_id or cohort.is_fresh
+            outcome = Outcome.NOT_RUN if is_ours else Outcome.UNKNOWN
+            return Failure(REFUSED_BY_BACKEND, f"status {response.status}", outcome)
+        if attempt.request.service.kind == MODEL_SERVICE:
+            return await self._read_completion(attempt, response, deadlines)
+        if echoed is None and not cohort.is_fresh:
+            return foreign({"id": None})
+        if echoed is not None:
+            self._pools.note_echo(attempt.backend.address)
+        return await self._read_call(attempt, response, deadlines)
+
+    async def _read_completion(self, attempt, response, deadlines):
         if response.status != 200:
             detail = f"status {response.status}"
             return Failure(BACKEND_ERROR, detail, Outcome.UNKNOWN)
+        if attempt.relay is not None:
+            return await EventReader(attempt).read(response.content, deadlines)
+        body = await _read_body(response, deadlines)
         request_id = attempt.request.request_id
-        if attempt.stream is not None:
-            reader = EventReader(request_id, attempt.version.name)
-            answer = await reader.relay(response.content, attempt.stream)
-        else:
-            body = await response.read()
-            answer = check_completion(request_id, attempt.version.name, body)
-        if is_failure(answer):
-            response.close()
-        return answer
-
-    async def _read_call(self, attempt, response):
-        echoed = response.headers.get(REQUEST_ID_HEADER, attempt.request.request_id)
-        if echoed != attempt.request.request_id:
-            response.close()
-            return foreign({"id": echoed})
-        body = await response.read()
+        return check_completion(request_id, attempt.version.name, body)
+
+    async def _read_call(self, attempt, response, deadlines):
+        body = await _read_body(response, deadlines)
         if response.status >= 500:
             detail = f"status {response.status}"
             return Failure(BACKEND_ERROR, detail, Outcome.UNKNOWN)
-        if response.content_length is None and "Transfer-Encoding" not in (
-            response.headers
-        ):
+        if not has_known_end(attempt.request.method, response):
             return broken("the answer has neither length nor end marker")
         content_type = response.headers.get("Content-Type", "")
         return Answer(response.status, content_type, body, "", 0)
 
 
+async def _read_body(response, deadlines):
+    chunks = []
+    while chunk := await response.content.readany():
+        deadlines.note_bytes()
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
+def _timed_out(deadlines):
+    if deadlines.is_superseded:
+        return Failure(SUPERSEDED, "another attempt answers", Outcome.UNKNOWN)
+    if deadlines.is_silent:
+        detail = "the connection went silent"
+        return Failure(SILENT_CONNECTION, detail, Outcome.UNKNOWN)
+    return Failure(TIMED_OUT, "no whole answer in time", Outcome.UNKNOWN)
+
+
+def _may_still_run(result):
+    if not is_failure(result) or result.outcome is Outcome.NOT_RUN:
+        return False
+    return result.reason is not BACKEND_ERROR
+
+
 def _payload(attempt):
     request = attempt.request
     if request.service.kind != MODEL_SERVICE:
@@ -140,4 +190,9 @@
     body["model"] = attempt.version.model
     body["version"] = attempt.version.name
     body["request_id"] = request.request_id
+    body["attempt_id"] = attempt.attempt_id
+    if attempt.resume_from:
+        said = attempt.relay.contents[: attempt.resume_from]
+        body["resume_from"] = attempt.resume_from
+        body["resume_text"] = "".join(said)
     return encode_json(body)
--- a/stoatpath/membership/backends.py
+++ b/stoatpath/membership/backends.py
@@ -23,7 +23,8 @@
 
     `slots` and `running` count requests, `token_ms` is the time of one token,
     `reported_ms` the clock reading of the report, `in_flight` what this router
-    itself has under way there, `joined_ms` when this router first saw it.
+    itself has under way there, `joined_ms` when this router first saw it, `resumes`
+    says that it carries on a stream from a given event.
     """
 
     __slots__ = (
@@ -37,6 +38,7 @@
         "running",
         "token_ms",
         "is_leaving",
+        "resumes",
         "reported_ms",
         "joined_ms",
         "in_flight",
@@ -53,6 +55,7 @@
         self.running = 0
         self.token_ms = 0.0
         self.is_leaving = False
+        self.resumes = False
         self.reported_ms = float("-inf")
         self.joined_ms = joined_ms
         self.in_flight = 0
@@ -92,6 +95,7 @@
         backend.running = report["running"]
         backend.token_ms = report["token_ms"]
         backend.is_leaving = backend.is_leaving or report["leaving"]
+        backend.resumes = report.get("resumes", False)
         backend.reported_ms = now_ms
 
     def serving(self, version):
--- a/stoatpath/outcomes.py
+++ b/stoatpath/outcomes.py
@@ -53,6 +53,8 @@
 FOREIGN_ANSWER = Reason("foreign-answer", 502)
 BACKEND_ERROR = Reason("backend-error", 502)
 TIMED_OUT = Reason("timed-out", 504)
+SILENT_CONNECTION = Reason("silent-connection", 504)
+SUPERSEDED = Reason("superseded", 500)
 IN_PROGRESS = Reason("in-progress", 409, retryable=True)
 CALLER_GONE = Reason("caller-gone", 499)
 INTERNAL = Reason("internal", 500)
@@ -76,6 +78,17 @@
         self.field = field
         self.retry_at_ms = retry_at_ms
 
+    def worse_of(self, other):
+        """Return what two failed attempts of one request say together.
+
+        The later reason stands unless the earlier attempt may have run alone.
+        """
+        if self.outcome is Outcome.NOT_RUN or other.outcome is Outcome.UNKNOWN:
+            return other
+        if self.reason is SUPERSEDED:
+            return Failure(other.reason, other.detail, Outcome.UNKNOWN)
+        return self
+
     def __repr__(self):
         return f"<Failure {self.reason.name} {self.outcome.value}: {self.detail}>"
 
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -26,6 +26,7 @@
 from stoatpath.utils import cancel_and_wait
 
 CAPACITY_PERIOD_MS = 250
+TRIM_PERIOD_MS = 15_000
 ROUTER = "router"
 
 
@@ -81,9 +82,11 @@
         self.estimates = QualityEstimates()
         self.planner = Planner(self.estimates)
         self.pins = SessionPins(TokenSigner(settings.session_keys))
-        self.sender = Sender(clock, self.node.tls.backends)
+        self.sender = Sender(
+            clock, settings.between_bytes_timeout_ms, self.node.tls.backends
+        )
         self.retry_budget = RetryBudget()
-        self.attempts = AttemptRunner(self)
+        self.attempts = AttemptRunner(self, rng)
         self.stages = StageRunner(self)
         self.listener = Listener(self, Pipeline(self))
         self._tasks = []
@@ -107,6 +110,7 @@
             self.claims.run(),
             self.outbox.run(),
             self._keep_capacities(),
+            self._trim_connections(),
         )
         self._tasks = [asyncio.create_task(job) for job in jobs]
         await self.listener.start(self.settings.listen_address)
@@ -136,6 +140,11 @@
             self.gate.set_capacities(self._slots_by_pool())
             await self.clock.sleep_until(self.clock.now_ms() + CAPACITY_PERIOD_MS)
 
+    async def _trim_connections(self):
+        while True:
+            await self.clock.sleep_until(self.clock.now_ms() + TRIM_PERIOD_MS)
+            await self.sender.trim()
+
     def _slots_by_pool(self):
         slots_by_pool = {}
         for backend in self.backends.by_name.values():
--- a/stoatpath/settings.py
+++ b/stoatpath/settings.py
@@ -39,6 +39,10 @@
     "BODY_TIMEOUT_MS": 10_000,
     "MAX_TIMEOUT_MS": 600_000,
     "MAX_QUEUED_REQUESTS": 1_000,
+    # Dispatch to backend servers.
+    "FIRST_BYTE_TIMEOUT_MS": 5_000,
+    "BETWEEN_BYTES_TIMEOUT_MS": 3_000,
+    "HEDGE_MIN_MS": 100,
     # Behaviour under faults.
     "STALENESS_LIMIT_MS": 12_000,
     "SERVE_WHEN_CUT_OFF": False,
--- a/stoatpath/standins/engines.py
+++ b/stoatpath/standins/engines.py
@@ -2,30 +2,54 @@
 
 Endpoints: `/v1/chat/completions`, `/v1/cancel`, `/v1/load`, `/v1/orders`.
 The engine refuses with the header `Engine-Not-Run: true` when it ran nothing.
+Faults of `complete`: `reset-before`, `reset-during` (while the request is sent),
+`reset-after`, `not-run`, `slow`, `error-after`, `half-answer`,
+`half-answer-unmarked`, `twice`, `wrong-id`, `wrong-version`, `no-finish`,
+`stream-cut`, `stream-ends`, `stream-stall`, `foreign-event`, `other-text`.
 """
 
 import asyncio
 
 from aiohttp import web
 
+from stoatpath.standins.connections import (
+    SilentConnections,
+    reset_while_sending,
+    send_half,
+    send_half_unmarked,
+    send_twice,
+)
 from stoatpath.standins.faults import FaultTable
 from stoatpath.standins.servers import StandinServer, drop_connection
 from stoatpath.utils import decode_json, encode_json
 
 NOT_RUN_HEADER = "Engine-Not-Run"
+REQUEST_ID_HEADER = "Stoatpath-Request-Id"
 DEFAULT_TOKENS = 16
 STALL_S = 30.0
 
 
 class Execution:
-    """One request that the engine began to run."""
+    """One request that the engine began to run.
 
-    __slots__ = ("request_id", "version", "prompt", "finished")
+    `resumed_from` is the event from which a stream was carried on, or 0.
+    """
+
+    __slots__ = (
+        "request_id",
+        "attempt_id",
+        "version",
+        "prompt",
+        "resumed_from",
+        "finished",
+    )
 
-    def __init__(self, request_id, version, prompt):
+    def __init__(self, request_id, attempt_id, version, prompt, resumed_from):
         self.request_id = request_id
+        self.attempt_id = attempt_id
         self.version = version
         self.prompt = prompt
+        self.resumed_from = resumed_from
         self.finished = False
 
 
@@ -46,6 +70,8 @@
         "leaving",
         "fencing",
         "checks_fencing",
+        "resumes",
+        "connections",
         "orders",
         "_cancelled",
         "_server",
@@ -62,6 +88,8 @@
         self.leaving = False
         self.fencing = 0
         self.checks_fencing = checks_fencing
+        self.resumes = True
+        self.connections = SilentConnections()
         self.orders = []
         self._cancelled = set()
         self._server = StandinServer(
@@ -81,32 +109,57 @@
         """Stop listening and drop all connections."""
         await self._server.stop()
 
-    def _refuse(self, status, detail):
-        headers = {NOT_RUN_HEADER: "true"}
+    @property
+    def cancelled(self):
+        """Return the identifiers of the attempts that were cancelled."""
+        return frozenset(self._cancelled)
+
+    def _refuse(self, request, status, detail):
+        headers = {NOT_RUN_HEADER: "true", **_echo(request)}
         return web.json_response({"error": detail}, status=status, headers=headers)
 
     async def _complete(self, request):
+        if not await self.connections.pass_on(request):
+            return self._refuse(request, 503, "silent")
         fault = self.faults.take("complete")
         if fault is not None and fault.kind == "reset-before":
             drop_connection(request)
-            return self._refuse(503, "reset")
+            return self._refuse(request, 503, "reset")
+        if fault is not None and fault.kind == "reset-during":
+            return await reset_while_sending(request)
         message = decode_json(await request.read())
         version = message["version"]
         if fault is not None and fault.kind == "not-run":
-            return self._refuse(503, "the engine ran nothing")
+            return self._refuse(request, 503, "the engine ran nothing")
         if version not in self.by_version:
-            return self._refuse(404, f"{version} is not loaded")
+            return self._refuse(request, 404, f"{version} is not loaded")
         if self.leaving or self.running >= self.slots:
-            return self._refuse(503, "no free slot")
-        prompt = message["messages"][-1]["content"]
-        execution = Execution(message["request_id"], version, prompt)
+            return self._refuse(request, 503, "no free slot")
+        execution = self._execution(message)
+        if self.resumes and not self._continues(message, execution):
+            return self._refuse(request, 409, "the text to resume is another one")
         self.executions.append(execution)
         self.running += 1
         try:
             return await self._run(request, message, execution, fault)
+        except ConnectionResetError:
+            return web.Response(status=503)
         finally:
             self.running -= 1
 
+    def _execution(self, message):
+        return Execution(
+            message["request_id"],
+            message.get("attempt_id", message["request_id"]),
+            message["version"],
+            message["messages"][-1]["content"],
+            message.get("resume_from", 0) if self.resumes else 0,
+        )
+
+    def _continues(self, message, execution):
+        said = self._tokens(message, execution)[: execution.resumed_from]
+        return "".join(said) == message.get("resume_text", "")
+
     async def _run(self, request, message, execution, fault):
         kind = fault.kind if fault is not None else ""
         if kind == "slow":
@@ -117,14 +170,22 @@
             drop_connection(request)
             return web.Response(status=500)
         tokens = self._tokens(message, execution)
+        if kind == "other-text":
+            tokens = [f"other{index} " for index in range(len(tokens))]
         if message.get("stream"):
             return await self._stream(request, message, execution, tokens, kind)
         await asyncio.sleep(len(tokens) * self.token_ms / 1000)
         execution.finished = True
         body = encode_json(self._answer(message, execution, tokens, kind))
         if kind == "half-answer":
-            return await self._half(request, body)
-        return web.Response(body=body, content_type="application/json")
+            return await send_half(request, body)
+        if kind == "half-answer-unmarked":
+            return await send_half_unmarked(request, body)
+        if kind == "twice":
+            return await send_twice(request, body, _echo(request))
+        return web.Response(
+            body=body, content_type="application/json", headers=_echo(request)
+        )
 
     def _tokens(self, message, execution):
         quality = self.by_version[execution.version]
@@ -143,7 +204,7 @@
         choice = {
             "index": 0,
             "message": {"role": "assistant", "content": content},
-            "finish_reason": "stop",
+            "finish_reason": None if kind == "no-finish" else "stop",
         }
         return {
             "id": request_id,
@@ -161,21 +222,11 @@
             "total_tokens": prompt + len(tokens),
         }
 
-    async def _half(self, request, body):
-        response = web.StreamResponse()
-        response.content_type = "application/json"
-        response.content_length = len(body)
-        await response.prepare(request)
-        await response.write(body[: len(body) // 2])
-        drop_connection(request)
-        return response
-
     async def _stream(self, request, message, execution, tokens, kind):
-        response = web.StreamResponse()
+        response = web.StreamResponse(headers=_echo(request))
         response.content_type = "text/event-stream"
         await response.prepare(request)
-        first = message.get("resume_from", 0)
-        for index in range(first, len(tokens)):
+        for index in range(execution.resumed_from, len(tokens)):
             if kind and index == len(tokens) // 2:
                 if kind == "stream-cut":
                     drop_connection(request)
@@ -184,7 +235,7 @@
                     return response
                 if kind == "stream-stall":
                     await asyncio.sleep(STALL_S)
-            if execution.request_id in self._cancelled:
+            if execution.attempt_id in self._cancelled:
                 drop_connection(request)
                 return response
             event = self._event(execution, tokens[index], index, kind, len(tokens))
@@ -212,7 +263,7 @@
 
     async def _cancel(self, request):
         message = decode_json(await request.read())
-        self._cancelled.add(message["request_id"])
+        self._cancelled.add(message.get("attempt_id", message["request_id"]))
         return web.json_response({"cancelled": True})
 
     async def _load(self, request):
@@ -222,6 +273,7 @@
             "running": self.running,
             "slots": self.slots,
             "leaving": self.leaving,
+            "resumes": self.resumes,
             "token_ms": self.token_ms,
         }
         return web.json_response(report)
@@ -234,3 +286,8 @@
         self.orders.append(message)
         self.by_version = dict(message["versions"])
         return web.json_response({"fencing": self.fencing})
+
+
+def _echo(request):
+    request_id = request.headers.get(REQUEST_ID_HEADER, "")
+    return {REQUEST_ID_HEADER: request_id} if request_id else {}
--- a/stoatpath/standins/services.py
+++ b/stoatpath/standins/services.py
@@ -1,17 +1,44 @@
-"""Stand-in of a plain service such as a booking application."""
+"""Stand-in of a plain service such as a booking application.
+
+Faults of `serve`: `reset-before`, `reset-during` (while the request is sent),
+`reset-after`, `not-run`, `slow`, `error-after`, `half-answer`,
+`half-answer-unmarked`, `twice`, `wrong-id`.
+"""
 
 import asyncio
 
 from aiohttp import web
 
+from stoatpath.standins.connections import (
+    SilentConnections,
+    reset_while_sending,
+    send_half,
+    send_half_unmarked,
+    send_twice,
+)
 from stoatpath.standins.faults import FaultTable
 from stoatpath.standins.servers import StandinServer, drop_connection
+from stoatpath.utils import encode_json
+
+REQUEST_ID_HEADER = "Stoatpath-Request-Id"
 
 
 class ServiceStandin:
-    """Answers any path and remembers every call that it ran."""
+    """Answers any path and remembers every call that it ran.
 
-    __slots__ = ("name", "faults", "executions", "leaving", "delay_ms", "_server")
+    `echoes` says whether answers repeat the identifier of the request.
+    """
+
+    __slots__ = (
+        "name",
+        "faults",
+        "executions",
+        "leaving",
+        "delay_ms",
+        "echoes",
+        "connections",
+        "_server",
+    )
 
     def __init__(self, name, delay_ms=1):
         self.name = name
@@ -19,6 +46,8 @@
         self.executions = []
         self.leaving = False
         self.delay_ms = delay_ms
+        self.echoes = True
+        self.connections = SilentConnections()
         self._server = StandinServer(
             [
                 web.get("/stoatpath/load", self._load),
@@ -46,24 +75,42 @@
         return web.json_response(report)
 
     async def _serve(self, request):
+        if not await self.connections.pass_on(request):
+            return web.Response(status=503)
         fault = self.faults.take("serve")
         kind = fault.kind if fault is not None else ""
         if kind == "reset-before":
             drop_connection(request)
             return web.Response(status=503)
+        if kind == "reset-during":
+            return await reset_while_sending(request)
         body = await request.text()
+        request_id = request.headers.get(REQUEST_ID_HEADER, "")
         if kind == "not-run":
-            return web.Response(status=503, headers={"Engine-Not-Run": "true"})
-        request_id = request.headers.get("Stoatpath-Request-Id", "")
+            headers = {"Engine-Not-Run": "true", **self._echo(request_id)}
+            return web.Response(status=503, headers=headers)
         self.executions.append((request_id, request.method, request.path, body))
         await asyncio.sleep(
             (fault.delay_ms if kind == "slow" else self.delay_ms) / 1000
         )
+        return await self._answer(request, request_id, kind)
+
+    async def _answer(self, request, request_id, kind):
+        echoed = "foreign" if kind == "wrong-id" else request_id
+        headers = self._echo(echoed)
+        answer = {"service": self.name, "path": request.path, "request_id": request_id}
+        body = encode_json(answer)
         if kind == "reset-after":
             drop_connection(request)
         if kind == "error-after":
-            return web.Response(
-                status=500, headers={"Stoatpath-Request-Id": request_id}
-            )
-        answer = {"service": self.name, "path": request.path, "request_id": request_id}
-        return web.json_response(answer, headers={"Stoatpath-Request-Id": request_id})
+            return web.Response(status=500, headers=headers)
+        if kind == "half-answer":
+            return await send_half(request, body)
+        if kind == "half-answer-unmarked":
+            return await send_half_unmarked(request, body)
+        if kind == "twice":
+            return await send_twice(request, body, headers)
+        return web.Response(body=body, content_type="application/json", headers=headers)
+
+    def _echo(self, request_id):
+        return {REQUEST_ID_HEADER: request_id} if self.echoes else {}
