--- a/stoatpath/callers/pipelines.py
+++ b/stoatpath/callers/pipelines.py
@@ -3,7 +3,7 @@
 from stoatpath.billing.messages import BillingRecord
 from stoatpath.callers.messages import Served
 from stoatpath.idempotency.messages import Replay, StoredAnswer
-from stoatpath.outcomes import STALE_CONFIGURATION, Failure, Outcome, is_failure
+from stoatpath.outcomes import Outcome, is_failure
 
 
 class Pipeline:
@@ -39,7 +39,7 @@
         return result
 
     async def _serve_once(self, request, stream):
-        problem = self._check_freshness()
+        problem = self._parts.guard.check_work()
         if problem is not None:
             return problem
         result = await self._parts.stages.run(request, stream)
@@ -52,16 +52,6 @@
         self._note(request, "completed", cost=result.cost)
         return result
 
-    def _check_freshness(self):
-        parts = self._parts
-        age_ms = self._clock.now_ms() - parts.follower.fresh_as_of_ms
-        if age_ms <= parts.settings.staleness_limit_ms:
-            return None
-        if parts.settings.serve_when_cut_off:
-            return None
-        detail = "the configuration may have changed since it was last confirmed"
-        return Failure(STALE_CONFIGURATION, detail)
-
     def _note(self, request, reason, **details):
         self._parts.ring.note(request.request_id, "ended", reason, **details)
 
--- a/stoatpath/configuration/messages.py
+++ b/stoatpath/configuration/messages.py
@@ -32,23 +32,37 @@
     """Changes that an operator wants accepted together.
 
     `base_revision` is the revision that the operator looked at; changes of the
-    same documents accepted after it are conflicts.
+    same documents, or of ones they refer to, accepted after it are conflicts.
+    `accept_warnings` has changes accepted that leave someone unserved.
     """
 
-    __slots__ = ("submission_id", "operator", "base_revision", "changes")
-
-    def __init__(self, submission_id, operator, base_revision, changes):
+    __slots__ = (
+        "submission_id",
+        "operator",
+        "base_revision",
+        "changes",
+        "accept_warnings",
+    )
+
+    def __init__(
+        self, submission_id, operator, base_revision, changes, accept_warnings=False
+    ):
         self.submission_id = submission_id
         self.operator = operator
         self.base_revision = base_revision
         self.changes = changes
+        self.accept_warnings = accept_warnings
 
     @classmethod
     def from_json(cls, data):
         """Build a submission from its wire form."""
         changes = [Change.from_json(change) for change in data["changes"]]
         return cls(
-            data["submission_id"], data["operator"], data["base_revision"], changes
+            data["submission_id"],
+            data["operator"],
+            data["base_revision"],
+            changes,
+            data.get("accept_warnings", False),
         )
 
     def to_json(self):
@@ -58,6 +72,7 @@
             "operator": self.operator,
             "base_revision": self.base_revision,
             "changes": [change.to_json() for change in self.changes],
+            "accept_warnings": self.accept_warnings,
         }
 
 
@@ -119,10 +134,23 @@
         self.problems = problems
 
 
+class Risky:
+    """The submission is valid, but refused until its warnings are accepted."""
+
+    __slots__ = ("warnings",)
+
+    def __init__(self, warnings):
+        self.warnings = warnings
+
+
 class Conflict:
-    """Another operator changed the same documents since the base revision."""
+    """Another operator changed what this submission changes or refers to.
+
+    `documents` names the documents concerned as `kind.name`.
+    """
 
-    __slots__ = ("accepted_changes",)
+    __slots__ = ("accepted_changes", "documents")
 
-    def __init__(self, accepted_changes):
+    def __init__(self, accepted_changes, documents=()):
         self.accepted_changes = accepted_changes
+        self.documents = documents
--- a/stoatpath/configuration/snapshots.py
+++ b/stoatpath/configuration/snapshots.py
@@ -72,15 +72,27 @@
         """Return the snapshot that follows from accepted changes."""
         return Snapshot(revision, apply_changes(self.by_kind, changes))
 
+    def with_history(self, accepted_changes):
+        """Return the snapshot that follows from history rows in their order."""
+        if not accepted_changes:
+            return self
+        changes = [
+            change
+            for accepted in accepted_changes
+            for change in accepted.submission.changes
+        ]
+        return self.with_changes(accepted_changes[-1].revision, changes)
+
 
 def apply_changes(by_kind, changes):
     """Return documents with changes applied; the input stays as it was."""
     result = {kind: dict(documents) for kind, documents in by_kind.items()}
     for change in changes:
+        documents = result.setdefault(change.kind, {})
         if change.body is None:
-            result[change.kind].pop(change.name, None)
+            documents.pop(change.name, None)
         else:
-            result[change.kind][change.name] = change.body
+            documents[change.name] = change.body
     return result
 
 
--- a/stoatpath/configuration/stores.py
+++ b/stoatpath/configuration/stores.py
@@ -1,24 +1,27 @@
-"""The configuration as kept in the platform's table.
+"""The configuration as kept in the platform's table and object store.
 
-Row `config/head` holds the latest revision, rows `config/changes/REVISION` the
+Row `config/head` names the latest revision, the latest snapshot in the object
+store and the first history row kept. Rows `config/changes/REVISION` hold the
 accepted submissions in order.
 """
 
-from stoatpath.configuration.messages import (
-    Accepted,
-    AcceptedChange,
-    Conflict,
-    Invalid,
-)
+import logging
+
+from stoatpath.configuration.capacity import find_warnings
+from stoatpath.configuration.messages import AcceptedChange, Invalid, Problem, Risky
+from stoatpath.configuration.races import settle
 from stoatpath.configuration.snapshots import apply_changes
 from stoatpath.configuration.validators import find_problems
 from stoatpath.outcomes import PLATFORM_UNAVAILABLE, Failure, Outcome, is_failure
-from stoatpath.platform.messages import Applied, Condition, Put, Transaction
+from stoatpath.platform.messages import Condition, Put, Transaction
+
+logger = logging.getLogger(__name__)
 
 HEAD_KEY = "config/head"
 CHANGE_PREFIX = "config/changes/"
-SUBMIT_ATTEMPTS = 5
+SUBMIT_ATTEMPTS = 20
 READ_BATCH_ROWS = 100
+MAX_REPLAYED_ROWS = 400
 
 
 def change_key(revision):
@@ -26,58 +29,193 @@
     return f"{CHANGE_PREFIX}{revision:010d}"
 
 
+def change_keys(first, last):
+    """Return the row keys of a range of revisions."""
+    return [change_key(revision) for revision in range(first, last + 1)]
+
+
+class Head:
+    """The head row.
+
+    `snapshot_revision` is the latest snapshot in the object store, or 0;
+    `first_revision` the oldest history row kept; `row_version` the version of
+    the row itself.
+    """
+
+    __slots__ = ("revision", "snapshot_revision", "first_revision", "row_version")
+
+    def __init__(self, revision, snapshot_revision, first_revision, row_version):
+        self.revision = revision
+        self.snapshot_revision = snapshot_revision
+        self.first_revision = first_revision
+        self.row_version = row_version
+
+    @classmethod
+    def from_row(cls, row):
+        """Build the head from its row, absent before the first submission."""
+        value = row.value if row.version else {}
+        return cls(
+            value.get("revision", 0),
+            value.get("snapshot_revision", 0),
+            value.get("first_revision", 1),
+            row.version,
+        )
+
+    def to_json(self):
+        """Return the stored form."""
+        return {
+            "revision": self.revision,
+            "snapshot_revision": self.snapshot_revision,
+            "first_revision": self.first_revision,
+        }
+
+    def replace(self, **fields):
+        """Return a head with some fields changed."""
+        names = ("revision", "snapshot_revision", "first_revision", "row_version")
+        return Head(**{**{name: getattr(self, name) for name in names}, **fields})
+
+
+class History:
+    """The stored head, and the history rows after a known revision.
+
+    `base` is the snapshot that the rows continue: the known one, or a later
+    one from the object store.
+    """
+
+    __slots__ = ("head", "base", "changes")
+
+    def __init__(self, head, base, changes):
+        self.head = head
+        self.base = base
+        self.changes = changes
+
+    def latest(self):
+        """Return the snapshot at the stored head."""
+        return self.base.with_history(self.changes)
+
+
 class ConfigurationStore:
-    """Reads and extends the stored history of one site."""
+    """Reads and extends the stored history of one site.
 
-    __slots__ = ("_table", "_clock")
+    `archive` may be None; a reader then replays all rows. `read_capacity` is a
+    coroutine function that returns `ListedCapacity` or None.
+    """
 
-    def __init__(self, table, clock):
+    __slots__ = ("_table", "_clock", "_archive", "_read_capacity")
+
+    def __init__(self, table, clock, archive=None, read_capacity=None):
         self._table = table
         self._clock = clock
+        self._archive = archive
+        self._read_capacity = read_capacity
 
     async def read_after(self, snapshot):
         """Return the snapshot at the stored head, or a failure."""
-        head = await self._read_head()
+        history = await self.read_history(snapshot)
+        return history if is_failure(history) else history.latest()
+
+    async def read_history(self, snapshot):
+        """Return the `History` that follows a known snapshot, or a failure."""
+        head = await self.read_head()
         if is_failure(head):
             return head
-        changes = await self._read_changes(snapshot.revision + 1, head.revision)
+        if head.revision < snapshot.revision:
+            detail = f"the stored head {head.revision} is below {snapshot.revision}"
+            return Failure(PLATFORM_UNAVAILABLE, detail)
+        base = await self._find_base(head, snapshot)
+        if is_failure(base):
+            return base
+        changes = await self.read_changes(base.revision + 1, head.revision)
         if is_failure(changes):
             return changes
-        for change in changes:
-            snapshot = snapshot.with_changes(change.revision, change.submission.changes)
-        return snapshot
+        return History(head, base, changes)
+
+    async def read_head(self):
+        """Return the stored head or a failure."""
+        rows = await self._table.read([HEAD_KEY])
+        return rows if is_failure(rows) else Head.from_row(rows[HEAD_KEY])
+
+    async def read_changes(self, first, last):
+        """Return the history rows of a range of revisions, or a failure."""
+        keys = change_keys(first, last)
+        changes = []
+        for start in range(0, len(keys), READ_BATCH_ROWS):
+            batch = keys[start : start + READ_BATCH_ROWS]
+            rows = await self._table.read(batch)
+            if is_failure(rows):
+                return rows
+            if any(rows[key].version == 0 for key in batch):
+                detail = f"history rows from {batch[0]} on are no longer kept"
+                return Failure(PLATFORM_UNAVAILABLE, detail)
+            changes += [AcceptedChange.from_json(rows[key].value) for key in batch]
+        return changes
 
     async def submit(self, snapshot, submission):
-        """Return `Accepted`, `Invalid`, `Conflict` or a failure.
+        """Return `Accepted`, `Invalid`, `Risky`, `Conflict` or a failure.
 
         `snapshot` is any revision known to the caller; the stored head decides.
+        A submission counts as accepted once it is read back, so a reply lost on
+        the way leads to the same verdict as one that arrived.
         """
+        may_be_written = False
+        capacity = await self._capacity(submission)
         for _ in range(SUBMIT_ATTEMPTS):
-            head = await self._read_head()
-            if is_failure(head):
-                return head
-            changes = await self._read_changes(
-                submission.base_revision + 1, head.revision
-            )
-            if is_failure(changes):
-                return changes
-            settled = _settle(submission, changes)
-            if settled is not None:
-                return settled
-            latest = await self.read_after(snapshot)
-            if is_failure(latest):
-                return latest
-            if latest.revision != head.revision:
-                continue
-            problems = find_problems(apply_changes(latest.by_kind, submission.changes))
-            if problems:
-                return Invalid(problems)
-            result = await self._append(head, submission)
-            if isinstance(result, Applied):
-                return Accepted(head.revision + 1)
-        return Failure(
-            PLATFORM_UNAVAILABLE, "the submission did not settle", Outcome.UNKNOWN
-        )
+            verdict = await self._judge(snapshot, submission, capacity)
+            if is_failure(verdict) and may_be_written:
+                return Failure(verdict.reason, verdict.detail, Outcome.UNKNOWN)
+            if not isinstance(verdict, Head):
+                return verdict
+            result = await self._append(verdict, submission)
+            if is_failure(result) and result.outcome is Outcome.NOT_RUN:
+                if not may_be_written:
+                    return result
+            elif is_failure(result):
+                may_be_written = True
+        outcome = Outcome.UNKNOWN if may_be_written else Outcome.NOT_RUN
+        detail = "other submissions kept coming first"
+        return Failure(PLATFORM_UNAVAILABLE, detail, outcome)
+
+    async def check(self, snapshot, submission):
+        """Return the verdict that a submission would get now, or its `Head`."""
+        capacity = await self._capacity(submission)
+        return await self._judge(snapshot, submission, capacity)
+
+    async def _judge(self, snapshot, submission, capacity):
+        """Return a verdict, or the `Head` on which the submission may follow."""
+        history = await self.read_history(snapshot)
+        if is_failure(history):
+            return history
+        latest = history.latest()
+        since = await self._changes_since(history, submission.base_revision)
+        if is_failure(since) or isinstance(since, Invalid):
+            return since
+        settled = settle(submission, since, latest.by_kind)
+        if settled is not None:
+            return settled
+        after = apply_changes(latest.by_kind, submission.changes)
+        problems = find_problems(after)
+        if problems:
+            return Invalid(problems)
+        if not submission.accept_warnings:
+            warnings = find_warnings(after, submission.changes, capacity)
+            if warnings:
+                return Risky(warnings)
+        return history.head
+
+    async def _changes_since(self, history, base_revision):
+        head = history.head
+        if not head.first_revision - 1 <= base_revision <= head.revision:
+            expected = f"a revision from {head.first_revision - 1} to {head.revision}"
+            return Invalid([Problem("base_revision", base_revision, expected)])
+        if history.base.revision <= base_revision:
+            return [each for each in history.changes if each.revision > base_revision]
+        return await self.read_changes(base_revision + 1, head.revision)
+
+    async def _capacity(self, submission):
+        """Read once a submission, so that its verdict rests on the head alone."""
+        if self._read_capacity is None or submission.accept_warnings:
+            return None
+        return await self._read_capacity()
 
     async def _append(self, head, submission):
         revision = head.revision + 1
@@ -85,49 +223,31 @@
         transaction = Transaction(
             [Condition(HEAD_KEY, head.row_version)],
             [
-                Put(HEAD_KEY, {"revision": revision}),
+                Put(HEAD_KEY, head.replace(revision=revision).to_json()),
                 Put(change_key(revision), change.to_json()),
             ],
         )
         return await self._table.transact(transaction)
 
-    async def _read_head(self):
-        rows = await self._table.read([HEAD_KEY])
-        if is_failure(rows):
-            return rows
-        row = rows[HEAD_KEY]
-        return _Head(row.value["revision"] if row.version else 0, row.version)
-
-    async def _read_changes(self, first, last):
-        keys = [change_key(revision) for revision in range(first, last + 1)]
-        changes = []
-        for start in range(0, len(keys), READ_BATCH_ROWS):
-            batch = keys[start : start + READ_BATCH_ROWS]
-            rows = await self._table.read(batch)
-            if is_failure(rows):
-                return rows
-            changes += [AcceptedChange.from_json(rows[key].value) for key in batch]
-        return changes
-
-
-class _Head:
-    """The head row: latest revision and the version of the row itself."""
-
-    __slots__ = ("revision", "row_version")
-
-    def __init__(self, revision, row_version):
-        self.revision = revision
-        self.row_version = row_version
-
+    async def replace_head(self, head, new_head, deletes=()):
+        """Set snapshot and first row kept, and delete rows, unless raced."""
+        transaction = Transaction(
+            [Condition(HEAD_KEY, head.row_version)],
+            [Put(HEAD_KEY, new_head.to_json())],
+            deletes,
+        )
+        return await self._table.transact(transaction)
 
-def _settle(submission, changes):
-    """Return the verdict that accepted changes already give, or None."""
-    mine = {(change.kind, change.name) for change in submission.changes}
-    racing = []
-    for accepted in changes:
-        if accepted.submission.submission_id == submission.submission_id:
-            return Accepted(accepted.revision)
-        theirs = accepted.submission.changes
-        if any((change.kind, change.name) in mine for change in theirs):
-            racing.append(accepted)
-    return Conflict(racing) if racing else None
+    async def _find_base(self, head, snapshot):
+        """Return the snapshot from which to replay rows."""
+        missing = head.revision - snapshot.revision
+        are_kept = snapshot.revision + 1 >= head.first_revision
+        if are_kept and missing <= MAX_REPLAYED_ROWS:
+            return snapshot
+        if self._archive is None or head.snapshot_revision <= snapshot.revision:
+            return snapshot
+        stored = await self._archive.read_snapshot(head.snapshot_revision)
+        if not is_failure(stored):
+            return stored
+        logger.warning("configuration.snapshot-failed", extra={"why": stored.detail})
+        return snapshot if are_kept else stored
--- a/stoatpath/configuration/validators.py
+++ b/stoatpath/configuration/validators.py
@@ -4,6 +4,7 @@
 
 from jsonschema import Draft202012Validator
 
+from stoatpath.configuration.documents import ACTIVE
 from stoatpath.configuration.messages import (
     KINDS,
     MODEL,
@@ -72,11 +73,16 @@
 
 
 def _check_model(path, body):
-    if body["current"] in body["versions"]:
-        state = body["versions"][body["current"]].get("state", "active")
-        if state == "active":
+    states = {
+        label: version.get("state", ACTIVE)
+        for label, version in body["versions"].items()
+    }
+    if body["current"] in states:
+        if states[body["current"]] == ACTIVE or ACTIVE not in states.values():
             return []
-        return [Problem(f"{path}.current", body["current"], "an active version")]
+        open_labels = sorted(name for name in states if states[name] == ACTIVE)
+        expected = f"an active version, one of {open_labels}"
+        return [Problem(f"{path}.current", body["current"], expected)]
     expected = f"one of {sorted(body['versions'])}"
     return [Problem(f"{path}.current", body["current"], expected)]
 
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -32,6 +32,10 @@
             if is_failure(choice):
                 return worst or choice
             tried.add(choice.backend.name)
+            problem = self._parts.guard.check_send(request, version)
+            if problem is not None:
+                self._note(request, "guard", problem.detail)
+                return worst or problem
             answer = await self._send(request, version, choice.backend, stream)
             if not is_failure(answer):
                 return answer
--- a/stoatpath/membership/messages.py
+++ b/stoatpath/membership/messages.py
@@ -4,13 +4,18 @@
 SUSPECT = "suspect"
 LEAVING = "leaving"
 DEAD = "dead"
+RANK_BY_STATE = {LIVE: 0, SUSPECT: 1, LEAVING: 2, DEAD: 3}
+MAX_NAME_CHARS = 200
 
 
 class Member:
     """A router or controller as known here.
 
-    `incarnation` grows with each start of the process; `heartbeat` with each
-    gossip round of it; `heard_ms` is the local clock reading of the last news.
+    `incarnation` grows with each start of the process and whenever it refutes
+    what others say of it. Local knowledge, never sent: `changed_ms` is the
+    clock reading of the last change of state, `dead_at_ms` when a suspect
+    counts as dead, `is_accounted` whether a dead member is known to have ended
+    rather than to be out of reach.
     """
 
     __slots__ = (
@@ -19,40 +24,58 @@
         "address",
         "zone",
         "incarnation",
-        "heartbeat",
         "state",
-        "heard_ms",
+        "changed_ms",
+        "dead_at_ms",
+        "is_accounted",
     )
 
-    def __init__(self, name, role, address, zone, incarnation, heartbeat, state):
+    def __init__(self, name, role, address, zone, incarnation, state):
         self.name = name
         self.role = role
         self.address = address
         self.zone = zone
         self.incarnation = incarnation
-        self.heartbeat = heartbeat
         self.state = state
-        self.heard_ms = 0.0
+        self.changed_ms = 0.0
+        self.dead_at_ms = float("inf")
+        self.is_accounted = False
 
     @classmethod
     def from_json(cls, data):
-        """Build a member from its wire form."""
-        return cls(
-            data["name"],
-            data["role"],
-            data["address"],
-            data["zone"],
-            data["incarnation"],
-            data["heartbeat"],
-            data["state"],
-        )
+        """Build a member from its wire form, or return None if it is malformed.
+
+        Fields that an older or newer release lacks or adds do no harm.
+        """
+        if not isinstance(data, dict):
+            return None
+        texts = [data.get(name, "") for name in ("name", "role", "address", "zone")]
+        incarnation = data.get("incarnation")
+        state = data.get("state", LIVE)
+        if not all(isinstance(text, str) for text in texts):
+            return None
+        if not 0 < len(texts[0]) <= MAX_NAME_CHARS or not texts[2]:
+            return None
+        if type(incarnation) is not int or not isinstance(state, str):
+            return None
+        if incarnation < 0 or state not in RANK_BY_STATE:
+            return None
+        return cls(*texts, incarnation, state)
 
     def to_json(self):
         """Return the wire form, without local knowledge."""
-        names = ("name", "role", "address", "zone", "incarnation", "heartbeat", "state")
+        names = ("name", "role", "address", "zone", "incarnation", "state")
         return {name: getattr(self, name) for name in names}
 
     def is_newer_than(self, other):
         """Return whether this news replaces other news of the same member."""
-        mine = (self.incarnation, self.heartbeat, self.state == LEAVING)
-        return mine > (other.incarnation, other.heartbeat, other.state == LEAVING)
+        mine = (self.incarnation, RANK_BY_STATE[self.state])
+        return mine > (other.incarnation, RANK_BY_STATE[other.state])
+
+
+def members_from(items):
+    """Return the well-formed members of a wire list."""
+    if not isinstance(items, list):
+        return []
+    members = map(Member.from_json, items)
+    return [member for member in members if member is not None]
--- a/stoatpath/membership/peers.py
+++ b/stoatpath/membership/peers.py
@@ -1,63 +1,59 @@
 """HTTP with JSON between members: a listener for topics, and a client."""
 
 import asyncio
-import hashlib
-import hmac
+import errno
+import logging
 
 import aiohttp
 from aiohttp import web
 
-from stoatpath.outcomes import CONNECT_FAILED, Failure, Outcome
+from stoatpath.membership.signatures import (
+    NONCE_HEADER,
+    SIGNATURE_HEADER,
+    NonceFilter,
+    PeerSigner,
+    answer_topic,
+    new_nonce,
+)
+from stoatpath.outcomes import CONNECT_FAILED, CONNECTION_REFUSED, Failure, Outcome
 from stoatpath.servers import HttpServer
 from stoatpath.tls import scheme
 from stoatpath.utils import decode_json, encode_json
 
+logger = logging.getLogger(__name__)
+
 PEER_TIMEOUT_MS = 1_000
 MAX_PEER_BODY_BYTES = 8 * 1024 * 1024
-SIGNATURE_HEADER = "Stoatpath-Peer-Signature"
-
-
-class PeerSigner:
-    """Signs messages between members with a shared key; all keys verify."""
-
-    __slots__ = ("_keys_by_id",)
-
-    def __init__(self, keys_by_id):
-        self._keys_by_id = {key_id: key.encode() for key_id, key in keys_by_id.items()}
-
-    def sign(self, topic, payload):
-        """Return the signature header of a message."""
-        if not self._keys_by_id:
-            return ""
-        key_id = list(self._keys_by_id)[-1]
-        return f"{key_id}:{self._digest(key_id, topic, payload)}"
-
-    def verify(self, topic, payload, header):
-        """Return whether a message was signed with one of the shared keys."""
-        if not self._keys_by_id:
-            return True
-        key_id, _, digest = header.partition(":")
-        if key_id not in self._keys_by_id:
-            return False
-        expected = self._digest(key_id, topic, payload)
-        return hmac.compare_digest(expected.encode(), digest.encode())
+UNREADABLE = (AttributeError, KeyError, TypeError, ValueError)
 
-    def _digest(self, key_id, topic, payload):
-        message = topic.encode() + b"\n" + payload
-        return hmac.new(self._keys_by_id[key_id], message, hashlib.sha256).hexdigest()
+__all__ = ["PeerClient", "PeerServer", "PeerSigner"]
 
 
 class PeerServer:
     """Listens for messages of other members and hands them to their topic."""
 
-    __slots__ = ("_signer", "_tls", "_handlers_by_topic", "_server", "address")
-
-    def __init__(self, signer, tls=None):
+    __slots__ = (
+        "_signer",
+        "_tls",
+        "_clock",
+        "_nonces",
+        "_handlers_by_topic",
+        "_server",
+        "address",
+        "bytes_sent",
+        "bytes_read",
+    )
+
+    def __init__(self, signer, clock, tls=None):
         self._signer = signer
         self._tls = tls
+        self._clock = clock
+        self._nonces = NonceFilter()
         self._handlers_by_topic = {}
         self._server = None
         self.address = ""
+        self.bytes_sent = 0
+        self.bytes_read = 0
 
     def register(self, topic, handler):
         """Have `await handler(message)` answer the messages of a topic."""
@@ -78,53 +74,93 @@
     async def _handle(self, request):
         topic = request.match_info["topic"]
         payload = await request.read()
+        self.bytes_read += len(payload)
+        nonce = request.headers.get(NONCE_HEADER, "")
         header = request.headers.get(SIGNATURE_HEADER, "")
-        if not self._signer.verify(topic, payload, header):
+        if not self._signer.verify(topic, payload, header, nonce):
+            return web.Response(status=401)
+        if not self._nonces.accept(nonce, self._clock.wall_ms()):
             return web.Response(status=401)
         handler = self._handlers_by_topic.get(topic)
         message = decode_json(payload)
         if handler is None or not isinstance(message, dict):
             return web.Response(status=400)
-        answer = await handler(message)
-        return web.Response(body=encode_json(answer), content_type="application/json")
+        try:
+            answer = await handler(message)
+        except UNREADABLE as error:
+            extra = {"topic": topic, "why": repr(error)}
+            logger.warning("membership.message-unreadable", extra=extra)
+            return web.Response(status=400)
+        return self._respond(topic, answer, nonce)
+
+    def _respond(self, topic, answer, nonce):
+        body = encode_json(answer)
+        self.bytes_sent += len(body)
+        signature = self._signer.sign(answer_topic(topic), body, nonce)
+        return web.Response(
+            body=body,
+            content_type="application/json",
+            headers={SIGNATURE_HEADER: signature},
+        )
 
 
 class PeerClient:
     """Sends messages to other members and counts bytes."""
 
-    __slots__ = ("_signer", "_tls", "_session", "bytes_sent", "bytes_read")
+    __slots__ = ("_signer", "_tls", "_clock", "_session", "bytes_sent", "bytes_read")
 
-    def __init__(self, signer, tls=None):
+    def __init__(self, signer, clock, tls=None):
         self._signer = signer
         self._tls = tls
+        self._clock = clock
         self._session = None
         self.bytes_sent = 0
         self.bytes_read = 0
 
     async def ask(self, address, topic, message, timeout_ms=PEER_TIMEOUT_MS):
-        """Return the decoded answer of a member, or a failure."""
-        if self._session is None:
-            connector = aiohttp.TCPConnector(limit=0, ssl=self._tls or True)
-            self._session = aiohttp.ClientSession(connector=connector)
+        """Return the decoded answer of a member, or a failure.
+
+        The reason `CONNECTION_REFUSED` says that nothing listens there.
+        """
         payload = encode_json(message)
-        headers = {SIGNATURE_HEADER: self._signer.sign(topic, payload)}
-        self.bytes_sent += len(payload)
-        url = f"{scheme(self._tls)}://{address}/peers/v1/{topic}"
-        timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000)
         try:
-            async with self._session.post(
-                url, data=payload, headers=headers, timeout=timeout
-            ) as response:
-                body = await response.read()
+            return await self._exchange(address, topic, payload, timeout_ms)
         except aiohttp.ClientConnectorError as error:
-            return Failure(CONNECT_FAILED, type(error).__name__)
+            is_refused = error.os_error.errno == errno.ECONNREFUSED
+            reason = CONNECTION_REFUSED if is_refused else CONNECT_FAILED
+            return Failure(reason, type(error).__name__)
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             return Failure(CONNECT_FAILED, type(error).__name__, Outcome.UNKNOWN)
+
+    async def _exchange(self, address, topic, payload, timeout_ms):
+        if self._session is None:
+            connector = aiohttp.TCPConnector(limit=0, ssl=self._tls or True)
+            self._session = aiohttp.ClientSession(
+                connector=connector,
+                skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            )
+        nonce = new_nonce(self._clock.wall_ms())
+        headers = {
+            NONCE_HEADER: nonce,
+            SIGNATURE_HEADER: self._signer.sign(topic, payload, nonce),
+        }
+        self.bytes_sent += len(payload)
+        url = f"{scheme(self._tls)}://{address}/peers/v1/{topic}"
+        timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000)
+        async with self._session.post(
+            url, data=payload, headers=headers, timeout=timeout
+        ) as response:
+            body = await response.read()
+            signature = response.headers.get(SIGNATURE_HEADER, "")
         self.bytes_read += len(body)
-        answer = decode_json(body) if response.status == 200 else None
-        if answer is None:
+        if response.status != 200:
             detail = f"{topic}: status {response.status}"
             return Failure(CONNECT_FAILED, detail, Outcome.UNKNOWN)
+        answer = decode_json(body)
+        is_signed = self._signer.verify(answer_topic(topic), body, signature, nonce)
+        if not is_signed or answer is None:
+            detail = f"{topic}: an answer that is not signed or not JSON"
+            return Failure(CONNECT_FAILED, detail, Outcome.UNKNOWN)
         return answer
 
     async def close(self):
--- /dev/null
+++ b/stoatpath/membership/signatures.py
@@ -0,0 +1,78 @@
+"""Signatures of messages between members, with protection against replay."""
+
+import hashlib
+import hmac
+import secrets
+
+NONCE_HEADER = "Stoatpath-Peer-Nonce"
+SIGNATURE_HEADER = "Stoatpath-Peer-Signature"
+NONCE_LIFETIME_MS = 60_000
+MAX_NONCES = 20_000
+
+
+class PeerSigner:
+    """Signs messages between members with a shared key; all keys verify."""
+
+    __slots__ = ("_keys_by_id",)
+
+    def __init__(self, keys_by_id):
+        self._keys_by_id = {key_id: key.encode() for key_id, key in keys_by_id.items()}
+
+    def sign(self, topic, payload, nonce=""):
+        """Return the signature header of a message."""
+        if not self._keys_by_id:
+            return ""
+        key_id = list(self._keys_by_id)[-1]
+        return f"{key_id}:{self._digest(key_id, topic, payload, nonce)}"
+
+    def verify(self, topic, payload, header, nonce=""):
+        """Return whether a message was signed with one of the shared keys."""
+        if not self._keys_by_id:
+            return True
+        key_id, _, digest = header.partition(":")
+        if key_id not in self._keys_by_id:
+            return False
+        expected = self._digest(key_id, topic, payload, nonce)
+        return hmac.compare_digest(expected.encode(), digest.encode())
+
+    def _digest(self, key_id, topic, payload, nonce):
+        message = f"{topic}\n{nonce}\n".encode() + payload
+        return hmac.new(self._keys_by_id[key_id], message, hashlib.sha256).hexdigest()
+
+
+class NonceFilter:
+    """Accepts each nonce once, and none that is too old or too far ahead."""
+
+    __slots__ = ("_seen",)
+
+    def __init__(self):
+        self._seen = {}
+
+    def accept(self, nonce, wall_ms):
+        """Return whether a message with this nonce may be new."""
+        stamp, _, token = nonce.partition("-")
+        if not (stamp.isascii() and stamp.isdigit() and token):
+            return False
+        if abs(wall_ms - int(stamp)) > NONCE_LIFETIME_MS or nonce in self._seen:
+            return False
+        self._seen[nonce] = int(stamp)
+        self._drop_old(wall_ms)
+        return True
+
+    def _drop_old(self, wall_ms):
+        while self._seen:
+            oldest = next(iter(self._seen))
+            is_old = wall_ms - self._seen[oldest] > 2 * NONCE_LIFETIME_MS
+            if not is_old and len(self._seen) <= MAX_NONCES:
+                return
+            del self._seen[oldest]
+
+
+def new_nonce(wall_ms):
+    """Return a nonce that names the time of its making."""
+    return f"{wall_ms}-{secrets.token_hex(8)}"
+
+
+def answer_topic(topic):
+    """Return the name under which the answer to a topic's message is signed."""
+    return f"{topic}/answer"
--- /dev/null
+++ b/stoatpath/membership/watchers.py
@@ -0,0 +1,97 @@
+"""The task that keeps a router's knowledge of backend servers fresh."""
+
+import asyncio
+import errno
+import logging
+
+import aiohttp
+
+from stoatpath.membership.backends import ENGINE
+from stoatpath.outcomes import is_failure
+from stoatpath.tls import scheme
+from stoatpath.utils import decode_json
+
+logger = logging.getLogger(__name__)
+
+LIST_PERIOD_MS = 2_000
+MIN_LOAD_PERIOD_MS = 250
+LOAD_TIMEOUT_MS = 1_000
+LOAD_BYTES_PER_S = 10_000
+BYTES_PER_POLL = 400
+MAX_POLLS_AT_ONCE = 16
+
+
+class BackendWatcher:
+    """Reads the platform's list and the load reports of backend servers."""
+
+    __slots__ = (
+        "polls",
+        "_servers",
+        "_instance_list",
+        "_clock",
+        "_tls",
+        "_session",
+        "_slots",
+    )
+
+    def __init__(self, servers, instance_list, clock, tls=None):
+        self.polls = 0
+        self._tls = tls
+        self._servers = servers
+        self._instance_list = instance_list
+        self._clock = clock
+        self._session = None
+        self._slots = asyncio.Semaphore(MAX_POLLS_AT_ONCE)
+
+    async def run(self):
+        """Poll until cancelled."""
+        timeout = aiohttp.ClientTimeout(total=LOAD_TIMEOUT_MS / 1000)
+        connector = aiohttp.TCPConnector(limit=0, ssl=self._tls or True)
+        async with aiohttp.ClientSession(
+            connector=connector,
+            timeout=timeout,
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+        ) as session:
+            self._session = session
+            next_list_ms = self._clock.now_ms()
+            while True:
+                now_ms = self._clock.now_ms()
+                if now_ms >= next_list_ms:
+                    await self._read_list()
+                    next_list_ms = now_ms + LIST_PERIOD_MS
+                await self._read_loads()
+                await self._clock.sleep_until(now_ms + self.load_period_ms())
+
+    def load_period_ms(self):
+        """Return the period that keeps polling within its bytes a second."""
+        count = len(self._servers.by_name)
+        wanted_ms = count * BYTES_PER_POLL / LOAD_BYTES_PER_S * 1000
+        return max(MIN_LOAD_PERIOD_MS, wanted_ms)
+
+    async def _read_list(self):
+        entries = await self._instance_list.read_shared(self._clock.now_ms())
+        if is_failure(entries):
+            logger.warning("membership.list-failed", extra={"why": entries.detail})
+            return
+        self._servers.apply_list(entries, self._clock.now_ms())
+
+    async def _read_loads(self):
+        backends = list(self._servers.by_name.values())
+        await asyncio.gather(*(self._read_load(backend) for backend in backends))
+
+    async def _read_load(self, backend):
+        path = "/v1/load" if backend.kind == ENGINE else "/stoatpath/load"
+        url = f"{scheme(self._tls)}://{backend.address}{path}"
+        async with self._slots:
+            self.polls += 1
+            asked_at_ms = self._clock.now_ms()
+            try:
+                async with self._session.get(url) as response:
+                    report = decode_json(await response.read())
+            except aiohttp.ClientConnectorError as error:
+                if error.os_error.errno == errno.ECONNREFUSED:
+                    self._servers.apply_refusal(backend.name)
+                return
+            except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
+                return
+        self._servers.apply_report(backend.name, report, asked_at_ms)
--- a/stoatpath/nodes.py
+++ b/stoatpath/nodes.py
@@ -4,7 +4,10 @@
 import logging
 import random
 
+from stoatpath.configuration.archives import ConfigurationArchive
+from stoatpath.configuration.capacity import ListedCapacity
 from stoatpath.configuration.followers import ConfigurationFollower
+from stoatpath.configuration.statuses import STATUS_TOPIC, MemberStatus
 from stoatpath.configuration.stores import ConfigurationStore
 from stoatpath.configuration.topics import ConfigurationTopic
 from stoatpath.membership.gossip import Gossip
@@ -13,6 +16,7 @@
 from stoatpath.membership.peers import PeerClient, PeerServer, PeerSigner
 from stoatpath.outcomes import is_failure
 from stoatpath.platform.instance_lists import InstanceList
+from stoatpath.platform.objects import ObjectStore
 from stoatpath.platform.tables import Table
 from stoatpath.tls import TlsContexts
 from stoatpath.utils import cancel_and_wait
@@ -33,12 +37,15 @@
         "tls",
         "table",
         "instance_list",
+        "objects",
+        "archive",
         "store",
         "follower",
         "members",
         "peer_server",
         "peer_client",
         "gossip",
+        "topic",
         "_tasks",
     )
 
@@ -52,17 +59,39 @@
         self.instance_list = InstanceList.from_url(
             settings.instance_list_url, self.tls.platform
         )
-        self.store = ConfigurationStore(self.table, clock)
+        self.objects = None
+        self.archive = None
+        if settings.objects_url:
+            self.objects = ObjectStore.from_url(settings.objects_url, self.tls.platform)
+            self.archive = ConfigurationArchive(self.objects)
+        self.store = ConfigurationStore(
+            self.table, clock, self.archive, self._read_capacity
+        )
         self.follower = ConfigurationFollower(self.store, clock)
         signer = PeerSigner(settings.peer_keys)
-        self.peer_server = PeerServer(signer, self.tls.peers_in)
-        self.peer_client = PeerClient(signer, self.tls.peers_out)
-        own = Member(settings.name, role, "", settings.zone, self.incarnation, 0, LIVE)
+        self.peer_server = PeerServer(signer, clock, self.tls.peers_in)
+        self.peer_client = PeerClient(signer, clock, self.tls.peers_out)
+        own = Member(settings.name, role, "", settings.zone, self.incarnation, LIVE)
         self.members = MemberTable(own)
         self.gossip = Gossip(
-            self.members, self.peer_client, self.peer_server, clock, random.Random()
+            self.members,
+            self.peer_client,
+            self.peer_server,
+            clock,
+            random.Random(),
+            settings.gossip_bytes_per_s,
+        )
+        self.gossip.contacts.add_fixed(settings.peer_seeds)
+        self.topic = ConfigurationTopic(
+            self.follower,
+            clock,
+            self.peer_client,
+            self.peer_server,
+            self.members.address_of,
         )
-        self.gossip.add_topic(ConfigurationTopic(self.follower, clock))
+        self.gossip.add_topic(self.topic)
+        self.follower.count_members = lambda: len(self.members.peers()) + 1
+        self.peer_server.register(STATUS_TOPIC, self._answer_status)
         self._tasks = []
 
     @classmethod
@@ -77,6 +106,8 @@
         await self.follower.poll()
         jobs = (
             self.follower.run(),
+            self.topic.run(),
+            self._tell_of_changes(),
             self.gossip.run(),
             self.tls.run(self.clock),
             self._seed(),
@@ -90,10 +121,32 @@
         await self.peer_client.close()
         await self.table.close()
         await self.instance_list.close()
+        if self.objects is not None:
+            await self.objects.close()
+
+    async def _tell_of_changes(self):
+        """Have peers told at once of each revision that comes into force."""
+        while True:
+            await self.follower.wait_for_change()
+            self.gossip.hurry()
+
+    async def _read_capacity(self):
+        """Return what the platform's list says is there to serve, or None."""
+        entries = await self.instance_list.read()
+        if is_failure(entries):
+            return None
+        return ListedCapacity.from_entries(entries.values())
+
+    async def _answer_status(self, message):
+        return self.status().to_json()
+
+    def status(self):
+        """Return which revision this member has, and why it may lag."""
+        return MemberStatus.from_node(self)
 
     async def _seed(self):
         while True:
-            entries = await self.instance_list.read()
+            entries = await self.instance_list.read_shared(self.clock.now_ms())
             if is_failure(entries):
                 logger.warning("membership.seed-failed", extra={"why": entries.detail})
             else:
--- a/stoatpath/platform/instance_lists.py
+++ b/stoatpath/platform/instance_lists.py
@@ -1,18 +1,24 @@
 """Client of the platform's lagging list of live and leaving instances."""
 
+from stoatpath.outcomes import is_failure
 from stoatpath.platform.connections import PlatformConnection
 from stoatpath.platform.messages import LiveInstance
 
 LIST_TIMEOUT_MS = 2_000
+MIN_PERIOD_MS = 2_000
+LIST_BYTES_PER_S = 5_000
 
 
 class InstanceList:
     """Reads the list. It may be late in both directions."""
 
-    __slots__ = ("connection",)
+    __slots__ = ("connection", "_entries", "_read_ms", "_period_ms")
 
     def __init__(self, connection):
         self.connection = connection
+        self._entries = None
+        self._read_ms = float("-inf")
+        self._period_ms = MIN_PERIOD_MS
 
     @classmethod
     def from_url(cls, url, tls=None, timeout_ms=LIST_TIMEOUT_MS):
@@ -23,6 +29,23 @@
         """Return entries by name, or a failure."""
         return await self.connection.call("/v1/instances", {}, _build_entries)
 
+    async def read_shared(self, now_ms):
+        """Return as `read` does, or the entries read before within the period.
+
+        The period grows with the size of the list, which holds what a process
+        reads of it within its bytes a second.
+        """
+        if now_ms - self._read_ms < self._period_ms:
+            return self._entries
+        bytes_before = self.connection.bytes_read
+        entries = await self.read()
+        if not is_failure(entries):
+            size = self.connection.bytes_read - bytes_before
+            self._period_ms = max(MIN_PERIOD_MS, size / LIST_BYTES_PER_S * 1000)
+            self._entries = entries
+            self._read_ms = now_ms
+        return entries
+
     async def close(self):
         """Close the connections."""
         await self.connection.close()
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -1,6 +1,7 @@
 """Assembles one router process from its slices."""
 
 import asyncio
+import math
 import random
 
 from stoatpath.admission.gates import AdmissionGate
@@ -11,12 +12,14 @@
 from stoatpath.cascades.planners import Planner, QualityEstimates
 from stoatpath.cascades.runners import StageRunner
 from stoatpath.clock import Clock
+from stoatpath.configuration.guards import FreshnessGuard
 from stoatpath.dispatch.attempts import AttemptRunner
 from stoatpath.dispatch.retries import RetryBudget
 from stoatpath.dispatch.senders import Sender
 from stoatpath.explanations.rings import DecisionRing
 from stoatpath.idempotency.claims import ClaimKeeper
-from stoatpath.membership.backends import BackendServers, BackendWatcher
+from stoatpath.membership.backends import BackendServers
+from stoatpath.membership.watchers import BackendWatcher
 from stoatpath.nodes import Node
 from stoatpath.platform.ratings import RatingService
 from stoatpath.rollouts.assigners import VersionAssigner
@@ -46,6 +49,7 @@
         "chooser",
         "gate",
         "assigner",
+        "guard",
         "estimates",
         "planner",
         "pins",
@@ -71,13 +75,16 @@
         self.outbox = Outbox(
             self.node.table, clock, settings.name, self.node.incarnation
         )
-        self.backends = BackendServers()
+        self.backends = BackendServers(settings.name)
         self.watcher = BackendWatcher(
             self.backends, self.node.instance_list, clock, self.node.tls.backends
         )
         self.chooser = Chooser(settings.zone, rng)
         self.gate = AdmissionGate(AdmissionQueue(settings.max_queued_requests), clock)
         self.assigner = VersionAssigner()
+        self.guard = FreshnessGuard(
+            self.follower, self.assigner, self.node.gossip.contacts, settings, clock
+        )
         self.estimates = QualityEstimates()
         self.planner = Planner(self.estimates)
         self.pins = SessionPins(TokenSigner(settings.session_keys))
@@ -142,6 +149,9 @@
             if backend.is_leaving:
                 continue
             for pool in backend.versions or (backend.service,):
-                slots_by_pool[pool] = slots_by_pool.get(pool, 0) + backend.slots
+                slots = backend.slots * backend.weight
+                slots_by_pool[pool] = slots_by_pool.get(pool, 0) + slots
         routers = max(1, len(self.node.members.live_names(ROUTER)))
-        return {pool: -(-slots // routers) for pool, slots in slots_by_pool.items()}
+        return {
+            pool: math.ceil(slots / routers) for pool, slots in slots_by_pool.items()
+        }
--- a/stoatpath/settings.py
+++ b/stoatpath/settings.py
@@ -23,6 +23,8 @@
     "INSTANCE_LIST_URL": "",
     "RATINGS_URL": "",
     "WEIGHTS_URL": "",
+    # Members to try when the platform's list can't be read, as `IP:PORT`.
+    "PEER_SEEDS": [],
     # Secrets, newest last; the newest signs, all verify.
     "SESSION_KEYS": {},
     "PEER_KEYS": {},
@@ -44,6 +46,9 @@
     "SERVE_WHEN_CUT_OFF": False,
     "BALANCER_LAG_MS": 2_000,
     "SHUTDOWN_TIMEOUT_MS": 120_000,
+    # Control traffic and what is kept.
+    "GOSSIP_BYTES_PER_S": 8_000,
+    "HISTORY_KEPT_REVISIONS": 20_000,
     # Logs.
     "LOG_LEVEL": "INFO",
 }
--- a/stoatpath/settings_checks.py
+++ b/stoatpath/settings_checks.py
@@ -31,6 +31,23 @@
     return "an IP number and a port, such as 10.0.0.7:8080"
 
 
+def check_addresses(value):
+    """Expect a list of addresses."""
+    if all(isinstance(each, str) and not check_address(each) for each in value):
+        return None
+    return 'a list of IP numbers with ports, such as ["10.0.0.7:8080"]'
+
+
+def check_operator_keys(value):
+    """Expect a secret, or a secret and a role, by operator."""
+    if all(map(_is_operator_key, value.values())):
+        return None
+    return (
+        f"operators with a secret of at least {MIN_SECRET_CHARS} characters, or"
+        f" with an object of secret and role, one of {', '.join(ROLES)}"
+    )
+
+
 def check_url(value):
     """Expect a base URL whose host is an IP number."""
     parts = urlsplit(value)
@@ -72,6 +89,14 @@
     return "an object with the file names certificate, key and optionally authority"
 
 
+def _is_operator_key(value):
+    if isinstance(value, dict):
+        if set(value) != {"secret", "role"} or value["role"] not in ROLES:
+            return False
+        value = value["secret"]
+    return isinstance(value, str) and len(value) >= MIN_SECRET_CHARS
+
+
 def _is_ip(text):
     try:
         ipaddress.ip_address(text)
@@ -94,6 +119,10 @@
     "INSTANCE_LIST_URL": check_url,
     "RATINGS_URL": check_url,
     "WEIGHTS_URL": check_url,
+    "PEER_SEEDS": check_addresses,
+    "GOSSIP_BYTES_PER_S": check_positive,
+    "HISTORY_KEPT_REVISIONS": check_positive,
+    "OPERATOR_KEYS": check_operator_keys,
     "SESSION_KEYS": check_secrets,
     "PEER_KEYS": check_secrets,
     "LISTEN_TLS": check_tls,
