--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -79,6 +79,9 @@
             choice = self._choose(course)
             if is_failure(choice):
                 return course.worst or choice
+            problem = self._check_send(course)
+            if problem is not None:
+                return course.worst or problem
             attempt = self._attempt(course, choice.backend)
             answer = await self._race(course, attempt)
             if not is_failure(answer):
@@ -88,6 +91,12 @@
                 break
         return course.worst
 
+    def _check_send(self, course):
+        problem = self._parts.guard.check_send(course.request, course.version)
+        if problem is not None:
+            self._note(course.request, "guard", problem.detail)
+        return problem
+
     async def _may_go_on(self, course, failure, retries):
         may_resume = self._may_resume(course)
         if not may_retry(course.request, failure, course.relay, may_resume):
@@ -129,7 +138,9 @@
         if course.relay is not None and course.relay.has_begun:
             return None
         choice = self._choose(course)
-        if is_failure(choice) or not self._parts.retry_budget.spend_on_hedge():
+        if is_failure(choice) or self._check_send(course) is not None:
+            return None
+        if not self._parts.retry_budget.spend_on_hedge():
             return None
         self._note(course.request, "hedge", "slow to begin")
         return self._send(course, self._attempt(course, choice.backend))
--- a/stoatpath/dispatch/features/steps/dispatch_rig.py
+++ b/stoatpath/dispatch/features/steps/dispatch_rig.py
@@ -16,8 +16,9 @@
 from stoatpath.dispatch.attempts import AttemptRunner
 from stoatpath.dispatch.retries import RetryBudget
 from stoatpath.dispatch.senders import Sender
-from stoatpath.membership.backends import BackendServer, BackendServers
+from stoatpath.membership.backends import BackendServers
 from stoatpath.outcomes import is_failure
+from stoatpath.platform.messages import LiveInstance
 from stoatpath.routing.choosers import Chooser
 from stoatpath.standins.engines import EngineStandin
 from stoatpath.standins.faults import Fault, FaultTable
@@ -56,6 +57,7 @@
         self.services = []
         self.results = []
         self.decisions = []
+        self._entries = {}
         self.parts = SimpleNamespace(
             clock=self.clock,
             settings=SimpleNamespace(
@@ -65,6 +67,7 @@
             chooser=Chooser("zone-a", random.Random(1)),
             sender=Sender(self.clock, SHORT_MS),
             retry_budget=RetryBudget(),
+            guard=SimpleNamespace(check_send=lambda request, version: None),
             ring=SimpleNamespace(note=self._note),
         )
         self.attempts = AttemptRunner(self.parts, random.Random(1))
@@ -86,15 +89,19 @@
             self.services.append(service)
             self._list(service.name, "service", "booking-desk", await service.start())
 
-    def _list(self, name, kind, service, address):
-        now_ms = self.clock.now_ms()
-        backend = BackendServer(name, kind, service, address, "zone-a", now_ms)
-        backend.versions = frozenset(["tern@1"] if kind == "engine" else [])
-        backend.slots = 8
-        backend.token_ms = 0.1
-        backend.resumes = True
-        backend.reported_ms = now_ms + 60_000
-        self.parts.backends.by_name[name] = backend
+    def _list(self, name, role, service, address):
+        entry = LiveInstance(name, role, address, "zone-a", service, "live")
+        self._entries[name] = entry
+        self.parts.backends.apply_list(self._entries, self.clock.now_ms())
+        report = {
+            "versions": ["tern@1"] if role == "engine" else [],
+            "slots": 8,
+            "running": 0,
+            "token_ms": 0.1,
+            "leaving": False,
+            "resumes": True,
+        }
+        self.parts.backends.apply_report(name, report, self.clock.now_ms())
 
     async def stop(self):
         await self.parts.sender.close()
