--- a/stoatpath/outcomes.py
+++ b/stoatpath/outcomes.py
@@ -48,11 +48,14 @@
 SHUTTING_DOWN = Reason("shutting-down", 503, retryable=True)
 PLATFORM_UNAVAILABLE = Reason("platform-unavailable", 503, retryable=True)
 CONNECT_FAILED = Reason("connect-failed", 502, retryable=True)
+CONNECTION_REFUSED = Reason("connection-refused", 502, retryable=True)
 REFUSED_BY_BACKEND = Reason("refused-by-backend", 503, retryable=True)
 BROKEN_ANSWER = Reason("broken-answer", 502)
 FOREIGN_ANSWER = Reason("foreign-answer", 502)
 BACKEND_ERROR = Reason("backend-error", 502)
 TIMED_OUT = Reason("timed-out", 504)
+SILENT_CONNECTION = Reason("silent-connection", 504)
+SUPERSEDED = Reason("superseded", 500)
 IN_PROGRESS = Reason("in-progress", 409, retryable=True)
 CALLER_GONE = Reason("caller-gone", 499)
 INTERNAL = Reason("internal", 500)
@@ -76,6 +79,17 @@
         self.field = field
         self.retry_at_ms = retry_at_ms
 
+    def worse_of(self, other):
+        """Return what two failed attempts of one request say together.
+
+        The later reason stands unless the earlier attempt may have run alone.
+        """
+        if self.outcome is Outcome.NOT_RUN or other.outcome is Outcome.UNKNOWN:
+            return other
+        if self.reason is SUPERSEDED:
+            return Failure(other.reason, other.detail, Outcome.UNKNOWN)
+        return self
+
     def __repr__(self):
         return f"<Failure {self.reason.name} {self.outcome.value}: {self.detail}>"
 
