--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -1,6 +1,7 @@
 """Assembles one router process from its slices."""
 
 import asyncio
+import math
 import random
 
 from stoatpath.admission.gates import AdmissionGate
@@ -11,12 +12,14 @@
 from stoatpath.cascades.planners import Planner, QualityEstimates
 from stoatpath.cascades.runners import StageRunner
 from stoatpath.clock import Clock
+from stoatpath.configuration.guards import FreshnessGuard
 from stoatpath.dispatch.attempts import AttemptRunner
 from stoatpath.dispatch.retries import RetryBudget
 from stoatpath.dispatch.senders import Sender
 from stoatpath.explanations.rings import DecisionRing
 from stoatpath.idempotency.claims import ClaimKeeper
-from stoatpath.membership.backends import BackendServers, BackendWatcher
+from stoatpath.membership.backends import BackendServers
+from stoatpath.membership.watchers import BackendWatcher
 from stoatpath.nodes import Node
 from stoatpath.platform.ratings import RatingService
 from stoatpath.rollouts.assigners import VersionAssigner
@@ -26,6 +29,7 @@
 from stoatpath.utils import cancel_and_wait
 
 CAPACITY_PERIOD_MS = 250
+TRIM_PERIOD_MS = 15_000
 ROUTER = "router"
 
 
@@ -46,6 +50,7 @@
         "chooser",
         "gate",
         "assigner",
+        "guard",
         "estimates",
         "planner",
         "pins",
@@ -71,19 +76,24 @@
         self.outbox = Outbox(
             self.node.table, clock, settings.name, self.node.incarnation
         )
-        self.backends = BackendServers()
+        self.backends = BackendServers(settings.name)
         self.watcher = BackendWatcher(
             self.backends, self.node.instance_list, clock, self.node.tls.backends
         )
         self.chooser = Chooser(settings.zone, rng)
         self.gate = AdmissionGate(AdmissionQueue(settings.max_queued_requests), clock)
         self.assigner = VersionAssigner()
+        self.guard = FreshnessGuard(
+            self.follower, self.assigner, self.node.gossip.contacts, settings, clock
+        )
         self.estimates = QualityEstimates()
         self.planner = Planner(self.estimates)
         self.pins = SessionPins(TokenSigner(settings.session_keys))
-        self.sender = Sender(clock, self.node.tls.backends)
+        self.sender = Sender(
+            clock, settings.between_bytes_timeout_ms, self.node.tls.backends
+        )
         self.retry_budget = RetryBudget()
-        self.attempts = AttemptRunner(self)
+        self.attempts = AttemptRunner(self, rng)
         self.stages = StageRunner(self)
         self.listener = Listener(self, Pipeline(self))
         self._tasks = []
@@ -107,6 +117,7 @@
             self.claims.run(),
             self.outbox.run(),
             self._keep_capacities(),
+            self._trim_connections(),
         )
         self._tasks = [asyncio.create_task(job) for job in jobs]
         await self.listener.start(self.settings.listen_address)
@@ -136,12 +147,20 @@
             self.gate.set_capacities(self._slots_by_pool())
             await self.clock.sleep_until(self.clock.now_ms() + CAPACITY_PERIOD_MS)
 
+    async def _trim_connections(self):
+        while True:
+            await self.clock.sleep_until(self.clock.now_ms() + TRIM_PERIOD_MS)
+            await self.sender.trim()
+
     def _slots_by_pool(self):
         slots_by_pool = {}
         for backend in self.backends.by_name.values():
             if backend.is_leaving:
                 continue
             for pool in backend.versions or (backend.service,):
-                slots_by_pool[pool] = slots_by_pool.get(pool, 0) + backend.slots
+                slots = backend.slots * backend.weight
+                slots_by_pool[pool] = slots_by_pool.get(pool, 0) + slots
         routers = max(1, len(self.node.members.live_names(ROUTER)))
-        return {pool: -(-slots // routers) for pool, slots in slots_by_pool.items()}
+        return {
+            pool: math.ceil(slots / routers) for pool, slots in slots_by_pool.items()
+        }
