--- a/stoatpath/routing/features/steps/estimate_steps.py
+++ b/stoatpath/routing/features/steps/estimate_steps.py
@@ -27,8 +27,9 @@
 @given("one that reported {running:d} running requests {age_ms:g} ms ago")
 def step_impl(context, running, age_ms):
     report = build_report(running=running)
-    context.servers.apply_report("engine-0", report, NOW_MS - age_ms)
     context.backend = context.servers.by_name["engine-0"]
+    context.backend.reported_ms = float("-inf")
+    context.servers.apply_report("engine-0", report, NOW_MS - age_ms)
     context.before_ms = _expected_ms(context)
 
 
