--- /dev/null
+++ b/stoatpath/callers/connections.py
@@ -0,0 +1,182 @@
+"""Bounds each caller connection before a request is whole.
+
+aiohttp reads and parses; here stand the limits that it lacks: how many
+connections there are, how long a head may take, how large it may be in all.
+"""
+
+from http import HTTPStatus
+
+from aiohttp import http_exceptions, web
+
+from stoatpath.callers.answers import JSON_TYPE, encode_error, render_failure
+from stoatpath.outcomes import (
+    BAD_REQUEST,
+    HEAD_TOO_LARGE,
+    HEAD_TOO_SLOW,
+    INTERNAL,
+    OVERLOADED,
+    Failure,
+    Outcome,
+)
+from stoatpath.utils import new_id
+
+MAX_HEADERS = 100
+LINGERING_TIME_S = 2.0
+HEAD_FIELD = "headers"
+
+
+class ConnectionLimits:
+    """How many connections, and how large and how slow a head may be."""
+
+    __slots__ = (
+        "max_connections",
+        "max_head_bytes",
+        "head_timeout_ms",
+        "idle_timeout_ms",
+    )
+
+    def __init__(
+        self, max_connections, max_head_bytes, head_timeout_ms, idle_timeout_ms
+    ):
+        self.max_connections = max_connections
+        self.max_head_bytes = max_head_bytes
+        self.head_timeout_ms = head_timeout_ms
+        self.idle_timeout_ms = idle_timeout_ms
+
+    @classmethod
+    def from_settings(cls, settings):
+        """Build the limits of the settings."""
+        return cls(
+            settings.max_connections,
+            settings.max_header_bytes,
+            settings.header_timeout_ms,
+            settings.idle_timeout_ms,
+        )
+
+
+class CallerConnection(web.RequestHandler):
+    """One connection of a caller."""
+
+    __slots__ = ("_server", "_head_timer", "_head_bytes")
+
+    def __init__(self, server, **options):
+        super().__init__(server, **options)
+        self._server = server
+        self._head_timer = None
+        self._head_bytes = 0
+
+    @property
+    def is_leaving(self):
+        """Return whether the connection should be closed after its answer."""
+        return self._server.is_leaving
+
+    def connection_made(self, transport):
+        """Take a connection, unless there are too many."""
+        super().connection_made(transport)
+        limits = self._server.limits
+        if len(self._server.connections) > limits.max_connections:
+            self._refuse(Failure(OVERLOADED, "too many connections"))
+
+    def connection_lost(self, exc):
+        """Stop the timer of a head that will not come."""
+        self.end_head()
+        super().connection_lost(exc)
+
+    def data_received(self, data):
+        """Parse bytes, and bound the head that they may belong to."""
+        super().data_received(data)
+        if self._messages or self._request_in_progress:
+            self.end_head()
+            return
+        if self._head_timer is None:
+            self._await_head()
+        self._head_bytes += len(data)
+        if self._head_bytes > self._server.limits.max_head_bytes:
+            limit = self._server.limits.max_head_bytes
+            detail = f"the request's head is larger than {limit} bytes"
+            self._refuse(Failure(HEAD_TOO_LARGE, detail, field=HEAD_FIELD))
+
+    def end_head(self):
+        """Note that a head is whole."""
+        self._head_bytes = 0
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def handle_error(self, request, status=500, exc=None, message=None):
+        """Answer bytes that are not HTTP, and a broken invariant of a handler."""
+        if status == HTTPStatus.BAD_REQUEST:
+            failure = _parse_failure(exc)
+        else:
+            self.log_exception("caller.handler-failed", exc_info=exc)
+            failure = Failure(INTERNAL, "the router failed", Outcome.UNKNOWN)
+        response = render_failure(failure, new_id("req"), 0.0)
+        response.force_close()
+        return response
+
+    def _await_head(self):
+        timeout_s = self._server.limits.head_timeout_ms / 1000
+        self._head_timer = self._loop.call_later(timeout_s, self._expire_head)
+
+    def _expire_head(self):
+        self._head_timer = None
+        timeout_ms = self._server.limits.head_timeout_ms
+        detail = f"the request's head took longer than {timeout_ms} ms"
+        self._refuse(Failure(HEAD_TOO_SLOW, detail, field=HEAD_FIELD))
+
+    def _refuse(self, failure):
+        self.end_head()
+        if self.transport is not None:
+            self.transport.write(_raw_answer(failure))
+        self.force_close()
+
+
+class CallerServer(web.Server):
+    """Makes the connections of callers and counts them."""
+
+    def __init__(self, handler, limits):
+        super().__init__(handler, handler_cancellation=True)
+        self.limits = limits
+        self.is_leaving = False
+
+    def __call__(self):
+        """Return the protocol of a new connection."""
+        return CallerConnection(
+            self,
+            loop=self._loop,
+            access_log=None,
+            max_line_size=self.limits.max_head_bytes,
+            max_field_size=self.limits.max_head_bytes,
+            max_headers=MAX_HEADERS,
+            lingering_time=LINGERING_TIME_S,
+            keepalive_timeout=self.limits.idle_timeout_ms / 1000,
+        )
+
+    def _make_request(self, message, payload, protocol, writer, task):
+        protocol.end_head()
+        return super()._make_request(message, payload, protocol, writer, task)
+
+
+def _parse_failure(exc):
+    if isinstance(exc, http_exceptions.LineTooLong):
+        return Failure(HEAD_TOO_LARGE, "a header is too large", field=HEAD_FIELD)
+    detail = "the request is not well-formed HTTP/1.1"
+    return Failure(BAD_REQUEST, detail, field=HEAD_FIELD)
+
+
+def _raw_answer(failure):
+    status = failure.reason.status
+    request_id = new_id("req")
+    body = encode_error(failure, request_id)
+    lines = (
+        f"HTTP/1.1 {status} {HTTPStatus(status).phrase}",
+        f"Content-Type: {JSON_TYPE}",
+        f"Content-Length: {len(body)}",
+        f"Stoatpath-Request-Id: {request_id}",
+        f"Stoatpath-Outcome: {failure.outcome.value}",
+        *(["Retry-After: 1"] if status == HTTPStatus.SERVICE_UNAVAILABLE else []),
+        "Connection: close",
+        "",
+        "",
+    )
+    return "\r\n".join(lines).encode() + body
--- a/stoatpath/callers/listeners.py
+++ b/stoatpath/callers/listeners.py
@@ -4,87 +4,58 @@
 
 from aiohttp import web
 
-from stoatpath.callers.authenticators import authenticate
-from stoatpath.callers.parsers import RequestHead, parse_call, parse_completion
-from stoatpath.outcomes import (
-    BODY_TOO_LARGE,
-    BODY_TOO_SLOW,
-    NOT_FOUND,
-    SHUTTING_DOWN,
-    Failure,
-    Outcome,
-    is_failure,
-)
-from stoatpath.utils import encode_json
-
-MIN_RETRY_AFTER_S = 1
-EVENT_STREAM = "text/event-stream"
-DONE_EVENT = b"data: [DONE]\n\n"
-
-
-class CallerStream:
-    """Writes the events of one streamed answer to the caller."""
-
-    __slots__ = ("_request", "_headers", "response", "has_begun")
-
-    def __init__(self, request, headers):
-        self._request = request
-        self._headers = headers
-        self.response = None
-        self.has_begun = False
-
-    async def write(self, event):
-        """Send one event; the first one starts the response."""
-        if self.response is None:
-            self.response = web.StreamResponse(headers=self._headers)
-            self.response.content_type = EVENT_STREAM
-            self.has_begun = True
-            await self.response.prepare(self._request)
-        await self.response.write(event)
-
-    async def finish(self):
-        """Send the end marker."""
-        await self.write(DONE_EVENT)
-        await self.response.write_eof()
-
-    def break_off(self):
-        """Close the connection without the end marker."""
-        if self._request.transport is not None:
-            self._request.transport.abort()
+from stoatpath.callers.answers import render_failure, render_served
+from stoatpath.callers.bodies import BodyReader
+from stoatpath.callers.connections import CallerServer, ConnectionLimits
+from stoatpath.callers.requests import RequestReader
+from stoatpath.callers.streams import CallerStream
+from stoatpath.outcomes import BROKEN_ANSWER, Failure, Outcome, is_failure
+from stoatpath.utils import new_id
 
+HEALTH_PATH = "/healthz"
+READY_PATH = "/readyz"
 
-class Listener:
-    """Reads caller requests and writes what the pipeline returns."""
 
-    __slots__ = ("_parts", "_pipeline", "_runner", "_open", "address", "is_closing")
+class Listener:
+    """Reads caller requests and writes what the pipeline returns.
+
+    `is_leaving` says that this instance asks callers to go elsewhere: it still
+    serves, but closes each connection after its answer.
+    """
+
+    __slots__ = (
+        "_parts",
+        "_pipeline",
+        "_requests",
+        "_runner",
+        "_server",
+        "_idle",
+        "open_by_id",
+        "address",
+    )
 
     def __init__(self, parts, pipeline):
         self._parts = parts
         self._pipeline = pipeline
+        bodies = BodyReader.from_settings(parts.settings)
+        self._requests = RequestReader(parts, bodies)
         self._runner = None
-        self._open = 0
+        self._server = None
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self.open_by_id = {}
         self.address = ""
-        self.is_closing = False
+
+    @property
+    def is_leaving(self):
+        """Return whether callers are asked to go elsewhere."""
+        return self._server is not None and self._server.is_leaving
 
     async def start(self, address):
         """Listen on `host:port`; port 0 takes a free one."""
-        settings = self._parts.settings
-        app = web.Application(client_max_size=settings.max_body_bytes)
-        app.add_routes(
-            [
-                web.post("/v1/chat/completions", self._complete),
-                web.route("*", "/services/{service}/{path:.*}", self._call),
-                web.get("/healthz", self._health),
-                web.get("/readyz", self._ready),
-                web.route("*", "/{path:.*}", self._unknown),
-            ]
-        )
-        self._runner = web.AppRunner(
-            app,
-            access_log=None,
-            max_field_size=settings.max_header_bytes,
-            max_line_size=settings.max_header_bytes,
-        )
+        limits = ConnectionLimits.from_settings(self._parts.settings)
+        self._server = CallerServer(self._serve, limits)
+        self._runner = web.ServerRunner(self._server, shutdown_timeout=0.0)
         await self._runner.setup()
         host, _, port = address.rpartition(":")
         site = web.TCPSite(self._runner, host, int(port))
@@ -92,146 +63,82 @@
         bound = self._runner.addresses[0]
         self.address = f"{bound[0]}:{bound[1]}"
 
+    def leave(self):
+        """Stop being ready; close each connection after its next answer."""
+        self._server.is_leaving = True
+
+    async def stop_accepting(self):
+        """Take no more connections and close those that are idle."""
+        for site in list(self._runner.sites):
+            await site.stop()
+        self._server.pre_shutdown()
+
+    async def drain(self):
+        """Return once no request is in flight."""
+        await self._idle.wait()
+
     async def stop(self):
         """Close the listener and its connections."""
         if self._runner is not None:
             await self._runner.cleanup()
 
-    async def drain(self):
-        """Return once no request is in flight."""
-        while self._open:
-            await asyncio.sleep(0.01)
-
-    async def _health(self, request):
-        return web.json_response({"status": "ok"})
+    async def _serve(self, request):
+        if request.path == HEALTH_PATH:
+            return web.json_response({"status": "ok"})
+        if request.path == READY_PATH:
+            return self._answer_ready()
+        request_id = new_id("req")
+        self._open(request_id)
+        try:
+            response = await self._handle(request, request_id)
+        finally:
+            self._close(request_id)
+        if self.is_leaving:
+            response.force_close()
+        return response
 
-    async def _ready(self, request):
-        is_ready = not self.is_closing and self._parts.follower.snapshot.revision > 0
+    def _answer_ready(self):
+        is_ready = not self.is_leaving and self._parts.follower.snapshot.revision > 0
         status = 200 if is_ready else 503
         return web.json_response({"ready": is_ready}, status=status)
 
-    async def _unknown(self, request):
-        failure = Failure(NOT_FOUND, f"no path {request.path}", field="path")
-        return self._fail(failure, "")
-
-    async def _complete(self, request):
-        return await self._handle(request, None)
-
-    async def _call(self, request):
-        return await self._handle(request, request.match_info["service"])
-
-    async def _handle(self, request, service_name):
-        self._open += 1
-        try:
-            parsed = await self._parse(request, service_name)
-            if is_failure(parsed):
-                return self._fail(parsed, "")
-            if parsed.is_stream:
-                return await self._serve_stream(request, parsed)
-            return await self._serve(parsed)
-        finally:
-            self._open -= 1
-
-    async def _parse(self, request, service_name):
-        if self.is_closing:
-            return Failure(SHUTTING_DOWN, "this instance is leaving")
-        snapshot = self._parts.follower.snapshot
-        authorization = request.headers.get("Authorization", "")
-        organisation = authenticate(snapshot, authorization)
-        if is_failure(organisation):
-            return organisation
-        arrived_ms = self._parts.clock.now_ms()
-        data = await self._read_body(request)
-        if is_failure(data):
-            return data
-        limit_ms = self._parts.settings.max_timeout_ms
-        path = request.path
-        if service_name is not None:
-            path = "/" + request.match_info["path"]
-            if request.query_string:
-                path = f"{path}?{request.query_string}"
-        head = RequestHead(request.method, path, request.headers, arrived_ms)
-        if service_name is None:
-            return parse_completion(snapshot, organisation, head, data, limit_ms)
-        return parse_call(snapshot, organisation, head, service_name, data, limit_ms)
-
-    async def _read_body(self, request):
-        timeout_ms = self._parts.settings.body_timeout_ms
-        try:
-            async with asyncio.timeout(timeout_ms / 1000):
-                return await request.read()
-        except TimeoutError:
-            detail = f"the body took longer than {timeout_ms} ms"
-            return Failure(BODY_TOO_SLOW, detail, field="body")
-        except web.HTTPRequestEntityTooLarge:
-            limit = self._parts.settings.max_body_bytes
-            detail = f"the body is larger than {limit} bytes"
-            return Failure(BODY_TOO_LARGE, detail, field="body")
-
-    async def _serve(self, parsed):
+    def _open(self, request_id):
+        self.open_by_id[request_id] = self._parts.clock.now_ms()
+        self._idle.clear()
+
+    def _close(self, request_id):
+        del self.open_by_id[request_id]
+        if not self.open_by_id:
+            self._idle.set()
+
+    async def _handle(self, request, request_id):
+        parsed = await self._requests.read(request, request_id)
+        if is_failure(parsed):
+            return self._fail(parsed, request_id)
+        if parsed.is_stream:
+            return await self._handle_stream(request, parsed)
         result = await self._pipeline.serve(parsed)
         if is_failure(result):
-            return self._fail(result, parsed.request_id)
-        return web.Response(
-            status=result.status,
-            body=result.body,
-            headers=_headers(parsed.request_id, result),
-        )
-
-    async def _serve_stream(self, request, parsed):
-        headers = {"Stoatpath-Request-Id": parsed.request_id}
-        stream = CallerStream(request, headers)
+            return self._fail(result, request_id)
+        return render_served(request_id, result)
+
+    async def _handle_stream(self, request, parsed):
+        timeout_ms = self._parts.settings.write_timeout_ms
+        is_keyed = bool(parsed.idempotency_key)
+        stream = CallerStream(request, parsed.request_id, timeout_ms, is_keyed)
         result = await self._pipeline.serve(parsed, stream)
-        if not is_failure(result):
-            if result.is_replay:
-                await stream.write(result.body)
-            await stream.finish()
-            return stream.response
-        if stream.has_begun:
+        if is_failure(result) and not stream.has_begun:
+            return self._fail(result, parsed.request_id)
+        if is_failure(result):
             stream.break_off()
             return stream.response
-        return self._fail(result, parsed.request_id)
+        if result.is_replay:
+            await stream.replay(result)
+        await stream.finish()
+        if stream.response is None:
+            failure = Failure(BROKEN_ANSWER, "the stream was empty", Outcome.UNKNOWN)
+            return self._fail(failure, parsed.request_id)
+        return stream.response
 
     def _fail(self, failure, request_id):
-        error = {
-            "type": failure.reason.name,
-            "message": failure.detail,
-            "field": failure.field,
-            "outcome": failure.outcome.value,
-            "retryable": failure.reason.retryable,
-            "request_id": request_id,
-        }
-        headers = {
-            "Stoatpath-Request-Id": request_id,
-            "Stoatpath-Outcome": failure.outcome.value,
-        }
-        if failure.reason.status in (429, 503):
-            headers["Retry-After"] = str(self._retry_after_s(failure))
-        return web.Response(
-            status=failure.reason.status,
-            body=encode_json({"error": error}),
-            content_type="application/json",
-            headers=headers,
-        )
-
-    def _retry_after_s(self, failure):
-        if failure.retry_at_ms is None:
-            return MIN_RETRY_AFTER_S
-        wait_ms = failure.retry_at_ms - self._parts.clock.now_ms()
-        return max(MIN_RETRY_AFTER_S, round(wait_ms / 1000))
-
-
-def _headers(request_id, served):
-    headers = {
-        "Stoatpath-Request-Id": request_id,
-        "Stoatpath-Outcome": Outcome.COMPLETED.value,
-        "Stoatpath-Version": served.version,
-        "Content-Type": served.content_type or "application/octet-stream",
-    }
-    if served.session:
-        headers["Stoatpath-Session"] = served.session
-    if served.session_moved:
-        headers["Stoatpath-Session-Moved"] = served.session_moved
-    if served.is_replay:
-        headers["Stoatpath-Replay"] = "true"
-    return headers
+        return render_failure(failure, request_id, self._parts.clock.now_ms())
--- a/stoatpath/callers/parsers.py
+++ b/stoatpath/callers/parsers.py
@@ -3,31 +3,36 @@
 import hashlib
 import re
 
+from stoatpath.callers.heads import (
+    KEY_HEADER,
+    PURPOSE_HEADER,
+    SESSION_HEADER,
+    TIMEOUT_HEADER,
+)
 from stoatpath.callers.messages import CallerRequest
 from stoatpath.configuration.documents import MODEL_SERVICE, PLAIN_SERVICE
 from stoatpath.outcomes import BAD_REQUEST, FORBIDDEN, NOT_FOUND, Failure, is_failure
-from stoatpath.utils import decode_json, new_id
+from stoatpath.utils import decode_json
 
-TIMEOUT_HEADER = "Stoatpath-Timeout-Ms"
-SESSION_HEADER = "Stoatpath-Session"
-PURPOSE_HEADER = "Stoatpath-Purpose"
-KEY_HEADER = "Idempotency-Key"
 MAX_KEY_CHARS = 255
 MAX_SESSION_CHARS = 2_048
+MAX_COMPLETION_TOKENS = 1_000_000
+RESERVED_NAMES = ("version", "request_id", "resume_from")
 ROLES = ("system", "user", "assistant", "tool", "developer")
-_PRINTABLE = re.compile(r"^[\x21-\x7e]+$")
+_PRINTABLE = re.compile(r"[\x21-\x7e]+")
 
 
 class RequestHead:
     """The parts of an HTTP request that are known before its body."""
 
-    __slots__ = ("method", "path", "headers", "arrived_ms")
+    __slots__ = ("method", "path", "headers", "arrived_ms", "request_id")
 
-    def __init__(self, method, path, headers, arrived_ms):
+    def __init__(self, method, path, headers, arrived_ms, request_id):
         self.method = method
         self.path = path
         self.headers = headers
         self.arrived_ms = arrived_ms
+        self.request_id = request_id
 
 
 def parse_completion(snapshot, organisation, head, data, max_timeout_ms):
@@ -54,7 +59,8 @@
 def _build(organisation, service, head, data, body, is_stream, max_timeout_ms):
     if service.name not in organisation.allowed_by_service:
         detail = f"{organisation.name} may not use {service.name}"
-        return Failure(FORBIDDEN, detail, field="model")
+        field = "model" if service.kind == MODEL_SERVICE else "service"
+        return Failure(FORBIDDEN, detail, field=field)
     purpose = _find_purpose(service, head.headers)
     if is_failure(purpose):
         return purpose
@@ -71,7 +77,7 @@
     if service.kind == PLAIN_SERVICE:
         is_repeatable = is_repeatable and head.method in service.repeatable_methods
     return CallerRequest(
-        request_id=new_id("req"),
+        request_id=head.request_id,
         organisation=organisation,
         service=service,
         purpose=purpose,
@@ -117,7 +123,7 @@
 
 def _find_token(headers, name, max_chars):
     text = headers.get(name, "")
-    if not text or (len(text) <= max_chars and _PRINTABLE.match(text)):
+    if not text or (len(text) <= max_chars and _PRINTABLE.fullmatch(text)):
         return text
     detail = f"expected at most {max_chars} printable ASCII characters"
     return Failure(BAD_REQUEST, detail, field=name)
@@ -126,18 +132,23 @@
 def _check_completion(body):
     if not isinstance(body, dict):
         return _bad("body", "expected a JSON object")
+    for name in RESERVED_NAMES:
+        if name in body:
+            return _bad(name, "the name is reserved")
     if not isinstance(body.get("model"), str):
         return _bad("model", "expected the name of a service")
     if not isinstance(body.get("stream", False), bool):
         return _bad("stream", "expected true or false")
     max_tokens = body.get("max_tokens")
     if max_tokens is not None and not _is_count(max_tokens):
-        return _bad("max_tokens", "expected a whole number from 1 up")
+        detail = f"expected a whole number from 1 to {MAX_COMPLETION_TOKENS}"
+        return _bad("max_tokens", detail)
     return _check_chat(body.get("messages"))
 
 
 def _is_count(value):
-    return isinstance(value, int) and not isinstance(value, bool) and value > 0
+    is_whole = isinstance(value, int) and not isinstance(value, bool)
+    return is_whole and 0 < value <= MAX_COMPLETION_TOKENS
 
 
 def _check_chat(messages):
--- a/stoatpath/callers/pipelines.py
+++ b/stoatpath/callers/pipelines.py
@@ -1,9 +1,10 @@
 """Serves one caller request from its claim to its bill."""
 
+import asyncio
+
 from stoatpath.billing.messages import BillingRecord
-from stoatpath.callers.messages import Served
-from stoatpath.idempotency.messages import Replay, StoredAnswer
-from stoatpath.outcomes import STALE_CONFIGURATION, Failure, Outcome, is_failure
+from stoatpath.callers.keys import KeyedRunner
+from stoatpath.outcomes import STALE_CONFIGURATION, Failure, is_failure
 
 
 class Pipeline:
@@ -12,44 +13,48 @@
     `parts` is the router that holds the slices.
     """
 
-    __slots__ = ("_parts", "_clock")
+    __slots__ = ("_parts", "_clock", "_keyed")
 
     def __init__(self, parts):
         self._parts = parts
         self._clock = parts.clock
+        self._keyed = KeyedRunner(parts, self._serve_once)
 
     async def serve(self, request, stream=None):
         """Return `Served` or a failure.
 
         `stream` receives the events of a streamed answer before its end marker.
+        A request without a key is cancelled with its caller; one with a key runs
+        to its end, so that a retry finds its answer.
         """
-        if not request.idempotency_key:
-            return await self._serve_once(request, stream)
-        verdict = await self._parts.claims.claim(request)
-        if isinstance(verdict, Replay):
-            return _replay(verdict.answer)
-        if is_failure(verdict):
-            return verdict
-        result = await self._serve_once(request, stream)
-        if is_failure(result):
-            if result.outcome is Outcome.NOT_RUN:
-                await self._parts.claims.release(request)
-            return result
-        await self._parts.claims.finish(request, _to_store(request, result))
-        return result
+        refusal = self._parts.rates.take(request.organisation, self._clock.now_ms())
+        if request.idempotency_key:
+            if refusal is not None:
+                return self._noted(request, await self._keyed.refuse(request, refusal))
+            return await self._keyed.run(request, stream)
+        if refusal is not None:
+            return self._noted(request, refusal)
+        return await self._serve_once(request, stream)
+
+    async def drain(self):
+        """Return once all work has ended that goes on without its caller."""
+        await self._keyed.drain()
 
     async def _serve_once(self, request, stream):
         problem = self._check_freshness()
         if problem is not None:
-            return problem
-        result = await self._parts.stages.run(request, stream)
+            return self._noted(request, problem)
+        try:
+            result = await self._parts.stages.run(request, stream)
+        except asyncio.CancelledError:
+            self._note(request, "caller-gone")
+            raise
         if is_failure(result):
-            self._note(request, result.reason.name, detail=result.detail)
-            return result
+            return self._noted(request, result)
         wall_ms = self._clock.wall_ms()
         record = BillingRecord.from_served(request, result, wall_ms)
         await self._parts.outbox.record(record)
-        self._note(request, "completed", cost=result.cost)
+        self._note(request, "completed", cost=result.cost, version=result.version)
         return result
 
     def _check_freshness(self):
@@ -62,23 +67,13 @@
         detail = "the configuration may have changed since it was last confirmed"
         return Failure(STALE_CONFIGURATION, detail)
 
+    def _noted(self, request, result):
+        if is_failure(result):
+            outcome = result.outcome.value
+            self._note(
+                request, result.reason.name, detail=result.detail, outcome=outcome
+            )
+        return result
+
     def _note(self, request, reason, **details):
         self._parts.ring.note(request.request_id, "ended", reason, **details)
-
-
-def _to_store(request, served):
-    return StoredAnswer(
-        served.status,
-        served.content_type,
-        served.body,
-        served.version,
-        request.request_id,
-    )
-
-
-def _replay(answer):
-    served = Served(
-        answer.status, answer.content_type, answer.body, answer.version, [], 0.0
-    )
-    served.is_replay = True
-    return served
--- /dev/null
+++ b/stoatpath/callers/streams.py
@@ -0,0 +1,93 @@
+"""Writes the events of a streamed answer to its caller."""
+
+import asyncio
+
+from aiohttp import web
+
+from stoatpath.callers.answers import (
+    REPLAY_HEADER,
+    REQUEST_ID_HEADER,
+    version_headers,
+)
+
+EVENT_STREAM = "text/event-stream"
+DONE_EVENT = b"data: [DONE]\n\n"
+
+
+class CallerStream:
+    """Writes the events of one streamed answer.
+
+    The events are recorded when `is_recorded`, so that a retry with the same
+    idempotency key can be given the same answer. Once the caller has gone,
+    events are no longer written, only recorded.
+    """
+
+    __slots__ = (
+        "_request",
+        "_headers",
+        "_write_timeout_s",
+        "_recorded",
+        "response",
+        "has_begun",
+        "is_gone",
+    )
+
+    def __init__(self, request, request_id, write_timeout_ms, is_recorded=False):
+        self._request = request
+        self._headers = {REQUEST_ID_HEADER: request_id}
+        self._write_timeout_s = write_timeout_ms / 1000
+        self._recorded = [] if is_recorded else None
+        self.response = None
+        self.has_begun = False
+        self.is_gone = False
+
+    def announce(self, version, session, session_moved):
+        """Set the headers that the first event will be sent with."""
+        self._headers.update(version_headers(version, session, session_moved))
+
+    async def write(self, event):
+        """Send one event; the first one starts the response."""
+        if self._recorded is not None:
+            self._recorded.append(event)
+        if self.is_gone:
+            return
+        try:
+            if self.response is None:
+                await self._begin()
+            await self.response.write(event)
+        except OSError:
+            self.is_gone = True
+
+    async def replay(self, served):
+        """Send the stored events of an answer that was given before."""
+        self.announce(served.version, served.session, served.session_moved)
+        self._headers[REPLAY_HEADER] = "true"
+        await self.write(served.body)
+
+    async def finish(self):
+        """Send the end marker, unless the caller has stopped reading."""
+        try:
+            async with asyncio.timeout(self._write_timeout_s):
+                await self.write(DONE_EVENT)
+                if not self.is_gone:
+                    await self.response.write_eof()
+        except (TimeoutError, OSError):
+            self.break_off()
+
+    def recorded(self):
+        """Return the bytes of all events so far."""
+        return b"".join(self._recorded or ())
+
+    def break_off(self):
+        """Close the connection without the end marker."""
+        self.is_gone = True
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+    async def _begin(self):
+        self.response = web.StreamResponse(headers=self._headers)
+        self.response.content_type = EVENT_STREAM
+        if self._request.protocol.is_leaving:
+            self.response.force_close()
+        self.has_begun = True
+        await self.response.prepare(self._request)
--- a/stoatpath/utils.py
+++ b/stoatpath/utils.py
@@ -19,7 +19,7 @@
     """Return the value of JSON bytes, or None when they are not JSON."""
     try:
         return _decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
 
 
