--- a/stoatpath/admission/gates.py
+++ b/stoatpath/admission/gates.py
@@ -26,13 +26,17 @@
         patience_ms = request.deadline_ms - request.expected_ms - self._clock.now_ms()
         try:
             async with asyncio.timeout(max(0.0, patience_ms / 1000)):
-                return await waiter
+                grant = await waiter
         except TimeoutError:
+            self._abandon(request.request_id, waiter)
             now_ms = self._clock.now_ms()
             detail = "no slot freed in time"
             return Failure(DEADLINE_UNREACHABLE, detail, retry_at_ms=now_ms)
-        finally:
+        except asyncio.CancelledError:
             self._abandon(request.request_id, waiter)
+            raise
+        del self._waiters_by_id[request.request_id]
+        return grant
 
     def leave(self, grant):
         """Give a slot back."""
@@ -53,8 +57,8 @@
                 waiter.set_result(grant)
 
     def _abandon(self, request_id, waiter):
+        """Forget a waiting request; give back a slot that came too late for it."""
         self._waiters_by_id.pop(request_id, None)
         self._queue.withdraw(request_id)
-        cancelled = asyncio.current_task().cancelling() > 0
-        if cancelled and waiter.done() and not waiter.cancelled():
+        if waiter.done() and not waiter.cancelled():
             self.leave(waiter.result())
--- a/stoatpath/callers/listeners.py
+++ b/stoatpath/callers/listeners.py
@@ -58,7 +58,8 @@
         self._runner = web.ServerRunner(self._server, shutdown_timeout=0.0)
         await self._runner.setup()
         host, _, port = address.rpartition(":")
-        site = web.TCPSite(self._runner, host, int(port))
+        tls = self._parts.node.tls.callers
+        site = web.TCPSite(self._runner, host.strip("[]"), int(port), ssl_context=tls)
         await site.start()
         bound = self._runner.addresses[0]
         self.address = f"{bound[0]}:{bound[1]}"
--- a/stoatpath/cascades/runners.py
+++ b/stoatpath/cascades/runners.py
@@ -24,7 +24,7 @@
     async def run(self, request, stream):
         """Return `Served` or a failure."""
         parts = self._parts
-        pin = parts.pins.find(request)
+        pin = await parts.pins.find(request)
         versions, moved = find_versions(
             parts.follower.snapshot, parts.assigner, request, pin
         )
@@ -32,15 +32,28 @@
             return Failure(NO_BACKEND, "no version is open for this request")
         plan = parts.planner.plan(request, versions, {})
         names = [stage.version.name for stage in plan.stages]
-        parts.ring.note(request.request_id, "plan", plan.reason, stages=names)
+        parts.ring.note(
+            request.request_id,
+            "plan",
+            plan.reason,
+            stages=names,
+            session="" if pin is None else pin.version,
+            moved=moved,
+        )
+        if stream is not None:
+            parts.pins.announce(request, pin, names[0], moved, stream)
         served = await self._run_stages(request, plan, stream)
         if not is_failure(served) and request.session:
-            served.session = parts.pins.keep(
-                request, pin, served.version, self._clock.wall_ms()
-            )
-            served.session_moved = moved
+            await self._keep_session(request, pin, served, moved)
         return served
 
+    async def _keep_session(self, request, pin, served, moved):
+        kept = self._parts.pins.prepare(request, pin, served.version)
+        if not request.is_stream:
+            await self._parts.pins.keep(request, pin, kept)
+        served.session = self._parts.pins.token(kept)
+        served.session_moved = moved
+
     async def _run_stages(self, request, plan, stream):
         results = []
         for stage in plan.stages:
@@ -54,6 +67,7 @@
         return _served(answer, results)
 
     async def _run_stage(self, request, stage, stream):
+        asked_ms = self._clock.now_ms()
         grant = await self._parts.gate.enter(
             AdmissionRequest(
                 request.request_id,
@@ -66,7 +80,15 @@
             )
         )
         if is_failure(grant):
+            self._note(request, "admission", grant.reason.name, detail=grant.detail)
             return grant
+        self._note(
+            request,
+            "admission",
+            "granted",
+            pool=grant.pool,
+            waited_ms=round(self._clock.now_ms() - asked_ms, 1),
+        )
         try:
             return await self._parts.attempts.run(request, stage.version, stream)
         finally:
@@ -79,7 +101,16 @@
             request.request_id, request.purpose.name, stage.version.name, answer.text
         )
         if is_failure(rating):
+            self._note(request, "rating", "no rating", version=stage.version.name)
             return None
+        self._note(
+            request,
+            "rating",
+            "good enough" if rating >= stage.accept_at else "too low",
+            version=stage.version.name,
+            rating=rating,
+            wanted=stage.accept_at,
+        )
         self._parts.estimates.learn(
             request.service.name,
             request.purpose.name,
@@ -88,6 +119,9 @@
         )
         return rating
 
+    def _note(self, request, step, reason, **details):
+        self._parts.ring.note(request.request_id, step, reason, **details)
+
 
 def _stage_result(version, answer, rating):
     cost = version.cost * answer.tokens / TOKENS_PER_PRICE
--- a/stoatpath/nodes.py
+++ b/stoatpath/nodes.py
@@ -14,11 +14,13 @@
 from stoatpath.outcomes import is_failure
 from stoatpath.platform.instance_lists import InstanceList
 from stoatpath.platform.tables import Table
+from stoatpath.tls import TlsContexts
 from stoatpath.utils import cancel_and_wait
 
 logger = logging.getLogger(__name__)
 
 SEED_PERIOD_MS = 5_000
+FIRST_SEED_TIMEOUT_MS = 2_000
 
 
 class Node:
@@ -29,6 +31,7 @@
         "clock",
         "role",
         "incarnation",
+        "tls",
         "table",
         "instance_list",
         "store",
@@ -37,6 +40,7 @@
         "peer_server",
         "peer_client",
         "gossip",
+        "_has_seeded",
         "_tasks",
     )
 
@@ -45,19 +49,23 @@
         self.clock = clock
         self.role = role
         self.incarnation = clock.wall_ms()
-        self.table = Table.from_url(settings.table_url)
-        self.instance_list = InstanceList.from_url(settings.instance_list_url)
+        self.tls = TlsContexts.from_settings(settings)
+        self.table = Table.from_url(settings.table_url, self.tls.platform)
+        self.instance_list = InstanceList.from_url(
+            settings.instance_list_url, self.tls.platform
+        )
         self.store = ConfigurationStore(self.table, clock)
         self.follower = ConfigurationFollower(self.store, clock)
         signer = PeerSigner(settings.peer_keys)
-        self.peer_server = PeerServer(signer)
-        self.peer_client = PeerClient(signer)
+        self.peer_server = PeerServer(signer, self.tls.peers_in)
+        self.peer_client = PeerClient(signer, self.tls.peers_out)
         own = Member(settings.name, role, "", settings.zone, self.incarnation, 0, LIVE)
         self.members = MemberTable(own)
         self.gossip = Gossip(
             self.members, self.peer_client, self.peer_server, clock, random.Random()
         )
         self.gossip.add_topic(ConfigurationTopic(self.follower, clock))
+        self._has_seeded = asyncio.Event()
         self._tasks = []
 
     @classmethod
@@ -70,9 +78,23 @@
         await self.peer_server.start(self.settings.peer_listen_address)
         self.members.own.address = self.peer_server.address
         await self.follower.poll()
-        jobs = (self.follower.run(), self.gossip.run(), self._seed())
+        jobs = (
+            self.follower.run(),
+            self.gossip.run(),
+            self.tls.run(self.clock),
+            self._seed(),
+        )
         self._tasks = [asyncio.create_task(job) for job in jobs]
 
+    async def wait_for_peers(self):
+        """Return once peers were heard of, or none could be."""
+        try:
+            async with asyncio.timeout(FIRST_SEED_TIMEOUT_MS / 1000):
+                await self._has_seeded.wait()
+                await self.gossip.round()
+        except TimeoutError:
+            logger.warning("membership.no-peers-yet")
+
     async def stop(self):
         """End all tasks and close all connections."""
         await cancel_and_wait(self._tasks)
@@ -88,4 +110,5 @@
                 logger.warning("membership.seed-failed", extra={"why": entries.detail})
             else:
                 self.gossip.seed(entries.values())
+            self._has_seeded.set()
             await self.clock.sleep_until(self.clock.now_ms() + SEED_PERIOD_MS)
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -3,8 +3,10 @@
 import asyncio
 import random
 
+from stoatpath.admission.exchanges import RateExchange
 from stoatpath.admission.gates import AdmissionGate
 from stoatpath.admission.queues import AdmissionQueue
+from stoatpath.admission.rates import RateLimits
 from stoatpath.billing.outboxes import Outbox
 from stoatpath.callers.listeners import Listener
 from stoatpath.callers.pipelines import Pipeline
@@ -14,6 +16,7 @@
 from stoatpath.dispatch.attempts import AttemptRunner
 from stoatpath.dispatch.retries import RetryBudget
 from stoatpath.dispatch.senders import Sender
+from stoatpath.explanations.finders import ExplanationFinder
 from stoatpath.explanations.rings import DecisionRing
 from stoatpath.idempotency.claims import ClaimKeeper
 from stoatpath.membership.backends import BackendServers, BackendWatcher
@@ -21,8 +24,10 @@
 from stoatpath.platform.ratings import RatingService
 from stoatpath.rollouts.assigners import VersionAssigner
 from stoatpath.routing.choosers import Chooser
-from stoatpath.sessions.pins import SessionPins
+from stoatpath.sessions.archives import PinArchive
+from stoatpath.sessions.directories import PinDirectory
 from stoatpath.sessions.tokens import TokenSigner
+from stoatpath.shutdowns import OpenWork, Shutdown
 from stoatpath.utils import cancel_and_wait
 
 CAPACITY_PERIOD_MS = 250
@@ -45,14 +50,19 @@
         "watcher",
         "chooser",
         "gate",
+        "rates",
+        "rate_exchange",
         "assigner",
         "estimates",
         "planner",
+        "archive",
         "pins",
+        "explanations",
         "stages",
         "attempts",
         "sender",
         "retry_budget",
+        "pipeline",
         "listener",
         "_tasks",
     )
@@ -64,24 +74,35 @@
         self.node = Node.from_settings(settings, ROUTER, clock)
         self.follower = self.node.follower
         self.ring = DecisionRing(clock)
-        self.ratings = RatingService.from_url(settings.ratings_url)
+        self.ratings = RatingService.from_url(
+            settings.ratings_url, self.node.tls.platform
+        )
         self.claims = ClaimKeeper(self.node.table)
         self.outbox = Outbox(
             self.node.table, clock, settings.name, self.node.incarnation
         )
         self.backends = BackendServers()
-        self.watcher = BackendWatcher(self.backends, self.node.instance_list, clock)
+        self.watcher = BackendWatcher(
+            self.backends, self.node.instance_list, clock, self.node.tls.backends
+        )
         self.chooser = Chooser(settings.zone, rng)
         self.gate = AdmissionGate(AdmissionQueue(settings.max_queued_requests), clock)
         self.assigner = VersionAssigner()
         self.estimates = QualityEstimates()
         self.planner = Planner(self.estimates)
-        self.pins = SessionPins(TokenSigner(settings.session_keys))
-        self.sender = Sender(clock)
+        self.rates = RateLimits()
+        self.rate_exchange = RateExchange(self.rates, self.node, rng)
+        self.archive = PinArchive(self.node.table, self.follower, clock)
+        self.pins = PinDirectory(
+            self.node, TokenSigner(settings.session_keys), self.archive
+        )
+        self.explanations = ExplanationFinder(self.node, self.ring)
+        self.sender = Sender(clock, self.node.tls.backends)
         self.retry_budget = RetryBudget()
         self.attempts = AttemptRunner(self)
         self.stages = StageRunner(self)
-        self.listener = Listener(self, Pipeline(self))
+        self.pipeline = Pipeline(self)
+        self.listener = Listener(self, self.pipeline)
         self._tasks = []
 
     @classmethod
@@ -98,22 +119,30 @@
         """Start all tasks and listen."""
         await self.sender.start()
         await self.node.start()
+        await self.node.wait_for_peers()
         jobs = (
             self.watcher.run(),
             self.claims.run(),
             self.outbox.run(),
+            self.rate_exchange.run(),
+            self.archive.run(),
+            self.pins.run(),
             self._keep_capacities(),
         )
         self._tasks = [asyncio.create_task(job) for job in jobs]
         await self.listener.start(self.settings.listen_address)
 
     async def stop(self):
-        """Stop gracefully: finish every request, write every record."""
-        self.node.members.leave()
-        self.listener.is_closing = True
-        await self.listener.drain()
-        await self.outbox.flush()
+        """Stop gracefully; return whether nothing was cut."""
+        is_clean = await Shutdown(self).run()
         await self._close()
+        return is_clean
+
+    def open_work(self):
+        """Return what a stop right now would cut or lose."""
+        return OpenWork(
+            list(self.listener.open_by_id), len(self.pins.store), self.outbox.waiting()
+        )
 
     async def kill(self):
         """Stop at once, as a crash would."""
@@ -122,6 +151,7 @@
 
     async def _close(self):
         await self.listener.stop()
+        await self.pins.close()
         await cancel_and_wait(self._tasks)
         await self.sender.close()
         await self.ratings.connection.close()
--- a/stoatpath/sessions/pins.py
+++ b/stoatpath/sessions/pins.py
@@ -1,55 +1,97 @@
-"""Finds and keeps the version of each session."""
+"""Pins of sessions held in memory: pure state, no messages."""
 
-from stoatpath.sessions.tokens import SessionPin, is_token
+MAX_PINS = 20_000
 
-MAX_PINS = 200_000
 
+class SessionPin:
+    """The version that a session of an organisation keeps for a service.
 
-class SessionPins:
-    """Pins by organisation, service and session identifier, oldest dropped first."""
+    `sequence` counts how often the session has moved; of two pins of one session
+    the one with the higher sequence stands, then the earlier one, then the one
+    whose version sorts first, so that all instances agree in whatever order they
+    hear of them.
+    """
 
-    __slots__ = ("_signer", "_by_key")
+    __slots__ = (
+        "session_id",
+        "organisation",
+        "service",
+        "version",
+        "started_at_ms",
+        "sequence",
+    )
+
+    def __init__(
+        self, session_id, organisation, service, version, started_at_ms, sequence
+    ):
+        self.session_id = session_id
+        self.organisation = organisation
+        self.service = service
+        self.version = version
+        self.started_at_ms = started_at_ms
+        self.sequence = sequence
+
+    @classmethod
+    def from_json(cls, data):
+        """Build a pin from its wire form."""
+        return cls(*data)
+
+    @property
+    def key(self):
+        """Return what names the session among all others."""
+        return pin_key(self.organisation, self.service, self.session_id)
+
+    def to_json(self):
+        """Return the wire form, a list in the order of the fields."""
+        return [getattr(self, name) for name in self.__slots__]
+
+    def stands_against(self, other):
+        """Return whether this pin replaces another one of the same session."""
+        return self._rank() < other._rank()
+
+    def _rank(self):
+        return -self.sequence, self.started_at_ms, self.version
+
+
+def pin_key(organisation, service, session_id):
+    """Return the key of a session, as text."""
+    return f"{organisation}\0{service}\0{session_id}"
 
-    def __init__(self, signer):
-        self._signer = signer
+
+class PinStore:
+    """Pins by key, the least recently used dropped first."""
+
+    __slots__ = ("_by_key", "_max_pins")
+
+    def __init__(self, max_pins=MAX_PINS):
         self._by_key = {}
+        self._max_pins = max_pins
 
-    def find(self, request):
-        """Return the pin of a caller request, or None."""
-        if not request.session:
-            return None
-        if is_token(request.session):
-            pin = self._signer.read(request.session)
-            return pin if pin is not None and _belongs(pin, request) else None
-        return self._by_key.get(_key(request, request.session))
-
-    def keep(self, request, pin, version, wall_ms):
-        """Pin a session to the version that answered; return its token."""
-        if pin is None or pin.version != version:
-            session_id = request.request_id if pin is None else pin.session_id
-            if pin is None and not is_token(request.session):
-                session_id = request.session
-            pin = SessionPin(
-                session_id,
-                request.organisation.name,
-                request.service.name,
-                version,
-                wall_ms,
-            )
-        key = _key(request, pin.session_id)
-        self._by_key.pop(key, None)
-        self._by_key[key] = pin
-        if len(self._by_key) > MAX_PINS:
-            del self._by_key[next(iter(self._by_key))]
-        return self._signer.sign(pin)
+    def find(self, key):
+        """Return the pin of a session, or None; a pin that is found stays longer."""
+        pin = self._by_key.pop(key, None)
+        if pin is not None:
+            self._by_key[key] = pin
+        return pin
 
+    def put(self, pin):
+        """Take a pin; return the one that stands."""
+        key = pin.key
+        standing = self._by_key.pop(key, None)
+        if standing is None or pin.stands_against(standing):
+            standing = pin
+        self._by_key[key] = standing
+        if len(self._by_key) > self._max_pins:
+            del self._by_key[next(iter(self._by_key))]
+        return standing
 
-def _key(request, session_id):
-    return request.organisation.name, request.service.name, session_id
+    def discard(self, key):
+        """Forget a pin."""
+        self._by_key.pop(key, None)
 
+    def pins(self):
+        """Return all pins, the least recently used first."""
+        return list(self._by_key.values())
 
-def _belongs(pin, request):
-    return (
-        pin.organisation == request.organisation.name
-        and pin.service == request.service.name
-    )
+    def __len__(self):
+        return len(self._by_key)
--- a/stoatpath/sessions/tokens.py
+++ b/stoatpath/sessions/tokens.py
@@ -4,23 +4,12 @@
 import hashlib
 import hmac
 
+from stoatpath.sessions.pins import SessionPin
 from stoatpath.utils import decode_json, encode_json
 
 TOKEN_PREFIX = "st1."
 SIGNATURE_BYTES = 16
-
-
-class SessionPin:
-    """The version that a session of an organisation keeps for a service."""
-
-    __slots__ = ("session_id", "organisation", "service", "version", "started_at_ms")
-
-    def __init__(self, session_id, organisation, service, version, started_at_ms):
-        self.session_id = session_id
-        self.organisation = organisation
-        self.service = service
-        self.version = version
-        self.started_at_ms = started_at_ms
+FIELD_COUNT = 1 + len(SessionPin.__slots__)
 
 
 class TokenSigner:
@@ -37,22 +26,14 @@
 
     def sign(self, pin):
         """Return the token of a pin."""
-        fields = [
-            self._newest,
-            pin.session_id,
-            pin.organisation,
-            pin.service,
-            pin.version,
-            pin.started_at_ms,
-        ]
-        payload = _encode(encode_json(fields))
+        payload = _encode(encode_json([self._newest, *pin.to_json()]))
         return f"{TOKEN_PREFIX}{payload}.{self._signature(self._newest, payload)}"
 
     def read(self, token):
         """Return the pin of a token, or None when it was not signed here."""
         payload, _, signature = token[len(TOKEN_PREFIX) :].partition(".")
         fields = decode_json(_decode(payload))
-        if not isinstance(fields, list) or len(fields) != 6:
+        if not isinstance(fields, list) or len(fields) != FIELD_COUNT:
             return None
         key_id = fields[0]
         if not isinstance(key_id, str) or key_id not in self._keys_by_id:
@@ -61,7 +42,7 @@
             self._signature(key_id, payload).encode(), signature.encode()
         ):
             return None
-        return SessionPin(*fields[1:])
+        return SessionPin.from_json(fields[1:])
 
     def _signature(self, key_id, payload):
         digest = hmac.digest(self._keys_by_id[key_id], payload.encode(), hashlib.sha256)
