--- a/stoatpath/callers/pipelines.py
+++ b/stoatpath/callers/pipelines.py
@@ -4,7 +4,7 @@
 
 from stoatpath.billing.messages import BillingRecord
 from stoatpath.callers.keys import KeyedRunner
-from stoatpath.outcomes import STALE_CONFIGURATION, Failure, is_failure
+from stoatpath.outcomes import is_failure
 
 
 class Pipeline:
@@ -41,7 +41,7 @@
         await self._keyed.drain()
 
     async def _serve_once(self, request, stream):
-        problem = self._check_freshness()
+        problem = self._parts.guard.check_work()
         if problem is not None:
             return self._noted(request, problem)
         try:
@@ -57,16 +57,6 @@
         self._note(request, "completed", cost=result.cost, version=result.version)
         return result
 
-    def _check_freshness(self):
-        parts = self._parts
-        age_ms = self._clock.now_ms() - parts.follower.fresh_as_of_ms
-        if age_ms <= parts.settings.staleness_limit_ms:
-            return None
-        if parts.settings.serve_when_cut_off:
-            return None
-        detail = "the configuration may have changed since it was last confirmed"
-        return Failure(STALE_CONFIGURATION, detail)
-
     def _noted(self, request, result):
         if is_failure(result):
             outcome = result.outcome.value
--- a/stoatpath/shutdowns.py
+++ b/stoatpath/shutdowns.py
@@ -59,7 +59,7 @@
         logger.info("shutdown.leaving")
         self._router.node.members.leave()
         self._router.listener.leave()
-        await self._bounded("gossip", self._router.node.gossip.round)
+        await self._bounded("gossip", self._router.node.gossip.push)
 
     async def _finish_requests(self):
         await self._router.listener.drain()
