--- a/stoatpath/callers/keys.py
+++ b/stoatpath/callers/keys.py
@@ -66,7 +66,7 @@
             return verdict
         result = await self._serve_once(request, stream)
         if not is_failure(result):
-            answer = _to_store(request, result, stream)
+            answer = _to_store(request, result)
             await self._parts.claims.finish(request, answer)
         elif result.outcome is Outcome.NOT_RUN:
             self._spawn(self._parts.claims.release(request))
@@ -96,10 +96,13 @@
     )
 
 
-def _to_store(request, served, stream):
-    body = served.body if stream is None else stream.recorded()
+def _to_store(request, served):
     return StoredAnswer(
-        served.status, served.content_type, body, served.version, request.request_id
+        served.status,
+        served.content_type,
+        served.body,
+        served.version,
+        request.request_id,
     )
 
 
--- a/stoatpath/callers/listeners.py
+++ b/stoatpath/callers/listeners.py
@@ -125,8 +125,7 @@
 
     async def _handle_stream(self, request, parsed):
         timeout_ms = self._parts.settings.write_timeout_ms
-        is_keyed = bool(parsed.idempotency_key)
-        stream = CallerStream(request, parsed.request_id, timeout_ms, is_keyed)
+        stream = CallerStream(request, parsed.request_id, timeout_ms)
         result = await self._pipeline.serve(parsed, stream)
         if is_failure(result) and not stream.has_begun:
             return self._fail(result, parsed.request_id)
--- a/stoatpath/callers/parsers.py
+++ b/stoatpath/callers/parsers.py
@@ -17,7 +17,13 @@
 MAX_KEY_CHARS = 255
 MAX_SESSION_CHARS = 2_048
 MAX_COMPLETION_TOKENS = 1_000_000
-RESERVED_NAMES = ("version", "request_id", "resume_from")
+RESERVED_NAMES = (
+    "version",
+    "request_id",
+    "attempt_id",
+    "resume_from",
+    "resume_text",
+)
 ROLES = ("system", "user", "assistant", "tool", "developer")
 _PRINTABLE = re.compile(r"[\x21-\x7e]+")
 
--- a/stoatpath/callers/streams.py
+++ b/stoatpath/callers/streams.py
@@ -15,28 +15,21 @@
 
 
 class CallerStream:
-    """Writes the events of one streamed answer.
-
-    The events are recorded when `is_recorded`, so that a retry with the same
-    idempotency key can be given the same answer. Once the caller has gone,
-    events are no longer written, only recorded.
-    """
+    """Writes the events of one streamed answer, while its caller is there."""
 
     __slots__ = (
         "_request",
         "_headers",
         "_write_timeout_s",
-        "_recorded",
         "response",
         "has_begun",
         "is_gone",
     )
 
-    def __init__(self, request, request_id, write_timeout_ms, is_recorded=False):
+    def __init__(self, request, request_id, write_timeout_ms):
         self._request = request
         self._headers = {REQUEST_ID_HEADER: request_id}
         self._write_timeout_s = write_timeout_ms / 1000
-        self._recorded = [] if is_recorded else None
         self.response = None
         self.has_begun = False
         self.is_gone = False
@@ -47,8 +40,6 @@
 
     async def write(self, event):
         """Send one event; the first one starts the response."""
-        if self._recorded is not None:
-            self._recorded.append(event)
         if self.is_gone:
             return
         try:
@@ -74,10 +65,6 @@
         except (TimeoutError, OSError):
             self.break_off()
 
-    def recorded(self):
-        """Return the bytes of all events so far."""
-        return b"".join(self._recorded or ())
-
     def break_off(self):
         """Close the connection without the end marker."""
         self.is_gone = True
