--- a/stoatpath/billing/outboxes.py
+++ b/stoatpath/billing/outboxes.py
@@ -58,6 +58,10 @@
             if self._inbox.empty():
                 self._idle.set()
 
+    def waiting(self):
+        """Return how many records wait to be written."""
+        return self._inbox.qsize()
+
     async def flush(self):
         """Return once every record is written."""
         await self._idle.wait()
--- a/stoatpath/idempotency/claims.py
+++ b/stoatpath/idempotency/claims.py
@@ -68,6 +68,22 @@
                 verdict = await self._write(key, fresh, verdict.version)
         return _judge(request, verdict)
 
+    async def look_up(self, request):
+        """Return what is known of a key without claiming it.
+
+        None says that no attempt with the key was sent; else `Replay` or a failure.
+        """
+        key = claim_key(request.organisation.name, request.idempotency_key)
+        rows = await self._table.read([key])
+        if is_failure(rows):
+            return rows
+        if rows[key].version == 0:
+            return None
+        standing = Claim.from_json(rows[key].value)
+        if standing.state == NOT_RUN and standing.body_digest == request.body_digest:
+            return None
+        return _judge(request, _Standing(standing, rows[key].version))
+
     async def finish(self, request, answer):
         """Store the answer of a claimed request; return True or a failure."""
         claim = Claim(request.request_id, request.body_digest, DONE, answer)
--- a/stoatpath/nodes.py
+++ b/stoatpath/nodes.py
@@ -24,6 +24,7 @@
 logger = logging.getLogger(__name__)
 
 SEED_PERIOD_MS = 5_000
+FIRST_SEED_TIMEOUT_MS = 2_000
 
 
 class Node:
@@ -46,6 +47,7 @@
         "peer_client",
         "gossip",
         "topic",
+        "_has_seeded",
         "_tasks",
     )
 
@@ -92,6 +94,7 @@
         self.gossip.add_topic(self.topic)
         self.follower.count_members = lambda: len(self.members.peers()) + 1
         self.peer_server.register(STATUS_TOPIC, self._answer_status)
+        self._has_seeded = asyncio.Event()
         self._tasks = []
 
     @classmethod
@@ -114,6 +117,15 @@
         )
         self._tasks = [asyncio.create_task(job) for job in jobs]
 
+    async def wait_for_peers(self):
+        """Return once peers were heard of, or none could be."""
+        try:
+            async with asyncio.timeout(FIRST_SEED_TIMEOUT_MS / 1000):
+                await self._has_seeded.wait()
+                await self.gossip.round()
+        except TimeoutError:
+            logger.warning("membership.no-peers-yet")
+
     async def stop(self):
         """End all tasks and close all connections."""
         await cancel_and_wait(self._tasks)
@@ -151,4 +163,5 @@
                 logger.warning("membership.seed-failed", extra={"why": entries.detail})
             else:
                 self.gossip.seed(entries.values())
+            self._has_seeded.set()
             await self.clock.sleep_until(self.clock.now_ms() + SEED_PERIOD_MS)
