Circuit breakers with slow start, fed by the outcomes of attempts

Cause: a backend server that had gone kept getting attempts until its report was 5 s old, and each one spent the retry budget. The experiment of the retry budget drives budget, breakers and chooser while half the pool fails.

--- a/stoatpath/measure/engine_models.py
+++ b/stoatpath/measure/engine_models.py
@@ -13,6 +13,8 @@
 STEP_GROWTH = 0.06
 PREFILL_TOKENS_PER_STEP = 100.0
 CACHED_TOKENS = 30_000
+COLD_SLOWNESS = 3.0
+WARM_UP_MS = 5_000.0
 
 
 class EngineModel:
@@ -97,8 +99,16 @@
             job.fail()
 
     def restore(self):
-        """Take work again."""
+        """Take work again, slowly until warm."""
         self.is_lost = False
+        self._set_slowness(self.slowness * COLD_SLOWNESS)
+        warm_ms = self._events.now_ms + WARM_UP_MS
+        self._events.at(warm_ms, self._set_slowness, self.slowness / COLD_SLOWNESS)
+
+    def _set_slowness(self, slowness):
+        self._advance()
+        self.slowness = slowness
+        self._arrange()
 
     def time_for_ms(self, arrival):
         """Return the exact time that a request would take with nothing after it."""
--- a/stoatpath/measure/experiments.py
+++ b/stoatpath/measure/experiments.py
@@ -2,5 +2,6 @@
 
 MODULES_BY_NAME = {
     "decision-costs": "stoatpath.measure.decision_costs",
+    "retries": "stoatpath.measure.retry_budgets",
     "routing": "stoatpath.measure.routing_loads",
 }
--- /dev/null
+++ b/stoatpath/measure/retry_budgets.py
@@ -0,0 +1,115 @@
+"""Extra attempts while half of the pool fails, with and without a retry budget."""
+
+from stoatpath.dispatch.retries import RetryBudget
+from stoatpath.measure.deployments import DEPLOYMENTS, Deployment
+from stoatpath.measure.reports import Figure, Report, Target
+from stoatpath.measure.routing_baselines import RandomChooser
+from stoatpath.measure.routing_runs import RoutingRun
+from stoatpath.measure.spreads import mean, seeds_from, spread_figures
+from stoatpath.routing.choosers import Chooser
+
+NAME = "retries"
+LOAD = 0.4
+LOST = 0.5
+MAX_ATTEMPTS_PER_REQUEST = 1.1
+ROUTER = "router"
+BUDGET_ALONE = "budget-without-breakers"
+BREAKERS_ALONE = "breakers-without-budget"
+NEITHER = "neither"
+WAYS = (ROUTER, BUDGET_ALONE, BREAKERS_ALONE, NEITHER)
+
+
+class UnlimitedBudget:
+    """Grants every retry."""
+
+    __slots__ = ()
+
+    def earn(self):
+        """Count one request."""
+
+    def spend(self):
+        """Take one retry."""
+        return True
+
+
+class Trial:
+    """One seed of one way and deployment."""
+
+    __slots__ = ("deployment", "way", "seed")
+
+    def __init__(self, deployment, way, seed):
+        self.deployment = deployment
+        self.way = way
+        self.seed = seed
+
+
+class TrialResult:
+    """Attempts for each request that came during the fault; failures by requests."""
+
+    __slots__ = ("trial", "attempts", "failed")
+
+    def __init__(self, trial, attempts, failed):
+        self.trial = trial
+        self.attempts = attempts
+        self.failed = failed
+
+
+def list_trials(seed):
+    """Return all trials."""
+    return [
+        Trial(deployment, way, each)
+        for deployment in DEPLOYMENTS
+        for way in WAYS
+        for each in seeds_from(seed)
+    ]
+
+
+def run_trial(trial):
+    """Run one trial."""
+    has_breakers = trial.way in (ROUTER, BREAKERS_ALONE)
+    has_budget = trial.way in (ROUTER, BUDGET_ALONE)
+    run = RoutingRun(
+        Deployment.from_sample(trial.deployment),
+        trial.seed,
+        _make_chooser if has_breakers else _make_random,
+        LOAD,
+        LOST,
+        RetryBudget if has_budget else UnlimitedBudget,
+    )
+    run.run()
+    attempts = run.fault_attempts / run.fault_requests
+    return TrialResult(trial, attempts, run.failures / run.fault_requests)
+
+
+def summarise(seed, results):
+    """Return the report of all trials."""
+    figures = []
+    targets = []
+    for deployment in DEPLOYMENTS:
+        for way in WAYS:
+            own = [
+                result
+                for result in results
+                if (result.trial.deployment, result.trial.way) == (deployment, way)
+            ]
+            name = f"{deployment}.{way}"
+            attempts = [result.attempts for result in own]
+            figures += spread_figures(f"{name}.attempts", attempts, "per request")
+            failed = round(mean([result.failed for result in own]), 6)
+            figures.append(Figure(f"{name}.failed", failed, "share"))
+        figure = f"{deployment}.{ROUTER}.attempts.highest"
+        targets.append(Target(figure, "at-most", MAX_ATTEMPTS_PER_REQUEST))
+    return Report(NAME, seed, figures, targets)
+
+
+def run(seed):
+    """Run all trials one after the other."""
+    return summarise(seed, [run_trial(trial) for trial in list_trials(seed)])
+
+
+def _make_chooser(run, zone):
+    return Chooser(zone, run.rng)
+
+
+def _make_random(run, zone):
+    return RandomChooser(run.rng)
--- a/stoatpath/measure/routing_baselines.py
+++ b/stoatpath/measure/routing_baselines.py
@@ -1,6 +1,7 @@
 """Ways of choosing a backend server that the router's is compared with."""
 
 from stoatpath.outcomes import NO_BACKEND, Failure
+from stoatpath.routing.breakers import CircuitBreakers
 from stoatpath.routing.messages import Choice
 
 NOBODY = Failure(NO_BACKEND, "no backend server is left")
@@ -9,9 +10,10 @@
 class _Baseline:
     """Picks among the backend servers that were not tried before."""
 
-    __slots__ = ("_rng",)
+    __slots__ = ("breakers", "_rng")
 
     def __init__(self, rng):
+        self.breakers = CircuitBreakers(rng)
         self._rng = rng
 
     def choose(self, query, backends, now_ms):
--- a/stoatpath/measure/routing_runs.py
+++ b/stoatpath/measure/routing_runs.py
@@ -2,6 +2,7 @@
 
 import random
 
+from stoatpath.dispatch.messages import AttemptResult
 from stoatpath.dispatch.retries import MAX_ATTEMPTS, RetryBudget
 from stoatpath.measure.engine_models import (
     PREFILL_TOKENS_PER_STEP,
@@ -11,7 +12,7 @@
 from stoatpath.measure.events import EventQueue
 from stoatpath.measure.workloads import Workload
 from stoatpath.membership.backends import ENGINE, BackendServers
-from stoatpath.outcomes import is_failure
+from stoatpath.outcomes import BROKEN_ANSWER, CONNECT_FAILED, Outcome, is_failure
 from stoatpath.platform.messages import LiveInstance
 from stoatpath.routing.messages import RoutingQuery
 
@@ -38,11 +39,11 @@
 
     __slots__ = ("zone", "backends", "chooser", "budget")
 
-    def __init__(self, zone, chooser):
+    def __init__(self, zone, chooser, budget):
         self.zone = zone
         self.backends = BackendServers()
         self.chooser = chooser
-        self.budget = RetryBudget()
+        self.budget = budget
 
 
 class Job:
@@ -71,7 +72,8 @@
     """One day of one deployment at one load.
 
     `make_chooser(run, zone)` builds the chooser of a router. `lost` is the
-    share of engines that fail for part of the day. `slowdowns` are latencies
+    share of engines that fail for part of the day, `fault_requests` and
+    `fault_attempts` count what arrived then. `slowdowns` are latencies
     over the time that the request would take on an idle engine of full speed.
     Arrivals and faults draw from their own generators, so that they are the
     same whoever chooses.
@@ -89,6 +91,8 @@
         "requests",
         "attempts",
         "failures",
+        "fault_requests",
+        "fault_attempts",
         "_faults_rng",
         "_workload_rng",
         "_load",
@@ -96,7 +100,9 @@
         "_silent_until_by_name",
     )
 
-    def __init__(self, deployment, seed, make_chooser, load, lost=0.0):
+    def __init__(
+        self, deployment, seed, make_chooser, load, lost=0.0, make_budget=RetryBudget
+    ):
         self.deployment = deployment
         self.events = EventQueue()
         self.arrivals_by_id = {}
@@ -105,6 +111,8 @@
         self.requests = 0
         self.attempts = 0
         self.failures = 0
+        self.fault_requests = 0
+        self.fault_attempts = 0
         self.rng = random.Random(f"{seed} choosers")
         self._faults_rng = random.Random(f"{seed} faults")
         self._workload_rng = random.Random(f"{seed} workload")
@@ -123,7 +131,8 @@
         self.routers = []
         for index in range(ROUTERS):
             zone = zones[index % len(zones)]
-            self.routers.append(RouterModel(zone, make_chooser(self, zone)))
+            chooser = make_chooser(self, zone)
+            self.routers.append(RouterModel(zone, chooser, make_budget()))
 
     def run(self):
         """Run the whole day."""
@@ -189,6 +198,7 @@
 
     def _begin(self, arrival, router):
         self.requests += 1
+        self.fault_requests += self._is_in_fault(arrival)
         router.budget.earn()
         self._attempt(arrival, router, set())
 
@@ -207,6 +217,7 @@
             self._give_up(arrival)
             return
         self.attempts += 1
+        self.fault_attempts += self._is_in_fault(arrival)
         backend = choice.backend
         tried.add(backend.name)
         backend.in_flight += 1
@@ -216,7 +227,8 @@
     def _reach(self, job):
         engine = self.engines_by_name[job.backend.name]
         if engine.is_lost:
-            self.events.at(self.events.now_ms + CONNECT_FAIL_MS, self._retry, job)
+            at_ms = self.events.now_ms + CONNECT_FAIL_MS
+            self.events.at(at_ms, self._retry, job, CONNECT_FAILED, Outcome.NOT_RUN)
         else:
             engine.accept(job)
 
@@ -226,21 +238,42 @@
 
     def broke(self, job):
         """Take the failure of an engine on its way back."""
-        self.events.at(self.events.now_ms + self._distance_ms(job), self._retry, job)
+        at_ms = self.events.now_ms + self._distance_ms(job)
+        self.events.at(at_ms, self._retry, job, BROKEN_ANSWER, Outcome.UNKNOWN)
 
     def _deliver(self, job):
-        job.backend.in_flight -= 1
+        self._end(job, None, None)
         arrival = job.arrival
         steps = arrival.tokens + arrival.prompt_tokens / PREFILL_TOKENS_PER_STEP
         self._record(self.events.now_ms - arrival.at_ms, steps)
 
-    def _retry(self, job):
+    def _end(self, job, reason, outcome):
         job.backend.in_flight -= 1
+        now_ms = self.events.now_ms
+        first_byte_ms = now_ms if reason is None else None
+        job.router.chooser.breakers.observe(
+            AttemptResult(
+                job.backend.name,
+                VERSION,
+                reason,
+                outcome,
+                job.sent_ms,
+                first_byte_ms,
+                now_ms,
+            )
+        )
+
+    def _retry(self, job, reason, outcome):
+        self._end(job, reason, outcome)
         if len(job.tried) < MAX_ATTEMPTS and job.router.budget.spend():
             self._attempt(job.arrival, job.router, job.tried)
         else:
             self._give_up(job.arrival)
 
+    @staticmethod
+    def _is_in_fault(arrival):
+        return LOST_FROM <= arrival.at_ms / (SECONDS * 1000) < LOST_UNTIL
+
     def _give_up(self, arrival):
         self.failures += 1
         self._record(float(arrival.purpose.timeout_ms), 1.0)
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -110,6 +110,7 @@
         )
         self.retry_budget = RetryBudget()
         self.attempts = AttemptRunner(self, rng)
+        self.attempts.observers.append(self.chooser.breakers.observe)
         self.stages = StageRunner(self)
         self.pipeline = Pipeline(self)
         self.listener = Listener(self, self.pipeline)
--- a/stoatpath/routing/features/steps/choice_steps.py
+++ b/stoatpath/routing/features/steps/choice_steps.py
@@ -116,7 +116,7 @@
 
 @when("{count:d} choices are made")
 def step_impl(context, count):
-    chooser = Chooser("zone-a", random.Random(5))
+    chooser = getattr(context, "chooser", Chooser("zone-a", random.Random(5)))
     query = build_query(context.excluded)
     backends = context.servers.serving(VERSION)
     context.choices = [chooser.choose(query, backends, NOW_MS) for _ in range(count)]
