Learn quality, length and time of versions; rate in time or later

Cause: plans ignored how long answers are and how slow, a wrong last stage replaced a better earlier answer, a failed later stage threw away an answer in hand, late ratings were lost, and estimates never forgot. Change: estimates with discounting and Thompson sampling; a course that decides about going up, returns the best rated answer and bills every stage; a rater that learns from late ratings; one stage for streams and calls that may not be repeated, by assured quality; sessions open on a version that reaches the target.

--- /dev/null
+++ b/stoatpath/cascades/courses.py
@@ -0,0 +1,100 @@
+"""Follows one request through its plan: go up, stop, and which answer to return."""
+
+
+class _Answered:
+    """An answer of a stage with its result."""
+
+    __slots__ = ("answer", "result")
+
+    def __init__(self, answer, result):
+        self.answer = answer
+        self.result = result
+
+
+class Course:
+    """The stages of one request that ran so far, and what comes next."""
+
+    __slots__ = ("reason", "_planner", "_query", "_stages", "_next", "_answered")
+
+    def __init__(self, planner, query, plan):
+        self.reason = plan.reason
+        self._planner = planner
+        self._query = query
+        self._stages = plan.stages
+        self._next = 0
+        self._answered = []
+
+    @property
+    def stage(self):
+        """Return the stage to run next, or None when the course is over."""
+        if self._next >= len(self._stages):
+            return None
+        return self._stages[self._next]
+
+    @property
+    def is_raised(self):
+        """Return whether an earlier stage was not good enough."""
+        return self._next > 0
+
+    @property
+    def results(self):
+        """Return the results of all stages that ran."""
+        return [each.result for each in self._answered]
+
+    def take(self, answer, result, now_ms):
+        """Take what the next stage answered and decide whether to go up."""
+        stage = self.stage
+        is_raised = self.is_raised
+        self._answered.append(_Answered(answer, result))
+        self._next += 1
+        following = self.stage
+        if following is None:
+            self.reason = "last stage"
+        elif stage.accept_at is None:
+            self._stop("not rated")
+        elif result.rating is None:
+            self._take_unrated(stage, following, is_raised, now_ms)
+        elif result.rating >= stage.accept_at:
+            self._stop("good enough")
+        elif not self._has_time(following, now_ms):
+            self._stop("too low, but no time for another stage")
+        else:
+            self.reason = "too low"
+
+    def fail(self):
+        """End the course because the next stage failed."""
+        self._stop("a later stage failed")
+
+    def best(self):
+        """Return the best answer with its result, or None when there is none.
+
+        Rated answers go by their rating; an unrated one stands for what its
+        plan expects of it, which is the target.
+        """
+        best = None
+        for each in self._answered:
+            if best is None or self._worth(each.result) >= self._worth(best.result):
+                best = each
+        return best
+
+    def _take_unrated(self, stage, following, is_raised, now_ms):
+        accepts = self._planner.accepts_unrated(
+            self._query, stage.version, following.version, is_raised, now_ms
+        )
+        if accepts or not self._has_time(following, now_ms):
+            self._stop("no rating")
+        else:
+            self.reason = "no rating, and not sure enough"
+
+    def _stop(self, reason):
+        self.reason = reason
+        self._next = len(self._stages)
+
+    def _has_time(self, following, now_ms):
+        seconds = self._planner.expected_seconds(self._query, following.version)
+        return now_ms + seconds * 1000 < self._query.deadline_ms
+
+    def _worth(self, result):
+        if result.rating is None:
+            return self._query.purpose.quality
+        return result.rating
--- a/stoatpath/cascades/messages.py
+++ b/stoatpath/cascades/messages.py
@@ -1,11 +1,50 @@
 """Messages of the plan of a request."""
 
 
+class PlanQuery:
+    """What the plan of one request depends on.
+
+    `opens_session` says that later requests will stay on the version that
+    answers this one.
+    """
+
+    __slots__ = (
+        "service",
+        "purpose",
+        "is_repeatable",
+        "is_stream",
+        "opens_session",
+        "deadline_ms",
+    )
+
+    def __init__(
+        self, service, purpose, is_repeatable, is_stream, opens_session, deadline_ms
+    ):
+        self.service = service
+        self.purpose = purpose
+        self.is_repeatable = is_repeatable
+        self.is_stream = is_stream
+        self.opens_session = opens_session
+        self.deadline_ms = deadline_ms
+
+    @classmethod
+    def from_request(cls, request, pin):
+        """Build the query of a caller request with its pin or None."""
+        return cls(
+            request.service,
+            request.purpose,
+            request.is_repeatable,
+            request.is_stream,
+            bool(request.session) and pin is None,
+            request.deadline_ms,
+        )
+
+
 class Stage:
     """One version that a request may run on.
 
-    `accept_at` is the rating from which its answer is good enough; the last
-    stage of a plan is accepted unrated.
+    `accept_at` is the rating from which its answer is good enough, or None for
+    a stage whose answer the caller does not wait to have rated.
     """
 
     __slots__ = ("version", "accept_at")
@@ -39,3 +78,20 @@
     def to_json(self):
         """Return the form used in billing records and logs."""
         return {name: getattr(self, name) for name in self.__slots__}
+
+
+class RatedAnswer:
+    """A rating of one answer, in time for its request or later.
+
+    `is_raised` says that an earlier stage of the request was not good enough.
+    """
+
+    __slots__ = ("service", "purpose", "version", "rating", "target", "is_raised")
+
+    def __init__(self, service, purpose, version, rating, target, is_raised):
+        self.service = service
+        self.purpose = purpose
+        self.version = version
+        self.rating = rating
+        self.target = target
+        self.is_raised = is_raised
--- a/stoatpath/cascades/planners.py
+++ b/stoatpath/cascades/planners.py
@@ -2,77 +2,141 @@
 
 from stoatpath.cascades.messages import Plan, Stage
 
-PRIOR_GOOD = 1.0
-PRIOR_BAD = 1.0
-
-
-class QualityEstimates:
-    """Counts of good and bad answers by purpose and version."""
-
-    __slots__ = ("_counts_by_key",)
-
-    def __init__(self):
-        self._counts_by_key = {}
-
-    def learn(self, service, purpose, version, is_good):
-        """Count one rated answer."""
-        counts = self._counts_by_key.setdefault((service, purpose, version), [0, 0])
-        counts[0 if is_good else 1] += 1
-
-    def chance_good(self, service, purpose, version):
-        """Return the estimated chance that a version's answer is good enough."""
-        good, bad = self._counts_by_key.get((service, purpose, version), (0, 0))
-        return (good + PRIOR_GOOD) / (good + bad + PRIOR_GOOD + PRIOR_BAD)
+TOKENS_PER_PRICE = 1_000
+SINGLE_EXPLORATION = 0.02
+BACKGROUND_SHARE = 0.1
+CERTAIN_WEIGHT = 30.0
 
 
 class Planner:
-    """Starts where expected cost plus the weight of latency is least."""
+    """Takes the plan of least expected price that reaches the quality target.
 
-    __slots__ = ("_estimates",)
-
-    def __init__(self, estimates):
-        self._estimates = estimates
+    The price is cost, plus latency and the chance of a bad answer by the weights
+    of the service. Chances are sampled by how likely they are, so that a version
+    of which little is known is tried from time to time.
+    """
 
-    def plan(self, request, versions, seconds_by_version):
-        """Return a plan over versions given from cheap to dear.
+    __slots__ = ("_estimates", "_random")
 
-        `seconds_by_version` holds the expected seconds of each version.
-        """
-        if not request.is_repeatable:
-            return Plan([Stage(versions[-1], None)], "not repeatable: one stage")
-        if request.is_stream:
-            return self._plan_stream(request, versions)
-        best_start = 0
+    def __init__(self, estimates, random):
+        self._estimates = estimates
+        self._random = random
+
+    def plan(self, query, versions, now_ms):
+        """Return a plan over versions given from cheap to dear."""
+        if len(versions) == 1:
+            return Plan([Stage(versions[0], None)], "one version")
+        reachable = [
+            version for version in versions if self._is_assured(query, version, now_ms)
+        ]
+        if not query.is_repeatable or query.is_stream:
+            return self._plan_single(query, versions, reachable, now_ms)
+        if query.opens_session and reachable:
+            versions = versions[versions.index(reachable[0]) :]
+        return self._plan_cascade(query, versions, now_ms)
+
+    def wants_background_rating(self, query, version, now_ms):
+        """Return whether an answer that nobody waits for is to be rated."""
+        estimate = self._quality(query, version, False)
+        if estimate.weight(now_ms) < CERTAIN_WEIGHT:
+            return True
+        return self._random.random() < BACKGROUND_SHARE
+
+    def accepts_unrated(self, query, version, following, is_raised, now_ms):
+        """Return whether an answer whose rating is missing is good enough."""
+        estimate = self._quality(query, version, is_raised)
+        if estimate.expected_quality(now_ms) < query.purpose.quality:
+            return False
+        chance_bad = 1 - estimate.chance_good(now_ms)
+        exposure = query.service.objective.exposure_weight * chance_bad
+        return exposure <= self._stage_price(query, following)
+
+    def expected_seconds(self, query, version):
+        """Return how long a stage is expected to take."""
+        return self._cost(query, version).seconds
+
+    def _plan_single(self, query, versions, reachable, now_ms):
+        """Return one stage: the answer can't be taken back or run again."""
+        cheapest = versions[0]
+        if not reachable:
+            best = max(
+                reversed(versions),
+                key=lambda each: self._quality(query, each, False).assured_quality(
+                    now_ms
+                ),
+            )
+            return Plan([Stage(best, None)], "one stage: best known quality")
+        if cheapest not in reachable and self._explores_single(query):
+            return Plan([Stage(cheapest, None)], "one stage: tried out")
+        best = min(reachable, key=lambda each: self._single_price(query, each, now_ms))
+        return Plan([Stage(best, None)], "one stage: least price at the target")
+
+    def _explores_single(self, query):
+        weight = query.service.objective.exposure_weight
+        return self._random.random() < SINGLE_EXPLORATION / (1 + weight)
+
+    def _plan_cascade(self, query, versions, now_ms):
+        chances = [
+            self._quality(query, version, False).sample_chance(now_ms, self._random)
+            for version in versions
+        ]
+        best_start = len(versions) - 1
         best_price = float("inf")
         for start in range(len(versions)):
-            price = self._price(request, versions[start:], seconds_by_version)
+            price = self._cascade_price(query, versions, chances, start, now_ms)
             if price < best_price:
                 best_start = start
                 best_price = price
-        target = request.purpose.quality
-        chosen = versions[best_start:]
-        stages = [Stage(version, target) for version in chosen[:-1]]
-        stages.append(Stage(chosen[-1], None))
+        for version in versions:
+            if not self._is_assured(query, version, now_ms):
+                continue
+            price = self._single_price(query, version, now_ms)
+            if price < best_price:
+                reason = f"one stage: least expected price {price:.4f}"
+                return Plan([Stage(version, None)], reason)
+        target = query.purpose.quality
+        stages = [Stage(version, target) for version in versions[best_start:]]
+        if len(stages) == 1:
+            stages = [Stage(versions[-1], None)]
         return Plan(stages, f"least expected price {best_price:.4f}")
 
-    def _plan_stream(self, request, versions):
-        """Return the cheapest single stage expected to reach the target."""
-        for version in versions[:-1]:
-            if self._chance(request, version) >= request.purpose.quality:
-                return Plan([Stage(version, None)], "stream: cheapest good enough")
-        return Plan([Stage(versions[-1], None)], "stream: dearest")
-
-    def _price(self, request, versions, seconds_by_version):
+    def _cascade_price(self, query, versions, chances, start, now_ms):
+        objective = query.service.objective
+        rating_price = objective.latency_weight * self._estimates.rating_seconds
         price = 0.0
         reach = 1.0
-        weight = request.service.objective.latency_weight
-        for version in versions:
-            price += reach * version.cost
-            price += reach * weight * seconds_by_version.get(version.name, 0.0)
-            reach *= 1 - self._chance(request, version)
-        return price
-
-    def _chance(self, request, version):
-        return self._estimates.chance_good(
-            request.service.name, request.purpose.name, version.name
+        for index in range(start, len(versions)):
+            chance = chances[index]
+            if index > start:
+                raised = self._quality(query, versions[index], True)
+                chance = raised.chance_good(now_ms)
+            price += reach * self._stage_price(query, versions[index])
+            if start < len(versions) - 1:
+                price += reach * rating_price
+            reach *= 1 - chance
+        return price + reach * objective.exposure_weight
+
+    def _single_price(self, query, version, now_ms):
+        chance = self._quality(query, version, False).chance_good(now_ms)
+        exposure = query.service.objective.exposure_weight * (1 - chance)
+        return self._stage_price(query, version) + exposure
+
+    def _stage_price(self, query, version):
+        estimate = self._cost(query, version)
+        weight = query.service.objective.latency_weight
+        cost = version.cost * estimate.tokens / TOKENS_PER_PRICE
+        return cost + weight * estimate.seconds
+
+    def _is_assured(self, query, version, now_ms):
+        estimate = self._quality(query, version, False)
+        return estimate.assured_quality(now_ms) >= query.purpose.quality
+
+    def _quality(self, query, version, is_raised):
+        return self._estimates.quality(
+            query.service.name, query.purpose.name, version.name, is_raised
+        )
+
+    def _cost(self, query, version):
+        return self._estimates.cost(
+            query.service.name, query.purpose.name, version.name
         )
--- /dev/null
+++ b/stoatpath/cascades/raters.py
@@ -0,0 +1,95 @@
+"""The tasks that have answers rated, in time for their request or later."""
+
+import asyncio
+import logging
+
+from stoatpath.cascades.messages import RatedAnswer
+from stoatpath.outcomes import is_failure
+from stoatpath.utils import cancel_and_wait
+
+logger = logging.getLogger(__name__)
+
+PATIENCE_MS = 500.0
+MAX_TASKS = 200
+
+
+class RatingQuestion:
+    """An answer to be rated: of which version, to what, against which target."""
+
+    __slots__ = (
+        "request_id",
+        "service",
+        "purpose",
+        "version",
+        "text",
+        "target",
+        "is_raised",
+    )
+
+    def __init__(self, request_id, service, purpose, version, text, target, is_raised):
+        self.request_id = request_id
+        self.service = service
+        self.purpose = purpose
+        self.version = version
+        self.text = text
+        self.target = target
+        self.is_raised = is_raised
+
+
+class Rater:
+    """Asks the rating service and lets the estimates learn from every rating.
+
+    A rating that comes too late for its request is still learned from. Beyond
+    `MAX_TASKS` open questions no more are asked.
+    """
+
+    __slots__ = ("_ratings", "_estimates", "_clock", "_tasks")
+
+    def __init__(self, ratings, estimates, clock):
+        self._ratings = ratings
+        self._estimates = estimates
+        self._clock = clock
+        self._tasks = set()
+
+    async def rate(self, question, deadline_ms):
+        """Return a rating, or None when it does not come in time."""
+        task = self.rate_later(question)
+        if task is None:
+            return None
+        patience_ms = min(PATIENCE_MS, deadline_ms - self._clock.now_ms())
+        await asyncio.wait({task}, timeout=max(0.0, patience_ms / 1000))
+        return task.result() if task.done() else None
+
+    def rate_later(self, question):
+        """Start to ask; return the task, or None when too many are open."""
+        if len(self._tasks) >= MAX_TASKS:
+            logger.warning("cascades.rating-skipped", extra={"open": MAX_TASKS})
+            return None
+        task = asyncio.create_task(self._ask(question))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def close(self):
+        """Give up all open questions."""
+        await cancel_and_wait(list(self._tasks))
+
+    async def _ask(self, question):
+        asked_ms = self._clock.now_ms()
+        rating = await self._ratings.rate(
+            question.request_id, question.purpose, question.version, question.text
+        )
+        if is_failure(rating):
+            return None
+        now_ms = self._clock.now_ms()
+        self._estimates.learn_rating_time((now_ms - asked_ms) / 1000)
+        rated = RatedAnswer(
+            question.service,
+            question.purpose,
+            question.version,
+            rating,
+            question.target,
+            question.is_raised,
+        )
+        self._estimates.learn(rated, now_ms)
+        return rating
--- a/stoatpath/cascades/runners.py
+++ b/stoatpath/cascades/runners.py
@@ -2,9 +2,12 @@
 
 from stoatpath.admission.messages import AdmissionRequest
 from stoatpath.callers.messages import Served
-from stoatpath.cascades.messages import StageResult
+from stoatpath.cascades.courses import Course
+from stoatpath.cascades.messages import PlanQuery, StageResult
+from stoatpath.cascades.raters import RatingQuestion
 from stoatpath.cascades.versions import find_versions
-from stoatpath.outcomes import NO_BACKEND, Failure, Outcome, is_failure
+from stoatpath.configuration.documents import MODEL_SERVICE
+from stoatpath.outcomes import NO_BACKEND, Failure, is_failure
 
 TOKENS_PER_PRICE = 1_000
 
@@ -30,7 +33,8 @@
         )
         if not versions:
             return Failure(NO_BACKEND, "no version is open for this request")
-        plan = parts.planner.plan(request, versions, {})
+        query = PlanQuery.from_request(request, pin)
+        plan = parts.planner.plan(query, versions, self._clock.now_ms())
         names = [stage.version.name for stage in plan.stages]
         parts.ring.note(
             request.request_id,
@@ -42,7 +46,8 @@
         )
         if stream is not None:
             parts.pins.announce(request, pin, names[0], moved, stream)
-        served = await self._run_stages(request, plan, stream)
+        course = Course(parts.planner, query, plan)
+        served = await self._run_stages(request, course, stream)
         if not is_failure(served) and request.session:
             await self._keep_session(request, pin, served, moved)
         return served
@@ -54,17 +59,22 @@
         served.session = self._parts.pins.token(kept)
         served.session_moved = moved
 
-    async def _run_stages(self, request, plan, stream):
-        results = []
-        for stage in plan.stages:
+    async def _run_stages(self, request, course, stream):
+        while (stage := course.stage) is not None:
+            started_ms = self._clock.now_ms()
             answer = await self._run_stage(request, stage, stream)
             if is_failure(answer):
-                return _with_history(answer, results)
-            rating = await self._rate(request, stage, answer)
-            results.append(_stage_result(stage.version, answer, rating))
-            if stage.accept_at is None or rating is None or rating >= stage.accept_at:
+                if course.best() is None:
+                    return answer
+                course.fail()
                 break
-        return _served(answer, results)
+            seconds = (self._clock.now_ms() - started_ms) / 1000
+            self._learn_cost(request, stage, answer, seconds)
+            rating = await self._rate(request, stage, answer, course.is_raised)
+            result = _stage_result(stage.version, answer, rating)
+            course.take(answer, result, self._clock.now_ms())
+        self._note(request, "stages", course.reason, ran=len(course.results))
+        return _served(course)
 
     async def _run_stage(self, request, stage, stream):
         asked_ms = self._clock.now_ms()
@@ -94,31 +104,46 @@
         finally:
             self._parts.gate.leave(grant)
 
-    async def _rate(self, request, stage, answer):
-        if stage.accept_at is None:
+    async def _rate(self, request, stage, answer, is_raised):
+        """Return the rating of an answer, or None without one in time."""
+        if request.service.kind != MODEL_SERVICE:
             return None
-        rating = await self._parts.ratings.rate(
-            request.request_id, request.purpose.name, stage.version.name, answer.text
+        parts = self._parts
+        question = RatingQuestion(
+            request.request_id,
+            request.service.name,
+            request.purpose.name,
+            stage.version.name,
+            answer.text,
+            request.purpose.quality,
+            is_raised,
         )
-        if is_failure(rating):
-            self._note(request, "rating", "no rating", version=stage.version.name)
+        if stage.accept_at is None:
+            query = PlanQuery.from_request(request, None)
+            now_ms = self._clock.now_ms()
+            if parts.planner.wants_background_rating(query, stage.version, now_ms):
+                parts.rater.rate_later(question)
             return None
+        rating = await parts.rater.rate(question, request.deadline_ms)
+        reason = "no rating"
+        if rating is not None:
+            reason = "good enough" if rating >= stage.accept_at else "too low"
         self._note(
             request,
             "rating",
-            "good enough" if rating >= stage.accept_at else "too low",
+            reason,
             version=stage.version.name,
             rating=rating,
             wanted=stage.accept_at,
         )
-        self._parts.estimates.learn(
-            request.service.name,
-            request.purpose.name,
-            stage.version.name,
-            rating >= stage.accept_at,
-        )
         return rating
 
+    def _learn_cost(self, request, stage, answer, seconds):
+        estimate = self._parts.estimates.cost(
+            request.service.name, request.purpose.name, stage.version.name
+        )
+        estimate.learn(answer.tokens, seconds)
+
     def _note(self, request, step, reason, **details):
         self._parts.ring.note(request.request_id, step, reason, **details)
 
@@ -130,20 +155,13 @@
     return StageResult(version.name, answer.tokens, cost, rating)
 
 
-def _served(answer, results):
-    cost = sum(result.cost for result in results)
+def _served(course):
+    best = course.best()
     return Served(
-        answer.status,
-        answer.content_type,
-        answer.body,
-        results[-1].version,
-        results,
-        cost,
+        best.answer.status,
+        best.answer.content_type,
+        best.answer.body,
+        best.result.version,
+        course.results,
+        sum(result.cost for result in course.results),
     )
-
-
-def _with_history(failure, results):
-    """Return a failure that does not claim `not-run` once a stage has run."""
-    if results and failure.outcome is Outcome.NOT_RUN:
-        return Failure(failure.reason, failure.detail, Outcome.UNKNOWN)
-    return failure
--- /dev/null
+++ b/stoatpath/measure/cascade_costs.py
@@ -0,0 +1,141 @@
+"""Cost at the quality target: the planner, fixed ways, and an oracle."""
+
+from stoatpath.measure.answer_models import FAULTS, FAULTS_BY_NAME
+from stoatpath.measure.cascade_runs import CascadeRun
+from stoatpath.measure.deployments import DEPLOYMENTS, Deployment
+from stoatpath.measure.reports import Figure, Report, Target
+from stoatpath.measure.spreads import mean, seeds_from, spread_figures
+
+NAME = "cascades"
+MAX_COST_OF_DEAREST = 0.45
+MAX_COST_OF_ORACLE = 1.15
+WAYS = ("router", "dearest", "ladder", "oracle")
+
+
+class Trial:
+    """One seed of one deployment and fault of the rating service."""
+
+    __slots__ = ("deployment", "fault", "seed")
+
+    def __init__(self, deployment, fault, seed):
+        self.deployment = deployment
+        self.fault = fault
+        self.seed = seed
+
+    @property
+    def key(self):
+        """Return what the trials of several seeds have in common."""
+        return f"{self.deployment}.{self.fault}"
+
+
+class WayResult:
+    """Means of one way: cost, seconds, share of good answers, price by weights.
+
+    `margin` is the least mean quality over its target among the purposes.
+    """
+
+    __slots__ = ("cost", "seconds", "good", "price", "margin")
+
+    def __init__(self, cost, seconds, good, price, margin):
+        self.cost = cost
+        self.seconds = seconds
+        self.good = good
+        self.price = price
+        self.margin = margin
+
+    @classmethod
+    def from_outcomes(cls, outcomes, objective):
+        """Sum up the outcomes of one way."""
+        cost = mean([each.cost for each in outcomes])
+        seconds = mean([each.seconds for each in outcomes])
+        good = mean([each.is_good for each in outcomes])
+        price = cost + objective.latency_weight * seconds
+        price += objective.exposure_weight * (1 - good)
+        by_purpose = {}
+        for each in outcomes:
+            by_purpose.setdefault(each.purpose, []).append(each.quality)
+        margin = min(
+            mean(qualities) - purpose.quality
+            for purpose, qualities in by_purpose.items()
+        )
+        return cls(cost, seconds, good, price, margin)
+
+
+class TrialResult:
+    """The results of one trial by way."""
+
+    __slots__ = ("trial", "by_way")
+
+    def __init__(self, trial, by_way):
+        self.trial = trial
+        self.by_way = by_way
+
+
+def list_trials(seed):
+    """Return all trials."""
+    return [
+        Trial(deployment, fault.name, each)
+        for fault in FAULTS
+        for deployment in DEPLOYMENTS
+        for each in seeds_from(seed)
+    ]
+
+
+def run_trial(trial):
+    """Run all ways on the same requests."""
+    deployment = Deployment.from_sample(trial.deployment)
+    run = CascadeRun(deployment, FAULTS_BY_NAME[trial.fault], trial.seed)
+    outcomes_by_way = {
+        "router": run.run_router(),
+        "dearest": run.run_dearest(),
+        "ladder": run.run_ladder(),
+        "oracle": run.run_oracle(),
+    }
+    objective = deployment.service.objective
+    by_way = {
+        way: WayResult.from_outcomes(outcomes, objective)
+        for way, outcomes in outcomes_by_way.items()
+    }
+    return TrialResult(trial, by_way)
+
+
+def summarise(seed, results):
+    """Return the report of all trials."""
+    figures = []
+    targets = []
+    by_key = {}
+    for result in results:
+        by_key.setdefault(result.trial.key, []).append(result)
+    for key, group in by_key.items():
+        figures += _figures_of(key, group)
+        dearest = f"{key}.cost-over-dearest"
+        oracle = f"{key}.cost-over-oracle"
+        targets.append(Target(dearest, "at-most", MAX_COST_OF_DEAREST))
+        targets.append(Target(oracle, "at-most", MAX_COST_OF_ORACLE))
+        targets.append(Target(f"{key}.router.margin.lowest", "at-least", 0.0))
+    return Report(NAME, seed, figures, targets)
+
+
+def run(seed):
+    """Run all trials one after the other."""
+    return summarise(seed, [run_trial(trial) for trial in list_trials(seed)])
+
+
+def _figures_of(key, group):
+    figures = []
+    for way in WAYS:
+        own = [result.by_way[way] for result in group]
+        name = f"{key}.{way}"
+        costs = [each.cost for each in own]
+        figures += spread_figures(f"{name}.cost", costs, "price a request")
+        margins = [each.margin for each in own]
+        figures += spread_figures(f"{name}.margin", margins, "quality over target")
+        for measure, unit in (("good", "share"), ("seconds", "s"), ("price", "price")):
+            value = mean([getattr(each, measure) for each in own])
+            figures.append(Figure(f"{name}.{measure}", round(value, 6), unit))
+    for way in ("dearest", "oracle"):
+        ratios = [
+            result.by_way["router"].cost / result.by_way[way].cost for result in group
+        ]
+        figures += spread_figures(f"{key}.cost-over-{way}", ratios, "ratio")
+    return figures
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -11,7 +11,9 @@
 from stoatpath.billing.outboxes import Outbox
 from stoatpath.callers.listeners import Listener
 from stoatpath.callers.pipelines import Pipeline
-from stoatpath.cascades.planners import Planner, QualityEstimates
+from stoatpath.cascades.estimates import Estimates
+from stoatpath.cascades.planners import Planner
+from stoatpath.cascades.raters import Rater
 from stoatpath.cascades.runners import StageRunner
 from stoatpath.clock import Clock
 from stoatpath.configuration.guards import FreshnessGuard
@@ -60,6 +62,7 @@
         "guard",
         "estimates",
         "planner",
+        "rater",
         "archive",
         "pins",
         "explanations",
@@ -96,8 +99,9 @@
         self.guard = FreshnessGuard(
             self.follower, self.assigner, self.node.gossip.contacts, settings, clock
         )
-        self.estimates = QualityEstimates()
-        self.planner = Planner(self.estimates)
+        self.estimates = Estimates()
+        self.planner = Planner(self.estimates, rng)
+        self.rater = Rater(self.ratings, self.estimates, clock)
         self.rates = RateLimits()
         self.rate_exchange = RateExchange(self.rates, self.node, rng)
         self.archive = PinArchive(self.node.table, self.follower, clock)
@@ -166,6 +170,7 @@
         await self.pins.close()
         await cancel_and_wait(self._tasks)
         await self.sender.close()
+        await self.rater.close()
         await self.ratings.connection.close()
         await self.node.stop()
 
