--- a/stoatpath/cascades/estimates.py
+++ b/stoatpath/cascades/estimates.py
@@ -6,10 +6,10 @@
 
 import math
 
-PRIOR_GOOD = 1.0
-PRIOR_BAD = 1.0
+PRIOR_WEIGHT = 1.0
 PRIOR_QUALITY = 0.5
-RATING_DECAY = 0.99
+PRIOR_QUALITY_OF_LAST = 0.9
+RATING_DECAY = 0.995
 HALF_LIFE_MS = 900_000.0
 QUALITY_DEVIATION = 0.25
 QUALITY_CERTAINTY = 1.0
@@ -21,46 +21,54 @@
     """Discounted counts of good and bad answers, and the sum of their ratings.
 
     Each rating takes a little weight from the earlier ones, so that drift shows
-    within about a hundred ratings; time takes weight as well, so that a version
-    that is not used becomes uncertain and is tried again.
+    within a few hundred ratings; time takes weight as well, so that a version
+    that is not used becomes uncertain and is tried again. `prior` is the chance
+    and the quality to expect before any rating. `accepted` counts the answers
+    rated high enough to end a cascade, which may ask for more than the target.
     """
 
-    __slots__ = ("good", "bad", "quality", "learned_ms")
+    __slots__ = ("prior", "good", "bad", "accepted", "quality", "learned_ms")
 
-    def __init__(self):
+    def __init__(self, prior):
+        self.prior = prior
         self.good = 0.0
         self.bad = 0.0
+        self.accepted = 0.0
         self.quality = 0.0
         self.learned_ms = 0.0
 
-    def learn(self, rating, is_good, now_ms):
+    def learn(self, rating, target, accept_at, now_ms):
         """Take one rating."""
         self._scale(RATING_DECAY * self._freshness(now_ms))
         self.learned_ms = now_ms
         self.quality += rating
-        if is_good:
+        self.accepted += rating >= accept_at
+        if rating >= target:
             self.good += 1
         else:
             self.bad += 1
 
     def chance_good(self, now_ms):
         """Return the estimated chance that an answer is good enough."""
-        fresh = self._freshness(now_ms)
-        good = fresh * self.good + PRIOR_GOOD
-        return good / (good + fresh * self.bad + PRIOR_BAD)
+        good, bad = self._counts(now_ms)
+        return good / (good + bad)
 
-    def sample_chance(self, now_ms, random):
-        """Return a chance drawn by how likely it is, given the ratings."""
+    def sample_accepted(self, now_ms, random):
+        """Return a chance to be accepted, drawn by how likely it is."""
         fresh = self._freshness(now_ms)
+        accepted = fresh * self.accepted
+        refused = fresh * (self.good + self.bad) - accepted
         return random.betavariate(
-            fresh * self.good + PRIOR_GOOD, fresh * self.bad + PRIOR_BAD
+            accepted + PRIOR_WEIGHT * self.prior,
+            max(0.0, refused) + PRIOR_WEIGHT * (1 - self.prior),
         )
 
     def expected_quality(self, now_ms):
         """Return the mean rating to expect."""
         fresh = self._freshness(now_ms)
         weight = fresh * (self.good + self.bad)
-        return (fresh * self.quality + PRIOR_QUALITY) / (weight + 1)
+        total = fresh * self.quality + PRIOR_WEIGHT * self.prior
+        return total / (weight + PRIOR_WEIGHT)
 
     def assured_quality(self, now_ms):
         """Return a mean rating that is likely reached."""
@@ -72,12 +80,19 @@
         """Return how many ratings the estimate is worth."""
         return self._freshness(now_ms) * (self.good + self.bad)
 
+    def _counts(self, now_ms):
+        fresh = self._freshness(now_ms)
+        good = fresh * self.good + PRIOR_WEIGHT * self.prior
+        bad = fresh * self.bad + PRIOR_WEIGHT * (1 - self.prior)
+        return good, bad
+
     def _freshness(self, now_ms):
         return 0.5 ** (max(0.0, now_ms - self.learned_ms) / HALF_LIFE_MS)
 
     def _scale(self, factor):
         self.good *= factor
         self.bad *= factor
+        self.accepted *= factor
         self.quality *= factor
 
 
@@ -102,16 +117,15 @@
 class _EstimateTable:
     """Estimates by key, made when first asked for; a key holds the version last."""
 
-    __slots__ = ("_by_key", "_make")
+    __slots__ = ("_by_key",)
 
-    def __init__(self, make):
+    def __init__(self):
         self._by_key = {}
-        self._make = make
 
-    def find(self, *key):
+    def find(self, key, make, *arguments):
         estimate = self._by_key.get(key)
         if estimate is None:
-            estimate = self._by_key[key] = self._make()
+            estimate = self._by_key[key] = make(*arguments)
         return estimate
 
     def keep_only(self, versions):
@@ -120,31 +134,42 @@
 
 
 class Estimates:
-    """What is known of each version, by service and purpose."""
+    """What is known of each version, by service and purpose.
+
+    Services, purposes and versions are those of the configuration.
+    """
 
     __slots__ = ("rating_seconds", "_qualities", "_raised_qualities", "_costs")
 
     def __init__(self):
         self.rating_seconds = 0.0
-        self._qualities = _EstimateTable(QualityEstimate)
-        self._raised_qualities = _EstimateTable(QualityEstimate)
-        self._costs = _EstimateTable(CostEstimate)
+        self._qualities = _EstimateTable()
+        self._raised_qualities = _EstimateTable()
+        self._costs = _EstimateTable()
 
     def quality(self, service, purpose, version, is_raised=False):
-        """Return the estimate of how good answers are."""
+        """Return the estimate of how good answers are.
+
+        The last model of a cascade is taken to be good until ratings say
+        otherwise.
+        """
+        is_last = version.model == service.cascade[-1]
+        prior = PRIOR_QUALITY_OF_LAST if is_last else PRIOR_QUALITY
         table = self._raised_qualities if is_raised else self._qualities
-        return table.find(service, purpose, version)
+        key = (service.name, purpose.name, version.name)
+        return table.find(key, QualityEstimate, prior)
 
     def cost(self, service, purpose, version):
         """Return the estimate of how long answers are and how long they take."""
-        return self._costs.find(service, purpose, version)
+        key = (service.name, purpose.name, version.name)
+        return self._costs.find(key, CostEstimate)
 
     def learn(self, rated, now_ms):
         """Take a `RatedAnswer`."""
         estimate = self.quality(
             rated.service, rated.purpose, rated.version, rated.is_raised
         )
-        estimate.learn(rated.rating, rated.rating >= rated.target, now_ms)
+        estimate.learn(rated.rating, rated.target, rated.accept_at, now_ms)
 
     def learn_rating_time(self, seconds):
         """Take the time that one rating took."""
--- /dev/null
+++ b/stoatpath/cascades/features/steps/plan_steps.py
@@ -0,0 +1,204 @@
+"""Steps about plans and the course of a request."""
+
+import random
+
+from behave import given, then, when
+from hypothesis import given as forall, settings, strategies
+
+from stoatpath.cascades.courses import Course
+from stoatpath.cascades.estimates import Estimates
+from stoatpath.cascades.messages import Plan, PlanQuery, RatedAnswer, Stage, StageResult
+from stoatpath.cascades.planners import Planner
+from stoatpath.configuration.documents import Objective
+from stoatpath.measure.deployments import Deployment
+
+HOUR_MS = 3_600_000.0
+CHEAP, DEAR = "cheap", "dear"
+
+
+def use_deployment(context, name, purpose):
+    """Take the cascade and one purpose of a sample deployment."""
+    context.deployment = Deployment.from_sample(name)
+    context.purpose = context.deployment.service.by_purpose[purpose]
+    versions = context.deployment.versions
+    context.by_role = {CHEAP: versions[0], DEAR: versions[-1]}
+    context.estimates = Estimates()
+    context.planner = Planner(context.estimates, random.Random(11))
+    context.now_ms = 0.0
+    context.deadline_ms = 60_000.0
+
+
+def learn(context, role, rating, count, is_raised=False):
+    """Let the estimates take the same rating many times."""
+    rated = RatedAnswer(
+        context.deployment.service,
+        context.purpose,
+        context.by_role[role],
+        rating,
+        context.purpose.quality,
+        is_raised,
+    )
+    for _ in range(count):
+        context.estimates.learn(rated, context.now_ms)
+    cost = context.estimates.cost(
+        context.deployment.service, context.purpose, context.by_role[role]
+    )
+    cost.learn(100, 1.0)
+
+
+def build_query(context, kind="buffered"):
+    """Return the query of a request of a kind."""
+    return PlanQuery(
+        context.deployment.service,
+        context.purpose,
+        kind != "not repeatable",
+        kind == "streamed",
+        kind == "session",
+        context.deadline_ms,
+    )
+
+
+def start_course(context):
+    """Begin a course of a cheap and a dear stage."""
+    target = context.purpose.quality
+    stages = [Stage(context.by_role[role], target) for role in (CHEAP, DEAR)]
+    query = build_query(context)
+    context.course = Course(context.planner, query, Plan(stages, "test"))
+
+
+def take(context, role, rating):
+    """Let the next stage answer."""
+    result = StageResult(context.by_role[role].name, 100, 1.0, rating)
+    context.course.take(role, result, context.now_ms)
+
+
+@given("a plan of a cheap and a dear version at the target 0.7")
+def step_impl(context):
+    use_deployment(context, "coral-coast", "guest-question")
+    start_course(context)
+
+
+@given("the {role} version was rated {rating:g} {count:d} times")
+def step_impl(context, role, rating, count):
+    learn(context, role, rating, count)
+
+
+@given("the dear version takes {seconds:g} seconds")
+def step_impl(context, seconds):
+    cost = context.estimates.cost(
+        context.deployment.service, context.purpose, context.by_role[DEAR]
+    )
+    cost.learn(100, seconds)
+
+
+@given("the deadline is in {seconds:g} seconds")
+def step_impl(context, seconds):
+    context.deadline_ms = context.now_ms + seconds * 1000
+    start_course(context)
+
+
+@when("the {role} answer is rated {rating}")
+def step_impl(context, role, rating):
+    take(context, role, None if rating == "none" else float(rating))
+
+
+@when("the dear stage fails")
+def step_impl(context):
+    context.course.fail()
+
+
+@then("the course goes on: {goes_on}")
+def step_impl(context, goes_on):
+    assert (context.course.stage is not None) == (goes_on == "yes")
+
+
+@then("the answer of the {role} version is returned")
+def step_impl(context, role):
+    best = context.course.best()
+    assert best.answer == role, best.answer
+    assert best.result.version == context.by_role[role].name
+
+
+@then("{count:d} stages are billed")
+def step_impl(context, count):
+    assert len(context.course.results) == count
+
+
+@then("for any two ratings the returned answer is the best of those that ran")
+def step_impl(context):
+    ratings = strategies.floats(min_value=0.0, max_value=1.0)
+
+    @settings(derandomize=True, database=None, deadline=None)
+    @forall(ratings, ratings)
+    def check(cheap, dear):
+        use_deployment(context, "coral-coast", "guest-question")
+        start_course(context)
+        take(context, CHEAP, cheap)
+        assert (context.course.stage is None) == (cheap >= 0.7)
+        ran = [cheap]
+        if context.course.stage is not None:
+            take(context, DEAR, dear)
+            ran.append(dear)
+        assert context.course.stage is None
+        assert context.course.best().result.rating == max(ran)
+        assert [each.rating for each in context.course.results] == ran
+
+    check()
+
+
+@given("the cascade of {deployment} and the purpose {purpose}")
+def step_impl(context, deployment, purpose):
+    use_deployment(context, deployment, purpose)
+
+
+@given("{hours:g} hours pass")
+def step_impl(context, hours):
+    context.now_ms += hours * HOUR_MS
+
+
+@when("{count:d} plans are made for a request that is {kind}")
+def step_impl(context, count, kind):
+    query = build_query(context, kind)
+    versions = context.deployment.versions
+    context.plans = [
+        context.planner.plan(query, versions, context.now_ms) for _ in range(count)
+    ]
+
+
+@then("{least:d} to {most:d} of them start on the cheap version")
+def step_impl(context, least, most):
+    cheap = context.by_role[CHEAP]
+    count = sum(plan.stages[0].version is cheap for plan in context.plans)
+    assert least <= count <= most, count
+
+
+@then("each has at most {most:d} stages")
+def step_impl(context, most):
+    assert max(len(plan.stages) for plan in context.plans) <= most
+
+
+def _find_accept_at(context, exposure):
+    service = context.deployment.service
+    service.objective = Objective(service.objective.latency_weight, exposure)
+    for is_raised in (False, True):
+        learn(context, DEAR, 0.95, 200, is_raised)
+    for rating in (0.3, 0.9):
+        learn(context, CHEAP, rating, 100)
+    query = build_query(context)
+    for _ in range(200):
+        plan = context.planner.plan(query, context.deployment.versions, 0.0)
+        if len(plan.stages) > 1:
+            return plan.stages[0].accept_at
+    raise AssertionError("no plan of two stages")
+
+
+@then("the rating that ends its cascade is {rating:g} with an exposure weight of 0")
+def step_impl(context, rating):
+    found = _find_accept_at(context, 1e-9)
+    assert found == rating, found
+
+
+@then("it is between {least:g} and {most:g} with an exposure weight of {weight:g}")
+def step_impl(context, least, most, weight):
+    found = _find_accept_at(context, weight)
+    assert least <= found <= most, found
--- /dev/null
+++ b/stoatpath/cascades/features/steps/rating_steps.py
@@ -0,0 +1,217 @@
+"""Steps about learning from ratings, and cascades of a whole site."""
+
+import asyncio
+
+import aiohttp
+from behave import given, then, when
+from plan_steps import CHEAP, learn, use_deployment
+
+from stoatpath.billing.outboxes import read_ledger
+from stoatpath.cascades.messages import RatedAnswer
+from stoatpath.cascades.raters import Rater, RatingQuestion
+from stoatpath.clock import Clock
+from stoatpath.outcomes import PLATFORM_UNAVAILABLE, Failure
+from stoatpath.platform.tables import Table
+from stoatpath.standins.faults import Fault
+from stoatpath.standins.sites import Site
+from stoatpath.tools.demonstrations import Demonstration, chat
+from stoatpath.utils import encode_json
+
+SECRET = "reef-villages.reef-villages-sample-secret"
+
+
+@given("a version that was rated {rating:g} {count:d} times")
+def step_impl(context, rating, count):
+    use_deployment(context, "coral-coast", "guest-question")
+    learn(context, CHEAP, rating, count)
+
+
+@when("it is rated {rating:g} {count:d} times more")
+def step_impl(context, rating, count):
+    learn(context, CHEAP, rating, count)
+
+
+@when("it is rated {rating:g} {count:d} times more as a later stage")
+def step_impl(context, rating, count):
+    learn(context, CHEAP, rating, count, is_raised=True)
+
+
+def _chance(context):
+    estimate = context.estimates.quality(
+        context.deployment.service, context.purpose, context.by_role[CHEAP]
+    )
+    return estimate.chance_good(context.now_ms)
+
+
+@then("the chance that it is good enough is under {bound:g}")
+def step_impl(context, bound):
+    assert _chance(context) < bound, _chance(context)
+
+
+@then("the chance that it is good enough is over {bound:g}")
+def step_impl(context, bound):
+    assert _chance(context) > bound, _chance(context)
+
+
+class _Ratings:
+    """A rating service with a delay or a fault."""
+
+    def __init__(self, score, delay_ms, is_faulty):
+        self.asked = 0
+        self._score = score
+        self._delay_ms = delay_ms
+        self._is_faulty = is_faulty
+
+    async def rate(self, request_id, purpose, version, text):
+        self.asked += 1
+        await asyncio.sleep(self._delay_ms / 1000)
+        if self._is_faulty:
+            return Failure(PLATFORM_UNAVAILABLE, "down")
+        return self._score
+
+
+class _Learner:
+    """Counts what estimates are told."""
+
+    def __init__(self):
+        self.rated = []
+
+    def learn(self, rated, now_ms):
+        assert isinstance(rated, RatedAnswer)
+        self.rated.append(rated)
+
+    def learn_rating_time(self, seconds):
+        assert seconds >= 0
+
+
+@given("a rating service that answers {score:g} {how}")
+def step_impl(context, score, how):
+    use_deployment(context, "coral-coast", "guest-question")
+    delay_ms = float(how.split()[1]) if how.startswith("after") else 0.0
+    context.ratings = _Ratings(score, delay_ms, how == "with a fault")
+    context.learner = _Learner()
+
+
+def _question(context):
+    return RatingQuestion(
+        "req-1",
+        context.deployment.service,
+        context.purpose,
+        context.by_role[CHEAP],
+        "text",
+        context.purpose.quality,
+        False,
+    )
+
+
+@when("an answer is rated with {left_ms:g} ms to its deadline")
+def step_impl(context, left_ms):
+    async def run():
+        clock = Clock()
+        rater = Rater(context.ratings, context.learner, clock)
+        deadline_ms = clock.now_ms() + left_ms
+        context.rating = await rater.rate(_question(context), deadline_ms)
+        await rater.finish()
+
+    asyncio.run(run())
+
+
+@then("the rating is {rating}")
+def step_impl(context, rating):
+    wanted = None if rating == "none" else float(rating)
+    assert context.rating == wanted, context.rating
+
+
+@then("{count:d} ratings are learned from in the end")
+def step_impl(context, count):
+    assert len(context.learner.rated) == count
+
+
+@when("{count:d} answers are to be rated later")
+def step_impl(context, count):
+    async def run():
+        rater = Rater(context.ratings, context.learner, Clock())
+        for _ in range(count):
+            rater.rate_later(_question(context))
+        await rater.finish()
+
+    asyncio.run(run())
+
+
+@then("{count:d} questions were asked")
+def step_impl(context, count):
+    assert context.ratings.asked == count, context.ratings.asked
+
+
+@given("a site whose cheap answers are worth {cheap:g} and dear ones {dear:g}")
+def step_impl(context, cheap, dear):
+    use_deployment(context, "coral-coast", "guest-question")
+    context.qualities = {"tern-small": cheap, "tern-large": dear}
+    context.dear_fault = None
+
+
+@given("every dear engine answers with an error")
+def step_impl(context):
+    context.dear_fault = Fault("complete", "error-after", count=None)
+
+
+async def _ask(context, site):
+    router = next(iter(site.routers_by_name.values()))
+    context.estimates = router.estimates
+    snapshot = router.follower.snapshot
+    context.deployment.service = snapshot.services_by_name["desk-assist"]
+    context.by_role = {CHEAP: snapshot.versions_by_name["tern-small@1"]}
+    learn(context, CHEAP, 0.9, 500)
+    url = f"http://{router.address}/v1/chat/completions"
+    headers = {"Authorization": f"Bearer {SECRET}"}
+    body = encode_json(chat("desk-assist", "When is high tide?"))
+    async with aiohttp.ClientSession(headers=headers) as session:
+        async with session.post(url, data=body) as response:
+            context.status = response.status
+            context.version = response.headers["Stoatpath-Version"]
+            context.answer = await response.json()
+
+
+@when("a guest question is asked that starts on the cheap version")
+def step_impl(context):
+    async def run():
+        site = Site()
+        await site.start(routers=1)
+        try:
+            for name, engine in site.engines_by_name.items():
+                for model, quality in context.qualities.items():
+                    if model in name:
+                        engine.by_version = {f"{model}@1": quality}
+                if "tern-large" in name and context.dear_fault is not None:
+                    engine.faults.add(context.dear_fault)
+            await Demonstration(site).submit_samples()
+            await _ask(context, site)
+            table = Table.from_url(site.settings("check", "zone-a").table_url)
+            context.ledger = await read_ledger(table)
+            await table.close()
+        finally:
+            await site.stop()
+
+    asyncio.run(run())
+
+
+@then("it is answered by the cheap version")
+def step_impl(context):
+    assert context.status == 200
+    assert context.version == "tern-small@1", context.version
+    assert context.answer["model"] == "tern-small@1"
+
+
+def _billed(context):
+    (record,) = context.ledger
+    return [stage["version"] for stage in record["stages"]]
+
+
+@then("the ledger holds the cheap and the dear stage")
+def step_impl(context):
+    assert _billed(context) == ["tern-small@1", "tern-large@1"], _billed(context)
+
+
+@then("the ledger holds the cheap stage alone")
+def step_impl(context):
+    assert _billed(context) == ["tern-small@1"], _billed(context)
--- a/stoatpath/cascades/messages.py
+++ b/stoatpath/cascades/messages.py
@@ -83,15 +83,22 @@
 class RatedAnswer:
     """A rating of one answer, in time for its request or later.
 
+    `service`, `purpose` and `version` are those of the configuration.
+    `accept_at` is the rating that ends the cascade, at least the target, and
     `is_raised` says that an earlier stage of the request was not good enough.
     """
 
-    __slots__ = ("service", "purpose", "version", "rating", "target", "is_raised")
+    __slots__ = ("service", "purpose", "version", "rating", "accept_at", "is_raised")
 
-    def __init__(self, service, purpose, version, rating, target, is_raised):
+    def __init__(self, service, purpose, version, rating, accept_at, is_raised):
         self.service = service
         self.purpose = purpose
         self.version = version
         self.rating = rating
-        self.target = target
+        self.accept_at = accept_at
         self.is_raised = is_raised
+
+    @property
+    def target(self):
+        """Return the quality that the purpose asks for."""
+        return self.purpose.quality
--- a/stoatpath/cascades/planners.py
+++ b/stoatpath/cascades/planners.py
@@ -1,11 +1,16 @@
 """Plans where a request starts and how far it may go up."""
 
+from statistics import NormalDist
+
 from stoatpath.cascades.messages import Plan, Stage
 
 TOKENS_PER_PRICE = 1_000
 SINGLE_EXPLORATION = 0.02
 BACKGROUND_SHARE = 0.1
 CERTAIN_WEIGHT = 30.0
+RATING_DEVIATION = 0.03
+MAX_DEVIATIONS = 2.5
+_NORMAL = NormalDist()
 
 
 class Planner:
@@ -31,8 +36,9 @@
         ]
         if not query.is_repeatable or query.is_stream:
             return self._plan_single(query, versions, reachable, now_ms)
-        if query.opens_session and reachable:
-            versions = versions[versions.index(reachable[0]) :]
+        if query.opens_session:
+            first = self._best_single(query, versions, reachable, now_ms)
+            versions = versions[versions.index(first) :]
         return self._plan_cascade(query, versions, now_ms)
 
     def wants_background_rating(self, query, version, now_ms):
@@ -58,26 +64,23 @@
     def _plan_single(self, query, versions, reachable, now_ms):
         """Return one stage: the answer can't be taken back or run again."""
         cheapest = versions[0]
-        if not reachable:
-            best = max(
-                reversed(versions),
-                key=lambda each: self._quality(query, each, False).assured_quality(
-                    now_ms
-                ),
-            )
-            return Plan([Stage(best, None)], "one stage: best known quality")
         if cheapest not in reachable and self._explores_single(query):
             return Plan([Stage(cheapest, None)], "one stage: tried out")
-        best = min(reachable, key=lambda each: self._single_price(query, each, now_ms))
+        best = self._best_single(query, versions, reachable, now_ms)
         return Plan([Stage(best, None)], "one stage: least price at the target")
 
+    def _best_single(self, query, versions, reachable, now_ms):
+        """Return the least price among those that reach the target, and the last."""
+        candidates = [*reachable, versions[-1]]
+        return min(candidates, key=lambda each: self._single_price(query, each, now_ms))
+
     def _explores_single(self, query):
         weight = query.service.objective.exposure_weight
         return self._random.random() < SINGLE_EXPLORATION / (1 + weight)
 
     def _plan_cascade(self, query, versions, now_ms):
         chances = [
-            self._quality(query, version, False).sample_chance(now_ms, self._random)
+            self._quality(query, version, False).sample_accepted(now_ms, self._random)
             for version in versions
         ]
         best_start = len(versions) - 1
@@ -94,12 +97,36 @@
             if price < best_price:
                 reason = f"one stage: least expected price {price:.4f}"
                 return Plan([Stage(version, None)], reason)
-        target = query.purpose.quality
-        stages = [Stage(version, target) for version in versions[best_start:]]
-        if len(stages) == 1:
-            stages = [Stage(versions[-1], None)]
+        stages = self._stages(query, versions[best_start:])
         return Plan(stages, f"least expected price {best_price:.4f}")
 
+    def _stages(self, query, versions):
+        """Return rated stages, the last one rated against the target alone."""
+        if len(versions) == 1:
+            return [Stage(versions[0], None)]
+        stages = [
+            Stage(version, self._accept_at(query, following))
+            for version, following in zip(versions, versions[1:])
+        ]
+        return [*stages, Stage(versions[-1], query.purpose.quality)]
+
+    def _accept_at(self, query, following):
+        """Return the rating at which a bad answer is rare enough to accept.
+
+        Ratings are noisy: an answer rated at the target is bad half of the time.
+        The rating asked for is the one at which the exposure of a bad answer is
+        worth no more than the price of going up.
+        """
+        target = query.purpose.quality
+        exposure = query.service.objective.exposure_weight
+        price = self._stage_price(query, following)
+        if exposure <= 0.0 or price >= exposure / 2:
+            return target
+        distance = (
+            _NORMAL.inv_cdf(1 - price / exposure) if price > 0 else MAX_DEVIATIONS
+        )
+        return target + RATING_DEVIATION * min(MAX_DEVIATIONS, distance)
+
     def _cascade_price(self, query, versions, chances, start, now_ms):
         objective = query.service.objective
         rating_price = objective.latency_weight * self._estimates.rating_seconds
@@ -132,11 +159,7 @@
         return estimate.assured_quality(now_ms) >= query.purpose.quality
 
     def _quality(self, query, version, is_raised):
-        return self._estimates.quality(
-            query.service.name, query.purpose.name, version.name, is_raised
-        )
+        return self._estimates.quality(query.service, query.purpose, version, is_raised)
 
     def _cost(self, query, version):
-        return self._estimates.cost(
-            query.service.name, query.purpose.name, version.name
-        )
+        return self._estimates.cost(query.service, query.purpose, version)
--- a/stoatpath/cascades/raters.py
+++ b/stoatpath/cascades/raters.py
@@ -1,20 +1,17 @@
 """The tasks that have answers rated, in time for their request or later."""
 
 import asyncio
-import logging
 
 from stoatpath.cascades.messages import RatedAnswer
 from stoatpath.outcomes import is_failure
 from stoatpath.utils import cancel_and_wait
 
-logger = logging.getLogger(__name__)
-
 PATIENCE_MS = 500.0
 MAX_TASKS = 200
 
 
 class RatingQuestion:
-    """An answer to be rated: of which version, to what, against which target."""
+    """An answer to be rated: of which version, to what, what ends the cascade."""
 
     __slots__ = (
         "request_id",
@@ -22,17 +19,19 @@
         "purpose",
         "version",
         "text",
-        "target",
+        "accept_at",
         "is_raised",
     )
 
-    def __init__(self, request_id, service, purpose, version, text, target, is_raised):
+    def __init__(
+        self, request_id, service, purpose, version, text, accept_at, is_raised
+    ):
         self.request_id = request_id
         self.service = service
         self.purpose = purpose
         self.version = version
         self.text = text
-        self.target = target
+        self.accept_at = accept_at
         self.is_raised = is_raised
 
 
@@ -40,12 +39,13 @@
     """Asks the rating service and lets the estimates learn from every rating.
 
     A rating that comes too late for its request is still learned from. Beyond
-    `MAX_TASKS` open questions no more are asked.
+    `MAX_TASKS` open questions no more are asked, and `skipped` counts them.
     """
 
-    __slots__ = ("_ratings", "_estimates", "_clock", "_tasks")
+    __slots__ = ("skipped", "_ratings", "_estimates", "_clock", "_tasks")
 
     def __init__(self, ratings, estimates, clock):
+        self.skipped = 0
         self._ratings = ratings
         self._estimates = estimates
         self._clock = clock
@@ -63,13 +63,18 @@
     def rate_later(self, question):
         """Start to ask; return the task, or None when too many are open."""
         if len(self._tasks) >= MAX_TASKS:
-            logger.warning("cascades.rating-skipped", extra={"open": MAX_TASKS})
+            self.skipped += 1
             return None
         task = asyncio.create_task(self._ask(question))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
 
+    async def finish(self):
+        """Return once no question is open."""
+        while self._tasks:
+            await asyncio.wait(set(self._tasks))
+
     async def close(self):
         """Give up all open questions."""
         await cancel_and_wait(list(self._tasks))
@@ -77,7 +82,10 @@
     async def _ask(self, question):
         asked_ms = self._clock.now_ms()
         rating = await self._ratings.rate(
-            question.request_id, question.purpose, question.version, question.text
+            question.request_id,
+            question.purpose.name,
+            question.version.name,
+            question.text,
         )
         if is_failure(rating):
             return None
@@ -88,7 +96,7 @@
             question.purpose,
             question.version,
             rating,
-            question.target,
+            question.accept_at,
             question.is_raised,
         )
         self._estimates.learn(rated, now_ms)
--- a/stoatpath/cascades/runners.py
+++ b/stoatpath/cascades/runners.py
@@ -111,11 +111,11 @@
         parts = self._parts
         question = RatingQuestion(
             request.request_id,
-            request.service.name,
-            request.purpose.name,
-            stage.version.name,
+            request.service,
+            request.purpose,
+            stage.version,
             answer.text,
-            request.purpose.quality,
+            stage.accept_at or request.purpose.quality,
             is_raised,
         )
         if stage.accept_at is None:
@@ -140,7 +140,7 @@
 
     def _learn_cost(self, request, stage, answer, seconds):
         estimate = self._parts.estimates.cost(
-            request.service.name, request.purpose.name, stage.version.name
+            request.service, request.purpose, stage.version
         )
         estimate.learn(answer.tokens, seconds)
 
