--- /dev/null
+++ b/features/metrics/steps/metrics_steps.py
@@ -0,0 +1,86 @@
+"""Steps about metrics."""
+
+import asyncio
+import re
+
+import aiohttp
+from behave import given, then, when
+
+from stoatpath.standins.sites import Site
+from stoatpath.tools.demonstrations import Demonstration, chat
+
+SECRET = "reef-villages.reef-villages-sample-secret"
+ROW = re.compile(r"^\| `(stoatpath_[a-z_]+)` \| [^|]*\| (router|both) \|", re.M)
+SUFFIX = re.compile(r"_(bucket|count|sum)$")
+
+
+def run(context, job):
+    """Run a coroutine on the loop of the scenario."""
+    return context.loop.run_until_complete(job)
+
+
+async def scrape(address):
+    """Return the values of all metrics, by name and labels."""
+    async with aiohttp.ClientSession() as session:
+        async with session.get(f"http://{address}/metrics") as response:
+            text = await response.text()
+    lines = [line for line in text.splitlines() if not line.startswith("#")]
+    return {name: float(value) for name, _, value in (x.rpartition(" ") for x in lines)}
+
+
+def names_of(values):
+    """Return the metric names in a scrape that are ours, without suffixes."""
+    names = {key.partition("{")[0] for key in values}
+    names = {SUFFIX.sub("", name) for name in names if name.startswith("stoatpath_")}
+    return {name for name in names if not name.endswith("_created")}
+
+
+@given("a site with a router and the sample configurations")
+def step_impl(context):
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.site = Site()
+
+    async def start():
+        await context.site.start(routers=1)
+        await Demonstration(context.site).submit_samples()
+
+    run(context, start())
+    context.add_cleanup(lambda: run(context, context.site.stop()))
+
+
+@when("{good:d} good requests and {bad:d} with an unknown key are sent")
+def step_impl(context, good, bad):
+    router = context.site.routers_by_name["router-1"]
+
+    async def send(secret):
+        url = f"http://{router.address}/v1/chat/completions"
+        headers = {"Authorization": f"Bearer {secret}"}
+        body = chat("desk-assist", "Hello?")
+        async with aiohttp.ClientSession() as session:
+            async with session.post(url, json=body, headers=headers) as response:
+                await response.read()
+
+    for secret in [SECRET] * good + ["nobody.secret"] * bad:
+        run(context, send(secret))
+
+
+@then("the router's metrics hold")
+def step_impl(context):
+    router = context.site.routers_by_name["router-1"]
+    values = run(context, scrape(router.metrics.address))
+    for row in context.table:
+        assert values[row["metric"]] == float(row["value"]), (row["metric"], values)
+
+
+@then("the metrics of the router and of a controller are those of docs/METRICS.md")
+def step_impl(context):
+    with open("docs/METRICS.md", encoding="utf-8") as file:
+        roles_by_name = dict(ROW.findall(file.read()))
+    router = context.site.routers_by_name["router-1"]
+    controller = context.site.controllers_by_name["controller-1"]
+    served = names_of(run(context, scrape(router.metrics.address)))
+    assert served == set(roles_by_name), served ^ set(roles_by_name)
+    served = names_of(run(context, scrape(controller.metrics.address)))
+    shared = {name for name, role in roles_by_name.items() if role == "both"}
+    assert served == shared, served ^ shared
--- a/stoatpath/admission/gates.py
+++ b/stoatpath/admission/gates.py
@@ -16,6 +16,14 @@
         self._clock = clock
         self._waiters_by_id = {}
 
+    def pool_loads(self):
+        """Return how full each pool is."""
+        return self._queue.pool_loads()
+
+    def waiting(self):
+        """Return how many requests wait for a slot."""
+        return len(self._waiters_by_id)
+
     async def enter(self, request):
         """Return a grant, or a failure by the request's deadline."""
         verdict = self._queue.offer(request, self._clock.now_ms())
--- a/stoatpath/admission/messages.py
+++ b/stoatpath/admission/messages.py
@@ -49,6 +49,17 @@
         self.granted_ms = granted_ms
 
 
+class PoolLoad:
+    """How full a pool is, in slots."""
+
+    __slots__ = ("pool", "capacity", "in_use")
+
+    def __init__(self, pool, capacity, in_use):
+        self.pool = pool
+        self.capacity = capacity
+        self.in_use = in_use
+
+
 class Queued:
     """The request waits; a grant or a failure follows."""
 
--- a/stoatpath/admission/queues.py
+++ b/stoatpath/admission/queues.py
@@ -5,7 +5,7 @@
 deadline.
 """
 
-from stoatpath.admission.messages import QUEUED, Grant
+from stoatpath.admission.messages import QUEUED, Grant, PoolLoad
 from stoatpath.outcomes import DEADLINE_UNREACHABLE, OVERLOADED, Failure
 
 SHORT_RESERVE = 0.1
@@ -43,6 +43,13 @@
         """Set the slots of a pool."""
         self._pool(pool).capacity = slots
 
+    def pool_loads(self):
+        """Return how full each pool is."""
+        return [
+            PoolLoad(name, pool.capacity, pool.in_use)
+            for name, pool in self._pools_by_name.items()
+        ]
+
     def offer(self, request, now_ms):
         """Return a grant, `QUEUED`, or a failure."""
         for name in request.pools:
--- a/stoatpath/callers/listeners.py
+++ b/stoatpath/callers/listeners.py
@@ -8,6 +8,7 @@
 from stoatpath.callers.bodies import BodyReader
 from stoatpath.callers.connections import CallerServer, ConnectionLimits
 from stoatpath.callers.requests import RequestReader
+from stoatpath.callers.statistics import RequestStatistics
 from stoatpath.callers.streams import CallerStream
 from stoatpath.outcomes import BROKEN_ANSWER, Failure, Outcome, is_failure
 from stoatpath.utils import new_id
@@ -31,6 +32,7 @@
         "_server",
         "_idle",
         "open_by_id",
+        "statistics",
         "address",
     )
 
@@ -44,6 +46,7 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self.open_by_id = {}
+        self.statistics = RequestStatistics()
         self.address = ""
 
     @property
@@ -115,10 +118,11 @@
     async def _handle(self, request, request_id):
         parsed = await self._requests.read(request, request_id)
         if is_failure(parsed):
+            self.statistics.refused(parsed)
             return self._fail(parsed, request_id)
         if parsed.is_stream:
             return await self._handle_stream(request, parsed)
-        result = await self._pipeline.serve(parsed)
+        result = await self._serve_counted(parsed)
         if is_failure(result):
             return self._fail(result, request_id)
         return render_served(request_id, result)
@@ -126,7 +130,7 @@
     async def _handle_stream(self, request, parsed):
         timeout_ms = self._parts.settings.write_timeout_ms
         stream = CallerStream(request, parsed.request_id, timeout_ms)
-        result = await self._pipeline.serve(parsed, stream)
+        result = await self._serve_counted(parsed, stream)
         if is_failure(result) and not stream.has_begun:
             return self._fail(result, parsed.request_id)
         if is_failure(result):
@@ -140,5 +144,10 @@
             return self._fail(failure, parsed.request_id)
         return stream.response
 
+    async def _serve_counted(self, parsed, stream=None):
+        result = await self._pipeline.serve(parsed, stream)
+        self.statistics.ended(parsed, result, self._parts.clock.now_ms())
+        return result
+
     def _fail(self, failure, request_id):
         return render_failure(failure, request_id, self._parts.clock.now_ms())
--- a/stoatpath/controllers.py
+++ b/stoatpath/controllers.py
@@ -2,6 +2,8 @@
 
 from stoatpath.clock import Clock
 from stoatpath.configuration.listeners import OperatorListener
+from stoatpath.metric_sources import node_samples
+from stoatpath.metrics import MetricsServer
 from stoatpath.nodes import Node
 
 CONTROLLER = "controller"
@@ -10,13 +12,14 @@
 class Controller:
     """Accepts configurations and works on what instances share."""
 
-    __slots__ = ("settings", "clock", "node", "listener")
+    __slots__ = ("settings", "clock", "node", "listener", "metrics")
 
     def __init__(self, settings, clock):
         self.settings = settings
         self.clock = clock
         self.node = Node.from_settings(settings, CONTROLLER, clock)
         self.listener = OperatorListener(self.node, settings.operator_keys)
+        self.metrics = MetricsServer(lambda: node_samples(self.node))
 
     @classmethod
     def from_settings(cls, settings, clock=None):
@@ -31,10 +34,12 @@
     async def start(self):
         """Start all tasks and listen."""
         await self.node.start()
+        await self.metrics.start(self.settings.metrics_listen_address)
         await self.listener.start(self.settings.operator_listen_address)
 
     async def stop(self):
         """Stop gracefully."""
         self.node.members.leave()
         await self.listener.stop()
+        await self.metrics.stop()
         await self.node.stop()
--- /dev/null
+++ b/stoatpath/metric_sources.py
@@ -0,0 +1,195 @@
+"""Turns the state of routers and controllers into samples; see docs/METRICS.md."""
+
+from stoatpath.membership.messages import DEAD, LEAVING, LIVE, SUSPECT
+from stoatpath.metrics import Sample
+
+MEMBER_STATES = (LIVE, SUSPECT, LEAVING, DEAD)
+
+
+def router_samples(router):
+    """Return the samples of a router."""
+    samples = node_samples(router.node)
+    samples += _request_samples(router.listener)
+    samples += _backend_samples(router.backends)
+    samples += _admission_samples(router)
+    samples.append(
+        Sample.gauge(
+            "stoatpath_billing_outbox_records",
+            "Billing records that are not yet written to the platform.",
+            router.outbox.waiting(),
+        )
+    )
+    samples.append(
+        Sample.gauge(
+            "stoatpath_session_pins",
+            "Session pins held in memory.",
+            len(router.pins.store),
+        )
+    )
+    samples.append(
+        Sample.gauge(
+            "stoatpath_may_take_work",
+            "1 if the configuration is confirmed well enough to take new work.",
+            int(router.guard.check_work() is None),
+        )
+    )
+    return samples
+
+
+def node_samples(node):
+    """Return the samples that routers and controllers have in common."""
+    follower = node.follower
+    age_ms = node.clock.now_ms() - follower.fresh_as_of_ms
+    samples = [
+        Sample.gauge(
+            "stoatpath_configuration_revision",
+            "Revision of the configuration in force.",
+            follower.snapshot.revision,
+        ),
+        Sample.gauge(
+            "stoatpath_configuration_age_seconds",
+            "Time since the revision in force was known to be the stored head.",
+            age_ms / 1000,
+        ),
+        Sample.counter(
+            "stoatpath_peer_sent_bytes_total",
+            "Bytes of messages sent to peers.",
+            node.peer_client.bytes_sent,
+        ),
+        Sample.counter(
+            "stoatpath_peer_read_bytes_total",
+            "Bytes of answers read from peers.",
+            node.peer_client.bytes_read,
+        ),
+    ]
+    states = [member.state for member in node.members.by_name.values()]
+    for state in MEMBER_STATES:
+        samples.append(
+            Sample.gauge(
+                "stoatpath_members",
+                "Other routers and controllers by state.",
+                states.count(state),
+                state=state,
+            )
+        )
+    return samples + _platform_samples(node)
+
+
+def _platform_samples(node):
+    clients = {"table": node.table, "instance_list": node.instance_list}
+    if node.objects is not None:
+        clients["objects"] = node.objects
+    samples = []
+    for service, client in clients.items():
+        connection = client.connection
+        samples.append(
+            Sample.counter(
+                "stoatpath_platform_calls_total",
+                "Calls of the platform's services.",
+                connection.calls,
+                service=service,
+            )
+        )
+        samples.append(
+            Sample.counter(
+                "stoatpath_platform_sent_bytes_total",
+                "Bytes sent to the platform's services.",
+                connection.bytes_sent,
+                service=service,
+            )
+        )
+    return samples
+
+
+def _request_samples(listener):
+    statistics = listener.statistics
+    samples = [
+        Sample.gauge(
+            "stoatpath_requests_open",
+            "Requests of callers in flight.",
+            len(listener.open_by_id),
+        ),
+        Sample.counter(
+            "stoatpath_replays_total",
+            "Requests answered with the stored answer of their idempotency key.",
+            statistics.replays,
+        ),
+        Sample.counter(
+            "stoatpath_sessions_moved_total",
+            "Answers that told a session it left its version.",
+            statistics.moved_sessions,
+        ),
+    ]
+    for (service, outcome, reason), count in statistics.counts_by_key.items():
+        samples.append(
+            Sample.counter(
+                "stoatpath_requests_total",
+                "Requests of callers by what became of them.",
+                count,
+                service=service,
+                outcome=outcome,
+                reason=reason,
+            )
+        )
+    for service, durations in statistics.durations_by_service.items():
+        samples.append(
+            Sample.histogram(
+                "stoatpath_request_duration_seconds",
+                "Time from the arrival of a request to its whole answer.",
+                durations,
+                service=service,
+            )
+        )
+    for service, cost in statistics.cost_by_service.items():
+        samples.append(
+            Sample.counter(
+                "stoatpath_cost_units_total",
+                "Price of the answers given, in units of the configured costs.",
+                cost,
+                service=service,
+            )
+        )
+    return samples
+
+
+def _backend_samples(backends):
+    known = list(backends.by_name.values())
+    leaving = sum(backend.is_leaving for backend in known)
+    counts_by_state = {"live": len(known) - leaving, "leaving": leaving}
+    return [
+        Sample.gauge(
+            "stoatpath_backend_servers",
+            "Backend servers known to this router.",
+            count,
+            state=state,
+        )
+        for state, count in counts_by_state.items()
+    ]
+
+
+def _admission_samples(router):
+    samples = [
+        Sample.counter(
+            "stoatpath_rate_limited_total",
+            "Requests refused by an organisation's rate limit.",
+            router.rates.refusals,
+        )
+    ]
+    for load in router.gate.pool_loads():
+        for name, value in (("capacity", load.capacity), ("in_use", load.in_use)):
+            samples.append(
+                Sample.gauge(
+                    f"stoatpath_pool_slots_{name}",
+                    "Slots of a pool in this router.",
+                    value,
+                    pool=load.pool,
+                )
+            )
+    samples.append(
+        Sample.gauge(
+            "stoatpath_queued_requests",
+            "Requests that wait for a slot.",
+            router.gate.waiting(),
+        )
+    )
+    return samples
--- a/stoatpath/metrics.py
+++ b/stoatpath/metrics.py
@@ -1,12 +1,16 @@
 """Metrics of one process, read from its slices when they are asked for.
 
-Nothing is counted on the path of a request: slices keep plain counters, and a
+Nothing is formatted on the path of a request: slices keep plain counters, and a
 collector turns them into metric families at each scrape.
 """
 
 from aiohttp import web
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client import CollectorRegistry, ProcessCollector, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+)
 
 from stoatpath.servers import HttpServer
 
@@ -17,60 +21,73 @@
 class Sample:
     """One value of a metric; `labels` maps label names to values."""
 
-    __slots__ = ("name", "kind", "help", "value", "labels")
+    __slots__ = ("name", "family", "help", "labels", "value")
 
-    def __init__(self, name, kind, help, value, labels=None):
+    def __init__(self, name, family, help, labels, value):
         self.name = name
-        self.kind = kind
+        self.family = family
         self.help = help
+        self.labels = labels
         self.value = value
-        self.labels = labels or {}
 
     @classmethod
     def counter(cls, name, help, value, **labels):
         """Build a sample of a value that only grows; names end in `_total`."""
-        return cls(name, CounterMetricFamily, help, value, labels)
+        return cls(name, CounterMetricFamily, help, labels, value)
 
     @classmethod
     def gauge(cls, name, help, value, **labels):
         """Build a sample of a value that goes up and down."""
-        return cls(name, GaugeMetricFamily, help, value, labels)
+        return cls(name, GaugeMetricFamily, help, labels, value)
+
+    @classmethod
+    def histogram(cls, name, help, durations, **labels):
+        """Build a sample of durations; names end in `_seconds`."""
+        return cls(name, HistogramMetricFamily, help, labels, durations)
+
+    def add_to(self, family):
+        """Add the value to its metric family."""
+        labels = tuple(self.labels.values())
+        if self.family is HistogramMetricFamily:
+            buckets = self.value.buckets()
+            family.add_metric(labels, buckets, self.value.sum_ms / 1000)
+        else:
+            family.add_metric(labels, self.value)
 
 
 class _Collector:
-    """Groups the samples of all sources into metric families."""
+    """Groups the samples of a source into metric families."""
 
-    __slots__ = ("_sources",)
+    __slots__ = ("_source",)
 
-    def __init__(self, sources):
-        self._sources = sources
+    def __init__(self, source):
+        self._source = source
 
     def collect(self):
         """Return the metric families of one scrape."""
         families_by_name = {}
-        for source in self._sources:
-            for sample in source():
-                family = families_by_name.get(sample.name)
-                if family is None:
-                    family = sample.kind(
-                        sample.name, sample.help, labels=tuple(sample.labels)
-                    )
-                    families_by_name[sample.name] = family
-                family.add_metric(tuple(sample.labels.values()), sample.value)
+        for sample in self._source():
+            family = families_by_name.get(sample.name)
+            if family is None:
+                labels = tuple(sample.labels)
+                family = sample.family(sample.name, sample.help, labels=labels)
+                families_by_name[sample.name] = family
+            sample.add_to(family)
         return families_by_name.values()
 
 
 class MetricsServer:
     """Serves `/metrics` and `/healthz` on a port of its own.
 
-    Each source is a callable that returns samples.
+    `source` is a callable that returns the samples of the moment.
     """
 
     __slots__ = ("_registry", "_server", "address")
 
-    def __init__(self, sources):
+    def __init__(self, source):
         self._registry = CollectorRegistry(auto_describe=False)
-        self._registry.register(_Collector(sources))
+        self._registry.register(_Collector(source))
+        ProcessCollector(registry=self._registry)
         self._server = None
         self.address = ""
 
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -23,6 +23,8 @@
 from stoatpath.idempotency.claims import ClaimKeeper
 from stoatpath.membership.backends import BackendServers
 from stoatpath.membership.watchers import BackendWatcher
+from stoatpath.metric_sources import router_samples
+from stoatpath.metrics import MetricsServer
 from stoatpath.nodes import Node
 from stoatpath.platform.ratings import RatingService
 from stoatpath.rollouts.assigners import VersionAssigner
@@ -69,6 +71,7 @@
         "retry_budget",
         "pipeline",
         "listener",
+        "metrics",
         "_tasks",
     )
 
@@ -113,6 +116,7 @@
         self.stages = StageRunner(self)
         self.pipeline = Pipeline(self)
         self.listener = Listener(self, self.pipeline)
+        self.metrics = MetricsServer(lambda: router_samples(self))
         self._tasks = []
 
     @classmethod
@@ -141,6 +145,7 @@
             self._trim_connections(),
         )
         self._tasks = [asyncio.create_task(job) for job in jobs]
+        await self.metrics.start(self.settings.metrics_listen_address)
         await self.listener.start(self.settings.listen_address)
 
     async def stop(self):
@@ -162,6 +167,7 @@
 
     async def _close(self):
         await self.listener.stop()
+        await self.metrics.stop()
         await self.pins.close()
         await cancel_and_wait(self._tasks)
         await self.sender.close()
