Claims: verified, fenced against late writes, repaired in the background

Cause: a write that timed out could land after the caller was told that nothing was sent and block its key; an acknowledged but lost claim let two instances run one key; throttling was retried without a wait; a stream replayed as nothing but its end; a failed mark was forgotten; rows lived for ever. Change: one group committer whose writes are settled by the rows that a rejection carries; claims are read back; a given-up claim is fenced by a mark at the wanted version; marks follow their own claim until written; answers end after 3 days; work with a key or that may not be repeated runs in a task of its own. Conclusion: verifying marks as well was ruled out: it reads every answer once more.

--- a/stoatpath/callers/pipelines.py
+++ b/stoatpath/callers/pipelines.py
@@ -1,28 +1,51 @@
 """Serves one caller request from its claim to its bill."""
 
+import asyncio
+
 from stoatpath.billing.messages import BillingRecord
 from stoatpath.callers.messages import Served
 from stoatpath.idempotency.messages import Replay, StoredAnswer
 from stoatpath.outcomes import Outcome, is_failure
+from stoatpath.utils import cancel_and_wait
 
 
 class Pipeline:
     """Runs a request through the slices of a router.
 
-    `parts` is the router that holds the slices.
+    `parts` is the router that holds the slices. Work with a key, or that may not
+    be repeated, runs to its end even if the caller leaves; other work ends with
+    the task that serves it.
     """
 
-    __slots__ = ("_parts", "_clock")
+    __slots__ = ("_parts", "_clock", "_running")
 
     def __init__(self, parts):
         self._parts = parts
         self._clock = parts.clock
+        self._running = set()
 
     async def serve(self, request, stream=None):
         """Return `Served` or a failure.
 
         `stream` receives the events of a streamed answer before its end marker.
         """
+        if request.is_repeatable and not request.idempotency_key:
+            return await self._serve_once(request, stream)
+        task = asyncio.create_task(self._serve_to_end(request, stream))
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+        return await asyncio.shield(task)
+
+    async def drain(self):
+        """Return once nothing runs that its caller has left."""
+        while self._running:
+            await asyncio.wait(self._running)
+
+    async def abort(self):
+        """End at once, as a crash would."""
+        await cancel_and_wait(list(self._running))
+
+    async def _serve_to_end(self, request, stream):
         if not request.idempotency_key:
             return await self._serve_once(request, stream)
         verdict = await self._parts.claims.claim(request)
@@ -31,11 +54,11 @@
         if is_failure(verdict):
             return verdict
         result = await self._serve_once(request, stream)
-        if is_failure(result):
-            if result.outcome is Outcome.NOT_RUN:
-                await self._parts.claims.release(request)
-            return result
-        await self._parts.claims.finish(request, _to_store(request, result))
+        if not is_failure(result):
+            answer = _to_store(request, result)
+            await self._parts.claims.finish(request, verdict, answer)
+        elif result.outcome is Outcome.NOT_RUN:
+            await self._parts.claims.release(request, verdict)
         return result
 
     async def _serve_once(self, request, stream):
--- a/stoatpath/idempotency/claims.py
+++ b/stoatpath/idempotency/claims.py
@@ -1,127 +1,136 @@
-"""Claims idempotency keys in the platform's table, many in one transaction."""
+"""Claims idempotency keys, so that a request with a key runs at most once."""
 
 import asyncio
 import hashlib
+import logging
 
+from stoatpath.idempotency.commits import ClaimWrite, GroupCommitter
 from stoatpath.idempotency.messages import (
     CLAIMED,
     DONE,
     NOT_RUN,
     Claim,
     Replay,
+    Standing,
     Won,
 )
 from stoatpath.outcomes import (
+    ANSWER_NOT_KEPT,
     IN_PROGRESS,
     KEY_REUSED,
-    PLATFORM_UNAVAILABLE,
     Failure,
     Outcome,
     is_failure,
 )
-from stoatpath.platform.messages import Applied, Condition, Put, Rejected, Transaction
 
-MAX_BATCH = 50
-WRITE_ATTEMPTS = 4
-CLAIM_PREFIX = "claims/"
-
-
-class _Write:
-    """One wanted change of a claim row, waiting for its group commit."""
-
-    __slots__ = ("key", "claim", "version", "settled")
+logger = logging.getLogger(__name__)
 
-    def __init__(self, key, claim, version, settled):
-        self.key = key
-        self.claim = claim
-        self.version = version
-        self.settled = settled
+CLAIM_TIMEOUT_MS = 5_000
+MARK_PATIENCE_MS = 500
+MAX_ANSWER_BYTES = 256 * 1024
+MAX_PENDING_MARKS = 10_000
+MAX_PENDING_ANSWER_BYTES = 16 * 1024 * 1024
+NEVER_MS = float("inf")
+CLAIM_PREFIX = "claims/"
 
 
 class ClaimKeeper:
-    """The task that owns all claims written by this process.
+    """Claims keys and marks how claimed requests ended.
 
-    A write settles with True, the claim that stands instead, or a failure.
+    A mark that can't be written at once is written in the background for as long
+    as the process lives. A claim that could not be confirmed gets such a mark too,
+    so that a write that lands late does not block its key.
     """
 
-    __slots__ = ("_table", "_inbox")
+    __slots__ = ("_clock", "_committer", "_marks", "_answer_bytes")
+
+    def __init__(self, table, clock, random):
+        self._clock = clock
+        self._committer = GroupCommitter(table, clock, random)
+        self._marks = set()
+        self._answer_bytes = 0
 
-    def __init__(self, table):
-        self._table = table
-        self._inbox = asyncio.Queue()
+    @property
+    def pending_marks(self):
+        """Return the number of marks that are not yet written."""
+        return len(self._marks)
 
     async def run(self):
-        """Commit writes in groups until cancelled."""
-        while True:
-            batch = [await self._inbox.get()]
-            while len(batch) < MAX_BATCH and not self._inbox.empty():
-                batch.append(self._inbox.get_nowait())
-            await self._commit(_first_of_each_key(batch, self._inbox))
+        """Commit writes until cancelled."""
+        await self._committer.run()
+
+    async def drain(self):
+        """Return once every mark is written."""
+        while self._marks:
+            await asyncio.wait([mark.settled for mark in self._marks])
 
     async def claim(self, request):
         """Return `Won`, `Replay` or a failure; only `Won` may be sent."""
-        key = claim_key(request.organisation.name, request.idempotency_key)
-        fresh = Claim(request.request_id, request.body_digest, CLAIMED)
-        verdict = await self._write(key, fresh, 0)
-        if isinstance(verdict, _Standing) and verdict.claim.state == NOT_RUN:
-            if verdict.claim.body_digest == request.body_digest:
-                verdict = await self._write(key, fresh, verdict.version)
+        version = 0
+        verdict = await self._try_claim(request, version)
+        if isinstance(verdict, Standing) and _may_claim_again(request, verdict.claim):
+            version = verdict.version
+            verdict = await self._try_claim(request, version)
+        if is_failure(verdict):
+            self._mark(request, self._build(request, NOT_RUN), version)
         return _judge(request, verdict)
 
-    async def finish(self, request, answer):
-        """Store the answer of a claimed request; return True or a failure."""
-        claim = Claim(request.request_id, request.body_digest, DONE, answer)
-        return await self._replace(request, claim)
+    async def finish(self, request, won, answer):
+        """Store the answer of a claimed request, now or in the background."""
+        if len(answer.body) > MAX_ANSWER_BYTES or self._is_full_of_answers():
+            answer = None
+        claim = self._build(request, DONE, answer)
+        await self._wait_a_little(self._mark(request, claim, won.version))
 
-    async def release(self, request):
+    async def release(self, request, won):
         """Mark a claimed request as not run, so that a retry may run."""
-        claim = Claim(request.request_id, request.body_digest, NOT_RUN)
-        return await self._replace(request, claim)
-
-    async def _replace(self, request, claim):
-        key = claim_key(request.organisation.name, request.idempotency_key)
-        rows = await self._table.read([key])
-        if is_failure(rows):
-            return rows
-        if rows[key].version == 0:
-            return _lost_claim()
-        standing = Claim.from_json(rows[key].value)
-        if standing.attempt_id != request.request_id:
-            return _lost_claim()
-        return await self._write(key, claim, rows[key].version)
-
-    async def _write(self, key, claim, version):
-        settled = asyncio.get_running_loop().create_future()
-        self._inbox.put_nowait(_Write(key, claim, version, settled))
-        return await settled
-
-    async def _commit(self, batch):
-        for _ in range(WRITE_ATTEMPTS):
-            result = await self._table.transact(_transaction(batch))
-            if is_failure(result) and result.outcome is Outcome.UNKNOWN:
-                result = await self._read_back(batch)
-            if isinstance(result, Applied):
-                _settle(batch, True)
-                return
-            if isinstance(result, Rejected):
-                batch = _drop_standing(batch, result.by_key)
-                if not batch:
-                    return
-        _settle(batch, Failure(PLATFORM_UNAVAILABLE, "the table is out of reach"))
-
-    async def _read_back(self, batch):
-        rows = await self._table.read([write.key for write in batch])
-        return rows if is_failure(rows) else Rejected(rows)
-
-
-class _Standing:
-    """A claim that stands where another was wanted, with its row version."""
-
-    __slots__ = ("claim", "version")
-
-    def __init__(self, claim, version):
-        self.claim = claim
-        self.version = version
+        claim = self._build(request, NOT_RUN)
+        await self._wait_a_little(self._mark(request, claim, won.version))
+
+    async def _try_claim(self, request, version):
+        deadline_ms = self._clock.now_ms() + CLAIM_TIMEOUT_MS
+        write = ClaimWrite(
+            _key_of(request),
+            self._build(request, CLAIMED),
+            version,
+            min(request.deadline_ms, deadline_ms),
+            False,
+        )
+        self._committer.submit(write)
+        return await write.settled
+
+    def _mark(self, request, claim, version):
+        if len(self._marks) >= MAX_PENDING_MARKS:
+            logger.error(
+                "claims.mark-dropped", extra={"request_id": request.request_id}
+            )
+            return None
+        mark = ClaimWrite(_key_of(request), claim, version, NEVER_MS, True)
+        self._marks.add(mark)
+        self._answer_bytes += _answer_bytes(claim)
+        mark.settled.add_done_callback(lambda _: self._forget(mark))
+        self._committer.submit(mark)
+        return mark
+
+    def _forget(self, mark):
+        self._marks.discard(mark)
+        self._answer_bytes -= _answer_bytes(mark.claim)
+
+    async def _wait_a_little(self, mark):
+        if mark is not None:
+            await asyncio.wait([mark.settled], timeout=MARK_PATIENCE_MS / 1000)
+
+    def _is_full_of_answers(self):
+        return self._answer_bytes >= MAX_PENDING_ANSWER_BYTES
+
+    def _build(self, request, state, answer=None):
+        return Claim(
+            request.request_id,
+            request.body_digest,
+            state,
+            self._clock.wall_ms(),
+            answer,
+        )
 
 
 def claim_key(organisation, idempotency_key):
@@ -130,63 +139,34 @@
     return f"{CLAIM_PREFIX}{organisation}/{digest}"
 
 
-def _transaction(batch):
-    conditions = [Condition(write.key, write.version) for write in batch]
-    puts = [Put(write.key, write.claim.to_json()) for write in batch]
-    return Transaction(conditions, puts)
-
+def _key_of(request):
+    return claim_key(request.organisation.name, request.idempotency_key)
 
-def _first_of_each_key(batch, inbox):
-    """Return the first write of each key and put the others back."""
-    by_key = {}
-    for write in batch:
-        if write.key in by_key:
-            inbox.put_nowait(write)
-        else:
-            by_key[write.key] = write
-    return list(by_key.values())
 
+def _answer_bytes(claim):
+    return 0 if claim.answer is None else len(claim.answer.body)
 
-def _settle(batch, verdict):
-    for write in batch:
-        if not write.settled.done():
-            write.settled.set_result(verdict)
 
-
-def _drop_standing(batch, rows_by_key):
-    """Settle the writes whose rows stand otherwise; return the rest."""
-    rest = []
-    for write in batch:
-        row = rows_by_key[write.key]
-        if row.version == write.version:
-            rest.append(write)
-            continue
-        standing = Claim.from_json(row.value)
-        mine = write.claim
-        if (standing.attempt_id, standing.state) == (mine.attempt_id, mine.state):
-            _settle([write], True)
-        else:
-            _settle([write], _Standing(standing, row.version))
-    return rest
+def _may_claim_again(request, claim):
+    return claim.state == NOT_RUN and claim.body_digest == request.body_digest
 
 
 def _judge(request, verdict):
-    if verdict is True:
-        return Won()
     if is_failure(verdict):
         detail = (
             "this attempt was not sent; an earlier one with the same key may have run"
         )
         return Failure(verdict.reason, detail, Outcome.UNKNOWN)
+    if not isinstance(verdict, Standing):
+        return Won(verdict)
     claim = verdict.claim
     if claim.body_digest != request.body_digest:
         detail = "the key was used with another request"
         return Failure(KEY_REUSED, detail, field="Idempotency-Key")
-    if claim.state == DONE:
-        return Replay(claim.answer)
-    detail = "an attempt with the same key is running or its end is not known"
-    return Failure(IN_PROGRESS, detail, Outcome.UNKNOWN)
-
-
-def _lost_claim():
-    return Failure(PLATFORM_UNAVAILABLE, "the claim is not ours", Outcome.UNKNOWN)
+    if claim.state != DONE:
+        detail = "an attempt with the same key is running or its end is not known"
+        return Failure(IN_PROGRESS, detail, Outcome.UNKNOWN)
+    if claim.answer is None:
+        detail = "the request was completed; its answer is not kept"
+        return Failure(ANSWER_NOT_KEPT, detail, Outcome.COMPLETED)
+    return Replay(claim.answer)
--- /dev/null
+++ b/stoatpath/idempotency/features/claims.feature
@@ -0,0 +1,120 @@
+Feature: A key is claimed before its request is sent
+
+  Scenario Outline: A claim gets through one <fault> of the table
+    Given a table that meets "<fault>"
+    When a request with a key is claimed
+    Then the claim is won and stands in the table
+    And it still stands after every late write
+
+    Examples:
+      | fault               |
+      | none                |
+      | slow                |
+      | throttled           |
+      | down                |
+      | request-lost        |
+      | reply-lost          |
+      | write-lost          |
+      | late                |
+      | reply-lost, down    |
+      | write-lost, down    |
+      | late, reply-lost    |
+      | late, write-lost    |
+
+  Scenario Outline: With the table out of reach nothing is sent, and a retry may run
+    Given a table that meets "<fault>"
+    And a table that is "down" for 6 s
+    When a request with a key is claimed
+    Then the outcome is "unknown"
+    And after the table is back the key can be claimed again
+
+    Examples:
+      | fault      |
+      | down       |
+      | late       |
+      | reply-lost |
+
+  Scenario Outline: Two attempts with one key, at <places>
+    Given a table that meets "<fault>"
+    When two attempts with one key are claimed at <places>
+    Then just one of them is won
+    And the other one's outcome is "unknown"
+
+    Examples:
+      | places        | fault      |
+      | one instance  | none       |
+      | two instances | none       |
+      | two instances | slow       |
+      | two instances | reply-lost |
+      | two instances | late       |
+      | two instances | write-lost |
+
+  Scenario: An unfinished claim stays unknown, however old
+    When a request with a key is claimed
+    And its instance is killed and 400 days pass
+    Then another attempt's outcome is "unknown"
+    And a sweep of old claims leaves the claim alone
+
+  Scenario: A key with another body is refused, and the request was not run
+    When a request with a key is claimed
+    Then an attempt with another body is refused as "not-run" for "idempotency-key-reused"
+
+  Scenario Outline: A refused request is marked not run, so that a retry may run
+    Given a request with a key that is claimed
+    And a table that meets "<fault>"
+    When it is released
+    Then the key can be claimed again within 10 s
+
+    Examples:
+      | fault        |
+      | none         |
+      | down         |
+      | reply-lost   |
+      | request-lost |
+      | late         |
+
+  Scenario: A mark that fails for long is written once the table is back
+    Given a request with a key that is claimed
+    And a table that is "down" for 60 s
+    When it is released
+    Then the release took less than 1 s of real time
+    And the key can be claimed again within 70 s
+
+  Scenario Outline: The stored answer is replayed after <fault>
+    Given a request with a key that is claimed
+    And a table that meets "<fault>"
+    When it is finished with an answer
+    Then another attempt replays the same bytes
+    And an attempt with another body is refused as "not-run" for "idempotency-key-reused"
+
+    Examples:
+      | fault      |
+      | none       |
+      | down       |
+      | reply-lost |
+      | late       |
+
+  Scenario: An answer too large for a row is not kept, and not run again
+    Given a request with a key that is claimed
+    When it is finished with an answer of 300000 bytes
+    Then another attempt's outcome is "completed"
+    And the row is smaller than 1000 bytes
+
+  Scenario: Many claims share a transaction
+    When 400 requests with keys are claimed at once
+    Then all of them are won with at most 4 writes
+
+  Scenario: Old answers are dropped, the keys stay
+    Given a request with a key that is claimed
+    When it is finished with an answer
+    And 4 days pass and old claims are swept
+    Then another attempt's outcome is "completed"
+
+  Scenario: Rows of what never ran are removed
+    Given a request with a key that is claimed
+    When it is released
+    And 4 days pass and old claims are swept
+    Then no row is left
+
+  Scenario: Whatever the faults, a key runs at most once
+    Then over random faults, kills and retries a key runs at most once
--- a/stoatpath/idempotency/messages.py
+++ b/stoatpath/idempotency/messages.py
@@ -1,5 +1,7 @@
 """Messages of the claims of idempotency keys."""
 
+import base64
+
 CLAIMED = "claimed"
 DONE = "done"
 NOT_RUN = "not-run"
@@ -8,15 +10,17 @@
 class Claim:
     """The stored state of one key of one organisation.
 
-    `answer` is the stored answer once `state` is `done`, else None.
+    `answer` is the stored answer once `state` is `done`, or None when it was too
+    large or its retention is over. `written_at_ms` is Unix time.
     """
 
-    __slots__ = ("attempt_id", "body_digest", "state", "answer")
+    __slots__ = ("attempt_id", "body_digest", "state", "written_at_ms", "answer")
 
-    def __init__(self, attempt_id, body_digest, state, answer=None):
+    def __init__(self, attempt_id, body_digest, state, written_at_ms, answer=None):
         self.attempt_id = attempt_id
         self.body_digest = body_digest
         self.state = state
+        self.written_at_ms = written_at_ms
         self.answer = answer
 
     @classmethod
@@ -25,7 +29,13 @@
         answer = data.get("answer")
         if answer is not None:
             answer = StoredAnswer.from_json(answer)
-        return cls(data["attempt_id"], data["body_digest"], data["state"], answer)
+        return cls(
+            data["attempt_id"],
+            data["body_digest"],
+            data["state"],
+            data["written_at_ms"],
+            answer,
+        )
 
     def to_json(self):
         """Return the stored form."""
@@ -33,9 +43,14 @@
             "attempt_id": self.attempt_id,
             "body_digest": self.body_digest,
             "state": self.state,
+            "written_at_ms": self.written_at_ms,
             "answer": None if self.answer is None else self.answer.to_json(),
         }
 
+    def is_same_step(self, other):
+        """Return whether another claim is the same step of the same attempt."""
+        return self.attempt_id == other.attempt_id and self.state == other.state
+
 
 class StoredAnswer:
     """An answer kept for replay."""
@@ -55,7 +70,7 @@
         return cls(
             data["status"],
             data["content_type"],
-            bytes.fromhex(data["body"]),
+            base64.b64decode(data["body"]),
             data["version"],
             data["request_id"],
         )
@@ -65,16 +80,29 @@
         return {
             "status": self.status,
             "content_type": self.content_type,
-            "body": self.body.hex(),
+            "body": base64.b64encode(self.body).decode(),
             "version": self.version,
             "request_id": self.request_id,
         }
 
 
+class Standing:
+    """A claim that stands where another was wanted, with its row version."""
+
+    __slots__ = ("claim", "version")
+
+    def __init__(self, claim, version):
+        self.claim = claim
+        self.version = version
+
+
 class Won:
-    """This attempt holds the key and may run."""
+    """This attempt holds the key and may run; `version` is that of its row."""
 
-    __slots__ = ()
+    __slots__ = ("version",)
+
+    def __init__(self, version):
+        self.version = version
 
 
 class Replay:
--- a/stoatpath/outcomes.py
+++ b/stoatpath/outcomes.py
@@ -57,6 +57,7 @@
 SILENT_CONNECTION = Reason("silent-connection", 504)
 SUPERSEDED = Reason("superseded", 500)
 IN_PROGRESS = Reason("in-progress", 409, retryable=True)
+ANSWER_NOT_KEPT = Reason("answer-not-kept", 409)
 CALLER_GONE = Reason("caller-gone", 499)
 INTERNAL = Reason("internal", 500)
 
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -18,6 +18,7 @@
 from stoatpath.dispatch.senders import Sender
 from stoatpath.explanations.rings import DecisionRing
 from stoatpath.idempotency.claims import ClaimKeeper
+from stoatpath.idempotency.retention import ClaimSweeper
 from stoatpath.membership.backends import BackendServers
 from stoatpath.membership.watchers import BackendWatcher
 from stoatpath.nodes import Node
@@ -44,6 +45,7 @@
         "ring",
         "ratings",
         "claims",
+        "sweeper",
         "outbox",
         "backends",
         "watcher",
@@ -58,6 +60,7 @@
         "attempts",
         "sender",
         "retry_budget",
+        "pipeline",
         "listener",
         "_tasks",
     )
@@ -72,7 +75,8 @@
         self.ratings = RatingService.from_url(
             settings.ratings_url, self.node.tls.platform
         )
-        self.claims = ClaimKeeper(self.node.table)
+        self.claims = ClaimKeeper(self.node.table, clock, rng)
+        self.sweeper = self._build_sweeper()
         self.outbox = Outbox(
             self.node.table, clock, settings.name, self.node.incarnation
         )
@@ -95,7 +99,8 @@
         self.retry_budget = RetryBudget()
         self.attempts = AttemptRunner(self, rng)
         self.stages = StageRunner(self)
-        self.listener = Listener(self, Pipeline(self))
+        self.pipeline = Pipeline(self)
+        self.listener = Listener(self, self.pipeline)
         self._tasks = []
 
     @classmethod
@@ -115,6 +120,7 @@
         jobs = (
             self.watcher.run(),
             self.claims.run(),
+            self.sweeper.run(),
             self.outbox.run(),
             self._keep_capacities(),
             self._trim_connections(),
@@ -127,12 +133,15 @@
         self.node.members.leave()
         self.listener.is_closing = True
         await self.listener.drain()
+        await self.pipeline.drain()
+        await self.claims.drain()
         await self.outbox.flush()
         await self._close()
 
     async def kill(self):
         """Stop at once, as a crash would."""
         await cancel_and_wait(self._tasks)
+        await self.pipeline.abort()
         await self._close()
 
     async def _close(self):
@@ -152,6 +161,16 @@
             await self.clock.sleep_until(self.clock.now_ms() + TRIM_PERIOD_MS)
             await self.sender.trim()
 
+    def _build_sweeper(self):
+        return ClaimSweeper(
+            self.node.table,
+            self.clock,
+            self.settings.name,
+            self.settings.claim_answer_retention_ms,
+            lambda: list(self.follower.snapshot.organisations_by_name),
+            lambda: self.node.members.live_names(ROUTER),
+        )
+
     def _slots_by_pool(self):
         slots_by_pool = {}
         for backend in self.backends.by_name.values():
--- a/stoatpath/settings.py
+++ b/stoatpath/settings.py
@@ -45,6 +45,8 @@
     "FIRST_BYTE_TIMEOUT_MS": 5_000,
     "BETWEEN_BYTES_TIMEOUT_MS": 3_000,
     "HEDGE_MIN_MS": 100,
+    # Claims of idempotency keys.
+    "CLAIM_ANSWER_RETENTION_MS": 3 * 24 * 3_600_000,
     # Behaviour under faults.
     "STALENESS_LIMIT_MS": 12_000,
     "SERVE_WHEN_CUT_OFF": False,
