--- a/stoatpath/idempotency/claims.py
+++ b/stoatpath/idempotency/claims.py
@@ -42,9 +42,10 @@
     so that a write that lands late does not block its key.
     """
 
-    __slots__ = ("_clock", "_committer", "_marks", "_answer_bytes")
+    __slots__ = ("_table", "_clock", "_committer", "_marks", "_answer_bytes")
 
     def __init__(self, table, clock, random):
+        self._table = table
         self._clock = clock
         self._committer = GroupCommitter(table, clock, random)
         self._marks = set()
@@ -75,6 +76,22 @@
             self._mark(request, self._build(request, NOT_RUN), version)
         return _judge(request, verdict)
 
+    async def look_up(self, request):
+        """Return what is known of a key without claiming it.
+
+        None says that no attempt with the key was sent; else `Replay` or a failure.
+        """
+        key = _key_of(request)
+        rows = await self._table.read([key])
+        if is_failure(rows):
+            return rows
+        if rows[key].version == 0:
+            return None
+        standing = Claim.from_json(rows[key].value)
+        if _may_claim_again(request, standing):
+            return None
+        return _judge(request, Standing(standing, rows[key].version))
+
     async def finish(self, request, won, answer):
         """Store the answer of a claimed request, now or in the background."""
         if len(answer.body) > MAX_ANSWER_BYTES or self._is_full_of_answers():
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -4,8 +4,10 @@
 import math
 import random
 
+from stoatpath.admission.exchanges import RateExchange
 from stoatpath.admission.gates import AdmissionGate
 from stoatpath.admission.queues import AdmissionQueue
+from stoatpath.admission.rates import RateLimits
 from stoatpath.billing.outboxes import Outbox
 from stoatpath.callers.listeners import Listener
 from stoatpath.callers.pipelines import Pipeline
@@ -16,6 +18,7 @@
 from stoatpath.dispatch.attempts import AttemptRunner
 from stoatpath.dispatch.retries import RetryBudget
 from stoatpath.dispatch.senders import Sender
+from stoatpath.explanations.finders import ExplanationFinder
 from stoatpath.explanations.rings import DecisionRing
 from stoatpath.idempotency.claims import ClaimKeeper
 from stoatpath.idempotency.retention import ClaimSweeper
@@ -25,8 +28,10 @@
 from stoatpath.platform.ratings import RatingService
 from stoatpath.rollouts.assigners import VersionAssigner
 from stoatpath.routing.choosers import Chooser
-from stoatpath.sessions.pins import SessionPins
+from stoatpath.sessions.archives import PinArchive
+from stoatpath.sessions.directories import PinDirectory
 from stoatpath.sessions.tokens import TokenSigner
+from stoatpath.shutdowns import OpenWork, Shutdown
 from stoatpath.utils import cancel_and_wait
 
 CAPACITY_PERIOD_MS = 250
@@ -51,11 +56,15 @@
         "watcher",
         "chooser",
         "gate",
+        "rates",
+        "rate_exchange",
         "assigner",
         "guard",
         "estimates",
         "planner",
+        "archive",
         "pins",
+        "explanations",
         "stages",
         "attempts",
         "sender",
@@ -92,7 +101,13 @@
         )
         self.estimates = QualityEstimates()
         self.planner = Planner(self.estimates)
-        self.pins = SessionPins(TokenSigner(settings.session_keys))
+        self.rates = RateLimits()
+        self.rate_exchange = RateExchange(self.rates, self.node, rng)
+        self.archive = PinArchive(self.node.table, self.follower, clock)
+        self.pins = PinDirectory(
+            self.node, TokenSigner(settings.session_keys), self.archive
+        )
+        self.explanations = ExplanationFinder(self.node, self.ring)
         self.sender = Sender(
             clock, settings.between_bytes_timeout_ms, self.node.tls.backends
         )
@@ -117,11 +132,15 @@
         """Start all tasks and listen."""
         await self.sender.start()
         await self.node.start()
+        await self.node.wait_for_peers()
         jobs = (
             self.watcher.run(),
             self.claims.run(),
             self.sweeper.run(),
             self.outbox.run(),
+            self.rate_exchange.run(),
+            self.archive.run(),
+            self.pins.run(),
             self._keep_capacities(),
             self._trim_connections(),
         )
@@ -129,14 +148,16 @@
         await self.listener.start(self.settings.listen_address)
 
     async def stop(self):
-        """Stop gracefully: finish every request, write every record."""
-        self.node.members.leave()
-        self.listener.is_closing = True
-        await self.listener.drain()
-        await self.pipeline.drain()
-        await self.claims.drain()
-        await self.outbox.flush()
+        """Stop gracefully; return whether nothing was cut."""
+        is_clean = await Shutdown(self).run()
         await self._close()
+        return is_clean
+
+    def open_work(self):
+        """Return what a stop right now would cut or lose."""
+        return OpenWork(
+            list(self.listener.open_by_id), len(self.pins.store), self.outbox.waiting()
+        )
 
     async def kill(self):
         """Stop at once, as a crash would."""
@@ -146,6 +167,7 @@
 
     async def _close(self):
         await self.listener.stop()
+        await self.pins.close()
         await cancel_and_wait(self._tasks)
         await self.sender.close()
         await self.ratings.connection.close()
--- a/stoatpath/standins/sites.py
+++ b/stoatpath/standins/sites.py
@@ -97,6 +97,7 @@
             "SESSION_KEYS": {"1": "sample-session-key"},
             "PEER_KEYS": {"1": "sample-peer-key"},
             "OPERATOR_KEYS": {OPERATOR: OPERATOR_SECRET},
+            "BALANCER_LAG_MS": 0,
             **self._urls_by_setting,
             **overrides,
         }
