--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -21,6 +21,7 @@
 from stoatpath.explanations.finders import ExplanationFinder
 from stoatpath.explanations.rings import DecisionRing
 from stoatpath.idempotency.claims import ClaimKeeper
+from stoatpath.idempotency.retention import ClaimSweeper
 from stoatpath.membership.backends import BackendServers
 from stoatpath.membership.watchers import BackendWatcher
 from stoatpath.metric_sources import router_samples
@@ -51,6 +52,7 @@
         "ring",
         "ratings",
         "claims",
+        "sweeper",
         "outbox",
         "backends",
         "watcher",
@@ -85,7 +87,8 @@
         self.ratings = RatingService.from_url(
             settings.ratings_url, self.node.tls.platform
         )
-        self.claims = ClaimKeeper(self.node.table)
+        self.claims = ClaimKeeper(self.node.table, clock, rng)
+        self.sweeper = self._build_sweeper()
         self.outbox = Outbox(
             self.node.table, clock, settings.name, self.node.incarnation
         )
@@ -113,6 +116,7 @@
         )
         self.retry_budget = RetryBudget()
         self.attempts = AttemptRunner(self, rng)
+        self.attempts.observers.append(self.chooser.breakers.observe)
         self.stages = StageRunner(self)
         self.pipeline = Pipeline(self)
         self.listener = Listener(self, self.pipeline)
@@ -137,6 +141,7 @@
         jobs = (
             self.watcher.run(),
             self.claims.run(),
+            self.sweeper.run(),
             self.outbox.run(),
             self.rate_exchange.run(),
             self.archive.run(),
@@ -163,6 +168,7 @@
     async def kill(self):
         """Stop at once, as a crash would."""
         await cancel_and_wait(self._tasks)
+        await self.pipeline.abort()
         await self._close()
 
     async def _close(self):
@@ -184,6 +190,16 @@
             await self.clock.sleep_until(self.clock.now_ms() + TRIM_PERIOD_MS)
             await self.sender.trim()
 
+    def _build_sweeper(self):
+        return ClaimSweeper(
+            self.node.table,
+            self.clock,
+            self.settings.name,
+            self.settings.claim_answer_retention_ms,
+            lambda: list(self.follower.snapshot.organisations_by_name),
+            lambda: self.node.members.live_names(ROUTER),
+        )
+
     def _slots_by_pool(self):
         slots_by_pool = {}
         for backend in self.backends.by_name.values():
