Billing: copies at a peer in another zone, and a ledger that takes each batch once

Cause: each answer waited for a write to the table, one for every few records; a lost router lost its records; a lost write was taken for done. Change: sealed batches are copied to a peer in another zone, then written in large transactions guarded by a head row for each incarnation; peers write for owners that have gone; a bounded outbox refuses new work as not run; graceful handover both ways.

--- /dev/null
+++ b/stoatpath/billing/features/steps/billing_rig.py
@@ -0,0 +1,169 @@
+"""Routers' outboxes around one table, in virtual time and without sockets."""
+
+import asyncio
+
+from stoatpath.billing.holders import MirrorHolder
+from stoatpath.billing.ledgers import LedgerWriter, read_ledger
+from stoatpath.billing.messages import BillingRecord, Source
+from stoatpath.billing.mirrors import ROUTER, Mirror
+from stoatpath.billing.outboxes import Outbox
+from stoatpath.clock import ManualClock
+from stoatpath.membership.members import MemberTable
+from stoatpath.membership.messages import DEAD, LIVE, Member
+from stoatpath.outcomes import CONNECT_FAILED, Failure, Outcome
+from stoatpath.standins.memory_tables import MemoryTable
+
+PERIOD_MS = 5_000
+ZONES = ("zone-a", "zone-b", "zone-c")
+
+
+class GatedClock(ManualClock):
+    """The world's clock as a process sees it that may be suspended."""
+
+    def __init__(self, world):
+        self.world = world
+        self.paused_until_ms = 0.0
+
+    def now_ms(self):
+        return self.world.clock.now_ms()
+
+    def wall_ms(self):
+        return self.world.clock.wall_ms()
+
+    async def sleep_until(self, deadline_ms):
+        await self.world.clock.sleep_until(deadline_ms)
+        await self.gate()
+
+    async def gate(self):
+        while self.now_ms() < self.paused_until_ms:
+            await self.world.clock.sleep_until(self.paused_until_ms)
+
+
+class GatedTable:
+    """The table as a process sees it: calls start and end only while it runs."""
+
+    def __init__(self, table, clock):
+        self._table = table
+        self._clock = clock
+
+    async def transact(self, transaction):
+        await self._clock.gate()
+        result = await self._table.transact(transaction)
+        await self._clock.gate()
+        return result
+
+    async def read(self, keys):
+        await self._clock.gate()
+        result = await self._table.read(keys)
+        await self._clock.gate()
+        return result
+
+
+class Process:
+    """One router's outbox and holder; also its peers' server and client."""
+
+    def __init__(self, world, index):
+        self.world = world
+        self.name = f"r{index}"
+        self.clock = GatedClock(world)
+        self.handlers = {}
+        self.is_killed = False
+        self.is_cut_off = False
+        own = Member(self.name, ROUTER, self.name, ZONES[index % world.zones], 1, LIVE)
+        self.members = MemberTable(own)
+        self.writer = LedgerWriter(GatedTable(world.table, self.clock))
+        source = Source(self.name, 1)
+        mirror = Mirror(source, self.members, self, self.clock)
+        self.outbox = Outbox(self.writer, mirror, source, self.clock, PERIOD_MS)
+        self.holder = MirrorHolder(self.writer, self.members, self, self, self.clock)
+        jobs = (self.outbox.run(), self.holder.run())
+        self.tasks = [asyncio.create_task(job) for job in jobs]
+
+    def register(self, topic, handler):
+        self.handlers[topic] = handler
+
+    async def ask(self, address, topic, message, timeout_ms=0):
+        await self.clock.gate()
+        other = self.world.by_name.get(address)
+        await self.world.clock.sleep_until(self.world.clock.now_ms() + 2)
+        is_lost = other is None or other.is_killed or other.is_cut_off
+        if is_lost or self.is_cut_off:
+            return Failure(CONNECT_FAILED, "gone", Outcome.UNKNOWN)
+        if other.clock.paused_until_ms > self.clock.now_ms():
+            await self.world.clock.sleep_until(self.clock.now_ms() + 500)
+            return Failure(CONNECT_FAILED, "paused", Outcome.UNKNOWN)
+        answer = await other.handlers[topic](message)
+        if self.world.lost_replies > 0:
+            self.world.lost_replies -= 1
+            return Failure(CONNECT_FAILED, "reply lost", Outcome.UNKNOWN)
+        await self.clock.gate()
+        return answer
+
+    def bill(self, number, deadline_ms=float("inf")):
+        """Start to record one request; the task's result is None when it is safe."""
+        record = BillingRecord(f"{self.name}-{number}", "o", "s", "p", [], 1.0, 0)
+        task = asyncio.create_task(self.outbox.record(record, deadline_ms))
+        self.world.records.append((record.request_id, task))
+        return task
+
+    def kill(self):
+        self.is_killed = True
+        for task in self.tasks:
+            task.cancel()
+
+
+class World:
+    """Processes that see each other, one table, one clock."""
+
+    def __init__(self, processes=3, zones=3):
+        self.clock = ManualClock()
+        self.zones = zones
+        self.table = MemoryTable(self.clock)
+        self.by_name = {}
+        self.records = []
+        self.lost_replies = 0
+        for index in range(processes):
+            process = Process(self, index)
+            self.by_name[process.name] = process
+        for process in self.by_name.values():
+            others = [
+                Member(each.name, ROUTER, each.name, each.members.own.zone, 1, LIVE)
+                for each in self.by_name.values()
+            ]
+            process.members.merge(others, 0)
+
+    def mark_dead(self, name):
+        """Let every process learn that one has died."""
+        for process in self.by_name.values():
+            member = process.members.by_name.get(name)
+            if member is not None:
+                member.state = DEAD
+
+    async def advance(self, step_ms, tick_ms=2):
+        """Let virtual time pass."""
+        until_ms = self.clock.now_ms() + step_ms
+        while self.clock.now_ms() < until_ms:
+            for _ in range(8):
+                await asyncio.sleep(0)
+            self.clock.advance_by(tick_ms)
+        for _ in range(8):
+            await asyncio.sleep(0)
+
+    async def billed(self):
+        """Return the request identifiers in the ledger, doubled ones twice."""
+        records = await read_ledger(self.table)
+        return sorted(record["request_id"] for record in records)
+
+    def safe(self):
+        """Return the identifiers of the records that were said to be safe."""
+        return sorted(
+            request_id
+            for request_id, task in self.records
+            if task.done() and not task.cancelled() and task.result() is None
+        )
+
+    def close(self):
+        for process in self.by_name.values():
+            process.kill()
+        for _, task in self.records:
+            task.cancel()
--- a/stoatpath/billing/messages.py
+++ b/stoatpath/billing/messages.py
@@ -1,4 +1,4 @@
-"""Billing records."""
+"""Billing records, batches of them, and what members tell each other of them."""
 
 
 class BillingRecord:
@@ -42,3 +42,64 @@
     def to_json(self):
         """Return the stored form."""
         return {name: getattr(self, name) for name in self.__slots__}
+
+
+class Source:
+    """One incarnation of a router, which numbers its batches from 1 up."""
+
+    __slots__ = ("owner", "incarnation")
+
+    def __init__(self, owner, incarnation):
+        self.owner = owner
+        self.incarnation = incarnation
+
+    @property
+    def key(self):
+        """Return the name used in row keys."""
+        return f"{self.owner}.{self.incarnation}"
+
+
+class Batch:
+    """Records in their stored form, sealed under a sequence number."""
+
+    __slots__ = ("sequence", "records")
+
+    def __init__(self, sequence, records):
+        self.sequence = sequence
+        self.records = records
+
+    @classmethod
+    def from_json(cls, data):
+        """Build a batch from its wire form."""
+        return cls(int(data["sequence"]), list(data["records"]))
+
+    def to_json(self):
+        """Return the wire form."""
+        return {"sequence": self.sequence, "records": self.records}
+
+
+class MirrorMessage:
+    """Batches of a source to be held; all below `lowest` are written."""
+
+    __slots__ = ("source", "lowest", "batches")
+
+    def __init__(self, source, lowest, batches):
+        self.source = source
+        self.lowest = lowest
+        self.batches = batches
+
+    @classmethod
+    def from_json(cls, data):
+        """Build a message from its wire form."""
+        source = Source(str(data["owner"]), int(data["incarnation"]))
+        batches = [Batch.from_json(each) for each in data["batches"]]
+        return cls(source, int(data["lowest"]), batches)
+
+    def to_json(self):
+        """Return the wire form."""
+        return {
+            "owner": self.source.owner,
+            "incarnation": self.source.incarnation,
+            "lowest": self.lowest,
+            "batches": [batch.to_json() for batch in self.batches],
+        }
--- a/stoatpath/callers/features/steps/sites.py
+++ b/stoatpath/callers/features/steps/sites.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 
-from stoatpath.billing.outboxes import read_ledger
+from stoatpath.billing.ledgers import read_ledger
 from stoatpath.platform.tables import Table
 from stoatpath.standins.sites import Site
 from stoatpath.tools.demonstrations import Demonstration, chat
@@ -93,6 +93,8 @@
 
 async def ledger(site):
     """Return all billing records."""
+    for router in site.routers_by_name.values():
+        await router.outbox.flush()
     table = Table.from_url(site.settings("check", "zone-a").table_url)
     try:
         return await read_ledger(table)
--- a/stoatpath/callers/pipelines.py
+++ b/stoatpath/callers/pipelines.py
@@ -48,7 +48,7 @@
         await self._keyed.abort()
 
     async def _serve_once(self, request, stream):
-        problem = self._parts.guard.check_work()
+        problem = self._parts.guard.check_work() or self._parts.outbox.check_work()
         if problem is not None:
             return self._noted(request, problem)
         try:
@@ -60,7 +60,9 @@
             return self._noted(request, result)
         wall_ms = self._clock.wall_ms()
         record = BillingRecord.from_served(request, result, wall_ms)
-        await self._parts.outbox.record(record)
+        problem = await self._parts.outbox.record(record, request.deadline_ms)
+        if problem is not None:
+            return self._noted(request, problem)
         self._note(request, "completed", cost=result.cost, version=result.version)
         return result
 
--- a/stoatpath/idempotency/features/steps/claims_steps.py
+++ b/stoatpath/idempotency/features/steps/claims_steps.py
@@ -201,7 +201,7 @@
     world = state["world"]
     rows = await world.table.scan(CLAIM_PREFIX)
     for transaction in plan_sweep(rows.values(), world.clock.wall_ms(), RETENTION_MS):
-        world.table._apply(transaction)
+        world.table.apply(transaction)
 
 
 @then('an attempt with another body is refused as "{outcome}" for "{reason}"')
--- a/stoatpath/measure/experiments.py
+++ b/stoatpath/measure/experiments.py
@@ -1,6 +1,7 @@
 """The experiments by name, each with the module that runs it."""
 
 MODULES_BY_NAME = {
+    "billing": "stoatpath.measure.billing",
     "decision-costs": "stoatpath.measure.decision_costs",
     "retries": "stoatpath.measure.retry_budgets",
     "routing": "stoatpath.measure.routing_loads",
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -8,6 +8,10 @@
 from stoatpath.admission.gates import AdmissionGate
 from stoatpath.admission.queues import AdmissionQueue
 from stoatpath.admission.rates import RateLimits
+from stoatpath.billing.holders import MirrorHolder
+from stoatpath.billing.ledgers import LedgerWriter
+from stoatpath.billing.messages import Source
+from stoatpath.billing.mirrors import Mirror
 from stoatpath.billing.outboxes import Outbox
 from stoatpath.callers.listeners import Listener
 from stoatpath.callers.pipelines import Pipeline
@@ -51,7 +55,9 @@
         "ratings",
         "claims",
         "sweeper",
+        "ledger",
         "outbox",
+        "holder",
         "backends",
         "watcher",
         "chooser",
@@ -86,8 +92,14 @@
         )
         self.claims = ClaimKeeper(self.node.table, clock, rng)
         self.sweeper = self._build_sweeper()
-        self.outbox = Outbox(
-            self.node.table, clock, settings.name, self.node.incarnation
+        self.ledger = LedgerWriter(self.node.table)
+        self.outbox = self._build_outbox()
+        self.holder = MirrorHolder(
+            self.ledger,
+            self.node.members,
+            self.node.peer_client,
+            self.node.peer_server,
+            clock,
         )
         self.backends = BackendServers(settings.name)
         self.watcher = BackendWatcher(
@@ -139,6 +151,7 @@
             self.claims.run(),
             self.sweeper.run(),
             self.outbox.run(),
+            self.holder.run(),
             self.rate_exchange.run(),
             self.archive.run(),
             self.pins.run(),
@@ -184,6 +197,13 @@
             await self.clock.sleep_until(self.clock.now_ms() + TRIM_PERIOD_MS)
             await self.sender.trim()
 
+    def _build_outbox(self):
+        node = self.node
+        source = Source(self.settings.name, node.incarnation)
+        mirror = Mirror(source, node.members, node.peer_client, self.clock)
+        period_ms = self.settings.billing_flush_period_ms
+        return Outbox(self.ledger, mirror, source, self.clock, period_ms)
+
     def _build_sweeper(self):
         return ClaimSweeper(
             self.node.table,
--- a/stoatpath/settings.py
+++ b/stoatpath/settings.py
@@ -52,6 +52,8 @@
     "HEDGE_MIN_MS": 100,
     # Claims of idempotency keys.
     "CLAIM_ANSWER_RETENTION_MS": 3 * 24 * 3_600_000,
+    # Billing.
+    "BILLING_FLUSH_PERIOD_MS": 5_000,
     # Behaviour under faults.
     "STALENESS_LIMIT_MS": 12_000,
     "SERVE_WHEN_CUT_OFF": False,
--- a/stoatpath/shutdowns.py
+++ b/stoatpath/shutdowns.py
@@ -75,6 +75,7 @@
         await self._router.claims.drain()
         await self._router.archive.flush()
         await self._router.outbox.flush()
+        await self._router.holder.hand_over()
 
     async def _bounded(self, name, step):
         """Run a step until the deadline; return whether it ended."""
--- a/stoatpath/tools/demonstrations.py
+++ b/stoatpath/tools/demonstrations.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 
-from stoatpath.billing.outboxes import read_ledger
+from stoatpath.billing.ledgers import read_ledger
 from stoatpath.configuration.files import read_changes
 from stoatpath.platform.tables import Table
 from stoatpath.standins.sites import OPERATOR, OPERATOR_SECRET
@@ -204,6 +204,8 @@
 
     async def _check_ledger(self):
         table = Table.from_url(self._site.settings("check", "zone-a").table_url)
+        for router in self._site.routers_by_name.values():
+            await router.outbox.flush()
         records = await read_ledger(table)
         await table.close()
         billed = [record["request_id"] for record in records]
