--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -15,7 +15,9 @@
 from stoatpath.billing.outboxes import Outbox
 from stoatpath.callers.listeners import Listener
 from stoatpath.callers.pipelines import Pipeline
-from stoatpath.cascades.planners import Planner, QualityEstimates
+from stoatpath.cascades.estimates import Estimates
+from stoatpath.cascades.planners import Planner
+from stoatpath.cascades.raters import Rater
 from stoatpath.cascades.runners import StageRunner
 from stoatpath.clock import Clock
 from stoatpath.configuration.guards import FreshnessGuard
@@ -28,6 +30,8 @@
 from stoatpath.idempotency.retention import ClaimSweeper
 from stoatpath.membership.backends import BackendServers
 from stoatpath.membership.watchers import BackendWatcher
+from stoatpath.metric_sources import router_samples
+from stoatpath.metrics import MetricsServer
 from stoatpath.nodes import Node
 from stoatpath.platform.ratings import RatingService
 from stoatpath.rollouts.assigners import VersionAssigner
@@ -68,6 +72,7 @@
         "guard",
         "estimates",
         "planner",
+        "rater",
         "archive",
         "pins",
         "explanations",
@@ -77,6 +82,7 @@
         "retry_budget",
         "pipeline",
         "listener",
+        "metrics",
         "_tasks",
     )
 
@@ -111,8 +117,9 @@
         self.guard = FreshnessGuard(
             self.follower, self.assigner, self.node.gossip.contacts, settings, clock
         )
-        self.estimates = QualityEstimates()
-        self.planner = Planner(self.estimates)
+        self.estimates = Estimates()
+        self.planner = Planner(self.estimates, rng)
+        self.rater = Rater(self.ratings, self.estimates, clock)
         self.rates = RateLimits()
         self.rate_exchange = RateExchange(self.rates, self.node, rng)
         self.archive = PinArchive(self.node.table, self.follower, clock)
@@ -129,6 +136,7 @@
         self.stages = StageRunner(self)
         self.pipeline = Pipeline(self)
         self.listener = Listener(self, self.pipeline)
+        self.metrics = MetricsServer(lambda: router_samples(self))
         self._tasks = []
 
     @classmethod
@@ -159,6 +167,7 @@
             self._trim_connections(),
         )
         self._tasks = [asyncio.create_task(job) for job in jobs]
+        await self.metrics.start(self.settings.metrics_listen_address)
         await self.listener.start(self.settings.listen_address)
 
     async def stop(self):
@@ -181,9 +190,11 @@
 
     async def _close(self):
         await self.listener.stop()
+        await self.metrics.stop()
         await self.pins.close()
         await cancel_and_wait(self._tasks)
         await self.sender.close()
+        await self.rater.close()
         await self.ratings.connection.close()
         await self.node.stop()
 
