--- a/stoatpath/cascades/features/steps/rating_steps.py
+++ b/stoatpath/cascades/features/steps/rating_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 from plan_steps import CHEAP, learn, use_deployment
 
-from stoatpath.billing.outboxes import read_ledger
+from stoatpath.billing.ledgers import read_ledger
 from stoatpath.cascades.messages import RatedAnswer
 from stoatpath.cascades.raters import Rater, RatingQuestion
 from stoatpath.clock import Clock
@@ -186,6 +186,8 @@
                     engine.faults.add(context.dear_fault)
             await Demonstration(site).submit_samples()
             await _ask(context, site)
+            for router in site.routers_by_name.values():
+                await router.outbox.flush()
             table = Table.from_url(site.settings("check", "zone-a").table_url)
             context.ledger = await read_ledger(table)
             await table.close()
