Membership: tests of withdrawal, partitions, messages, replay and backend servers

Faults found by them and mended: half of the instances replaced in a store outage left the rest refusing for minutes, since each had to prove each death itself (proof of an ended member now travels with its record); an answer was signed with the newest key, which a member in the middle of a rotation could not verify (answers use the key of the question); a member that left counted as out of touch once it ended.

--- a/stoatpath/controllers.py
+++ b/stoatpath/controllers.py
@@ -35,6 +35,6 @@
 
     async def stop(self):
         """Stop gracefully."""
-        self.node.members.leave()
         await self.listener.stop()
+        self.node.members.leave()
         await self.node.stop()
--- a/stoatpath/membership/contacts.py
+++ b/stoatpath/membership/contacts.py
@@ -72,7 +72,7 @@
                 continue
             since_ms = self._missing_since_ms.setdefault(member.name, now_ms)
             if now_ms - since_ms >= LIST_PROOF_MS:
-                member.is_accounted = True
+                self._members.confirm_dead(member.name, member.incarnation, now_ms)
 
     def note_ended(self, address):
         """Note that nothing listens at an address any more."""
--- /dev/null
+++ b/stoatpath/membership/features/withdrawal.feature
@@ -0,0 +1,89 @@
+Feature: A withdrawn version gets no new work, whatever is cut or suspended
+
+  Scenario Outline: <case>
+    Given <size> instances in two groups, each with a router and a controller
+    When <before>
+    And a version is withdrawn where the store can be reached, while <meanwhile>
+    Then the routers of the first group send to it for at most <bound> s
+    And the routers that are in touch with the store serve other versions throughout
+
+    Examples:
+      | size | case                                      | before                               | meanwhile                      | bound |
+      | 9    | all in touch                              | nothing happens                      | all is well                    | 1     |
+      | 9    | the store is out of reach of one group    | the first group loses the store      | all is well                    | 1     |
+      | 9    | two groups apart, store with the other    | nothing happens                      | the groups are apart           | 12.25 |
+      | 9    | one zone cut off for a minute before      | the groups are apart for 60 s        | the groups are apart           | 0     |
+      | 9    | a store outage, then apart, store returns | the store is down for 60 s           | the groups are apart           | 4     |
+      | 9    | a store outage and the list down too      | store and list are down for 60 s     | the groups are apart           | 4     |
+      | 2    | one instance alone cut off                | nothing happens                      | the groups are apart           | 12.25 |
+      | 9    | routers suspended, then awake             | the first group is suspended         | it wakes after 30 s            | 0     |
+      | 9    | routers suspended for a short time        | the first group is suspended         | it wakes after 3 s             | 1     |
+      | 9    | suspended in a store outage, awake apart  | suspended while the store is down    | it wakes apart after 30 s      | 0     |
+
+  Scenario Outline: The store is down for all and <what>
+    Given 9 instances in two groups, each with a router and a controller
+    When the store is down for 60 s
+    And <what> for 20 s
+    Then the routers of the first group <verdict>
+
+    Examples:
+      | what                                  | verdict                           |
+      | nothing else happens                  | serve                             |
+      | the groups are apart                  | refuse with not-run               |
+      | a controller ends                     | serve                             |
+      | a controller is suspended             | refuse with not-run               |
+      | a controller leaves and ends          | serve                             |
+      | an instance is listed that none reach | refuse with not-run               |
+      | half of the instances are replaced    | serve                             |
+      | the groups are apart, set to serve on | serve                             |
+
+  Scenario: A controller whose host vanished is counted as ended once the list has lacked it
+    Given 9 instances in two groups, each with a router and a controller
+    When the store is down for 60 s
+    And a controller vanishes with its host for 20 s
+    Then the routers of the first group refuse with not-run
+    When the list has lacked it for 70 s
+    Then the routers of the first group serve
+
+  Scenario: Groups that were apart converge on the one accepted configuration
+    Given 9 instances in two groups, each with a router and a controller
+    When a version is withdrawn where the store can be reached, while the groups are apart
+    And the groups are together again for 20 s
+    Then all have the same revision
+    And all members are live everywhere
+    And the routers of the first group serve other versions
+
+  Scenario: An instance that starts in an outage of the store gets the configuration from peers
+    Given 9 instances in two groups, each with a router and a controller
+    When the store is down for 60 s
+    And an instance starts and 15 s pass
+    Then it has the revision of the others and serves
+
+  Scenario: Half of the instances are replaced at once while the store is down
+    Given 9 instances in two groups, each with a router and a controller
+    When the store is down for 60 s
+    And half of the instances are replaced for 30 s
+    Then all have the same revision
+
+  Scenario: An old message says nothing of freshness
+    Given 9 instances in two groups, each with a router and a controller
+    When the first group is suspended for 60 s and gets a message that waited
+    Then the message makes nothing fresh
+
+  Scenario: An answer that skips revisions is not taken
+    Given a follower at revision 0
+    When it gets history rows that begin at revision 3
+    Then it stays at revision 0
+
+  Scenario Outline: Work is held back in the step before it is sent: <change>
+    Given a request whose version was chosen
+    When <change> before it is sent
+    Then it is refused with not-run
+
+    Examples:
+      | change                                     |
+      | the version is withdrawn                   |
+      | the version is removed                     |
+      | the organisation may no longer use it      |
+      | the organisation is removed                |
+      | the process is suspended for 60 s          |
--- a/stoatpath/membership/members.py
+++ b/stoatpath/membership/members.py
@@ -47,11 +47,15 @@
         return changed
 
     def suspect(self, name, now_ms):
-        """Note that a member can't be reached; return whether that is news."""
+        """Note that a member can't be reached; return whether that is news.
+
+        One that was leaving has ended: it accepted nothing any more.
+        """
         member = self.by_name.get(name)
         if member is None or member.state in (SUSPECT, DEAD):
             return False
         if member.state == LEAVING:
+            member.is_accounted = True
             return self._set_state(member, DEAD, now_ms)
         return self._set_state(member, SUSPECT, now_ms)
 
@@ -60,8 +64,10 @@
         member = self.by_name.get(name)
         if member is None or member.incarnation != incarnation:
             return False
+        if member.is_accounted:
+            return False
         member.is_accounted = True
-        return member.state != DEAD and self._set_state(member, DEAD, now_ms)
+        return self._set_state(member, DEAD, now_ms)
 
     def judge(self, now_ms):
         """Mark suspects as dead in time, and forget the dead."""
@@ -122,6 +128,9 @@
             return False
         if known is not None and not member.is_newer_than(known):
             return False
+        if known is not None and known.incarnation == member.incarnation:
+            has_left = known.state == LEAVING and member.state == DEAD
+            member.is_accounted = member.is_accounted or has_left
         self.by_name[member.name] = member
         if known is None or known.state != member.state:
             self._log(member, known)
--- a/stoatpath/membership/messages.py
+++ b/stoatpath/membership/messages.py
@@ -12,10 +12,10 @@
     """A router or controller as known here.
 
     `incarnation` grows with each start of the process and whenever it refutes
-    what others say of it. Local knowledge, never sent: `changed_ms` is the
-    clock reading of the last change of state, `dead_at_ms` when a suspect
-    counts as dead, `is_accounted` whether a dead member is known to have ended
-    rather than to be out of reach.
+    what others say of it. `is_accounted` says that a dead member is known to
+    have ended rather than to be out of reach. Local knowledge, never sent:
+    `changed_ms` is the clock reading of the last change of state, `dead_at_ms`
+    when a suspect counts as dead.
     """
 
     __slots__ = (
@@ -60,17 +60,24 @@
             return None
         if incarnation < 0 or state not in RANK_BY_STATE:
             return None
-        return cls(*texts, incarnation, state)
+        member = cls(*texts, incarnation, state)
+        member.is_accounted = state == DEAD and data.get("ended") is True
+        return member
 
     def to_json(self):
         """Return the wire form, without local knowledge."""
         names = ("name", "role", "address", "zone", "incarnation", "state")
-        return {name: getattr(self, name) for name in names}
+        data = {name: getattr(self, name) for name in names}
+        if self.is_accounted:
+            data["ended"] = True
+        return data
 
     def is_newer_than(self, other):
         """Return whether this news replaces other news of the same member."""
-        mine = (self.incarnation, RANK_BY_STATE[self.state])
-        return mine > (other.incarnation, RANK_BY_STATE[other.state])
+        return self._order() > other._order()
+
+    def _order(self):
+        return self.incarnation, RANK_BY_STATE[self.state], self.is_accounted
 
 
 def members_from(items):
--- a/stoatpath/membership/peers.py
+++ b/stoatpath/membership/peers.py
@@ -91,12 +91,12 @@
             extra = {"topic": topic, "why": repr(error)}
             logger.warning("membership.message-unreadable", extra=extra)
             return web.Response(status=400)
-        return self._respond(topic, answer, nonce)
+        return self._respond(topic, answer, nonce, header)
 
-    def _respond(self, topic, answer, nonce):
+    def _respond(self, topic, answer, nonce, asked_with):
         body = encode_json(answer)
         self.bytes_sent += len(body)
-        signature = self._signer.sign(answer_topic(topic), body, nonce)
+        signature = self._signer.sign_answer(topic, body, nonce, asked_with)
         return web.Response(
             body=body,
             content_type="application/json",
--- a/stoatpath/membership/probes.py
+++ b/stoatpath/membership/probes.py
@@ -3,6 +3,7 @@
 from stoatpath.membership.messages import DEAD, LIVE, Member
 
 DEAD_CONTACT_ROUNDS = 5
+OPEN_CASE_ROUNDS = 2
 
 
 class ProbeSchedule:
@@ -29,7 +30,8 @@
     def next_stranger(self, members, candidates):
         """Return a listed instance or a dead member to try, or None.
 
-        Instances never heard of come in each round, the dead in every fifth, so
+        Instances never heard of come in each round; of the dead, one of which
+        nobody knows whether it ended in every second, any in every fifth, so
         that two groups that were apart find each other again.
         """
         self._round += 1
@@ -37,6 +39,9 @@
         if unknown:
             return candidates[self._random.choice(sorted(unknown))]
         dead = members.dead()
+        open_cases = [member for member in dead if not member.is_accounted]
+        if open_cases and self._round % OPEN_CASE_ROUNDS == 0:
+            return self._random.choice(open_cases)
         if dead and self._round % DEAD_CONTACT_ROUNDS == 0:
             return self._random.choice(dead)
         return None
--- a/stoatpath/membership/signatures.py
+++ b/stoatpath/membership/signatures.py
@@ -25,6 +25,17 @@
         key_id = list(self._keys_by_id)[-1]
         return f"{key_id}:{self._digest(key_id, topic, payload, nonce)}"
 
+    def sign_answer(self, topic, payload, nonce, asked_with):
+        """Return the signature header of an answer, by the key of the question.
+
+        Thus a member that does not have the newest key yet can verify it.
+        """
+        key_id = asked_with.partition(":")[0]
+        if key_id not in self._keys_by_id:
+            return ""
+        answer = answer_topic(topic)
+        return f"{key_id}:{self._digest(key_id, answer, payload, nonce)}"
+
     def verify(self, topic, payload, header, nonce=""):
         """Return whether a message was signed with one of the shared keys."""
         if not self._keys_by_id:
--- a/stoatpath/nodes.py
+++ b/stoatpath/nodes.py
@@ -12,7 +12,7 @@
 from stoatpath.configuration.topics import ConfigurationTopic
 from stoatpath.membership.gossip import Gossip
 from stoatpath.membership.members import MemberTable
-from stoatpath.membership.messages import LIVE, Member
+from stoatpath.membership.messages import LEAVING, LIVE, Member
 from stoatpath.membership.peers import PeerClient, PeerServer, PeerSigner
 from stoatpath.outcomes import is_failure
 from stoatpath.platform.instance_lists import InstanceList
@@ -116,6 +116,8 @@
 
     async def stop(self):
         """End all tasks and close all connections."""
+        if self.members.own.state == LEAVING:
+            await self.gossip.push()
         await cancel_and_wait(self._tasks)
         await self.peer_server.stop()
         await self.peer_client.close()
