--- a/stoatpath/outcomes.py
+++ b/stoatpath/outcomes.py
@@ -34,11 +34,15 @@
 UNAUTHENTICATED = Reason("unauthenticated", 401)
 FORBIDDEN = Reason("forbidden", 403)
 NOT_FOUND = Reason("not-found", 404)
+METHOD_NOT_ALLOWED = Reason("method-not-allowed", 405)
 BODY_TOO_SLOW = Reason("body-too-slow", 408, retryable=True)
+HEAD_TOO_SLOW = Reason("head-too-slow", 408, retryable=True)
 CONFLICT = Reason("conflict", 409)
 BODY_TOO_LARGE = Reason("body-too-large", 413)
+UNSUPPORTED_MEDIA = Reason("unsupported-media", 415)
 KEY_REUSED = Reason("idempotency-key-reused", 422)
 RATE_LIMITED = Reason("rate-limited", 429, retryable=True)
+HEAD_TOO_LARGE = Reason("head-too-large", 431)
 
 # Faults of the system or of backend servers.
 OVERLOADED = Reason("overloaded", 503, retryable=True)
@@ -54,7 +58,10 @@
 FOREIGN_ANSWER = Reason("foreign-answer", 502)
 BACKEND_ERROR = Reason("backend-error", 502)
 TIMED_OUT = Reason("timed-out", 504)
+SILENT_CONNECTION = Reason("silent-connection", 504)
+SUPERSEDED = Reason("superseded", 500)
 IN_PROGRESS = Reason("in-progress", 409, retryable=True)
+ANSWER_NOT_KEPT = Reason("answer-not-kept", 409)
 CALLER_GONE = Reason("caller-gone", 499)
 INTERNAL = Reason("internal", 500)
 
@@ -77,6 +84,17 @@
         self.field = field
         self.retry_at_ms = retry_at_ms
 
+    def worse_of(self, other):
+        """Return what two failed attempts of one request say together.
+
+        The later reason stands unless the earlier attempt may have run alone.
+        """
+        if self.outcome is Outcome.NOT_RUN or other.outcome is Outcome.UNKNOWN:
+            return other
+        if self.reason is SUPERSEDED:
+            return Failure(other.reason, other.detail, Outcome.UNKNOWN)
+        return self
+
     def __repr__(self):
         return f"<Failure {self.reason.name} {self.outcome.value}: {self.detail}>"
 
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -4,31 +4,42 @@
 import math
 import random
 
+from stoatpath.admission.exchanges import RateExchange
 from stoatpath.admission.gates import AdmissionGate
 from stoatpath.admission.queues import AdmissionQueue
+from stoatpath.admission.rates import RateLimits
 from stoatpath.billing.outboxes import Outbox
 from stoatpath.callers.listeners import Listener
 from stoatpath.callers.pipelines import Pipeline
-from stoatpath.cascades.planners import Planner, QualityEstimates
+from stoatpath.cascades.estimates import Estimates
+from stoatpath.cascades.planners import Planner
+from stoatpath.cascades.raters import Rater
 from stoatpath.cascades.runners import StageRunner
 from stoatpath.clock import Clock
 from stoatpath.configuration.guards import FreshnessGuard
 from stoatpath.dispatch.attempts import AttemptRunner
 from stoatpath.dispatch.retries import RetryBudget
 from stoatpath.dispatch.senders import Sender
+from stoatpath.explanations.finders import ExplanationFinder
 from stoatpath.explanations.rings import DecisionRing
 from stoatpath.idempotency.claims import ClaimKeeper
+from stoatpath.idempotency.retention import ClaimSweeper
 from stoatpath.membership.backends import BackendServers
 from stoatpath.membership.watchers import BackendWatcher
+from stoatpath.metric_sources import router_samples
+from stoatpath.metrics import MetricsServer
 from stoatpath.nodes import Node
 from stoatpath.platform.ratings import RatingService
 from stoatpath.rollouts.assigners import VersionAssigner
 from stoatpath.routing.choosers import Chooser
-from stoatpath.sessions.pins import SessionPins
+from stoatpath.sessions.archives import PinArchive
+from stoatpath.sessions.directories import PinDirectory
 from stoatpath.sessions.tokens import TokenSigner
+from stoatpath.shutdowns import OpenWork, Shutdown
 from stoatpath.utils import cancel_and_wait
 
 CAPACITY_PERIOD_MS = 250
+TRIM_PERIOD_MS = 15_000
 ROUTER = "router"
 
 
@@ -43,21 +54,29 @@
         "ring",
         "ratings",
         "claims",
+        "sweeper",
         "outbox",
         "backends",
         "watcher",
         "chooser",
         "gate",
+        "rates",
+        "rate_exchange",
         "assigner",
         "guard",
         "estimates",
         "planner",
+        "rater",
+        "archive",
         "pins",
+        "explanations",
         "stages",
         "attempts",
         "sender",
         "retry_budget",
+        "pipeline",
         "listener",
+        "metrics",
         "_tasks",
     )
 
@@ -71,7 +90,8 @@
         self.ratings = RatingService.from_url(
             settings.ratings_url, self.node.tls.platform
         )
-        self.claims = ClaimKeeper(self.node.table)
+        self.claims = ClaimKeeper(self.node.table, clock, rng)
+        self.sweeper = self._build_sweeper()
         self.outbox = Outbox(
             self.node.table, clock, settings.name, self.node.incarnation
         )
@@ -85,14 +105,26 @@
         self.guard = FreshnessGuard(
             self.follower, self.assigner, self.node.gossip.contacts, settings, clock
         )
-        self.estimates = QualityEstimates()
-        self.planner = Planner(self.estimates)
-        self.pins = SessionPins(TokenSigner(settings.session_keys))
-        self.sender = Sender(clock, self.node.tls.backends)
+        self.estimates = Estimates()
+        self.planner = Planner(self.estimates, rng)
+        self.rater = Rater(self.ratings, self.estimates, clock)
+        self.rates = RateLimits()
+        self.rate_exchange = RateExchange(self.rates, self.node, rng)
+        self.archive = PinArchive(self.node.table, self.follower, clock)
+        self.pins = PinDirectory(
+            self.node, TokenSigner(settings.session_keys), self.archive
+        )
+        self.explanations = ExplanationFinder(self.node, self.ring)
+        self.sender = Sender(
+            clock, settings.between_bytes_timeout_ms, self.node.tls.backends
+        )
         self.retry_budget = RetryBudget()
-        self.attempts = AttemptRunner(self)
+        self.attempts = AttemptRunner(self, rng)
+        self.attempts.observers.append(self.chooser.breakers.observe)
         self.stages = StageRunner(self)
-        self.listener = Listener(self, Pipeline(self))
+        self.pipeline = Pipeline(self)
+        self.listener = Listener(self, self.pipeline)
+        self.metrics = MetricsServer(lambda: router_samples(self))
         self._tasks = []
 
     @classmethod
@@ -109,32 +141,47 @@
         """Start all tasks and listen."""
         await self.sender.start()
         await self.node.start()
+        await self.node.wait_for_peers()
         jobs = (
             self.watcher.run(),
             self.claims.run(),
+            self.sweeper.run(),
             self.outbox.run(),
+            self.rate_exchange.run(),
+            self.archive.run(),
+            self.pins.run(),
             self._keep_capacities(),
+            self._trim_connections(),
         )
         self._tasks = [asyncio.create_task(job) for job in jobs]
+        await self.metrics.start(self.settings.metrics_listen_address)
         await self.listener.start(self.settings.listen_address)
 
     async def stop(self):
-        """Stop gracefully: finish every request, write every record."""
-        self.node.members.leave()
-        self.listener.is_closing = True
-        await self.listener.drain()
-        await self.outbox.flush()
+        """Stop gracefully; return whether nothing was cut."""
+        is_clean = await Shutdown(self).run()
         await self._close()
+        return is_clean
+
+    def open_work(self):
+        """Return what a stop right now would cut or lose."""
+        return OpenWork(
+            list(self.listener.open_by_id), len(self.pins.store), self.outbox.waiting()
+        )
 
     async def kill(self):
         """Stop at once, as a crash would."""
         await cancel_and_wait(self._tasks)
+        await self.pipeline.abort()
         await self._close()
 
     async def _close(self):
         await self.listener.stop()
+        await self.metrics.stop()
+        await self.pins.close()
         await cancel_and_wait(self._tasks)
         await self.sender.close()
+        await self.rater.close()
         await self.ratings.connection.close()
         await self.node.stop()
 
@@ -143,6 +190,21 @@
             self.gate.set_capacities(self._slots_by_pool())
             await self.clock.sleep_until(self.clock.now_ms() + CAPACITY_PERIOD_MS)
 
+    async def _trim_connections(self):
+        while True:
+            await self.clock.sleep_until(self.clock.now_ms() + TRIM_PERIOD_MS)
+            await self.sender.trim()
+
+    def _build_sweeper(self):
+        return ClaimSweeper(
+            self.node.table,
+            self.clock,
+            self.settings.name,
+            self.settings.claim_answer_retention_ms,
+            lambda: list(self.follower.snapshot.organisations_by_name),
+            lambda: self.node.members.live_names(ROUTER),
+        )
+
     def _slots_by_pool(self):
         slots_by_pool = {}
         for backend in self.backends.by_name.values():
--- a/stoatpath/settings.py
+++ b/stoatpath/settings.py
@@ -37,10 +37,21 @@
     "BACKEND_AUTHORITY": "",
     # Limits towards callers.
     "MAX_BODY_BYTES": 4 * 1024 * 1024,
+    "MAX_BUFFERED_BODY_BYTES": 16 * 1024 * 1024,
     "MAX_HEADER_BYTES": 16 * 1024,
+    "MAX_CONNECTIONS": 4_096,
+    "HEADER_TIMEOUT_MS": 5_000,
+    "IDLE_TIMEOUT_MS": 75_000,
+    "WRITE_TIMEOUT_MS": 30_000,
     "BODY_TIMEOUT_MS": 10_000,
     "MAX_TIMEOUT_MS": 600_000,
     "MAX_QUEUED_REQUESTS": 1_000,
+    # Dispatch to backend servers.
+    "FIRST_BYTE_TIMEOUT_MS": 5_000,
+    "BETWEEN_BYTES_TIMEOUT_MS": 3_000,
+    "HEDGE_MIN_MS": 100,
+    # Claims of idempotency keys.
+    "CLAIM_ANSWER_RETENTION_MS": 3 * 24 * 3_600_000,
     # Behaviour under faults.
     "STALENESS_LIMIT_MS": 12_000,
     "SERVE_WHEN_CUT_OFF": False,
--- /dev/null
+++ b/stoatpath/shutdowns.py
@@ -0,0 +1,89 @@
+"""Stops a router gracefully: nothing that callers began is cut."""
+
+import asyncio
+import logging
+
+logger = logging.getLogger(__name__)
+
+
+class OpenWork:
+    """What a stop right now would cut or lose."""
+
+    __slots__ = ("request_ids", "pins", "unwritten_records")
+
+    def __init__(self, request_ids, pins, unwritten_records):
+        self.request_ids = request_ids
+        self.pins = pins
+        self.unwritten_records = unwritten_records
+
+    def __str__(self):
+        shown = ", ".join(self.request_ids[:10]) or "none"
+        return (
+            f"requests in flight: {len(self.request_ids)} ({shown}); "
+            f"billing records not yet written: {self.unwritten_records}; "
+            f"session pins to hand over: {self.pins}"
+        )
+
+
+class Shutdown:
+    """The steps of a graceful stop, bounded by one deadline.
+
+    `router` is the router to stop.
+    """
+
+    __slots__ = ("_router", "_clock", "_deadline_ms")
+
+    def __init__(self, router):
+        self._router = router
+        self._clock = router.clock
+        self._deadline_ms = None
+
+    async def run(self):
+        """Return whether everything was finished before the deadline."""
+        settings = self._router.settings
+        now_ms = self._clock.now_ms()
+        self._deadline_ms = now_ms + settings.shutdown_timeout_ms
+        await self._say_leaving()
+        await self._clock.sleep_until(now_ms + settings.balancer_lag_ms)
+        await self._router.listener.stop_accepting()
+        steps = (
+            ("requests", self._finish_requests),
+            ("pins", self._hand_over_pins),
+            ("records", self._write_records),
+        )
+        results = [await self._bounded(name, step) for name, step in steps]
+        logger.info("shutdown.finished", extra={"is_clean": all(results)})
+        return all(results)
+
+    async def _say_leaving(self):
+        logger.info("shutdown.leaving")
+        self._router.node.members.leave()
+        self._router.listener.leave()
+        await self._bounded("gossip", self._router.node.gossip.push)
+
+    async def _finish_requests(self):
+        await self._router.listener.drain()
+        await self._router.pipeline.drain()
+
+    async def _hand_over_pins(self):
+        while self._router.pins.needs_hand_over():
+            if not await self._router.pins.leave():
+                return
+            await asyncio.sleep(0.1)
+
+    async def _write_records(self):
+        await self._router.claims.drain()
+        await self._router.archive.flush()
+        await self._router.outbox.flush()
+
+    async def _bounded(self, name, step):
+        """Run a step until the deadline; return whether it ended."""
+        remaining_ms = self._deadline_ms - self._clock.now_ms()
+        try:
+            async with asyncio.timeout(max(0.0, remaining_ms / 1000)):
+                await step()
+        except TimeoutError:
+            work = self._router.open_work()
+            logger.error("shutdown.cut", extra={"step": name, "work": str(work)})
+            return False
+        return True
