--- /dev/null
+++ b/stoatpath/commands/__init__.py
@@ -0,0 +1,1 @@
+"""What operators do from the command line."""
--- /dev/null
+++ b/stoatpath/commands/operations.py
@@ -0,0 +1,293 @@
+"""The commands of `stoatpathctl`, one coroutine each."""
+
+import asyncio
+import json
+
+from stoatpath.commands.messages import (
+    EXIT_LAGGING,
+    EXIT_NOT_FOUND,
+    EXIT_OK,
+    EXIT_USAGE,
+    Result,
+)
+from stoatpath.commands.renderers import (
+    accepted,
+    is_waited_for,
+    render_explanations,
+    render_failure,
+    render_history,
+    render_problems,
+    render_status,
+    why_lagging,
+)
+from stoatpath.commands.withdrawals import plan_withdrawal
+from stoatpath.configuration.files import read_changes
+from stoatpath.configuration.messages import (
+    KINDS,
+    ORGANISATION,
+    TEMPLATE,
+    Problem,
+)
+from stoatpath.configuration.snapshots import Snapshot, apply_changes
+from stoatpath.configuration.templates import render_organisation
+from stoatpath.outcomes import is_failure
+from stoatpath.utils import new_id
+
+WAIT_PERIOD_S = 0.5
+WITHDRAW_ATTEMPTS = 5
+
+
+class Options:
+    """What the command line said besides the command.
+
+    `deadline_ms` is the clock reading at which `--wait` gives up; `progress`
+    takes a line about it.
+    """
+
+    __slots__ = (
+        "submission_id",
+        "base_revision",
+        "accept_warnings",
+        "wait",
+        "deadline_ms",
+        "limit",
+        "replacement",
+        "clock",
+        "progress",
+    )
+
+    def __init__(self, clock, progress, **fields):
+        self.clock = clock
+        self.progress = progress
+        self.submission_id = fields.get("submission_id", "")
+        self.base_revision = fields.get("base_revision")
+        self.accept_warnings = fields.get("accept_warnings", False)
+        self.wait = fields.get("wait", False)
+        self.deadline_ms = fields.get("deadline_ms", float("inf"))
+        self.limit = fields.get("limit", 20)
+        self.replacement = fields.get("replacement", "")
+
+
+async def check(client, arguments, options):
+    """Check files against the configuration in force; accept nothing."""
+    return await _send_files(client, "/v1/check", arguments, options)
+
+
+async def submit(client, arguments, options):
+    """Submit files, all together."""
+    return await _send_files(client, "/v1/submissions", arguments, options)
+
+
+async def render(client, arguments, options):
+    """Print an organisation as its template and parameters make it."""
+    if not arguments:
+        return _usage("render ORGANISATION [FILE ...]")
+    snapshot = await _read_snapshot(client)
+    if isinstance(snapshot, Result):
+        return snapshot
+    changes, problems = _read_files(arguments[1:])
+    if problems:
+        return render_problems(problems)
+    documents = apply_changes(snapshot.by_kind, changes)
+    name = arguments[0]
+    body = documents[ORGANISATION].get(name)
+    if body is None:
+        return _not_found(ORGANISATION, name)
+    template = documents[TEMPLATE].get(body["template"])
+    if template is None:
+        return _not_found(TEMPLATE, body["template"])
+    rendered, problems = render_organisation(name, template, body["parameters"])
+    if problems:
+        return render_problems(problems)
+    return Result(EXIT_OK, [json.dumps(rendered, indent=2)], rendered)
+
+
+async def show(client, arguments, options):
+    """Print the documents in force, of one kind, or one of them."""
+    snapshot = await _read_snapshot(client)
+    if isinstance(snapshot, Result):
+        return snapshot
+    data = snapshot.to_json()
+    for name in arguments:
+        data = data["by_kind"] if name in KINDS and "by_kind" in data else data
+        if name not in data:
+            return _not_found("document", " ".join(arguments))
+        data = data[name]
+    return Result(EXIT_OK, [json.dumps(data, indent=2)], data)
+
+
+async def history(client, arguments, options):
+    """Print who had what accepted when."""
+    reply = await client.get(f"/v1/history?limit={options.limit}")
+    failed = render_failure(reply)
+    if failed is not None:
+        return failed
+    changes = reply.data["changes"]
+    return Result(EXIT_OK, render_history(changes), changes)
+
+
+async def status(client, arguments, options):
+    """Print which member has which revision, and why one lags."""
+    if options.wait:
+        reply = await client.get("/v1/status")
+        failed = render_failure(reply)
+        if failed is not None:
+            return failed
+        return await _wait(client, reply.data["revision"], options)
+    reply = await client.get("/v1/status")
+    failed = render_failure(reply)
+    if failed is not None:
+        return failed
+    lines = [f"revision {reply.data['revision']}", *render_status(reply.data)]
+    lagging = _lagging(reply.data, reply.data["revision"])
+    return Result(EXIT_LAGGING if lagging else EXIT_OK, lines, reply.data)
+
+
+async def withdraw(client, arguments, options):
+    """Withdraw a version; a race with another change is run again."""
+    if len(arguments) != 1 or "@" not in arguments[0]:
+        return _usage("withdraw MODEL@VERSION [--replacement VERSION]")
+    result = None
+    for _ in range(WITHDRAW_ATTEMPTS):
+        snapshot = await _read_snapshot(client)
+        if isinstance(snapshot, Result):
+            return snapshot
+        change = plan_withdrawal(snapshot, arguments[0], options.replacement)
+        if isinstance(change, Problem):
+            return render_problems([change])
+        result = await _send(
+            client, "/v1/submissions", [change], snapshot.revision, options
+        )
+        if "conflicts" not in result.data:
+            break
+        options.progress("another change came first; looking again ...")
+    return result
+
+
+async def explain(client, arguments, options):
+    """Print why a request was served as it was."""
+    if len(arguments) != 1:
+        return _usage("explain REQUEST_ID")
+    reply = await client.get(f"/v1/explanations/{arguments[0]}")
+    failed = render_failure(reply)
+    if failed is not None:
+        return failed
+    found = reply.data["explanations"]
+    return Result(EXIT_OK, render_explanations(found), found)
+
+
+COMMANDS = {
+    "check": check,
+    "render": render,
+    "submit": submit,
+    "show": show,
+    "history": history,
+    "status": status,
+    "withdraw": withdraw,
+    "explain": explain,
+}
+
+
+async def _send_files(client, path, paths, options):
+    if not paths:
+        return _usage("check FILE ... or submit FILE ...")
+    changes, problems = _read_files(paths)
+    if problems:
+        return render_problems(problems)
+    base = options.base_revision
+    if base is None:
+        snapshot = await _read_snapshot(client)
+        if isinstance(snapshot, Result):
+            return snapshot
+        base = snapshot.revision
+    return await _send(client, path, changes, base, options)
+
+
+async def _send(client, path, changes, base, options):
+    submission_id = options.submission_id or new_id("sub")
+    message = {
+        "submission_id": submission_id,
+        "base_revision": base,
+        "changes": [change.to_json() for change in changes],
+        "accept_warnings": options.accept_warnings,
+    }
+    reply = await client.post(path, message)
+    failed = render_failure(reply)
+    if failed is not None:
+        failed.data.update(submission_id=submission_id, base_revision=base)
+        if is_failure(reply):
+            failed.lines.append(
+                f"repeat with --submission_id={submission_id} --base_revision={base}"
+            )
+        return failed
+    revision = reply.data["revision"]
+    if path == "/v1/check":
+        lines = [f"valid, checked against revision {revision}"]
+        return Result(EXIT_OK, lines, reply.data)
+    if options.wait:
+        return await _wait(client, revision, options)
+    return accepted(revision)
+
+
+async def _wait(client, revision, options):
+    """Return once every member that is not dead has a revision, or in vain."""
+    while True:
+        reply = await client.get("/v1/status")
+        failed = render_failure(reply)
+        lagging = None
+        if failed is None:
+            members = [each for each in reply.data["members"] if is_waited_for(each)]
+            lagging = _lagging(reply.data, revision)
+            if not lagging:
+                done = f"in force at all {len(members)} members that are not dead"
+                return accepted(revision, [done])
+            waiting = f"; waiting for {lagging[0]['name']}"
+            count = len(members) - len(lagging)
+            options.progress(f"{count} of {len(members)} have {revision}{waiting}")
+        if options.clock.now_ms() >= options.deadline_ms:
+            return failed or _not_everywhere(revision, lagging, reply.data)
+        await asyncio.sleep(WAIT_PERIOD_S)
+
+
+def _not_everywhere(revision, lagging, data):
+    result = accepted(revision)
+    result.code = EXIT_LAGGING
+    result.data = data
+    result.lines += [f"not in force at {len(lagging)} members:"]
+    result.lines += [
+        f"  {member['name']}: {why_lagging(member, revision)}" for member in lagging
+    ]
+    return result
+
+
+def _lagging(data, revision):
+    return [
+        member
+        for member in data["members"]
+        if is_waited_for(member) and (member["revision"] or 0) < revision
+    ]
+
+
+async def _read_snapshot(client):
+    """Return the snapshot in force at a controller, or a failed result."""
+    reply = await client.get("/v1/configuration")
+    return render_failure(reply) or Snapshot.from_json(reply.data)
+
+
+def _read_files(paths):
+    changes = []
+    problems = []
+    for path in paths:
+        found, wrong = read_changes(path)
+        changes += found
+        problems += wrong
+    return changes, problems
+
+
+def _usage(text):
+    return Result(EXIT_USAGE, [f"usage: stoatpathctl {text}"], {"error": text})
+
+
+def _not_found(kind, name):
+    detail = f"no {kind} {name}"
+    return Result(EXIT_NOT_FOUND, [detail], {"error": detail})
--- a/stoatpath/configuration/listeners.py
+++ b/stoatpath/configuration/listeners.py
@@ -1,76 +1,126 @@
 """The HTTP listener that operators reach."""
 
-import hmac
 from functools import singledispatch
 
 from aiohttp import web
 
-from stoatpath.configuration.messages import Accepted, Conflict, Invalid, Submission
-from stoatpath.outcomes import Failure
+from stoatpath.configuration.messages import (
+    Accepted,
+    Conflict,
+    Invalid,
+    Risky,
+    Submission,
+)
+from stoatpath.configuration.operators import OPERATOR, READER, OperatorKeys
+from stoatpath.configuration.statuses import collect_statuses
+from stoatpath.configuration.stores import Head
+from stoatpath.membership.messages import LEAVING
+from stoatpath.outcomes import SHUTTING_DOWN, Failure, is_failure
 from stoatpath.servers import HttpServer
 from stoatpath.utils import decode_json, encode_json
 
 MAX_SUBMISSION_BYTES = 8 * 1024 * 1024
+DEFAULT_HISTORY_ROWS = 20
+MAX_HISTORY_ROWS = 500
 
 
 class OperatorListener:
     """Takes submissions and answers questions about the configuration.
 
-    Operator keys are given as operator name to secret.
+    `add_route` adds what other slices offer to operators, before the start.
+    `explanations` finds why a request was served as it was, or is None.
     """
 
-    __slots__ = ("_node", "_keys_by_operator", "_server", "address")
+    __slots__ = ("_node", "_keys", "_explanations", "_routes", "_server", "address")
 
-    def __init__(self, node, keys_by_operator):
+    def __init__(self, node, keys_by_operator, explanations=None):
         self._node = node
-        self._keys_by_operator = keys_by_operator
+        self._keys = OperatorKeys.from_settings(keys_by_operator)
+        self._explanations = explanations
+        self._routes = []
         self._server = None
         self.address = ""
+        self.add_route("POST", "/v1/submissions", OPERATOR, self._submit)
+        self.add_route("POST", "/v1/check", READER, self._check)
+        self.add_route("GET", "/v1/configuration", READER, self._show)
+        self.add_route("GET", "/v1/history", READER, self._history)
+        self.add_route("GET", "/v1/status", READER, self._status)
+        self.add_route("GET", "/v1/explanations/{id}", READER, self._explain)
+
+    def add_route(self, method, path, role, handler):
+        """Have `await handler(request, operator)` answer operators of a role."""
+
+        async def answer(request):
+            header = request.headers.get("Authorization", "")
+            operator = self._keys.find(header.removeprefix("Bearer "))
+            if operator is None:
+                return _json(401, {"error": "the operator key is not known"})
+            if not operator.may(role):
+                return _json(403, {"error": f"{operator.name} is a {operator.role}"})
+            return await handler(request, operator)
+
+        self._routes.append(web.route(method, path, answer))
 
     async def start(self, address):
         """Listen on `host:port`; port 0 takes a free one."""
-        routes = [
-            web.post("/v1/submissions", self._submit),
-            web.get("/v1/configuration", self._show),
-            web.get("/healthz", self._health),
-        ]
+        routes = [*self._routes, web.get("/healthz", self._health)]
         tls = self._node.tls.operators
         self._server = HttpServer(routes, tls, MAX_SUBMISSION_BYTES)
         await self._server.start(address)
         self.address = self._server.address
 
     async def stop(self):
-        """Close the listener."""
+        """Close the listener, once the answers under way are given."""
         if self._server is not None:
             await self._server.stop()
 
-    def _operator(self, request):
-        """Return the operator whose key the request carries, or None."""
-        given = request.headers.get("Authorization", "").removeprefix("Bearer ")
-        for operator, secret in self._keys_by_operator.items():
-            if hmac.compare_digest(given.encode(), f"{operator}.{secret}".encode()):
-                return operator
-        return None
-
     async def _health(self, request):
         return web.json_response({"status": "ok"})
 
-    async def _show(self, request):
-        if self._operator(request) is None:
-            return web.Response(status=401)
+    async def _show(self, request, operator):
         return _json(200, self._node.follower.snapshot.to_json())
 
-    async def _submit(self, request):
-        operator = self._operator(request)
-        if operator is None:
-            return web.Response(status=401)
-        data = decode_json(await request.read())
-        try:
-            submission = Submission.from_json({**data, "operator": operator})
-        except (KeyError, TypeError):
-            return _json(
-                400, {"error": "expected submission_id, base_revision, changes"}
-            )
+    async def _history(self, request, operator):
+        limit = request.query.get("limit", str(DEFAULT_HISTORY_ROWS))
+        if not limit.isdigit():
+            return _json(400, {"error": "limit: expected a number"})
+        last = self._node.follower.snapshot.revision
+        first = max(1, last + 1 - min(int(limit), MAX_HISTORY_ROWS))
+        changes = await self._node.store.read_changes(first, last)
+        if is_failure(changes):
+            return _render(changes)
+        return _json(200, {"changes": [change.to_json() for change in changes]})
+
+    async def _status(self, request, operator):
+        statuses = await collect_statuses(self._node)
+        members = [status.to_json() for status in statuses]
+        revision = self._node.follower.snapshot.revision
+        return _json(200, {"revision": revision, "members": members})
+
+    async def _explain(self, request, operator):
+        if self._explanations is None:
+            return _json(404, {"error": "this member explains nothing"})
+        found = await self._explanations.find(request.match_info["id"])
+        if is_failure(found):
+            return _json(404, {"error": found.detail})
+        return _json(200, {"explanations": [each.to_json() for each in found]})
+
+    async def _check(self, request, operator):
+        submission = _read_submission(await request.read(), operator)
+        if submission is None:
+            return _json(400, {"error": EXPECTED_SUBMISSION})
+        snapshot = self._node.follower.snapshot
+        verdict = await self._node.store.check(snapshot, submission)
+        if isinstance(verdict, Head):
+            return _json(200, {"revision": verdict.revision})
+        return _render(verdict)
+
+    async def _submit(self, request, operator):
+        submission = _read_submission(await request.read(), operator)
+        if submission is None:
+            return _json(400, {"error": EXPECTED_SUBMISSION})
+        if self._node.members.own.state == LEAVING:
+            return _render(Failure(SHUTTING_DOWN, "this controller is leaving"))
         follower = self._node.follower
         verdict = await self._node.store.submit(follower.snapshot, submission)
         if isinstance(verdict, Accepted):
@@ -78,6 +128,22 @@
         return _render(verdict)
 
 
+EXPECTED_SUBMISSION = (
+    "expected submission_id (text), base_revision (number), changes (a list of"
+    " kind, name and body), optionally accept_warnings (boolean)"
+)
+
+
+def _read_submission(body, operator):
+    """Return the submission in a body, or None."""
+    data = decode_json(body)
+    try:
+        submission = Submission.from_json({**data, "operator": operator.name})
+    except (AttributeError, KeyError, TypeError):
+        return None
+    return submission if submission.is_well_formed() else None
+
+
 def _json(status, value):
     return web.Response(
         status=status, body=encode_json(value), content_type="application/json"
@@ -100,10 +166,16 @@
     return _json(422, {"problems": problems})
 
 
+@_render.register
+def _(verdict: Risky):
+    warnings = [warning.to_json() for warning in verdict.warnings]
+    return _json(422, {"warnings": warnings})
+
+
 @_render.register
 def _(verdict: Conflict):
     changes = [change.to_json() for change in verdict.accepted_changes]
-    return _json(409, {"conflicts": changes})
+    return _json(409, {"conflicts": changes, "documents": list(verdict.documents)})
 
 
 @_render.register
--- a/stoatpath/configuration/messages.py
+++ b/stoatpath/configuration/messages.py
@@ -27,6 +27,10 @@
         """Return the wire form."""
         return {"kind": self.kind, "name": self.name, "body": self.body}
 
+    def is_well_formed(self):
+        """Return whether the kind is known and the body can be a document."""
+        return self.kind in KINDS and isinstance(self.body, dict | None)
+
 
 class Submission:
     """Changes that an operator wants accepted together.
@@ -75,6 +79,18 @@
             "accept_warnings": self.accept_warnings,
         }
 
+    def is_well_formed(self):
+        """Return whether all fields have their types; says nothing of contents."""
+        texts = [self.submission_id, self.operator]
+        texts += [change.name for change in self.changes]
+        return (
+            all(isinstance(text, str) and text for text in texts)
+            and type(self.base_revision) is int
+            and type(self.accept_warnings) is bool
+            and len(self.changes) > 0
+            and all(change.is_well_formed() for change in self.changes)
+        )
+
 
 class AcceptedChange:
     """A history row: a submission as accepted under a revision."""
--- /dev/null
+++ b/stoatpath/configuration/operators.py
@@ -0,0 +1,49 @@
+"""Operators, their keys and what their roles may do."""
+
+import hmac
+
+READER = "reader"
+OPERATOR = "operator"
+
+
+class Operator:
+    """An operator by name. A reader only asks, an operator also changes."""
+
+    __slots__ = ("name", "role")
+
+    def __init__(self, name, role):
+        self.name = name
+        self.role = role
+
+    def may(self, role):
+        """Return whether this operator has a role or a higher one."""
+        return self.role == OPERATOR or self.role == role
+
+
+class OperatorKeys:
+    """Keys of the form `NAME.SECRET`, compared in constant time."""
+
+    __slots__ = ("_operators", "_keys")
+
+    def __init__(self, operators, keys):
+        self._operators = operators
+        self._keys = keys
+
+    @classmethod
+    def from_settings(cls, keys_by_operator):
+        """Build from secrets, or secrets with roles, by operator name."""
+        operators = []
+        keys = []
+        for name, value in keys_by_operator.items():
+            given = value if isinstance(value, dict) else {"secret": value}
+            operators.append(Operator(name, given.get("role", OPERATOR)))
+            keys.append(f"{name}.{given['secret']}".encode())
+        return cls(operators, keys)
+
+    def find(self, given):
+        """Return the operator of a key, or None. Looks at every key each time."""
+        found = None
+        for operator, key in zip(self._operators, self._keys):
+            if hmac.compare_digest(given.encode(), key):
+                found = operator
+        return found
--- a/stoatpath/controllers.py
+++ b/stoatpath/controllers.py
@@ -2,6 +2,7 @@
 
 from stoatpath.clock import Clock
 from stoatpath.configuration.listeners import OperatorListener
+from stoatpath.explanations.finders import ExplanationFinder
 from stoatpath.metric_sources import node_samples
 from stoatpath.metrics import MetricsServer
 from stoatpath.nodes import Node
@@ -18,7 +19,9 @@
         self.settings = settings
         self.clock = clock
         self.node = Node.from_settings(settings, CONTROLLER, clock)
-        self.listener = OperatorListener(self.node, settings.operator_keys)
+        self.listener = OperatorListener(
+            self.node, settings.operator_keys, ExplanationFinder(self.node)
+        )
         self.metrics = MetricsServer(lambda: node_samples(self.node))
 
     @classmethod
--- a/stoatpath/nodes.py
+++ b/stoatpath/nodes.py
@@ -7,9 +7,11 @@
 from stoatpath.configuration.archives import ConfigurationArchive
 from stoatpath.configuration.capacity import ListedCapacity
 from stoatpath.configuration.followers import ConfigurationFollower
+from stoatpath.configuration.keepers import HistoryKeeper
 from stoatpath.configuration.statuses import STATUS_TOPIC, MemberStatus
 from stoatpath.configuration.stores import ConfigurationStore
 from stoatpath.configuration.topics import ConfigurationTopic
+from stoatpath.membership.contacts import ACCEPTING_ROLE
 from stoatpath.membership.gossip import Gossip
 from stoatpath.membership.members import MemberTable
 from stoatpath.membership.messages import LEAVING, LIVE, Member
@@ -116,6 +118,16 @@
             self._seed(),
         )
         self._tasks = [asyncio.create_task(job) for job in jobs]
+        if self.role == ACCEPTING_ROLE and self.archive is not None:
+            keeper = HistoryKeeper(
+                self.store,
+                self.archive,
+                self.follower,
+                self.members,
+                self.clock,
+                self.settings.history_kept_revisions,
+            )
+            self._tasks.append(asyncio.create_task(keeper.run()))
 
     async def wait_for_peers(self):
         """Return once peers were heard of, or none could be."""
--- a/stoatpath/standins/sites.py
+++ b/stoatpath/standins/sites.py
@@ -9,6 +9,7 @@
 from stoatpath.settings import Settings
 from stoatpath.standins.engines import EngineStandin
 from stoatpath.standins.instance_lists import InstanceListStandin
+from stoatpath.standins.objects import ObjectStoreStandin
 from stoatpath.standins.ratings import RatingStandin
 from stoatpath.standins.services import ServiceStandin
 from stoatpath.standins.tables import TableStandin
@@ -32,6 +33,7 @@
 
     __slots__ = (
         "table",
+        "objects",
         "instance_list",
         "ratings",
         "engines_by_name",
@@ -43,6 +45,7 @@
 
     def __init__(self):
         self.table = TableStandin()
+        self.objects = ObjectStoreStandin()
         self.instance_list = InstanceListStandin()
         self.ratings = RatingStandin()
         self.engines_by_name = {}
@@ -53,16 +56,22 @@
 
     async def start(self, routers=2):
         """Start everything; return once all processes listen."""
+        await self.start_standins()
+        for index in range(routers):
+            await self.start_router(f"router-{index + 1}", ZONES[index % len(ZONES)])
+        await self.start_controller("controller-1", ZONES[0])
+
+    async def start_standins(self):
+        """Start the platform and the backend servers; return URLs by setting."""
         self._urls_by_setting = {
             "TABLE_URL": await self.table.start(),
+            "OBJECTS_URL": await self.objects.start(),
             "INSTANCE_LIST_URL": await self.instance_list.start(),
             "RATINGS_URL": await self.ratings.start(),
         }
         await self._start_engines()
         await self._start_services()
-        for index in range(routers):
-            await self.start_router(f"router-{index + 1}", ZONES[index % len(ZONES)])
-        await self.start_controller("controller-1", ZONES[0])
+        return dict(self._urls_by_setting)
 
     async def stop(self):
         """Stop everything, programs before stand-ins."""
@@ -138,6 +147,7 @@
     def _standins(self):
         return [
             self.table,
+            self.objects,
             self.instance_list,
             self.ratings,
             *self.engines_by_name.values(),
--- /dev/null
+++ b/stoatpath/tools/standins.py
@@ -0,0 +1,68 @@
+"""The program `stoatpath-standins`: a platform and backend servers to try with."""
+
+import asyncio
+import json
+import signal
+
+from absl import app, flags
+
+import stoatpath
+from stoatpath.platform.messages import LiveInstance
+from stoatpath.standins.sites import Site
+
+FLAGS = flags.FLAGS
+MEMBER_PARTS = 4
+EXIT_BAD_MEMBER = 2
+
+flags.DEFINE_list(
+    "members",
+    [],
+    "Routers and controllers to list, each NAME/ROLE/ZONE/IP:PORT (its peer address).",
+)
+flags.DEFINE_bool("version", False, "Print the version and exit.")
+
+
+def _read_member(text):
+    """Return a listed instance, or None when the text has another form."""
+    parts = text.split("/")
+    if len(parts) != MEMBER_PARTS or parts[1] not in ("router", "controller"):
+        return None
+    name, role, zone, address = parts
+    return LiveInstance(name, role, address, zone, "", "live")
+
+
+async def _serve(members):
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    site = Site()
+    urls = await site.start_standins()
+    for member in members:
+        site.instance_list.add(member)
+    print("// Put this into the settings of routers and controllers.")
+    print(json.dumps(urls, indent=2), flush=True)
+    await stopping.wait()
+    await site.stop()
+
+
+def main(argv):
+    """Run the stand-ins until SIGTERM; return the exit code."""
+    if FLAGS.version:
+        print(f"stoatpath-standins {stoatpath.VERSION}")
+        return 0
+    members = [_read_member(text) for text in FLAGS.members]
+    if None in members:
+        print("--members: expected NAME/ROLE/ZONE/IP:PORT, role router or controller")
+        return EXIT_BAD_MEMBER
+    asyncio.run(_serve(members))
+    return 0
+
+
+def run():
+    """Entry point of the program."""
+    app.run(main)
+
+
+if __name__ == "__main__":
+    run()
