--- a/stoatpath/measure/decision_costs.py
+++ b/stoatpath/measure/decision_costs.py
@@ -25,7 +25,7 @@
     for count in BACKEND_COUNTS:
         figures.append(_choice_time(seed, count))
     figures.append(_bytes_per_backend())
-    return Report(NAME, seed, figures)
+    return Report(NAME, seed, figures, is_timed=True)
 
 
 def time_each(action, count):
--- a/stoatpath/measure/reports.py
+++ b/stoatpath/measure/reports.py
@@ -1,5 +1,6 @@
 """What an experiment reports: figures, targets, and the command that made them."""
 
+import datetime
 import json
 import os
 
@@ -37,15 +38,20 @@
 
 
 class Report:
-    """The figures and targets of one experiment at one seed."""
+    """The figures and targets of one experiment at one seed.
 
-    __slots__ = ("name", "seed", "figures", "targets")
+    `is_timed` marks figures that depend on the machine; the report then has the
+    day on which they were taken. Other reports are the same for the same seed.
+    """
 
-    def __init__(self, name, seed, figures, targets=()):
+    __slots__ = ("name", "seed", "figures", "targets", "is_timed")
+
+    def __init__(self, name, seed, figures, targets=(), is_timed=False):
         self.name = name
         self.seed = seed
         self.figures = figures
         self.targets = targets
+        self.is_timed = is_timed
 
     def to_json(self):
         """Return the stored form."""
@@ -62,9 +68,11 @@
                     "met": target.is_met(value),
                 }
             )
+        day = {"date": datetime.date.today().isoformat()} if self.is_timed else {}
         return {
             "experiment": self.name,
             "seed": self.seed,
+            **day,
             "command": f"make measure EXPERIMENT={self.name} SEED={self.seed}",
             "figures": [figure.to_json() for figure in self.figures],
             "targets": targets,
