End a table's faults before a test's site is stopped

Cause: one scenario left the table down, and the graceful shutdown rightly tried for its whole 120 s to write the billing records. Change: the faults of the table are cleared before the site stops.

--- a/stoatpath/callers/features/steps/sites.py
+++ b/stoatpath/callers/features/steps/sites.py
@@ -26,6 +26,7 @@
                 await wait_until(lambda: knows_backends(router))
                 return await work(site, router, session)
         finally:
+            site.table.faults.clear()
             await site.stop()
 
     return asyncio.run(run())
