--- a/stoatpath/measure/experiments.py
+++ b/stoatpath/measure/experiments.py
@@ -3,6 +3,7 @@
 MODULES_BY_NAME = {
     "billing": "stoatpath.measure.billing",
     "cascades": "stoatpath.measure.cascade_costs",
+    "control": "stoatpath.measure.control_traffic",
     "decision-costs": "stoatpath.measure.decision_costs",
     "retries": "stoatpath.measure.retry_budgets",
     "routing": "stoatpath.measure.routing_loads",
