--- a/stoatpath/admission/rates.py
+++ b/stoatpath/admission/rates.py
@@ -9,8 +9,8 @@
 from stoatpath.outcomes import RATE_LIMITED, Failure
 
 BURST_S = 1.0
-LOAN_MS = 5_000.0
-LOAN_MARGIN_MS = 1_000.0
+LOAN_MS = 10_000.0
+LOAN_MARGIN_MS = 500.0
 DEMAND_WINDOW_MS = 2_000.0
 HEADROOM = 1.25
 HOLD_MS = 300_000.0
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -130,6 +130,8 @@
         await self.sender.start()
         await self.node.start()
         await self.node.wait_for_peers()
+        self.rate_exchange.count_instances()
+        await self.pins.hand_over()
         jobs = (
             self.watcher.run(),
             self.claims.run(),
