Sessions: tests of tokens, holders, pins and their hand-over

A state machine of turns, crashes, joins, leavings and lost messages found four faults, each mended here: a holder that restarted under its name got none of its pins back; an instance that had not heard of two joins found neither holder (pins are put at the former holders too for 15 s after a change, and kept there as long); one lost question moved a session (asked twice now); a session whose holders were both silent was moved (refused as not-run until they count as dead).

--- a/stoatpath/cascades/runners.py
+++ b/stoatpath/cascades/runners.py
@@ -25,6 +25,8 @@
         """Return `Served` or a failure."""
         parts = self._parts
         pin = await parts.pins.find(request)
+        if is_failure(pin):
+            return pin
         versions, moved = find_versions(
             parts.follower.snapshot, parts.assigner, request, pin
         )
--- a/stoatpath/measure/experiments.py
+++ b/stoatpath/measure/experiments.py
@@ -2,5 +2,6 @@
 
 MODULES_BY_NAME = {
     "decision-costs": "stoatpath.measure.decision_costs",
+    "rate-limits": "stoatpath.measure.rate_limits",
     "routing": "stoatpath.measure.routing_loads",
 }
--- a/stoatpath/sessions/directories.py
+++ b/stoatpath/sessions/directories.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 
-from stoatpath.outcomes import is_failure
+from stoatpath.outcomes import SESSION_UNKNOWN, Failure, is_failure
 from stoatpath.sessions.holders import HolderRing
 from stoatpath.sessions.messages import Lookup
 from stoatpath.sessions.pins import PinStore, SessionPin, pin_key
@@ -40,6 +40,7 @@
         "_ring",
         "_changed_ms",
         "_unplaced",
+        "_retired_ms_by_key",
         "_tasks",
         "_period",
     )
@@ -54,6 +55,7 @@
         self._ring = HolderRing({})
         self._changed_ms = self._clock.now_ms()
         self._unplaced = set()
+        self._retired_ms_by_key = {}
         self._tasks = set()
         self._period = HAND_OVER_PERIOD_MS
         node.peer_server.register(FIND_TOPIC, self._answer_find)
@@ -67,7 +69,11 @@
             await self._clock.sleep_until(started_ms + self._period)
 
     async def find(self, request):
-        """Return the pin of the session of a caller request, or None."""
+        """Return the pin of the session of a caller request, None, or a failure.
+
+        A session whose holders are all silent is refused for the few seconds
+        until they count as dead, rather than moved.
+        """
         if not request.session:
             return None
         if is_token(request.session):
@@ -77,7 +83,10 @@
         lookup = await self._look_up(key)
         if lookup.pin is not None:
             return lookup.pin
-        return await self._archive.find(request.service, key, lookup.is_certain)
+        pin = await self._archive.find(request.service, key, lookup.is_certain)
+        if pin is None and lookup.is_blind:
+            return Failure(SESSION_UNKNOWN, "no holder of the session answered")
+        return pin
 
     def prepare(self, request, pin, version):
         """Return the pin that keeps a session on a version."""
@@ -130,10 +139,11 @@
             old, self._ring = self._ring, ring
             self._changed_ms = self._clock.now_ms()
             for pin in self.store.pins():
-                if old.names(pin.key) != ring.names(pin.key):
+                if old.incarnations(pin.key) != ring.incarnations(pin.key):
                     self._unplaced.add(pin.key)
         if self._unplaced:
             await self._place_all()
+        self._drop_retired()
 
     async def leave(self):
         """Hand every pin to the instances that stay; return how many could not be."""
@@ -153,33 +163,35 @@
     async def _look_up(self, key):
         own = self.store.find(key)
         holders = self._ring.holders(key)
-        if own is not None and any(each.name == self._own_name for each in holders):
+        is_holder = any(each.name == self._own_name for each in holders)
+        if own is not None and is_holder:
             return Lookup(own, True)
         others = [each for each in holders if each.name != self._own_name]
-        lookup = await self._ask_all(key, others)
-        if lookup.pin is not None or own is not None:
-            return Lookup(lookup.pin or own, True)
-        is_stable = self._clock.now_ms() - self._changed_ms > STABLE_AFTER_MS
-        if lookup.is_certain and is_stable:
-            return lookup
-        fallback = await self._ask_all(key, self._ring.fallbacks(key))
-        return Lookup(fallback.pin, False)
+        found, silent = await self._ask_all(key, others)
+        if found is None and silent:
+            found, silent = await self._ask_all(key, silent)
+        if found is not None or own is not None:
+            return Lookup(found or own, True)
+        if not silent and self._is_stable():
+            return Lookup(None, True)
+        found, _ = await self._ask_all(key, self._ring.fallbacks(key))
+        is_blind = not is_holder and 0 < len(others) == len(silent)
+        return Lookup(found, False, is_blind)
 
     async def _ask_all(self, key, holders):
-        """Return the first pin that a holder knows; certain when all answered."""
-        asks = {asyncio.create_task(self._ask(each, key)) for each in holders}
-        is_certain = True
+        """Return the first pin that a holder knows, and who did not answer."""
+        asks = {each: asyncio.create_task(self._ask(each, key)) for each in holders}
         try:
-            for ask in asyncio.as_completed(asks):
+            for ask in asyncio.as_completed(asks.values()):
                 answer = await ask
-                if is_failure(answer):
-                    is_certain = False
-                elif answer["pin"] is not None:
-                    return Lookup(SessionPin.from_json(answer["pin"]), True)
+                if not is_failure(answer) and answer["pin"] is not None:
+                    return SessionPin.from_json(answer["pin"]), []
+            return None, [
+                each for each, ask in asks.items() if is_failure(ask.result())
+            ]
         finally:
-            for ask in asks:
+            for ask in asks.values():
                 ask.cancel()
-        return Lookup(None, is_certain)
 
     async def _ask(self, holder, key):
         message = {"key": key}
@@ -188,8 +200,14 @@
         )
 
     async def _place(self, pin):
-        """Put one pin at its holders; what fails is tried again by the task."""
+        """Put one pin at its holders; what fails is tried again by the task.
+
+        After a change of membership, also at those whom instances that have not
+        heard of the change would ask.
+        """
         holders = self._ring.holders(pin.key)
+        if not self._is_stable():
+            holders = [*holders, *self._ring.fallbacks(pin.key)]
         is_holder = any(each.name == self._own_name for each in holders)
         others = [each for each in holders if each.name != self._own_name]
         if is_holder or not others:
@@ -218,8 +236,17 @@
         failed = {key for keys in placed for key in keys}
         self._unplaced |= failed
         for key in keys - failed:
+            self._retired_ms_by_key.setdefault(key, self._clock.now_ms())
+
+    def _drop_retired(self):
+        """Forget pins that others have held for so long that all know of it."""
+        now_ms = self._clock.now_ms()
+        for key, retired_ms in list(self._retired_ms_by_key.items()):
             names = self._ring.names(key)
-            if names and self._own_name not in names:
+            if not names or self._own_name in names:
+                del self._retired_ms_by_key[key]
+            elif now_ms - retired_ms > STABLE_AFTER_MS:
+                del self._retired_ms_by_key[key]
                 self.store.discard(key)
 
     async def _put_batches(self, name, pins):
@@ -254,6 +281,9 @@
                 self._unplaced.add(pin.key)
         return {"pins": [pin.to_json() for pin in standing]}
 
+    def _is_stable(self):
+        return self._clock.now_ms() - self._changed_ms > STABLE_AFTER_MS
+
     @property
     def _own_name(self):
         return self._members.own.name
--- /dev/null
+++ b/stoatpath/sessions/features/pins.feature
@@ -0,0 +1,32 @@
+Feature: Pins of sessions stay known while instances come and go
+
+  Scenario: The two holders of a pin are in different zones
+    Then any instances in several zones hold each key in two zones
+    And one more instance changes at most one holder of a key
+
+  Scenario: All instances agree which pin stands, in whatever order they hear
+    Then any pins of one session merge to the same one in any order
+
+  Scenario: A session keeps its version while instances crash, join, leave and restart
+    Then no order of turns, changes of membership and lost messages moves a session
+
+  Scenario: Pins are bounded, the least recently used are dropped first
+    Given a store of 3 pins that is full
+    When the oldest is used and another is added
+    Then the one that was used longest ago is gone
+
+  Scenario Outline: Pins at risk are written while a roll-out <state>
+    Given an archive of a site whose roll-out <state>
+    When 450 pins are added
+    Then <rows> rows are written in <writes> transactions
+
+    Examples:
+      | state      | rows | writes |
+      | is running | 450  | 3      |
+      | is halted  | 0    | 0      |
+      | is absent  | 0    | 0      |
+
+  Scenario: Pins wait for a table that is down, and the newest of a session is written
+    Given an archive of a site whose roll-out is running
+    When a session moves twice while the table is down
+    Then its last pin is written once the table is back
--- a/stoatpath/sessions/holders.py
+++ b/stoatpath/sessions/holders.py
@@ -14,7 +14,7 @@
 
     Ranks are worked out once per shard and membership, since ranking hundreds of
     instances for each of many thousand pins would cost seconds. Members need
-    `name`, `zone` and `address`.
+    `name`, `zone` and `incarnation`.
     """
 
     __slots__ = ("by_name", "signature", "_ranks_by_shard")
@@ -22,7 +22,7 @@
     def __init__(self, by_name):
         self.by_name = by_name
         self.signature = frozenset(
-            (each.name, each.zone, each.address) for each in by_name.values()
+            (each.name, each.zone, each.incarnation) for each in by_name.values()
         )
         self._ranks_by_shard = {}
 
@@ -39,6 +39,10 @@
         """Return the names of the instances that hold a key."""
         return [each.name for each in self.holders(key)]
 
+    def incarnations(self, key):
+        """Return the processes that hold a key: one that restarted holds nothing."""
+        return [(each.name, each.incarnation) for each in self.holders(key)]
+
     def _ranked(self, key):
         shard = xxh3_64_intdigest(key.encode()) % SHARDS
         ranked = self._ranks_by_shard.get(shard)
