--- a/stoatpath/callers/keys.py
+++ b/stoatpath/callers/keys.py
@@ -5,6 +5,7 @@
 from stoatpath.callers.messages import Served
 from stoatpath.idempotency.messages import Replay, StoredAnswer, Won
 from stoatpath.outcomes import PLATFORM_UNAVAILABLE, Failure, Outcome, is_failure
+from stoatpath.utils import cancel_and_wait
 
 
 class KeyedRunner:
@@ -25,7 +26,11 @@
 
     async def run(self, request, stream):
         """Return `Served` or a failure."""
-        return await asyncio.shield(self._spawn(self._run(request, stream)))
+        return await self.run_to_end(self._run(request, stream))
+
+    async def run_to_end(self, work):
+        """Return the result of a coroutine that goes on when its caller leaves."""
+        return await asyncio.shield(self._spawn(work))
 
     async def refuse(self, request, refusal):
         """Return the answer of a request that is refused before its claim.
@@ -52,6 +57,10 @@
         while self._tasks:
             await asyncio.wait(self._tasks)
 
+    async def abort(self):
+        """End every task at once, as a crash would."""
+        await cancel_and_wait(list(self._tasks))
+
     def _spawn(self, work):
         task = asyncio.create_task(work)
         self._tasks.add(task)
@@ -67,9 +76,9 @@
         result = await self._serve_once(request, stream)
         if not is_failure(result):
             answer = _to_store(request, result)
-            await self._parts.claims.finish(request, answer)
+            await self._parts.claims.finish(request, verdict, answer)
         elif result.outcome is Outcome.NOT_RUN:
-            self._spawn(self._parts.claims.release(request))
+            self._spawn(self._parts.claims.release(request, verdict))
         return result
 
     async def _claim(self, request):
@@ -85,8 +94,9 @@
 
     async def _give_up(self, request, claim):
         """Release a claim that is won after its request was answered."""
-        if isinstance(await claim, Won):
-            await self._parts.claims.release(request)
+        verdict = await claim
+        if isinstance(verdict, Won):
+            await self._parts.claims.release(request, verdict)
 
 
 def _unsure(refusal):
--- a/stoatpath/callers/pipelines.py
+++ b/stoatpath/callers/pipelines.py
@@ -24,8 +24,9 @@
         """Return `Served` or a failure.
 
         `stream` receives the events of a streamed answer before its end marker.
-        A request without a key is cancelled with its caller; one with a key runs
-        to its end, so that a retry finds its answer.
+        A repeatable request without a key is cancelled with its caller; one with a
+        key runs to its end, so that a retry finds its answer, and so does one that
+        may not be repeated, so that what ran is billed.
         """
         refusal = self._parts.rates.take(request.organisation, self._clock.now_ms())
         if request.idempotency_key:
@@ -34,12 +35,18 @@
             return await self._keyed.run(request, stream)
         if refusal is not None:
             return self._noted(request, refusal)
+        if not request.is_repeatable:
+            return await self._keyed.run_to_end(self._serve_once(request, stream))
         return await self._serve_once(request, stream)
 
     async def drain(self):
         """Return once all work has ended that goes on without its caller."""
         await self._keyed.drain()
 
+    async def abort(self):
+        """End all work at once, as a crash would."""
+        await self._keyed.abort()
+
     async def _serve_once(self, request, stream):
         problem = self._parts.guard.check_work()
         if problem is not None:
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -11,7 +11,9 @@
 from stoatpath.billing.outboxes import Outbox
 from stoatpath.callers.listeners import Listener
 from stoatpath.callers.pipelines import Pipeline
-from stoatpath.cascades.planners import Planner, QualityEstimates
+from stoatpath.cascades.estimates import Estimates
+from stoatpath.cascades.planners import Planner
+from stoatpath.cascades.raters import Rater
 from stoatpath.cascades.runners import StageRunner
 from stoatpath.clock import Clock
 from stoatpath.configuration.guards import FreshnessGuard
@@ -21,8 +23,11 @@
 from stoatpath.explanations.finders import ExplanationFinder
 from stoatpath.explanations.rings import DecisionRing
 from stoatpath.idempotency.claims import ClaimKeeper
+from stoatpath.idempotency.retention import ClaimSweeper
 from stoatpath.membership.backends import BackendServers
 from stoatpath.membership.watchers import BackendWatcher
+from stoatpath.metric_sources import router_samples
+from stoatpath.metrics import MetricsServer
 from stoatpath.nodes import Node
 from stoatpath.platform.ratings import RatingService
 from stoatpath.rollouts.assigners import VersionAssigner
@@ -49,6 +54,7 @@
         "ring",
         "ratings",
         "claims",
+        "sweeper",
         "outbox",
         "backends",
         "watcher",
@@ -60,6 +66,7 @@
         "guard",
         "estimates",
         "planner",
+        "rater",
         "archive",
         "pins",
         "explanations",
@@ -69,6 +76,7 @@
         "retry_budget",
         "pipeline",
         "listener",
+        "metrics",
         "_tasks",
     )
 
@@ -82,7 +90,8 @@
         self.ratings = RatingService.from_url(
             settings.ratings_url, self.node.tls.platform
         )
-        self.claims = ClaimKeeper(self.node.table)
+        self.claims = ClaimKeeper(self.node.table, clock, rng)
+        self.sweeper = self._build_sweeper()
         self.outbox = Outbox(
             self.node.table, clock, settings.name, self.node.incarnation
         )
@@ -96,8 +105,9 @@
         self.guard = FreshnessGuard(
             self.follower, self.assigner, self.node.gossip.contacts, settings, clock
         )
-        self.estimates = QualityEstimates()
-        self.planner = Planner(self.estimates)
+        self.estimates = Estimates()
+        self.planner = Planner(self.estimates, rng)
+        self.rater = Rater(self.ratings, self.estimates, clock)
         self.rates = RateLimits()
         self.rate_exchange = RateExchange(self.rates, self.node, rng)
         self.archive = PinArchive(self.node.table, self.follower, clock)
@@ -110,9 +120,11 @@
         )
         self.retry_budget = RetryBudget()
         self.attempts = AttemptRunner(self, rng)
+        self.attempts.observers.append(self.chooser.breakers.observe)
         self.stages = StageRunner(self)
         self.pipeline = Pipeline(self)
         self.listener = Listener(self, self.pipeline)
+        self.metrics = MetricsServer(lambda: router_samples(self))
         self._tasks = []
 
     @classmethod
@@ -135,6 +147,7 @@
         jobs = (
             self.watcher.run(),
             self.claims.run(),
+            self.sweeper.run(),
             self.outbox.run(),
             self.rate_exchange.run(),
             self.archive.run(),
@@ -143,6 +156,7 @@
             self._trim_connections(),
         )
         self._tasks = [asyncio.create_task(job) for job in jobs]
+        await self.metrics.start(self.settings.metrics_listen_address)
         await self.listener.start(self.settings.listen_address)
 
     async def stop(self):
@@ -160,13 +174,16 @@
     async def kill(self):
         """Stop at once, as a crash would."""
         await cancel_and_wait(self._tasks)
+        await self.pipeline.abort()
         await self._close()
 
     async def _close(self):
         await self.listener.stop()
+        await self.metrics.stop()
         await self.pins.close()
         await cancel_and_wait(self._tasks)
         await self.sender.close()
+        await self.rater.close()
         await self.ratings.connection.close()
         await self.node.stop()
 
@@ -180,6 +197,16 @@
             await self.clock.sleep_until(self.clock.now_ms() + TRIM_PERIOD_MS)
             await self.sender.trim()
 
+    def _build_sweeper(self):
+        return ClaimSweeper(
+            self.node.table,
+            self.clock,
+            self.settings.name,
+            self.settings.claim_answer_retention_ms,
+            lambda: list(self.follower.snapshot.organisations_by_name),
+            lambda: self.node.members.live_names(ROUTER),
+        )
+
     def _slots_by_pool(self):
         slots_by_pool = {}
         for backend in self.backends.by_name.values():
--- a/stoatpath/sessions/directories.py
+++ b/stoatpath/sessions/directories.py
@@ -19,6 +19,7 @@
 HAND_OVER_TIMEOUT_MS = 1_000
 HAND_OVER_PERIOD_MS = 250
 HAND_OVER_BATCH = 500
+PINS_PER_TURN = 20
 STABLE_AFTER_MS = 15_000
 
 
@@ -138,7 +139,9 @@
         if ring.signature != self._ring.signature:
             old, self._ring = self._ring, ring
             self._changed_ms = self._clock.now_ms()
-            for pin in self.store.pins():
+            for index, pin in enumerate(self.store.pins()):
+                if index % PINS_PER_TURN == 0:
+                    await asyncio.sleep(0)
                 if old.incarnations(pin.key) != ring.incarnations(pin.key):
                     self._unplaced.add(pin.key)
         if self._unplaced:
--- a/stoatpath/shutdowns.py
+++ b/stoatpath/shutdowns.py
@@ -72,6 +72,7 @@
             await asyncio.sleep(0.1)
 
     async def _write_records(self):
+        await self._router.claims.drain()
         await self._router.archive.flush()
         await self._router.outbox.flush()
 
