--- a/stoatpath/controllers.py
+++ b/stoatpath/controllers.py
@@ -39,7 +39,7 @@
 
     async def stop(self):
         """Stop gracefully."""
-        self.node.members.leave()
         await self.listener.stop()
+        self.node.members.leave()
         await self.metrics.stop()
         await self.node.stop()
