Footprints of real daemons: memory and idle processor time

Cause: the budget of 64 MB and 3.4% of a core was never held against a running daemon. Change: an experiment that starts one router and one controller as processes.

--- a/stoatpath/measure/experiments.py
+++ b/stoatpath/measure/experiments.py
@@ -1,6 +1,7 @@
 """The experiments by name, each with the module that runs it."""
 
 MODULES_BY_NAME = {
+    "footprints": "stoatpath.measure.footprints",
     "billing": "stoatpath.measure.billing",
     "cascades": "stoatpath.measure.cascade_costs",
     "control": "stoatpath.measure.control_traffic",
