Capacity page from measured slopes; bound the writes of session pins

Cause: no page told what breaks first at the design size; working it out showed two things: archives of session pins could write 10 times a second in each of 540 routers, and idempotency keys are too few in each router to be grouped. Change: the tables of the capacity page are computed from docs/measurements; the period of the pin batches grows with the members. Figures: pin writes of 540 routers from up to 5,400 a second to 50 a second, in computation; keyed requests at 5% of 15,000 a second need 1,500 rows a second, over the 300 counted on: open, named on the page.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 EXPERIMENT ?= all
 SEED ?= 1
 
-.PHONY: install run serve test lint format measure load
+.PHONY: install run serve test lint format measure load capacity
 
 $(VENV)/.installed: requirements.lock
 	@echo "Installing the locked packages into $(VENV) ..."
@@ -33,3 +33,6 @@
 
 measure: install
 	@$(PYTHON) -m stoatpath.tools.measure --experiment=$(EXPERIMENT) --seed=$(SEED)
+
+capacity: install
+	@$(PYTHON) -m stoatpath.tools.capacity
--- a/stoatpath/measure/capacities.py
+++ b/stoatpath/measure/capacities.py
@@ -22,7 +22,8 @@
 class Line:
     """One measured slope times a count.
 
-    `scale` turns the slope times the count into the resource's unit.
+    `scale` turns the slope times the count into the resource's unit. `bound` is a
+    slope that the code or the size fixes and no experiment measures, else None.
     """
 
     __slots__ = (
@@ -33,6 +34,7 @@
         "count_meaning",
         "scale",
         "mechanism",
+        "bound",
     )
 
     def __init__(
@@ -45,6 +47,14 @@
         self.count_meaning = count_meaning
         self.scale = scale
         self.mechanism = mechanism
+        self.bound = None
+
+    @classmethod
+    def bounded(cls, what, value, unit, count, count_meaning, scale, mechanism):
+        """Build a line whose slope is fixed and not measured."""
+        line = cls(what, "", "fixed", count, count_meaning, scale, mechanism)
+        line.bound = Slope(value, unit, "", "")
+        return line
 
 
 class Demand:
@@ -101,6 +111,8 @@
 
     def find(self, line):
         """Return the slope of a line, or None."""
+        if line.bound is not None:
+            return line.bound
         return self._slopes_by_key.get((line.experiment, line.figure))
 
 
@@ -124,10 +136,11 @@
         else:
             used = slope.value * line.count * line.scale
             total += used
-            value = f"{used:,.3g}"
-            slope_text = f"{slope.value:,.4g} {slope.unit} (`{line.figure}`)"
+            value = _number(used)
+            slope_text = f"{_number(slope.value)} {slope.unit} (`{line.figure}`)"
         rows.append(
-            f"| {line.what} | {slope_text} | {line.count:,g} {line.count_meaning} "
+            f"| {line.what} | {slope_text} "
+            f"| {_number(line.count)} {line.count_meaning} "
             f"| {value} | {line.mechanism} |"
         )
     rows += ["", _verdict(resource, total, missing)]
@@ -140,16 +153,23 @@
     seen = set()
     for line in (line for demand in demands for line in demand.lines):
         slope = book.find(line)
-        if slope is None or line.experiment in seen:
+        if slope is None or line.experiment in seen or not line.experiment:
             continue
         seen.add(line.experiment)
         rows.append(f"| {line.experiment} | `{slope.command}` | {slope.date} |")
     return "\n".join(rows)
 
 
+def _number(value):
+    """Return a number with three significant digits and no exponent."""
+    if abs(value) >= 100:
+        return f"{value:,.0f}"
+    return f"{value:.3g}"
+
+
 def _verdict(resource, total, missing):
     gap = f", {missing} lines not measured" if missing else ""
-    text = f"Total: {total:,.3g} {resource.unit}"
+    text = f"Total: {_number(total)} {resource.unit}"
     if resource.budget is None:
         return f"{text}{gap}."
     verdict = "within" if total <= resource.budget else "OVER"
--- /dev/null
+++ b/stoatpath/measure/design_sizes.py
@@ -0,0 +1,318 @@
+"""The size to design for, and what each role does at it."""
+
+from stoatpath.explanations.rings import MAX_RING_BYTES
+from stoatpath.measure.capacities import Demand, Line, Resource
+from stoatpath.sessions.archives import SITE_WRITES_PER_S
+
+DAEMONS = 540
+REPLICAS = 2_800
+REQUESTS_PER_S = 15_000
+TOKENS_PER_S = 5_000_000
+VERSIONS = 29
+CHANGES_PER_DAY = 5_400
+SECONDS_PER_DAY = 86_400
+TOKEN_GAP_S = 0.072
+LIVE_SESSIONS = 1_000_000
+PIN_HOLDERS = 2
+PURPOSES = 10
+KEYED_SHARE = 0.05
+WRITES_PER_KEYED_REQUEST = 2
+POLLED_SERVERS = 87
+
+REQUESTS_PER_ROUTER = REQUESTS_PER_S / DAEMONS
+TOKENS_PER_ROUTER = TOKENS_PER_S / DAEMONS
+STREAMS_PER_ROUTER = TOKENS_PER_ROUTER * TOKEN_GAP_S
+PINS_PER_ROUTER = LIVE_SESSIONS * PIN_HOLDERS / DAEMONS
+
+MEMORY = Resource("memory for control", "MB", 64)
+WORK_MEMORY = Resource("memory for requests", "MB", None)
+NETWORK = Resource("network for control", "kB/s", 23)
+CORE = Resource("processor time for control", "% of a core", 3.4)
+WORK_CORE = Resource("processor time for requests", "% of a core", None)
+WRITES = Resource("writes", "writes/s", 300)
+READS = Resource("reads", "reads/s", 2_000)
+
+ROUTER = "Router"
+CONTROLLER = "Controller"
+PLATFORM = "Table service, all daemons together"
+
+PERCENT = 100
+US_TO_PERCENT = 1e-6 * PERCENT
+B_TO_MB = 1e-6
+B_TO_KB = 1e-3
+KB_TO_MB = 1e-3
+
+
+def demands():
+    """Return what every role needs of every resource."""
+    return [
+        Demand(ROUTER, MEMORY, _router_memory()),
+        Demand(ROUTER, NETWORK, _router_network()),
+        Demand(ROUTER, CORE, _router_core()),
+        Demand(ROUTER, WORK_MEMORY, _router_work_memory()),
+        Demand(ROUTER, WORK_CORE, _router_work_core()),
+        Demand(CONTROLLER, MEMORY, _controller_memory()),
+        Demand(CONTROLLER, NETWORK, _controller_network()),
+        Demand(CONTROLLER, CORE, _controller_core()),
+        Demand(PLATFORM, WRITES, _writes()),
+        Demand(PLATFORM, READS, _reads()),
+    ]
+
+
+def _members_memory():
+    return Line(
+        "members known",
+        "control",
+        "membership.bytes_per_peer",
+        DAEMONS,
+        "members",
+        B_TO_MB,
+        "member table, changes by gossip",
+    )
+
+
+def _router_memory():
+    return [
+        Line(
+            "process at rest",
+            "footprints",
+            "router.resident_kb",
+            1,
+            "process",
+            KB_TO_MB,
+            "imports kept to what a daemon needs",
+        ),
+        _members_memory(),
+        Line(
+            "backend servers known",
+            "decision-costs",
+            "routing.bytes_per_backend",
+            POLLED_SERVERS,
+            "servers of its subset",
+            B_TO_MB,
+            "subset by rendezvous hashing",
+        ),
+        Line(
+            "session pins",
+            "session-costs",
+            "sessions.bytes_per_pin",
+            PINS_PER_ROUTER,
+            "pins (1,000,000 live sessions, 2 holders)",
+            B_TO_MB,
+            "two holders for each pin",
+        ),
+        Line(
+            "learned estimates",
+            "decision-costs",
+            "cascades.bytes_per_estimate",
+            VERSIONS * PURPOSES,
+            "versions and purposes",
+            B_TO_MB,
+            "counts for each version and purpose",
+        ),
+        Line.bounded(
+            "decisions kept to explain",
+            MAX_RING_BYTES,
+            "B",
+            1,
+            "ring",
+            B_TO_MB,
+            "ring bounded in bytes",
+        ),
+    ]
+
+
+def _gossip_network():
+    return Line(
+        "gossip, probes, configuration",
+        "control",
+        "gossip.bytes_per_s.peers-540",
+        1,
+        "daemon among 540",
+        B_TO_KB,
+        "probing in turn, deltas, byte budget",
+    )
+
+
+def _router_network():
+    return [
+        _gossip_network(),
+        Line(
+            "load reports",
+            "control",
+            "backends.bytes_per_s.servers-87",
+            1,
+            "subset of 87 servers",
+            B_TO_KB,
+            "period grows with the subset",
+        ),
+    ]
+
+
+def _gossip_core():
+    return Line(
+        "gossip, probes, configuration",
+        "control",
+        "gossip.core_share.peers-540",
+        1,
+        "daemon among 540",
+        PERCENT,
+        "probing in turn, deltas",
+    )
+
+
+def _router_core():
+    return [
+        _gossip_core(),
+        Line(
+            "load reports",
+            "control",
+            "backends.core_share.servers-87",
+            1,
+            "subset of 87 servers",
+            PERCENT,
+            "period grows with the subset",
+        ),
+        Line(
+            "timers of an idle router, small site",
+            "footprints",
+            "router.idle_core",
+            1,
+            "process",
+            PERCENT,
+            "contains polling of 12 servers at 4 times a second",
+        ),
+    ]
+
+
+def _router_work_memory():
+    return [
+        Line(
+            "open streams",
+            "hot-path",
+            "hot-path.bytes_per_open_stream",
+            STREAMS_PER_ROUTER,
+            "streams (72 ms between tokens)",
+            B_TO_MB,
+            "events relayed as they come",
+        ),
+        Line(
+            "waiting requests",
+            "decision-costs",
+            "admission.bytes_per_waiting",
+            1_000,
+            "requests, the default bound",
+            B_TO_MB,
+            "bounded queue",
+        ),
+    ]
+
+
+def _router_work_core():
+    return [
+        Line(
+            "requests",
+            "hot-path",
+            "hot-path.router_cpu_per_request",
+            REQUESTS_PER_ROUTER,
+            "requests/s",
+            US_TO_PERCENT,
+            "one process on one core",
+        ),
+        Line(
+            "streamed tokens",
+            "hot-path",
+            "hot-path.router_cpu_per_token",
+            TOKENS_PER_ROUTER,
+            "tokens/s",
+            US_TO_PERCENT,
+            "events relayed, each checked",
+        ),
+    ]
+
+
+def _controller_memory():
+    return [
+        Line(
+            "process at rest",
+            "footprints",
+            "controller.resident_kb",
+            1,
+            "process",
+            KB_TO_MB,
+            "imports kept to what a daemon needs",
+        ),
+        _members_memory(),
+    ]
+
+
+def _controller_network():
+    return [_gossip_network()]
+
+
+def _controller_core():
+    return [_gossip_core()]
+
+
+def _writes():
+    return [
+        Line(
+            "billing batches",
+            "billing",
+            "billing.writes_at_design_size",
+            1,
+            "site",
+            1,
+            "one large write a router in 5 s, copies at peers between",
+        ),
+        Line.bounded(
+            "accepted changes",
+            CHANGES_PER_DAY / SECONDS_PER_DAY,
+            "writes/s",
+            1,
+            "site",
+            1,
+            "one transaction for each submission",
+        ),
+        Line.bounded(
+            "pins at risk during a roll-out",
+            SITE_WRITES_PER_S,
+            "writes/s",
+            1,
+            "site, at most",
+            1,
+            "period of the batches grows with the members",
+        ),
+        Line.bounded(
+            "idempotency keys",
+            REQUESTS_PER_S * KEYED_SHARE * WRITES_PER_KEYED_REQUEST,
+            "rows/s",
+            1,
+            "site, 5% of requests keyed, too few in one router to group",
+            1,
+            "group commit in each router",
+        ),
+    ]
+
+
+def _reads():
+    return [
+        Line(
+            "polling of the configuration's head",
+            "control",
+            "configuration.table_reads_per_s.site-540",
+            1,
+            "site",
+            1,
+            "period grows with the members, gossip tells of changes",
+        ),
+        Line.bounded(
+            "reads back of idempotency keys",
+            REQUESTS_PER_S * KEYED_SHARE * WRITES_PER_KEYED_REQUEST,
+            "reads/s",
+            1,
+            "site, 5% of requests keyed",
+            1,
+            "each claim is verified by a read",
+        ),
+    ]
--- a/stoatpath/sessions/archives.py
+++ b/stoatpath/sessions/archives.py
@@ -14,7 +14,8 @@
 MAX_BATCH_PINS = 200
 MAX_WAITING_PINS = 5_000
 RETRY_PERIOD_MS = 1_000
-BATCH_PERIOD_MS = 100
+MIN_BATCH_PERIOD_MS = 100
+SITE_WRITES_PER_S = 50
 READS_PER_S = 2.0
 HALTED = "halted"
 
@@ -77,10 +78,18 @@
         """Write batches until cancelled."""
         while True:
             await self._filled.wait()
-            await self._clock.sleep_until(self._clock.now_ms() + BATCH_PERIOD_MS)
+            await self._clock.sleep_until(self._clock.now_ms() + self.period_ms())
             if not await self.flush():
                 await self._clock.sleep_until(self._clock.now_ms() + RETRY_PERIOD_MS)
 
+    def period_ms(self):
+        """Return the time between batches that bounds the writes of the site.
+
+        Until a pin is written, its two holders keep it.
+        """
+        members = self._follower.count_members()
+        return max(MIN_BATCH_PERIOD_MS, members * 1000 / SITE_WRITES_PER_S)
+
     async def flush(self):
         """Write what waits; return whether all of it is written."""
         while self._waiting_by_key:
--- a/stoatpath/sessions/features/pins.feature
+++ b/stoatpath/sessions/features/pins.feature
@@ -26,6 +26,17 @@
       | is halted  | 0    | 0      |
       | is absent  | 0    | 0      |
 
+  Scenario Outline: The writes of all members together stay bounded
+    Given an archive of a site whose roll-out is running
+    When the site has <members> members
+    Then all archives together write at most <writes> times a second
+
+    Examples:
+      | members | writes |
+      | 1       | 10     |
+      | 9       | 50     |
+      | 540     | 50     |
+
   Scenario: Pins wait for a table that is down, and the newest of a session is written
     Given an archive of a site whose roll-out is running
     When a session moves twice while the table is down
--- a/stoatpath/sessions/features/steps/pin_steps.py
+++ b/stoatpath/sessions/features/steps/pin_steps.py
@@ -248,6 +248,20 @@
     return asyncio.run(run())
 
 
+@when("the site has {count:d} members")
+def step_impl(context, count):
+    follower = _Follower(context.state)
+    follower.count_members = lambda: count
+    context.members = count
+    context.archive = PinArchive(None, follower, Clock())
+
+
+@then("all archives together write at most {writes:d} times a second")
+def step_impl(context, writes):
+    per_s = context.members * 1000 / context.archive.period_ms()
+    assert 0 < per_s <= writes, per_s
+
+
 @when("{count:d} pins are added")
 def step_impl(context, count):
     async def work(archive, standin):
--- /dev/null
+++ b/stoatpath/tools/capacity.py
@@ -0,0 +1,41 @@
+"""Writes the tables of docs/CAPACITY.md from docs/measurements."""
+
+import sys
+
+from stoatpath.measure.capacities import (
+    SlopeBook,
+    render_demand,
+    render_sources,
+)
+from stoatpath.measure.design_sizes import demands
+
+PAGE = "docs/CAPACITY.md"
+BEGIN = "<!-- tables: written by `make capacity` -->"
+END = "<!-- end of tables -->"
+
+
+def render_page(text):
+    """Return the page with its tables worked out anew."""
+    head, _, rest = text.partition(BEGIN)
+    _, _, tail = rest.partition(END)
+    book = SlopeBook.from_folder()
+    parts = [render_demand(demand, book) for demand in demands()]
+    parts += ["### Where the slopes come from", render_sources(demands(), book)]
+    tables = "\n\n".join(parts)
+    return f"{head}{BEGIN}\n\n{tables}\n\n{END}{tail}"
+
+
+def main():
+    """Rewrite the page; return the exit code."""
+    with open(PAGE, encoding="utf-8") as file:
+        text = file.read()
+    if BEGIN not in text or END not in text:
+        print(f"{PAGE}: the marks around the tables are missing", file=sys.stderr)
+        return 1
+    with open(PAGE, "w", encoding="utf-8") as file:
+        file.write(render_page(text))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
