--- a/stoatpath/admission/gates.py
+++ b/stoatpath/admission/gates.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from stoatpath.admission.messages import QUEUED
-from stoatpath.outcomes import DEADLINE_UNREACHABLE, Failure
 
 
 class AdmissionGate:
@@ -24,6 +23,10 @@
         """Return how many requests wait for a slot."""
         return len(self._waiters_by_id)
 
+    def expected_wait_ms(self, request):
+        """Return how long a request would wait if it came now."""
+        return self._queue.expected_wait_ms(request, self._clock.now_ms())
+
     async def enter(self, request):
         """Return a grant, or a failure by the request's deadline."""
         verdict = self._queue.offer(request, self._clock.now_ms())
@@ -37,9 +40,7 @@
                 grant = await waiter
         except TimeoutError:
             self._abandon(request.request_id, waiter)
-            now_ms = self._clock.now_ms()
-            detail = "no slot freed in time"
-            return Failure(DEADLINE_UNREACHABLE, detail, retry_at_ms=now_ms)
+            return self._queue.give_up(request, self._clock.now_ms())
         except asyncio.CancelledError:
             self._abandon(request.request_id, waiter)
             raise
--- a/stoatpath/admission/messages.py
+++ b/stoatpath/admission/messages.py
@@ -40,13 +40,14 @@
 class Grant:
     """A slot held in a pool until it is released."""
 
-    __slots__ = ("request_id", "organisation", "pool", "granted_ms")
+    __slots__ = ("request_id", "organisation", "pool", "granted_ms", "is_short")
 
-    def __init__(self, request_id, organisation, pool, granted_ms):
+    def __init__(self, request_id, organisation, pool, granted_ms, is_short=False):
         self.request_id = request_id
         self.organisation = organisation
         self.pool = pool
         self.granted_ms = granted_ms
+        self.is_short = is_short
 
 
 class PoolLoad:
--- a/stoatpath/cascades/courses.py
+++ b/stoatpath/cascades/courses.py
@@ -14,12 +14,12 @@
 class Course:
     """The stages of one request that ran so far, and what comes next."""
 
-    __slots__ = ("reason", "_planner", "_query", "_stages", "_next", "_answered")
+    __slots__ = ("reason", "query", "_planner", "_stages", "_next", "_answered")
 
     def __init__(self, planner, query, plan):
         self.reason = plan.reason
         self._planner = planner
-        self._query = query
+        self.query = query
         self._stages = plan.stages
         self._next = 0
         self._answered = []
@@ -34,13 +34,24 @@
     @property
     def is_raised(self):
         """Return whether an earlier stage was not good enough."""
-        return self._next > 0
+        return bool(self._answered)
 
     @property
     def results(self):
         """Return the results of all stages that ran."""
         return [each.result for each in self._answered]
 
+    @property
+    def following(self):
+        """Return the stage after the next one, or None."""
+        place = self._next + 1
+        return self._stages[place] if place < len(self._stages) else None
+
+    def skip_to(self, version):
+        """Leave out the stages before a version of this course."""
+        while self.stage is not None and self.stage.version.name != version:
+            self._next += 1
+
     def take(self, answer, result, now_ms):
         """Take what the next stage answered and decide whether to go up."""
         stage = self.stage
@@ -79,7 +90,7 @@
 
     def _take_unrated(self, stage, following, is_raised, now_ms):
         accepts = self._planner.accepts_unrated(
-            self._query, stage.version, following.version, is_raised, now_ms
+            self.query, stage.version, following.version, is_raised, now_ms
         )
         if accepts or not self._has_time(following, now_ms):
             self._stop("no rating")
@@ -91,10 +102,10 @@
         self._next = len(self._stages)
 
     def _has_time(self, following, now_ms):
-        seconds = self._planner.expected_seconds(self._query, following.version)
-        return now_ms + seconds * 1000 < self._query.deadline_ms
+        seconds = self._planner.expected_seconds(self.query, following.version)
+        return now_ms + seconds * 1000 < self.query.deadline_ms
 
     def _worth(self, result):
         if result.rating is None:
-            return self._query.purpose.quality
+            return self.query.purpose.quality
         return result.rating
--- a/stoatpath/cascades/planners.py
+++ b/stoatpath/cascades/planners.py
@@ -60,6 +60,14 @@
         exposure = query.service.objective.exposure_weight * chance_bad
         return exposure <= self._stage_price(query, following)
 
+    def is_worth_skipping(self, query, version, following, wait_ms, now_ms):
+        """Return whether to run on the following version rather than to wait."""
+        ready_ms = now_ms + wait_ms
+        if ready_ms + self.expected_seconds(query, version) * 1000 > query.deadline_ms:
+            return True
+        extra = self._stage_price(query, following) - self._stage_price(query, version)
+        return extra < query.service.objective.latency_weight * wait_ms / 1000
+
     def expected_seconds(self, query, version):
         """Return how long a stage is expected to take."""
         return self._cost(query, version).seconds
--- a/stoatpath/cascades/runners.py
+++ b/stoatpath/cascades/runners.py
@@ -60,49 +60,69 @@
         served.session_moved = moved
 
     async def _run_stages(self, request, course, stream):
-        while (stage := course.stage) is not None:
-            started_ms = self._clock.now_ms()
-            answer = await self._run_stage(request, stage, stream)
+        while course.stage is not None:
+            answer = await self._run_stage(request, course, stream)
             if is_failure(answer):
                 if course.best() is None:
                     return answer
                 course.fail()
                 break
-            seconds = (self._clock.now_ms() - started_ms) / 1000
-            self._learn_cost(request, stage, answer, seconds)
+            stage = course.stage
             rating = await self._rate(request, stage, answer, course.is_raised)
             result = _stage_result(stage.version, answer, rating)
             course.take(answer, result, self._clock.now_ms())
         self._note(request, "stages", course.reason, ran=len(course.results))
         return _served(course)
 
-    async def _run_stage(self, request, stage, stream):
+    async def _run_stage(self, request, course, stream):
+        """Run the next stage, or the one after it where that has a slot sooner."""
         asked_ms = self._clock.now_ms()
-        grant = await self._parts.gate.enter(
-            AdmissionRequest(
-                request.request_id,
-                request.organisation.name,
-                request.organisation.weight,
-                (stage.version.name,),
-                request.deadline_ms,
-                0.0,
-                request.purpose.is_short,
-            )
-        )
+        grant = await self._parts.gate.enter(self._ask_for_slot(request, course))
         if is_failure(grant):
             self._note(request, "admission", grant.reason.name, detail=grant.detail)
             return grant
+        granted_ms = self._clock.now_ms()
         self._note(
             request,
             "admission",
             "granted",
             pool=grant.pool,
-            waited_ms=round(self._clock.now_ms() - asked_ms, 1),
+            waited_ms=round(granted_ms - asked_ms, 1),
         )
+        course.skip_to(grant.pool)
+        version = course.stage.version
         try:
-            return await self._parts.attempts.run(request, stage.version, stream)
+            answer = await self._parts.attempts.run(request, version, stream)
         finally:
             self._parts.gate.leave(grant)
+        if not is_failure(answer):
+            seconds = (self._clock.now_ms() - granted_ms) / 1000
+            self._cost(request, version).learn(answer.tokens, seconds)
+        return answer
+
+    def _ask_for_slot(self, request, course):
+        """Return the question for a slot in every pool that may be used."""
+        version = course.stage.version
+        question = AdmissionRequest(
+            request.request_id,
+            request.organisation.name,
+            request.organisation.weight,
+            (version.name,),
+            request.deadline_ms,
+            self._cost(request, version).seconds * 1000,
+            request.purpose.is_short,
+        )
+        following = course.following
+        if following is None:
+            return question
+        planner = self._parts.planner
+        wait_ms = self._parts.gate.expected_wait_ms(question)
+        now_ms = self._clock.now_ms()
+        if planner.is_worth_skipping(
+            course.query, version, following.version, wait_ms, now_ms
+        ):
+            question.pools = (version.name, following.version.name)
+        return question
 
     async def _rate(self, request, stage, answer, is_raised):
         """Return the rating of an answer, or None without one in time."""
@@ -138,11 +158,8 @@
         )
         return rating
 
-    def _learn_cost(self, request, stage, answer, seconds):
-        estimate = self._parts.estimates.cost(
-            request.service, request.purpose, stage.version
-        )
-        estimate.learn(answer.tokens, seconds)
+    def _cost(self, request, version):
+        return self._parts.estimates.cost(request.service, request.purpose, version)
 
     def _note(self, request, step, reason, **details):
         self._parts.ring.note(request.request_id, step, reason, **details)
--- a/stoatpath/measure/decision_costs.py
+++ b/stoatpath/measure/decision_costs.py
@@ -4,6 +4,13 @@
 import time
 import tracemalloc
 
+from stoatpath.admission.messages import AdmissionRequest, Grant
+from stoatpath.admission.queues import AdmissionQueue
+from stoatpath.cascades.estimates import Estimates
+from stoatpath.cascades.messages import PlanQuery
+from stoatpath.cascades.planners import Planner
+from stoatpath.configuration.documents import ACTIVE, Version
+from stoatpath.measure.deployments import CORAL_COAST, Deployment
 from stoatpath.measure.reports import Figure, Report
 from stoatpath.membership.backends import ENGINE, BackendServers
 from stoatpath.outcomes import is_failure
@@ -15,6 +22,10 @@
 BACKEND_COUNTS = (9, 280, 2_800)
 VERSIONS = 29
 CHOICES = 2_000
+WAITING_COUNTS = (10, 100, 1_000)
+ORGANISATIONS = 10
+GRANTS = 2_000
+PLANS = 2_000
 ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
 MICROSECONDS = 1_000_000
 
@@ -25,6 +36,11 @@
     for count in BACKEND_COUNTS:
         figures.append(_choice_time(seed, count))
     figures.append(_bytes_per_backend())
+    for count in WAITING_COUNTS:
+        figures.append(_grant_time(count))
+    figures.append(_bytes_per_waiting())
+    figures.append(_plan_time(seed))
+    figures.append(_bytes_per_estimate())
     return Report(NAME, seed, figures, is_timed=True)
 
 
@@ -85,3 +101,73 @@
         }
         servers.apply_report(name, report, 0.0)
     return servers
+
+
+def _build_queue(count):
+    """Return a full queue of one slot in which so many requests wait."""
+    queue = AdmissionQueue(ORGANISATIONS * WAITING_COUNTS[-1])
+    queue.set_capacity("pool", 1)
+    grant = None
+    for index in range(count + 1):
+        verdict = queue.offer(_build_request(index), 0.0)
+        if isinstance(verdict, Grant):
+            grant = verdict
+        elif is_failure(verdict):
+            raise AssertionError(verdict.detail)
+    return queue, grant
+
+
+def _build_request(index):
+    name = f"organisation-{index % ORGANISATIONS}"
+    deadline_ms = 1e12 + index * 7 % 1_000
+    return AdmissionRequest(
+        f"req-{index}", name, 1, ("pool",), deadline_ms, 1.0, index % 3 == 0
+    )
+
+
+def _grant_time(count):
+    """Return the time of one release with its grant and the offer that follows."""
+    queue, grant = _build_queue(count)
+    held = [grant]
+
+    def serve(index):
+        now_ms = float(index)
+        held.extend(queue.release(held.pop(), now_ms))
+        queue.offer(_build_request(count + 1 + index), now_ms)
+
+    value = time_each(serve, GRANTS)
+    return Figure(f"admission.grant_us.waiting-{count}", round(value, 2), "us")
+
+
+def _bytes_per_waiting():
+    value = bytes_each(_build_queue, WAITING_COUNTS[-1])
+    return Figure("admission.bytes_per_waiting", round(value), "bytes")
+
+
+def _plan_time(seed):
+    deployment = Deployment.from_sample(CORAL_COAST)
+    planner = Planner(Estimates(), random.Random(seed))
+    purpose = deployment.traffic()[0][0]
+    query = PlanQuery(deployment.service, purpose, True, False, False, 60_000.0)
+    versions = deployment.versions
+    value = time_each(lambda index: planner.plan(query, versions, 0.0), PLANS)
+    return Figure("cascades.plan_us", round(value, 2), "us")
+
+
+def _bytes_per_estimate():
+    """Return the memory of what is known of one version for one purpose."""
+    deployment = Deployment.from_sample(CORAL_COAST)
+    service = deployment.service
+    purpose = deployment.traffic()[0][0]
+
+    def build(count):
+        estimates = Estimates()
+        for index in range(count):
+            version = Version(f"model@{index}", "model", 1.0, ACTIVE)
+            estimates.quality(service, purpose, version)
+            estimates.quality(service, purpose, version, is_raised=True)
+            estimates.cost(service, purpose, version)
+        return estimates
+
+    value = bytes_each(build, 1_000)
+    return Figure("cascades.bytes_per_estimate", round(value), "bytes")
--- a/stoatpath/measure/experiments.py
+++ b/stoatpath/measure/experiments.py
@@ -4,6 +4,8 @@
     "billing": "stoatpath.measure.billing",
     "cascades": "stoatpath.measure.cascade_costs",
     "decision-costs": "stoatpath.measure.decision_costs",
+    "fairness": "stoatpath.measure.fairness",
+    "overload": "stoatpath.measure.overloads",
     "retries": "stoatpath.measure.retry_budgets",
     "routing": "stoatpath.measure.routing_loads",
 }
--- /dev/null
+++ b/stoatpath/measure/fairness.py
@@ -0,0 +1,153 @@
+"""The share of the worst-off organisation under overload, with constraints."""
+
+import random
+
+from stoatpath.admission.messages import AdmissionRequest
+from stoatpath.admission.queues import AdmissionQueue
+from stoatpath.measure.admission_baselines import FirstComeQueue, PerPoolQueue
+from stoatpath.measure.admission_runs import AdmissionRun, Work
+from stoatpath.measure.deployments import DEPLOYMENTS, Deployment
+from stoatpath.measure.fair_shares import Claim, exact_shares
+from stoatpath.measure.reports import Report, Target
+from stoatpath.measure.spreads import seeds_from, spread_figures
+
+NAME = "fairness"
+QUEUE_LIMIT = 2_000
+ROUTER = "router"
+WAYS = {
+    ROUTER: AdmissionQueue,
+    "first-come": FirstComeQueue,
+    "per-pool": PerPoolQueue,
+}
+SLOTS_BY_POOL = {"cheap@1": 20, "cheap@2": 8, "dear@1": 12, "dear@2": 6}
+WARM_UP_MS = 20_000.0
+END_MS = 220_000.0
+TIMEOUT_MS = 8_000.0
+MEAN_HELD_MS = 400.0
+DEMAND_OVER_FAIR = (2.0, 6.0)
+SHORT_SHARES = (0.0, 0.3)
+MIN_WORST_SHARE = 0.98
+
+
+class Trial:
+    """One seed of one way and deployment, with a share of short work."""
+
+    __slots__ = ("deployment", "short_share", "way", "seed")
+
+    def __init__(self, deployment, short_share, way, seed):
+        self.deployment = deployment
+        self.short_share = short_share
+        self.way = way
+        self.seed = seed
+
+    @property
+    def name(self):
+        """Return what the trials of several seeds have in common."""
+        return f"{self.deployment}.short-{self.short_share:g}.{self.way}"
+
+
+class TrialResult:
+    """The worst share over the exact one, and the greatest lack of any.
+
+    Both compare slots by weight with exact constrained max-min fairness.
+    """
+
+    __slots__ = ("trial", "worst", "least_of_own")
+
+    def __init__(self, trial, worst, least_of_own):
+        self.trial = trial
+        self.worst = worst
+        self.least_of_own = least_of_own
+
+
+def list_trials(seed):
+    """Return all trials."""
+    return [
+        Trial(deployment, short_share, way, each)
+        for deployment in DEPLOYMENTS
+        for short_share in SHORT_SHARES
+        for way in WAYS
+        for each in seeds_from(seed)
+    ]
+
+
+def run_trial(trial):
+    """Run one trial."""
+    rng = random.Random(f"{trial.seed} fairness")
+    claims = _draw_claims(Deployment.from_sample(trial.deployment), rng)
+    queue = WAYS[trial.way](QUEUE_LIMIT)
+    for pool, slots in SLOTS_BY_POOL.items():
+        queue.set_capacity(pool, slots)
+    run = AdmissionRun(queue, WARM_UP_MS, END_MS)
+    run.run(_draw_work(claims, trial.short_share, rng))
+    exact = exact_shares(claims, SLOTS_BY_POOL)
+    slots = {
+        claim.name: run.used_ms_by_organisation.get(claim.name, 0.0)
+        / (END_MS - WARM_UP_MS)
+        for claim in claims
+    }
+    worst = min(slots[claim.name] / claim.weight for claim in claims)
+    exact_worst = min(exact[claim.name] / claim.weight for claim in claims)
+    least = min(slots[claim.name] / exact[claim.name] for claim in claims)
+    return TrialResult(trial, worst / exact_worst, least)
+
+
+def summarise(seed, results):
+    """Return the report of all trials."""
+    figures = []
+    targets = []
+    by_name = {}
+    for result in results:
+        by_name.setdefault(result.trial.name, []).append(result)
+    for name, own in by_name.items():
+        worst = [result.worst for result in own]
+        least = [result.least_of_own for result in own]
+        figures += spread_figures(f"{name}.worst-share", worst, "of exact")
+        figures += spread_figures(f"{name}.least-of-own", least, "of exact")
+        if name.endswith(ROUTER):
+            targets.append(Target(f"{name}.worst-share", "at-least", MIN_WORST_SHARE))
+    return Report(NAME, seed, figures, targets)
+
+
+def run(seed):
+    """Run all trials one after the other."""
+    return summarise(seed, [run_trial(trial) for trial in list_trials(seed)])
+
+
+def _draw_claims(deployment, rng):
+    """Return organisations with the sample's weights, unlike pools and demands."""
+    pools = sorted(SLOTS_BY_POOL)
+    organisations = deployment.organisations
+    weights = sum(each.weight for each in organisations)
+    total_slots = sum(SLOTS_BY_POOL.values())
+    claims = []
+    for each in organisations:
+        allowed = rng.sample(pools, rng.choice((1, 2, 2, 3, 4)))
+        fair = total_slots * each.weight / weights
+        demand = fair * rng.uniform(*DEMAND_OVER_FAIR)
+        claims.append(Claim(each.name, each.weight, allowed, demand))
+    return claims
+
+
+def _draw_work(claims, short_share, rng):
+    works = []
+    for claim in claims:
+        at_ms = 0.0
+        while True:
+            at_ms += rng.expovariate(claim.demand / MEAN_HELD_MS)
+            if at_ms >= END_MS:
+                break
+            pools = list(claim.pools)
+            pools.sort()
+            rng.shuffle(pools)
+            request = AdmissionRequest(
+                f"{claim.name}-{len(works)}",
+                claim.name,
+                claim.weight,
+                tuple(pools),
+                at_ms + TIMEOUT_MS,
+                MEAN_HELD_MS,
+                rng.random() < short_share,
+            )
+            works.append(Work(request, rng.expovariate(1 / MEAN_HELD_MS), at_ms))
+    return works
--- /dev/null
+++ b/stoatpath/measure/overloads.py
@@ -0,0 +1,150 @@
+"""Work done in time and late refusals at twice the capacity."""
+
+import random
+
+from stoatpath.admission.messages import AdmissionRequest
+from stoatpath.admission.queues import AdmissionQueue
+from stoatpath.measure.admission_baselines import UnboundedQueue
+from stoatpath.measure.admission_runs import AdmissionRun, Work
+from stoatpath.measure.deployments import DEPLOYMENTS, Deployment
+from stoatpath.measure.reports import Figure, Report, Target
+from stoatpath.measure.spreads import mean, percentile, seeds_from, spread_figures
+from stoatpath.measure.workloads import Workload
+
+NAME = "overload"
+WAYS = {"router": AdmissionQueue, "never-refuses": UnboundedQueue}
+POOL = "model@1"
+SLOTS = 32
+QUEUE_LIMIT = 1_000
+OVERLOAD = 2.0
+SECONDS = 300.0
+WARM_UP_MS = 20_000.0
+TOKEN_MS = 30.0
+LONGEST_OVER_TIMEOUT = 0.8
+MIN_USEFUL = 0.95
+
+
+class Trial:
+    """One seed of one way and deployment."""
+
+    __slots__ = ("deployment", "way", "seed")
+
+    def __init__(self, deployment, way, seed):
+        self.deployment = deployment
+        self.way = way
+        self.seed = seed
+
+
+class TrialResult:
+    """Useful share of the capacity, shares of requests, waits of short work."""
+
+    __slots__ = ("trial", "useful", "wasted", "early", "late", "short_wait_ms")
+
+    def __init__(self, trial, useful, wasted, early, late, short_wait_ms):
+        self.trial = trial
+        self.useful = useful
+        self.wasted = wasted
+        self.early = early
+        self.late = late
+        self.short_wait_ms = short_wait_ms
+
+
+def list_trials(seed):
+    """Return all trials."""
+    return [
+        Trial(deployment, way, each)
+        for deployment in DEPLOYMENTS
+        for way in WAYS
+        for each in seeds_from(seed)
+    ]
+
+
+def run_trial(trial):
+    """Run one trial."""
+    deployment = Deployment.from_sample(trial.deployment)
+    works = _draw_work(deployment, random.Random(f"{trial.seed} overload"))
+    queue = WAYS[trial.way](QUEUE_LIMIT)
+    queue.set_capacity(POOL, SLOTS)
+    end_ms = SECONDS * 1000
+    run = AdmissionRun(queue, WARM_UP_MS, end_ms)
+    run.run(works)
+    capacity_ms = SLOTS * (end_ms - WARM_UP_MS)
+    return TrialResult(
+        trial,
+        run.useful_ms / capacity_ms,
+        run.wasted_ms / capacity_ms,
+        run.refused_early / len(works),
+        len(run.refused_late_ms) / len(works),
+        percentile(run.short_waits_ms, 0.99),
+    )
+
+
+def summarise(seed, results):
+    """Return the report of all trials."""
+    figures = []
+    targets = []
+    for deployment in DEPLOYMENTS:
+        for way in WAYS:
+            own = [
+                result
+                for result in results
+                if (result.trial.deployment, result.trial.way) == (deployment, way)
+            ]
+            figures += _figures_of(f"{deployment}.{way}", own)
+        name = f"{deployment}.router"
+        targets.append(Target(f"{name}.useful", "at-least", MIN_USEFUL))
+        targets.append(Target(f"{name}.late.highest", "at-most", 0.0))
+    return Report(NAME, seed, figures, targets)
+
+
+def run(seed):
+    """Run all trials one after the other."""
+    return summarise(seed, [run_trial(trial) for trial in list_trials(seed)])
+
+
+def _figures_of(name, own):
+    useful = [result.useful for result in own]
+    late = [result.late for result in own]
+    figures = spread_figures(f"{name}.useful", useful, "of capacity")
+    figures += spread_figures(f"{name}.late", late, "of requests")
+    for measure, unit in (
+        ("wasted", "of capacity"),
+        ("early", "of requests"),
+        ("short_wait_ms", "ms"),
+    ):
+        value = mean([getattr(result, measure) for result in own])
+        label = measure.replace("_", "-")
+        figures.append(Figure(f"{name}.{label}", round(value, 6), unit))
+    return figures
+
+
+def _draw_work(deployment, rng):
+    """Return work of twice the slots all day long, bursts on top.
+
+    Callers bound their answers so that they fit their time limit on an idle site.
+    """
+    mean_tokens = sum(
+        traffic.share * traffic.tokens for _, traffic in deployment.traffic()
+    )
+    per_s = OVERLOAD * SLOTS * 1000 / (mean_tokens * TOKEN_MS)
+    tokens_by_purpose = {
+        purpose.name: traffic.tokens for purpose, traffic in deployment.traffic()
+    }
+    works = []
+    workload = Workload(deployment, rng, per_s, SECONDS)
+    workload.is_flat = True
+    for arrival in workload.arrivals():
+        expected_ms = tokens_by_purpose[arrival.purpose.name] * TOKEN_MS
+        request = AdmissionRequest(
+            arrival.request_id,
+            arrival.organisation.name,
+            arrival.organisation.weight,
+            (POOL,),
+            arrival.deadline_ms,
+            expected_ms,
+            arrival.purpose.is_short,
+        )
+        longest_ms = LONGEST_OVER_TIMEOUT * arrival.purpose.timeout_ms
+        held_ms = min(arrival.tokens * TOKEN_MS, longest_ms)
+        works.append(Work(request, held_ms, arrival.at_ms))
+    return works
--- a/stoatpath/measure/workloads.py
+++ b/stoatpath/measure/workloads.py
@@ -51,10 +51,12 @@
     """Makes the arrivals of one day pressed into `seconds`.
 
     `peak_per_s` is the mean rate at the top of the afternoon peak; bursts come
-    on top of it, so that the mean over a burst period stays the same.
+    on top of it, so that the mean over a burst period stays the same. With
+    `is_flat` the peak lasts all day.
     """
 
     __slots__ = (
+        "is_flat",
         "_deployment",
         "_rng",
         "_peak_per_s",
@@ -63,6 +65,7 @@
     )
 
     def __init__(self, deployment, rng, peak_per_s, seconds):
+        self.is_flat = False
         self._deployment = deployment
         self._rng = rng
         self._peak_per_s = peak_per_s
@@ -88,8 +91,10 @@
         )
 
     def _rate_per_s(self, at_s):
-        offset = (at_s / self._seconds - PEAK_AT) / PEAK_WIDTH
-        hump = OFF_PEAK + (PEAK_HEIGHT - OFF_PEAK) * math.exp(-offset * offset)
+        hump = 1.0
+        if not self.is_flat:
+            offset = (at_s / self._seconds - PEAK_AT) / PEAK_WIDTH
+            hump = OFF_PEAK + (PEAK_HEIGHT - OFF_PEAK) * math.exp(-offset * offset)
         burst_share = BURST_S / BURST_PERIOD_S
         calm = (1 - BURST_FACTOR * burst_share) / (1 - burst_share)
         is_burst = at_s % BURST_PERIOD_S < BURST_S
