--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 PYTHON ?= $(VENV)/bin/python
 EXPERIMENT ?= all
 SEED ?= 1
+PLAN ?= samples/load/mixed.json5
 
 .PHONY: install run serve test lint format measure load
 
@@ -33,3 +34,6 @@
 
 measure: install
 	@$(PYTHON) -m stoatpath.tools.measure --experiment=$(EXPERIMENT) --seed=$(SEED)
+
+load: install
+	@$(PYTHON) -m stoatpath.tools.load --plan=$(PLAN)
--- /dev/null
+++ b/stoatpath/measure/features/steps/load_steps.py
@@ -0,0 +1,123 @@
+"""Steps about load runs."""
+
+import asyncio
+import os
+import tempfile
+from types import SimpleNamespace
+
+from behave import given, then, when
+
+from stoatpath.measure.load_plans import LoadPlan
+from stoatpath.measure.load_reports import LoadResult, check_promises
+from stoatpath.tools.demonstrations import Call, Reply
+from stoatpath.tools.load import run_load
+from stoatpath.utils import encode_json
+
+PLAN = "samples/load/mixed.json5"
+
+
+@given("a load of {rate:d} requests a second for {seconds:d} seconds with faults")
+def step_impl(context, rate, seconds):
+    plan = LoadPlan.from_file(PLAN)
+    for planned in plan.faults:
+        planned.at_s *= seconds / plan.seconds
+    context.plan = LoadPlan(seconds, rate, 3, plan.kinds, plan.faults)
+
+
+@when("it is run against a site")
+def step_impl(context):
+    context.result, context.checks = asyncio.run(run_load(context.plan))
+
+
+@then("at least {least:d} requests were sent and all checks are kept")
+def step_impl(context, least):
+    assert len(context.result.replies) >= least, len(context.result.replies)
+    assert context.result.attempts >= least
+    assert len(context.checks) == 7
+    broken = [(check.promise, check.broken) for check in context.checks if check.broken]
+    assert not broken, broken
+
+
+def _reply(request_id, outcome, path, body):
+    headers = {"Stoatpath-Request-Id": request_id, "Stoatpath-Outcome": outcome}
+    call = Call("booking", "sunset-huts", "POST", path, {})
+    return Reply(call, 200, headers, encode_json(body), 1.0)
+
+
+@given("the result of a load run in which every promise was kept")
+def step_impl(context):
+    path = "/services/booking-desk/bookings"
+    replies = [
+        _reply("req-1", "completed", path, {"request_id": "req-1"}),
+        _reply("req-2", "not-run", path, {}),
+    ]
+    context.result = LoadResult(replies, 0, 2)
+    executions = [("req-1", "POST", "/bookings", '{"load":1}')]
+    service = SimpleNamespace(executions=executions)
+    context.executions = executions
+    context.site = SimpleNamespace(
+        engines_by_name={}, services_by_name={"booking-desk-1": service}
+    )
+    context.ledger = [{"request_id": "req-1"}]
+
+
+@when("a request got no reply")
+def step_impl(context):
+    context.result.lost = 1
+
+
+@when("a record is missing in the ledger")
+def step_impl(context):
+    context.ledger.clear()
+
+
+@when("a record stands twice in the ledger")
+def step_impl(context):
+    context.ledger.append({"request_id": "req-1"})
+
+
+@when("a record of another request appears")
+def step_impl(context):
+    context.ledger.append({"request_id": "req-3"})
+    context.executions.append(("req-3", "GET", "/huts", ""))
+
+
+@when("a call ran twice")
+def step_impl(context):
+    context.executions.append(context.executions[0])
+
+
+@when("a refused request ran after all")
+def step_impl(context):
+    context.executions.append(("req-2", "POST", "/bookings", '{"load":2}'))
+
+
+@when("an answer names another request")
+def step_impl(context):
+    context.result.replies[0].body = encode_json({"request_id": "req-9"})
+
+
+@then('the check "{promise}" is broken and no other')
+def step_impl(context, promise):
+    checks = check_promises(context.result, context.site, context.ledger)
+    broken = [check.promise for check in checks if check.broken]
+    assert broken == [promise], broken
+
+
+@given("a plan of {seconds:d} seconds")
+def step_impl(context, seconds):
+    handle, context.path = tempfile.mkstemp(suffix=".json5")
+    with os.fdopen(handle, "w", encoding="utf-8") as file:
+        file.write('{"seconds": %d, "rate_per_s": 1, "mix": []}' % seconds)
+
+
+@then("it is refused")
+def step_impl(context):
+    try:
+        LoadPlan.from_file(context.path)
+    except ValueError as error:
+        assert "at most 60" in str(error)
+    else:
+        raise AssertionError("the plan was taken")
+    finally:
+        os.unlink(context.path)
--- /dev/null
+++ b/stoatpath/measure/load_plans.py
@@ -0,0 +1,89 @@
+"""Load plans: which requests, how many a second, and which faults."""
+
+import pyjson5
+
+from stoatpath.standins.faults import Fault
+
+MAX_SECONDS = 60
+MAX_REQUESTS = 10_000
+KIND_DEFAULTS = {
+    "method": "POST",
+    "path": "",
+    "service": "",
+    "purpose": "",
+    "max_tokens": 24,
+    "stream": False,
+    "keyed": False,
+}
+
+
+class RequestKind:
+    """One kind of request; `share` is relative to the other kinds.
+
+    With a `service` it is a chat completion, else a call of `path`.
+    """
+
+    __slots__ = ("label", "share", "organisation", *KIND_DEFAULTS)
+
+    @classmethod
+    def from_json(cls, data):
+        """Build a kind from its part of a plan."""
+        kind = cls()
+        for name in ("label", "share", "organisation"):
+            setattr(kind, name, data[name])
+        for name, default in KIND_DEFAULTS.items():
+            setattr(kind, name, data.get(name, default))
+        return kind
+
+
+class PlannedFault:
+    """A fault that begins at a time for all stand-ins with a prefix."""
+
+    __slots__ = ("at_s", "backends", "fault")
+
+    def __init__(self, at_s, backends, fault):
+        self.at_s = at_s
+        self.backends = backends
+        self.fault = fault
+
+    @classmethod
+    def from_json(cls, data):
+        """Build a fault from its part of a plan."""
+        fault = Fault(
+            data["operation"],
+            data["kind"],
+            data.get("count", 1),
+            data.get("delay_ms", 0),
+        )
+        return cls(data["at_s"], data["backends"], fault)
+
+
+class LoadPlan:
+    """What a load run does, bounded in time and in requests."""
+
+    __slots__ = ("seconds", "rate_per_s", "seed", "kinds", "faults")
+
+    def __init__(self, seconds, rate_per_s, seed, kinds, faults):
+        self.seconds = seconds
+        self.rate_per_s = rate_per_s
+        self.seed = seed
+        self.kinds = kinds
+        self.faults = faults
+
+    @classmethod
+    def from_file(cls, path):
+        """Read a plan; raise ValueError where it exceeds the bounds."""
+        with open(path, encoding="utf-8") as file:
+            data = pyjson5.decode_io(file)
+        plan = cls(
+            data["seconds"],
+            data["rate_per_s"],
+            data.get("seed", 1),
+            [RequestKind.from_json(part) for part in data["mix"]],
+            [PlannedFault.from_json(part) for part in data.get("faults", ())],
+        )
+        if plan.seconds > MAX_SECONDS:
+            raise ValueError(f"seconds = {plan.seconds}: at most {MAX_SECONDS}")
+        if plan.seconds * plan.rate_per_s > MAX_REQUESTS:
+            raise ValueError(f"seconds * rate_per_s: at most {MAX_REQUESTS} requests")
+        return plan
--- a/stoatpath/standins/faults.py
+++ b/stoatpath/standins/faults.py
@@ -30,6 +30,10 @@
         self.count = count
         self.delay_ms = delay_ms
 
+    def copy(self):
+        """Return the same fault with a count of its own."""
+        return Fault(self.operation, self.kind, self.count, self.delay_ms)
+
 
 class FaultTable:
     """Faults by operation, taken in the order in which they were added."""
