--- a/stoatpath/callers/listeners.py
+++ b/stoatpath/callers/listeners.py
@@ -15,6 +15,8 @@
 
 HEALTH_PATH = "/healthz"
 READY_PATH = "/readyz"
+# aiohttp takes 0 for no limit at all.
+CUT_AFTER_S = 0.05
 
 
 class Listener:
@@ -58,7 +60,7 @@
         """Listen on `host:port`; port 0 takes a free one."""
         limits = ConnectionLimits.from_settings(self._parts.settings)
         self._server = CallerServer(self._serve, limits)
-        self._runner = web.ServerRunner(self._server, shutdown_timeout=0.0)
+        self._runner = web.ServerRunner(self._server, shutdown_timeout=CUT_AFTER_S)
         await self._runner.setup()
         host, _, port = address.rpartition(":")
         tls = self._parts.node.tls.callers
--- a/stoatpath/standins/engines.py
+++ b/stoatpath/standins/engines.py
@@ -109,6 +109,11 @@
         """Stop listening and drop all connections."""
         await self._server.stop()
 
+    @property
+    def address(self):
+        """Return where the engine listens, as `host:port`."""
+        return self._server.address
+
     @property
     def cancelled(self):
         """Return the identifiers of the attempts that were cancelled."""
