--- a/stoatpath/measure/experiments.py
+++ b/stoatpath/measure/experiments.py
@@ -1,6 +1,7 @@
 """The experiments by name, each with the module that runs it."""
 
 MODULES_BY_NAME = {
+    "hot-path": "stoatpath.measure.hot_path",
     "billing": "stoatpath.measure.billing",
     "cascades": "stoatpath.measure.cascade_costs",
     "decision-costs": "stoatpath.measure.decision_costs",
--- /dev/null
+++ b/stoatpath/measure/hot_path.py
@@ -0,0 +1,268 @@
+"""Measures what the router adds to a call, beside a bare relay, in one run.
+
+The load comes from this process; stand-ins, relay and router have one each.
+"""
+
+import asyncio
+import subprocess
+import sys
+import time
+
+import aiohttp
+
+from stoatpath.measure.hot_path_programs import RELAY, ROUTER, SITE
+from stoatpath.measure.reports import Figure, Report, Target
+from stoatpath.tools.demonstrations import DONE_EVENT
+from stoatpath.utils import decode_json, encode_json
+
+PROGRAM = "stoatpath.measure.hot_path_programs"
+ORGANISATION = "foreshore-officers"
+PATH = "/v1/chat/completions"
+DIRECT = "direct"
+WARM_UP_REQUESTS = 300
+LATENCY_ROUNDS = 8
+LATENCY_REQUESTS = 250
+LATENCY_RATE_PER_S = 250
+BUFFERED_REQUESTS = 4_000
+BUFFERED_CALLERS = 8
+BUFFERED_TOKENS = 24
+STREAMS = 12
+STREAM_ROUNDS = 3
+STREAM_TOKENS = 600
+OPEN_STREAMS = 200
+STREAM_TOKEN_MS = 1.0
+SETTLE_S = 2.0
+
+
+class _Program:
+    """One child process, asked by lines."""
+
+    def __init__(self, role, argument):
+        command = [sys.executable, "-m", PROGRAM, role, encode_json(argument).decode()]
+        self._process = subprocess.Popen(
+            command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+        )
+        self.about = decode_json(self._process.stdout.readline())
+
+    def usage(self):
+        """Return processor time and resident memory now."""
+        self._process.stdin.write("usage\n")
+        self._process.stdin.flush()
+        return decode_json(self._process.stdout.readline())
+
+    def stop(self):
+        """End the process."""
+        self._process.stdin.close()
+        self._process.terminate()
+        self._process.wait()
+
+
+class _Way:
+    """One way to the engine: direct, through the relay, or through the router."""
+
+    def __init__(self, name, address, program):
+        self.name = name
+        self.address = address
+        self.program = program
+        self.headers = {}
+        self.latencies_ms = []
+
+    async def prepare(self, session):
+        """Begin a session, so that the router sends each request to one version."""
+        if self.name != ROUTER:
+            return
+        secret = f"{ORGANISATION}.{ORGANISATION}-sample-secret"
+        self.headers = {
+            "Authorization": f"Bearer {secret}",
+            "Stoatpath-Purpose": "lease-summary",
+            "Stoatpath-Session": "measured",
+        }
+        async with session.post(**self._call("first", 4, False)) as response:
+            await response.read()
+            self.headers["Stoatpath-Session"] = response.headers["Stoatpath-Session"]
+
+    async def ask(self, session, name):
+        """Send one buffered request."""
+        async with session.post(**self._call(name, BUFFERED_TOKENS, False)) as response:
+            body = await response.read()
+        if response.status != 200:
+            raise AssertionError(f"{self.name}: {response.status} {body}")
+
+    async def stream(self, session, name, tokens):
+        """Read one stream to its end marker."""
+        async with session.post(**self._call(name, tokens, True)) as response:
+            body = await response.read()
+        if not body.endswith(DONE_EVENT):
+            raise AssertionError(f"{self.name}: the stream broke off")
+
+    def _call(self, name, tokens, is_stream):
+        body = {
+            "model": "desk-assist" if self.name == ROUTER else "tern-large",
+            "messages": [{"role": "user", "content": f"Question {name}?"}],
+            "stream": is_stream,
+            "max_tokens": tokens,
+        }
+        if self.name != ROUTER:
+            body["version"] = "tern-large@1"
+            body["request_id"] = name
+        url = f"http://{self.address}{PATH}"
+        return {"url": url, "data": encode_json(body), "headers": self.headers}
+
+
+class _Trial:
+    """All measurements over one set of processes."""
+
+    def __init__(self, token_ms):
+        self._site = _Program(SITE, {"token_ms": token_ms})
+        about = self._site.about
+        programs = {name: _Program(name, about) for name in (RELAY, ROUTER)}
+        self.ways = {DIRECT: _Way(DIRECT, about["engine"], None)}
+        for name, program in programs.items():
+            self.ways[name] = _Way(name, program.about["address"], program)
+
+    def stop(self):
+        """End all processes."""
+        for way in self.ways.values():
+            if way.program is not None:
+                way.program.stop()
+        self._site.stop()
+
+    async def measure(self, work):
+        """Run a coroutine function over a session, after a warm-up."""
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            await asyncio.sleep(SETTLE_S)
+            for way in self.ways.values():
+                await way.prepare(session)
+                for number in range(WARM_UP_REQUESTS):
+                    await way.ask(session, f"warm-{number}")
+            return await work(session)
+
+    async def latencies(self, session):
+        """Send paced requests over each way in turn."""
+        for turn in range(LATENCY_ROUNDS):
+            for way in self.ways.values():
+                await self._pace(session, way, turn)
+
+    async def _pace(self, session, way, turn):
+        async def one(number):
+            started = time.perf_counter()
+            await way.ask(session, f"{way.name}-{turn}-{number}")
+            way.latencies_ms.append((time.perf_counter() - started) * 1e3)
+
+        tasks = []
+        started = time.perf_counter()
+        for number in range(LATENCY_REQUESTS):
+            due_s = started + number / LATENCY_RATE_PER_S - time.perf_counter()
+            await asyncio.sleep(max(0.0, due_s))
+            tasks.append(asyncio.create_task(one(number)))
+        await asyncio.gather(*tasks)
+
+    async def buffered_cpu_us(self, session, way):
+        """Return the processor time of one buffered request."""
+
+        async def caller(index):
+            for number in range(BUFFERED_REQUESTS // BUFFERED_CALLERS):
+                await way.ask(session, f"{way.name}-b{index}-{number}")
+
+        before = way.program.usage()["cpu_s"]
+        await asyncio.gather(*(caller(index) for index in range(BUFFERED_CALLERS)))
+        return (way.program.usage()["cpu_s"] - before) * 1e6 / BUFFERED_REQUESTS
+
+    async def token_cpu_us(self, session, way):
+        """Return the processor time of one streamed token."""
+        before = way.program.usage()["cpu_s"]
+        for turn in range(STREAM_ROUNDS):
+            streams = (
+                way.stream(session, f"{way.name}-s{turn}-{index}", STREAM_TOKENS)
+                for index in range(STREAMS)
+            )
+            await asyncio.gather(*streams)
+        spent_s = way.program.usage()["cpu_s"] - before
+        return spent_s * 1e6 / (STREAM_ROUNDS * STREAMS * STREAM_TOKENS)
+
+    async def stream_bytes(self, session, way):
+        """Return the resident memory of one open stream."""
+        before = way.program.usage()["resident_bytes"]
+        streams = [
+            asyncio.create_task(way.stream(session, f"{way.name}-m{index}", 4_000))
+            for index in range(OPEN_STREAMS)
+        ]
+        await asyncio.sleep(SETTLE_S)
+        grown = way.program.usage()["resident_bytes"] - before
+        for stream in streams:
+            stream.cancel()
+        await asyncio.gather(*streams, return_exceptions=True)
+        return grown / OPEN_STREAMS
+
+
+def run(seed):
+    """Return the report; the load has no randomness."""
+    figures = _buffered_figures() + _stream_figures()
+    targets = [
+        Target("hot-path.buffered_ratio", "at-most", 2.5),
+        Target("hot-path.token_ratio", "at-most", 1.5),
+        Target("hot-path.added_p50", "at-most", 0.6),
+        Target("hot-path.added_p99", "at-most", 2.0),
+        Target("hot-path.tokens_per_cpu_s", "at-least", 25_000),
+    ]
+    return Report("hot-path", seed, figures, targets)
+
+
+def _buffered_figures():
+    trial = _Trial(token_ms=0.0)
+    try:
+        return asyncio.run(trial.measure(lambda each: _measure_buffered(trial, each)))
+    finally:
+        trial.stop()
+
+
+async def _measure_buffered(trial, session):
+    await trial.latencies(session)
+    cost_us = {}
+    for name in (RELAY, ROUTER):
+        cost_us[name] = await trial.buffered_cpu_us(session, trial.ways[name])
+    figures = []
+    for share in (50, 99):
+        direct_ms = _percentile(trial.ways[DIRECT].latencies_ms, share)
+        figures.append(Figure(f"hot-path.direct_p{share}", direct_ms, "ms"))
+        for name, label in ((RELAY, "relay_added"), (ROUTER, "added")):
+            added_ms = _percentile(trial.ways[name].latencies_ms, share) - direct_ms
+            figures.append(Figure(f"hot-path.{label}_p{share}", added_ms, "ms"))
+    for name, each_us in cost_us.items():
+        figures.append(Figure(f"hot-path.{name}_cpu_per_request", each_us, "us"))
+        rate = 1e6 / each_us
+        figures.append(Figure(f"hot-path.{name}_requests_per_cpu_s", rate, "1/s"))
+    ratio = cost_us[ROUTER] / cost_us[RELAY]
+    figures.append(Figure("hot-path.buffered_ratio", ratio, "times"))
+    return figures
+
+
+def _stream_figures():
+    trial = _Trial(token_ms=STREAM_TOKEN_MS)
+    try:
+        return asyncio.run(trial.measure(lambda each: _measure_streams(trial, each)))
+    finally:
+        trial.stop()
+
+
+async def _measure_streams(trial, session):
+    relay, router = trial.ways[RELAY], trial.ways[ROUTER]
+    relay_us = await trial.token_cpu_us(session, relay)
+    router_us = await trial.token_cpu_us(session, router)
+    relay_bytes = await trial.stream_bytes(session, relay)
+    router_bytes = await trial.stream_bytes(session, router)
+    return [
+        Figure("hot-path.relay_cpu_per_token", relay_us, "us"),
+        Figure("hot-path.router_cpu_per_token", router_us, "us"),
+        Figure("hot-path.relay_tokens_per_cpu_s", 1e6 / relay_us, "1/s"),
+        Figure("hot-path.tokens_per_cpu_s", 1e6 / router_us, "1/s"),
+        Figure("hot-path.token_ratio", router_us / relay_us, "times"),
+        Figure("hot-path.relay_bytes_per_open_stream", relay_bytes, "B"),
+        Figure("hot-path.bytes_per_open_stream", router_bytes, "B"),
+    ]
+
+
+def _percentile(values, share):
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, len(ordered) * share // 100)]
--- /dev/null
+++ b/stoatpath/measure/hot_path_programs.py
@@ -0,0 +1,105 @@
+"""The processes of the hot-path experiment: a site, and a server under measure.
+
+Run as `python -m stoatpath.measure.hot_path_programs ROLE ARGUMENT`. Each writes a
+line of JSON once it listens, then one with its usage for every line that it reads.
+"""
+
+import asyncio
+import logging
+import os
+import sys
+import time
+
+from stoatpath.measure.relays import Relay
+from stoatpath.routers import Router
+from stoatpath.settings import Settings
+from stoatpath.standins.sites import Site
+from stoatpath.tools.demonstrations import Demonstration
+from stoatpath.utils import decode_json, encode_json
+
+SITE = "site"
+ROUTER = "router"
+RELAY = "relay"
+ENGINE_SLOTS = 4_096
+RATE_PER_S = 1_000_000
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+class _FastSite(Site):
+    """The small site with a rate limit and slots that stay out of the way."""
+
+    __slots__ = ()
+
+    def sample_files(self):
+        """Return the path of one sample configuration."""
+        return [path for path in super().sample_files() if "coral-coast" in path]
+
+
+def raise_limits(changes):
+    """Return changes in which no organisation is limited in rate."""
+    for change in changes:
+        if change.kind == "organisation":
+            change.body["parameters"]["rate_per_s"] = RATE_PER_S
+    return changes
+
+
+async def _start_site(argument):
+    site = _FastSite()
+    await site.start(routers=1)
+    for engine in site.engines_by_name.values():
+        engine.slots = ENGINE_SLOTS
+        engine.token_ms = argument["token_ms"]
+    await Demonstration(site, raise_limits).submit_samples()
+    engine = site.engines_by_name["engine-tern-large-1"]
+    settings = site.settings("router-9", "zone-b")
+    return {
+        "engine": engine.address,
+        "settings": {
+            name.upper(): getattr(settings, name) for name in Settings.__slots__
+        },
+    }
+
+
+async def _start_router(argument):
+    settings, problems = Settings.from_mapping(argument["settings"])
+    if problems:
+        raise ValueError("; ".join(map(str, problems)))
+    router = Router.from_settings(settings)
+    await router.start()
+    return {"address": router.address}
+
+
+async def _start_relay(argument):
+    relay = Relay(argument["engine"])
+    await relay.start()
+    return {"address": relay.address}
+
+
+def _usage():
+    with open("/proc/self/statm", encoding="ascii") as file:
+        resident = int(file.read().split()[1]) * PAGE_BYTES
+    return {"cpu_s": time.process_time(), "resident_bytes": resident}
+
+
+async def _serve(role, argument):
+    start = {SITE: _start_site, ROUTER: _start_router, RELAY: _start_relay}[role]
+    _say(await start(argument))
+    loop = asyncio.get_running_loop()
+    while await loop.run_in_executor(None, sys.stdin.readline):
+        _say(_usage())
+
+
+def _say(message):
+    sys.stdout.write(encode_json(message).decode() + "\n")
+    sys.stdout.flush()
+
+
+def main():
+    """Run one process until its input ends."""
+    logging.getLogger("stoatpath").setLevel(logging.CRITICAL)
+    role, argument = sys.argv[1:]
+    asyncio.run(_serve(role, decode_json(argument.encode())))
+
+
+if __name__ == "__main__":
+    main()
--- a/stoatpath/tools/demonstrations.py
+++ b/stoatpath/tools/demonstrations.py
@@ -69,12 +69,16 @@
 
 
 class Demonstration:
-    """Drives one site through its HTTP interfaces."""
+    """Drives one site through its HTTP interfaces.
 
-    __slots__ = ("_site", "_replies", "_checks", "_next_router")
+    `adjust` returns the changes of a sample file as they are to be submitted.
+    """
 
-    def __init__(self, site):
+    __slots__ = ("_site", "_adjust", "_replies", "_checks", "_next_router")
+
+    def __init__(self, site, adjust=list):
         self._site = site
+        self._adjust = adjust
         self._replies = []
         self._checks = []
         self._next_router = 0
@@ -87,6 +91,7 @@
         async with aiohttp.ClientSession(headers=headers) as session:
             for path in self._site.sample_files():
                 changes, _ = read_changes(path)
+                changes = self._adjust(changes)
                 submission = {
                     "submission_id": new_id("sub"),
                     "base_revision": revision,
