--- a/stoatpath/cascades/versions.py
+++ b/stoatpath/cascades/versions.py
@@ -1,6 +1,11 @@
 """Finds the versions that a request may run on, from cheap to dear."""
 
-from stoatpath.configuration.documents import ACTIVE, MODEL_SERVICE, Version
+from stoatpath.configuration.documents import (
+    ACTIVE,
+    MODEL_SERVICE,
+    WITHDRAWN,
+    Version,
+)
 
 
 def find_versions(snapshot, assigner, request, pin):
@@ -22,8 +27,10 @@
 
 
 def _why_not(version, assigner, request):
-    if version is None or not assigner.is_open(version):
+    if version is None or version.state == WITHDRAWN:
         return "the version was withdrawn"
+    if not assigner.is_open(version):
+        return "the version was suspended"
     if not request.organisation.allows(request.service.name, version):
         return "the version is no longer allowed"
     return ""
