--- a/stoatpath/measure/experiments.py
+++ b/stoatpath/measure/experiments.py
@@ -4,6 +4,7 @@
     "hot-path": "stoatpath.measure.hot_path",
     "billing": "stoatpath.measure.billing",
     "cascades": "stoatpath.measure.cascade_costs",
+    "control": "stoatpath.measure.control_traffic",
     "decision-costs": "stoatpath.measure.decision_costs",
     "rate-limits": "stoatpath.measure.rate_limits",
     "retries": "stoatpath.measure.retry_budgets",
