--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 PYTHON ?= $(VENV)/bin/python
 EXPERIMENT ?= all
 SEED ?= 1
+PLAN ?= samples/load/mixed.json5
 
 .PHONY: install run serve test lint format measure load capacity
 
@@ -36,3 +37,6 @@
 
 capacity: install
 	@$(PYTHON) -m stoatpath.tools.capacity
+
+load: install
+	@$(PYTHON) -m stoatpath.tools.load --plan=$(PLAN)
