Refuse a caller key whose identifier another organisation has

Cause: keys are found by their identifier; with one identifier in two organisations, the callers of one were turned away, or counted as the other's. Change: validation of the whole configuration reports it with path and owner.

--- a/stoatpath/configuration/features/steps/sample_sites.py
+++ b/stoatpath/configuration/features/steps/sample_sites.py
@@ -108,6 +108,10 @@
     "shares that fall": [
         ("rollout", "up", {"model": "small", "to": "2", "steps": [0.5, 0.1]})
     ],
+    "a key of another organisation": [
+        ("organisation", "acme", organisation(keys=KEYS)),
+        ("organisation", "tiny", organisation(keys=KEYS)),
+    ],
     "three mistakes in two documents": [
         ("model", "small", {**model(v1="active"), "cost": -1, "colour": "x"}),
         ("organisation", "acme", {"template": 7, "parameters": {}}),
--- a/stoatpath/configuration/features/validation.feature
+++ b/stoatpath/configuration/features/validation.feature
@@ -23,6 +23,7 @@
       | an unknown field             | model.small                                | {"colour": "x"} |
       | a deleted template in use    | organisation.acme.template                 | "basic"         |
       | a deleted model in use       | service.chat.cascade.0                     | "small"         |
+      | a key of another organisation | organisation.tiny.keys                    | "acme"          |
       | shares that fall             | rollout.up.steps                           | [0.5, 0.1]      |
 
   Scenario: Every problem is reported at once
--- a/stoatpath/configuration/validators.py
+++ b/stoatpath/configuration/validators.py
@@ -41,6 +41,8 @@
         problems += _check_template(f"template.{name}", body)
     for name, body in by_kind[ORGANISATION].items():
         problems += _check_organisation(f"organisation.{name}", body, by_kind)
+    if not problems:
+        problems += _check_caller_keys(by_kind)
     for name, body in by_kind[ROLLOUT].items():
         problems += _check_rollout(f"rollout.{name}", body, by_kind)
     return problems
@@ -133,6 +135,22 @@
     return problems or _check_allowed(path, rendered, by_kind)
 
 
+def _check_caller_keys(by_kind):
+    """Find caller keys whose identifier names more than one organisation."""
+    problems = []
+    owners_by_key_id = {}
+    for name, body in by_kind[ORGANISATION].items():
+        template = by_kind[TEMPLATE][body["template"]]
+        rendered, _ = render_organisation(name, template, body["parameters"])
+        for key_id in rendered["keys"]:
+            owner = owners_by_key_id.setdefault(key_id, name)
+            if owner != name:
+                path = f"organisation.{name}.keys"
+                expected = f"another identifier: {owner} has a key of this one"
+                problems.append(Problem(path, key_id, expected))
+    return problems
+
+
 def _check_allowed(path, rendered, by_kind):
     problems = []
     for service, entries in rendered["allowed"].items():
