--- a/stoatpath/membership/features/steps/withdrawal_steps.py
+++ b/stoatpath/membership/features/steps/withdrawal_steps.py
@@ -147,7 +147,7 @@
     async def act(net):
         if "apart" in meanwhile:
             case.split(net)
-            net.store_groups = {1}
+            net.store_groups = {0, 1} if "store for both" in meanwhile else {1}
         case.withdrawn_ms = case.last_sent_ms = net.clock.now_ms()
         case.refused = []
         verdict = await net.accept(f"controller-{case.size - 1}", withdrawal())
@@ -165,6 +165,21 @@
     case.acts.append(act)
 
 
+@when("a version is withdrawn at a replacement")
+def step_impl(context):
+    async def act(net):
+        replacements = [
+            name
+            for name, member in net.members_by_name.items()
+            if not member.is_ended and name.endswith("-next")
+        ]
+        controllers = [name for name in replacements if "controller" in name]
+        verdict = await net.accept(controllers[0], withdrawal())
+        assert isinstance(verdict, Accepted), verdict
+
+    context.case.acts.append(act)
+
+
 @when("the groups are together again for {seconds:d} s")
 def step_impl(context, seconds):
     async def act(net):
@@ -248,6 +263,9 @@
         member.is_ended = True
         del net.listed[name]
         net.add(f"{name}-next", member.members.own.role, incarnation=2)
+        for group in net.groups or ():
+            if name in group:
+                group.append(f"{name}-next")
 
 
 @given("a follower at revision 0")
@@ -336,8 +354,13 @@
 
 @then("all members are live everywhere")
 def step_impl(context):
-    names = sorted(context.case.net.members_by_name)
-    for member in context.case.net.members_by_name.values():
+    alive = [
+        member
+        for member in context.case.net.members_by_name.values()
+        if not member.is_ended
+    ]
+    names = sorted(member.name for member in alive)
+    for member in alive:
         seen = [member.name, *(each.name for each in member.members.peers())]
         assert sorted(seen) == names, (member.name, seen)
 
--- a/stoatpath/membership/features/withdrawal.feature
+++ b/stoatpath/membership/features/withdrawal.feature
@@ -12,6 +12,7 @@
       | 9    | all in touch                              | nothing happens                      | all is well                    | 1     |
       | 9    | the store is out of reach of one group    | the first group loses the store      | all is well                    | 1     |
       | 9    | two groups apart, store with the other    | nothing happens                      | the groups are apart           | 12.25 |
+      | 9    | two groups apart, both reach the store    | nothing happens                      | apart, store for both          | 2     |
       | 9    | one zone cut off for a minute before      | the groups are apart for 60 s        | the groups are apart           | 0     |
       | 9    | a store outage, then apart, store returns | the store is down for 60 s           | the groups are apart           | 4     |
       | 9    | a store outage and the list down too      | store and list are down for 60 s     | the groups are apart           | 4     |
@@ -53,6 +54,16 @@
     And all members are live everywhere
     And the routers of the first group serve other versions
 
+  Scenario: One group is cut off while some of the other are replaced
+    Given 9 instances in two groups, each with a router and a controller
+    When the groups are apart for 60 s
+    And half of the instances are replaced for 20 s
+    And a version is withdrawn at a replacement
+    And the groups are together again for 30 s
+    Then all have the same revision
+    And all members are live everywhere
+    And the routers of the first group serve other versions
+
   Scenario: An instance that starts in an outage of the store gets the configuration from peers
     Given 9 instances in two groups, each with a router and a controller
     When the store is down for 60 s
