--- a/stoatpath/measure/experiments.py
+++ b/stoatpath/measure/experiments.py
@@ -1,10 +1,13 @@
 """The experiments by name, each with the module that runs it."""
 
 MODULES_BY_NAME = {
+    "hot-path": "stoatpath.measure.hot_path",
     "billing": "stoatpath.measure.billing",
     "cascades": "stoatpath.measure.cascade_costs",
     "control": "stoatpath.measure.control_traffic",
     "decision-costs": "stoatpath.measure.decision_costs",
+    "fairness": "stoatpath.measure.fairness",
+    "overload": "stoatpath.measure.overloads",
     "rate-limits": "stoatpath.measure.rate_limits",
     "retries": "stoatpath.measure.retry_budgets",
     "routing": "stoatpath.measure.routing_loads",
