Use answers of plain services again where they allow it

Built: keeping, by Cache-Control alone, by organisation, dropped by any call that is not a lookup, bounded in bytes, billed with no cost.

--- a/stoatpath/cascades/runners.py
+++ b/stoatpath/cascades/runners.py
@@ -7,6 +7,7 @@
 from stoatpath.cascades.raters import RatingQuestion
 from stoatpath.cascades.versions import find_versions
 from stoatpath.configuration.documents import MODEL_SERVICE
+from stoatpath.lookups.kept_answers import is_lookup
 from stoatpath.outcomes import NO_BACKEND, Failure, is_failure
 
 TOKENS_PER_PRICE = 1_000
@@ -26,6 +27,30 @@
 
     async def run(self, request, stream):
         """Return `Served` or a failure."""
+        if request.service.kind != MODEL_SERVICE:
+            return await self._run_plain(request, stream)
+        return await self._run_plan(request, stream)
+
+    async def _run_plain(self, request, stream):
+        """Serve a call of a plain service, from a kept answer where it may."""
+        kept = self._parts.kept_answers
+        asked_ms = self._clock.now_ms()
+        answer = kept.find(request, asked_ms)
+        if answer is not None:
+            self._note(request, "lookup", "the service lets its answer be kept")
+            version = request.service.name
+            return Served(
+                answer.status, answer.content_type, answer.body, version, [], 0.0
+            )
+        if is_lookup(request):
+            return await self._run_plan(request, stream, asked_ms)
+        kept.note_change(request, asked_ms)
+        try:
+            return await self._run_plan(request, stream)
+        finally:
+            kept.note_change(request, self._clock.now_ms())
+
+    async def _run_plan(self, request, stream, asked_ms=None):
         parts = self._parts
         pin = await parts.pins.find(request)
         if is_failure(pin):
@@ -50,6 +75,8 @@
             parts.pins.announce(request, pin, names[0], moved, stream)
         course = Course(parts.planner, query, plan)
         served = await self._run_stages(request, course, stream)
+        if asked_ms is not None and course.best() is not None:
+            parts.kept_answers.keep(request, course.best().answer, asked_ms)
         if not is_failure(served) and request.session:
             await self._keep_session(request, pin, served, moved)
         return served
--- a/stoatpath/dispatch/senders.py
+++ b/stoatpath/dispatch/senders.py
@@ -9,6 +9,7 @@
 from stoatpath.dispatch.deadlines import ExchangeDeadlines
 from stoatpath.dispatch.messages import Answer
 from stoatpath.dispatch.streams import EventReader
+from stoatpath.lookups.cache_control import kept_seconds
 from stoatpath.outcomes import (
     BACKEND_ERROR,
     BROKEN_ANSWER,
@@ -156,7 +157,8 @@
         if not has_known_end(attempt.request.method, response):
             return broken("the answer has neither length nor end marker")
         content_type = response.headers.get("Content-Type", "")
-        return Answer(response.status, content_type, body, "", 0)
+        kept_s = kept_seconds(response.status, response.headers)
+        return Answer(response.status, content_type, body, "", 0, kept_s)
 
 
 async def _read_body(response, deadlines):
--- a/stoatpath/measure/experiments.py
+++ b/stoatpath/measure/experiments.py
@@ -7,6 +7,7 @@
     "control": "stoatpath.measure.control_traffic",
     "decision-costs": "stoatpath.measure.decision_costs",
     "fairness": "stoatpath.measure.fairness",
+    "lookups": "stoatpath.measure.lookup_ways",
     "overload": "stoatpath.measure.overloads",
     "rate-limits": "stoatpath.measure.rate_limits",
     "retries": "stoatpath.measure.retry_budgets",
--- /dev/null
+++ b/stoatpath/measure/lookup_ways.py
@@ -0,0 +1,220 @@
+"""Repeated lookups: every one asked, joined in flight, or answered from kept ones."""
+
+import random
+from types import SimpleNamespace
+
+from stoatpath.dispatch.messages import Answer
+from stoatpath.lookups.kept_answers import KeptAnswers
+from stoatpath.measure.deployments import DEPLOYMENTS, Deployment
+from stoatpath.measure.events import EventQueue
+from stoatpath.measure.reports import Figure, Report, Target
+from stoatpath.measure.spreads import mean, percentile, seeds_from, spread_figures
+
+NAME = "lookups"
+ROUTERS = 8
+SECONDS = 120.0
+LOOKUPS_PER_S = 120.0
+CHANGES_PER_S = 2.0
+PATHS = 30
+SERVICE_MS = 25.0
+KEPT_S = 2
+ASKED, JOINED, KEPT = "every-one-asked", "joined-in-flight", "kept-as-allowed"
+WAYS = (ASKED, JOINED, KEPT)
+
+
+class Trial:
+    """One seed of one way and deployment."""
+
+    __slots__ = ("deployment", "way", "seed")
+
+    def __init__(self, deployment, way, seed):
+        self.deployment = deployment
+        self.way = way
+        self.seed = seed
+
+
+class TrialResult:
+    """Calls for each lookup, latency, and shares of answers from before a change.
+
+    `unallowed` are answers older than a change of their organisation that the
+    service did not allow to be old; `allowed` are those within `max-age`.
+    """
+
+    __slots__ = ("trial", "calls", "mean_ms", "p95_ms", "unallowed", "allowed")
+
+    def __init__(self, trial, calls, mean_ms, p95_ms, unallowed, allowed):
+        self.trial = trial
+        self.calls = calls
+        self.mean_ms = mean_ms
+        self.p95_ms = p95_ms
+        self.unallowed = unallowed
+        self.allowed = allowed
+
+
+class LookupRun:
+    """Lookups and changes of one deployment through several routers."""
+
+    __slots__ = (
+        "events",
+        "calls",
+        "latencies_ms",
+        "unallowed",
+        "allowed",
+        "_rng",
+        "_way",
+        "_stores",
+        "_joined_by_key",
+        "_changed_ms_by_organisation",
+    )
+
+    def __init__(self, way, rng):
+        self.events = EventQueue()
+        self.calls = 0
+        self.latencies_ms = []
+        self.unallowed = 0
+        self.allowed = 0
+        self._rng = rng
+        self._way = way
+        self._stores = [KeptAnswers() for _ in range(ROUTERS)]
+        self._joined_by_key = {}
+        self._changed_ms_by_organisation = {}
+
+    def run(self, deployment):
+        """Run all lookups and changes."""
+        organisations = deployment.organisations
+        weights = [each.weight for each in organisations]
+        places = [1 / (rank + 1) for rank in range(PATHS)]
+        at_ms = 0.0
+        while at_ms < SECONDS * 1000:
+            at_ms += self._rng.expovariate((LOOKUPS_PER_S + CHANGES_PER_S) / 1000)
+            organisation = self._rng.choices(organisations, weights)[0]
+            router = self._rng.randrange(ROUTERS)
+            is_change = self._rng.random() < CHANGES_PER_S / LOOKUPS_PER_S
+            path = self._rng.choices(range(PATHS), places)[0]
+            request = _build_request(organisation, path, is_change)
+            action = self._change if is_change else self._look_up
+            self.events.at(at_ms, action, request, router)
+        self.events.run_until(SECONDS * 1000 + 10_000)
+
+    def _service_ms(self):
+        return self._rng.expovariate(1 / SERVICE_MS)
+
+    def _change(self, request, router):
+        """Change something; it holds from the middle of the call on."""
+        now_ms = self.events.now_ms
+        self._stores[router].note_change(request, now_ms)
+        self.events.at(now_ms + self._service_ms(), self._changed, request, router)
+
+    def _changed(self, request, router):
+        now_ms = self.events.now_ms
+        self._stores[router].note_change(request, now_ms)
+        self._changed_ms_by_organisation[request.organisation.name] = now_ms
+
+    def _look_up(self, request, router):
+        now_ms = self.events.now_ms
+        if self._way == KEPT:
+            answer = self._stores[router].find(request, now_ms)
+            if answer is not None:
+                self._answer(request, now_ms, answer.text, is_kept=True)
+                return
+        key = (router, request.organisation.name, request.path)
+        if self._way == JOINED and key in self._joined_by_key:
+            self._joined_by_key[key].append(now_ms)
+            return
+        self.calls += 1
+        self._joined_by_key[key] = [now_ms]
+        took_ms = self._service_ms()
+        read_ms = now_ms + took_ms * self._rng.random()
+        self.events.at(
+            now_ms + took_ms, self._answered, request, router, key, now_ms, read_ms
+        )
+
+    def _answered(self, request, router, key, asked_ms, read_ms):
+        if self._way == JOINED:
+            for each_ms in self._joined_by_key.pop(key):
+                self._answer(request, each_ms, read_ms, is_kept=False)
+            return
+        answer = Answer(200, "", b"{}", read_ms, 0, KEPT_S)
+        if self._way == KEPT:
+            self._stores[router].keep(request, answer, asked_ms)
+        self._answer(request, asked_ms, read_ms, is_kept=False)
+
+    def _answer(self, request, asked_ms, read_ms, is_kept):
+        """Count an answer whose data was read at a time."""
+        self.latencies_ms.append(self.events.now_ms - asked_ms)
+        changes = self._changed_ms_by_organisation
+        changed_ms = changes.get(request.organisation.name, float("-inf"))
+        if read_ms < changed_ms <= asked_ms:
+            if is_kept:
+                self.allowed += 1
+            else:
+                self.unallowed += 1
+
+
+def list_trials(seed):
+    """Return all trials."""
+    return [
+        Trial(deployment, way, each)
+        for deployment in DEPLOYMENTS
+        for way in WAYS
+        for each in seeds_from(seed)
+    ]
+
+
+def run_trial(trial):
+    """Run one trial."""
+    run = LookupRun(trial.way, random.Random(f"{trial.seed} lookups"))
+    run.run(Deployment.from_sample(trial.deployment))
+    count = len(run.latencies_ms)
+    return TrialResult(
+        trial,
+        run.calls / count,
+        mean(run.latencies_ms),
+        percentile(run.latencies_ms, 0.95),
+        run.unallowed / count,
+        run.allowed / count,
+    )
+
+
+def summarise(seed, results):
+    """Return the report of all trials."""
+    figures = []
+    targets = []
+    for deployment in DEPLOYMENTS:
+        for way in WAYS:
+            own = [
+                result
+                for result in results
+                if (result.trial.deployment, result.trial.way) == (deployment, way)
+            ]
+            name = f"{deployment}.{way}"
+            calls = [result.calls for result in own]
+            figures += spread_figures(f"{name}.calls", calls, "per lookup")
+            for measure, unit in (
+                ("mean_ms", "ms"),
+                ("p95_ms", "ms"),
+                ("unallowed", "share"),
+                ("allowed", "share"),
+            ):
+                value = mean([getattr(result, measure) for result in own])
+                label = measure.replace("_", "-")
+                figures.append(Figure(f"{name}.{label}", round(value, 6), unit))
+        targets.append(Target(f"{deployment}.{KEPT}.unallowed", "at-most", 0.0))
+    return Report(NAME, seed, figures, targets)
+
+
+def run(seed):
+    """Run all trials one after the other."""
+    return summarise(seed, [run_trial(trial) for trial in list_trials(seed)])
+
+
+def _build_request(organisation, path, is_change):
+    return SimpleNamespace(
+        organisation=organisation,
+        service=SimpleNamespace(name="plain"),
+        is_repeatable=not is_change,
+        method="POST" if is_change else "GET",
+        path=f"/{path}",
+        idempotency_key="",
+        body=b"",
+    )
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -28,6 +28,7 @@
 from stoatpath.explanations.rings import DecisionRing
 from stoatpath.idempotency.claims import ClaimKeeper
 from stoatpath.idempotency.retention import ClaimSweeper
+from stoatpath.lookups.kept_answers import KeptAnswers
 from stoatpath.membership.backends import BackendServers
 from stoatpath.membership.watchers import BackendWatcher
 from stoatpath.metric_sources import router_samples
@@ -72,6 +73,7 @@
         "guard",
         "estimates",
         "planner",
+        "kept_answers",
         "rater",
         "archive",
         "pins",
@@ -119,6 +121,7 @@
         )
         self.estimates = Estimates()
         self.planner = Planner(self.estimates, rng)
+        self.kept_answers = KeptAnswers()
         self.rater = Rater(self.ratings, self.estimates, clock)
         self.rates = RateLimits()
         self.rate_exchange = RateExchange(self.rates, self.node, rng)
--- a/stoatpath/standins/services.py
+++ b/stoatpath/standins/services.py
@@ -26,7 +26,8 @@
 class ServiceStandin:
     """Answers any path and remembers every call that it ran.
 
-    `echoes` says whether answers repeat the identifier of the request.
+    `echoes` says whether answers repeat the identifier of the request,
+    `cache_control` is the header of that name or "".
     """
 
     __slots__ = (
@@ -36,6 +37,7 @@
         "leaving",
         "delay_ms",
         "echoes",
+        "cache_control",
         "connections",
         "_server",
     )
@@ -47,6 +49,7 @@
         self.leaving = False
         self.delay_ms = delay_ms
         self.echoes = True
+        self.cache_control = ""
         self.connections = SilentConnections()
         self._server = StandinServer(
             [
@@ -98,6 +101,8 @@
     async def _answer(self, request, request_id, kind):
         echoed = "foreign" if kind == "wrong-id" else request_id
         headers = self._echo(echoed)
+        if self.cache_control:
+            headers["Cache-Control"] = self.cache_control
         answer = {"service": self.name, "path": request.path, "request_id": request_id}
         body = encode_json(answer)
         if kind == "reset-after":
