--- a/stoatpath/measure/fairness.py
+++ b/stoatpath/measure/fairness.py
@@ -10,6 +10,7 @@
 from stoatpath.measure.fair_shares import Claim, exact_shares
 from stoatpath.measure.reports import Report, Target
 from stoatpath.measure.spreads import seeds_from, spread_figures
+from stoatpath.measure.ways import group_by_name
 
 NAME = "fairness"
 QUEUE_LIMIT = 2_000
@@ -96,10 +97,7 @@
     """Return the report of all trials."""
     figures = []
     targets = []
-    by_name = {}
-    for result in results:
-        by_name.setdefault(result.trial.name, []).append(result)
-    for name, own in by_name.items():
+    for name, own in group_by_name(results).items():
         worst = [result.worst for result in own]
         least = [result.least_of_own for result in own]
         figures += spread_figures(f"{name}.worst-share", worst, "of exact")
--- a/stoatpath/measure/lookup_ways.py
+++ b/stoatpath/measure/lookup_ways.py
@@ -5,10 +5,11 @@
 
 from stoatpath.dispatch.messages import Answer
 from stoatpath.lookups.kept_answers import KeptAnswers
-from stoatpath.measure.deployments import DEPLOYMENTS, Deployment
+from stoatpath.measure.deployments import Deployment
 from stoatpath.measure.events import EventQueue
 from stoatpath.measure.reports import Figure, Report, Target
-from stoatpath.measure.spreads import mean, percentile, seeds_from, spread_figures
+from stoatpath.measure.spreads import mean, percentile, spread_figures
+from stoatpath.measure.ways import group_by_name, list_way_trials
 
 NAME = "lookups"
 ROUTERS = 8
@@ -22,17 +23,6 @@
 WAYS = (ASKED, JOINED, KEPT)
 
 
-class Trial:
-    """One seed of one way and deployment."""
-
-    __slots__ = ("deployment", "way", "seed")
-
-    def __init__(self, deployment, way, seed):
-        self.deployment = deployment
-        self.way = way
-        self.seed = seed
-
-
 class TrialResult:
     """Calls for each lookup, latency, and shares of answers from before a change.
 
@@ -153,12 +143,7 @@
 
 def list_trials(seed):
     """Return all trials."""
-    return [
-        Trial(deployment, way, each)
-        for deployment in DEPLOYMENTS
-        for way in WAYS
-        for each in seeds_from(seed)
-    ]
+    return list_way_trials(WAYS, seed)
 
 
 def run_trial(trial):
@@ -180,26 +165,20 @@
     """Return the report of all trials."""
     figures = []
     targets = []
-    for deployment in DEPLOYMENTS:
-        for way in WAYS:
-            own = [
-                result
-                for result in results
-                if (result.trial.deployment, result.trial.way) == (deployment, way)
-            ]
-            name = f"{deployment}.{way}"
-            calls = [result.calls for result in own]
-            figures += spread_figures(f"{name}.calls", calls, "per lookup")
-            for measure, unit in (
-                ("mean_ms", "ms"),
-                ("p95_ms", "ms"),
-                ("unallowed", "share"),
-                ("allowed", "share"),
-            ):
-                value = mean([getattr(result, measure) for result in own])
-                label = measure.replace("_", "-")
-                figures.append(Figure(f"{name}.{label}", round(value, 6), unit))
-        targets.append(Target(f"{deployment}.{KEPT}.unallowed", "at-most", 0.0))
+    for name, own in group_by_name(results).items():
+        calls = [result.calls for result in own]
+        figures += spread_figures(f"{name}.calls", calls, "per lookup")
+        for measure, unit in (
+            ("mean_ms", "ms"),
+            ("p95_ms", "ms"),
+            ("unallowed", "share"),
+            ("allowed", "share"),
+        ):
+            value = mean([getattr(result, measure) for result in own])
+            label = measure.replace("_", "-")
+            figures.append(Figure(f"{name}.{label}", round(value, 6), unit))
+        if name.endswith(f".{KEPT}"):
+            targets.append(Target(f"{name}.unallowed", "at-most", 0.0))
     return Report(NAME, seed, figures, targets)
 
 
--- a/stoatpath/measure/overloads.py
+++ b/stoatpath/measure/overloads.py
@@ -6,13 +6,15 @@
 from stoatpath.admission.queues import AdmissionQueue
 from stoatpath.measure.admission_baselines import UnboundedQueue
 from stoatpath.measure.admission_runs import AdmissionRun, Work
-from stoatpath.measure.deployments import DEPLOYMENTS, Deployment
+from stoatpath.measure.deployments import Deployment
 from stoatpath.measure.reports import Figure, Report, Target
-from stoatpath.measure.spreads import mean, percentile, seeds_from, spread_figures
+from stoatpath.measure.spreads import mean, percentile, spread_figures
+from stoatpath.measure.ways import group_by_name, list_way_trials
 from stoatpath.measure.workloads import Workload
 
 NAME = "overload"
-WAYS = {"router": AdmissionQueue, "never-refuses": UnboundedQueue}
+ROUTER = "router"
+WAYS = {ROUTER: AdmissionQueue, "never-refuses": UnboundedQueue}
 POOL = "model@1"
 SLOTS = 32
 QUEUE_LIMIT = 1_000
@@ -24,17 +26,6 @@
 MIN_USEFUL = 0.95
 
 
-class Trial:
-    """One seed of one way and deployment."""
-
-    __slots__ = ("deployment", "way", "seed")
-
-    def __init__(self, deployment, way, seed):
-        self.deployment = deployment
-        self.way = way
-        self.seed = seed
-
-
 class TrialResult:
     """Useful share of the capacity, shares of requests, waits of short work."""
 
@@ -51,12 +42,7 @@
 
 def list_trials(seed):
     """Return all trials."""
-    return [
-        Trial(deployment, way, each)
-        for deployment in DEPLOYMENTS
-        for way in WAYS
-        for each in seeds_from(seed)
-    ]
+    return list_way_trials(WAYS, seed)
 
 
 def run_trial(trial):
@@ -83,17 +69,11 @@
     """Return the report of all trials."""
     figures = []
     targets = []
-    for deployment in DEPLOYMENTS:
-        for way in WAYS:
-            own = [
-                result
-                for result in results
-                if (result.trial.deployment, result.trial.way) == (deployment, way)
-            ]
-            figures += _figures_of(f"{deployment}.{way}", own)
-        name = f"{deployment}.router"
-        targets.append(Target(f"{name}.useful", "at-least", MIN_USEFUL))
-        targets.append(Target(f"{name}.late.highest", "at-most", 0.0))
+    for name, own in group_by_name(results).items():
+        figures += _figures_of(name, own)
+        if name.endswith(f".{ROUTER}"):
+            targets.append(Target(f"{name}.useful", "at-least", MIN_USEFUL))
+            targets.append(Target(f"{name}.late.highest", "at-most", 0.0))
     return Report(NAME, seed, figures, targets)
 
 
--- a/stoatpath/measure/retry_budgets.py
+++ b/stoatpath/measure/retry_budgets.py
@@ -1,11 +1,12 @@
 """Extra attempts while half of the pool fails, with and without a retry budget."""
 
 from stoatpath.dispatch.retries import RetryBudget
-from stoatpath.measure.deployments import DEPLOYMENTS, Deployment
+from stoatpath.measure.deployments import Deployment
 from stoatpath.measure.reports import Figure, Report, Target
 from stoatpath.measure.routing_baselines import RandomChooser
 from stoatpath.measure.routing_runs import RoutingRun
-from stoatpath.measure.spreads import mean, seeds_from, spread_figures
+from stoatpath.measure.spreads import mean, spread_figures
+from stoatpath.measure.ways import group_by_name, list_way_trials
 from stoatpath.routing.choosers import Chooser
 
 NAME = "retries"
@@ -32,17 +33,6 @@
         return True
 
 
-class Trial:
-    """One seed of one way and deployment."""
-
-    __slots__ = ("deployment", "way", "seed")
-
-    def __init__(self, deployment, way, seed):
-        self.deployment = deployment
-        self.way = way
-        self.seed = seed
-
-
 class TrialResult:
     """Attempts for each request that came during the fault; failures by requests."""
 
@@ -56,12 +46,7 @@
 
 def list_trials(seed):
     """Return all trials."""
-    return [
-        Trial(deployment, way, each)
-        for deployment in DEPLOYMENTS
-        for way in WAYS
-        for each in seeds_from(seed)
-    ]
+    return list_way_trials(WAYS, seed)
 
 
 def run_trial(trial):
@@ -85,20 +70,14 @@
     """Return the report of all trials."""
     figures = []
     targets = []
-    for deployment in DEPLOYMENTS:
-        for way in WAYS:
-            own = [
-                result
-                for result in results
-                if (result.trial.deployment, result.trial.way) == (deployment, way)
-            ]
-            name = f"{deployment}.{way}"
-            attempts = [result.attempts for result in own]
-            figures += spread_figures(f"{name}.attempts", attempts, "per request")
-            failed = round(mean([result.failed for result in own]), 6)
-            figures.append(Figure(f"{name}.failed", failed, "share"))
-        figure = f"{deployment}.{ROUTER}.attempts.highest"
-        targets.append(Target(figure, "at-most", MAX_ATTEMPTS_PER_REQUEST))
+    for name, own in group_by_name(results).items():
+        attempts = [result.attempts for result in own]
+        figures += spread_figures(f"{name}.attempts", attempts, "per request")
+        failed = round(mean([result.failed for result in own]), 6)
+        figures.append(Figure(f"{name}.failed", failed, "share"))
+        if name.endswith(f".{ROUTER}"):
+            figure = f"{name}.attempts.highest"
+            targets.append(Target(figure, "at-most", MAX_ATTEMPTS_PER_REQUEST))
     return Report(NAME, seed, figures, targets)
 
 
