--- /dev/null
+++ b/features/shutdown/steps/shutdown_steps.py
@@ -0,0 +1,257 @@
+"""Steps that signal router processes under load."""
+
+import asyncio
+import signal
+
+import aiohttp
+from behave import given, then, when
+from loads import COMPLETED, DONE_EVENT, Load
+from processes import ProcessSite
+
+from stoatpath.billing.ledgers import read_ledger
+from stoatpath.platform.tables import Table
+from stoatpath.tools.demonstrations import chat
+
+WARM_UP_S = 0.5
+SETTLE_S = 1.5
+PAUSE_S = 7.0
+LEDGER_WAIT_S = 30
+BALANCER_LAG_MS = 700
+TOKEN_MS = 1.5
+
+
+def run_under_load(context, work):
+    """Run `work(processes, load)` while callers send; keep what happened."""
+
+    async def run():
+        processes = ProcessSite()
+        try:
+            await processes.start(context.routers, BALANCER_LAG_MS=BALANCER_LAG_MS)
+            for engine in processes.site.engines_by_name.values():
+                engine.token_ms = TOKEN_MS
+            load = Load(processes.routers_by_name)
+
+            async def signalled():
+                await asyncio.sleep(WARM_UP_S + SETTLE_S)
+                result = await work(processes)
+                await asyncio.sleep(WARM_UP_S)
+                return result
+
+            context.exit_codes = await load.run_while(signalled)
+            context.load = load
+            context.executed = executed(processes.site)
+            context.bookings = bookings(processes.site)
+            context.records = await settled_ledger(processes.site, load)
+            context.outputs = [
+                router.output() for router in processes.routers_by_name.values()
+            ]
+        finally:
+            await processes.stop()
+
+    asyncio.run(run())
+
+
+def executed(site):
+    """Return the identifiers of all requests that a backend server began."""
+    engines = [each.executions for each in site.engines_by_name.values()]
+    services = [each.executions for each in site.services_by_name.values()]
+    ids = {execution.request_id for each in engines for execution in each}
+    return ids | {execution[0] for each in services for execution in each}
+
+
+def bookings(site):
+    """Return the bodies of all bookings that ran."""
+    return [
+        execution[3]
+        for service in site.services_by_name.values()
+        for execution in service.executions
+        if execution[1] == "POST"
+    ]
+
+
+async def settled_ledger(site, load):
+    """Return the identifiers in the ledger once it holds all that was completed."""
+    table = Table.from_url(site.settings("check", "zone-a").table_url)
+    try:
+        for _ in range(LEDGER_WAIT_S * 5):
+            records = [each["request_id"] for each in await read_ledger(table)]
+            if completed(load) <= set(records):
+                break
+            await asyncio.sleep(0.2)
+        return records
+    finally:
+        await table.close()
+
+
+def completed(load):
+    """Return the identifiers of all requests that were answered whole."""
+    return {each.request_id for each in load.replies if each.outcome == COMPLETED}
+
+
+@given("a site of {count:d} router processes under load")
+def step_impl(context, count):
+    context.routers = count
+
+
+@when("one router is sent SIGTERM while streams are open on it")
+def step_impl(context):
+    async def work(processes):
+        router = processes.routers_by_name["router-1"]
+        router.send(signal.SIGTERM)
+        return [await router.wait()]
+
+    run_under_load(context, work)
+
+
+async def restart_each(processes, number):
+    """Signal each router, wait for its end and start it again."""
+    codes = []
+    for name in list(processes.routers_by_name):
+        router = processes.routers_by_name[name]
+        router.send(number)
+        codes.append(await router.wait())
+        await processes.start_router(name, BALANCER_LAG_MS=BALANCER_LAG_MS)
+        await asyncio.sleep(SETTLE_S)
+    return codes
+
+
+@when("each router is sent SIGTERM and started again in turn")
+def step_impl(context):
+    run_under_load(context, lambda processes: restart_each(processes, signal.SIGTERM))
+
+
+@when("each router is sent SIGKILL and started again in turn")
+def step_impl(context):
+    run_under_load(context, lambda processes: restart_each(processes, signal.SIGKILL))
+
+
+@when("one router is sent SIGSTOP, and SIGCONT after others count it as dead")
+def step_impl(context):
+    async def work(processes):
+        router = processes.routers_by_name["router-2"]
+        router.send(signal.SIGSTOP)
+        await asyncio.sleep(PAUSE_S)
+        router.send(signal.SIGCONT)
+        await asyncio.sleep(SETTLE_S)
+
+    run_under_load(context, work)
+
+
+@then("it exits with 0")
+@then("they exit with 0")
+def step_impl(context):
+    assert set(context.exit_codes) == {0}, (context.exit_codes, context.outputs)
+
+
+@then("every request of the load was completed")
+def step_impl(context):
+    failed = [each for each in context.load.replies if each.outcome != COMPLETED]
+    assert not failed, failed
+    kinds = {each.kind for each in context.load.replies}
+    assert kinds == {"chat", "stream", "turn", "booking", "lookup"}
+
+
+@then("no answer was cut and called whole, and not-run did not run")
+def step_impl(context):
+    for reply in context.load.replies:
+        if reply.outcome == "not-run":
+            assert reply.request_id not in context.executed, reply
+    assert len(completed(context.load)) > 50
+
+
+@then("each session kept its version")
+def step_impl(context):
+    versions = context.load.versions_by_session
+    assert len(versions) == 3, versions
+    assert all(len(each) == 1 for each in versions.values()), versions
+
+
+@then("what was completed is billed exactly once, and bookings ran at most once")
+def step_impl(context):
+    assert len(context.records) == len(set(context.records)), "billed twice"
+    missing = completed(context.load) - set(context.records)
+    assert not missing, missing
+    assert len(context.bookings) == len(set(context.bookings)), "a booking ran twice"
+
+
+@given("a router process with a stream of {seconds:d} seconds open")
+def step_impl(context, seconds):
+    context.seconds = seconds
+
+
+def run_with_stream(context, work, **overrides):
+    """Open a stream at a router process and run `work(router)` meanwhile."""
+
+    async def run():
+        processes = ProcessSite()
+        try:
+            await processes.start(1, BALANCER_LAG_MS=50, **overrides)
+            router = processes.routers_by_name["router-1"]
+            for engine in processes.site.engines_by_name.values():
+                engine.token_ms = 10
+            await asyncio.sleep(SETTLE_S)
+            reading = asyncio.create_task(read_stream(context, router))
+            while not context.body:
+                await asyncio.sleep(0.02)
+            await work(router)
+            context.exit_code = await router.wait()
+            await reading
+            context.output = router.output()
+        finally:
+            await processes.stop()
+
+    context.body = b""
+    asyncio.run(run())
+
+
+async def read_stream(context, router):
+    """Read a stream into the context until it ends in whatever way."""
+    tokens = context.seconds * 100
+    body = chat("desk-assist", "Summarise.", stream=True, max_tokens=tokens)
+    name = "foreshore-officers"
+    headers = {
+        "Authorization": f"Bearer {name}.{name}-sample-secret",
+        "Stoatpath-Purpose": "lease-summary",
+        "Stoatpath-Timeout-Ms": "120000",
+    }
+    url = f"http://{router.address}/v1/chat/completions"
+    async with aiohttp.ClientSession() as client:
+        async with client.post(url, json=body, headers=headers) as response:
+            context.request_id = response.headers["Stoatpath-Request-Id"]
+            try:
+                async for chunk in response.content.iter_any():
+                    context.body += chunk
+            except aiohttp.ClientError:
+                return
+
+
+@when("it is sent SIGTERM twice")
+def step_impl(context):
+    async def work(router):
+        router.send(signal.SIGTERM)
+        await asyncio.sleep(0.5)
+        router.send(signal.SIGTERM)
+
+    run_with_stream(context, work)
+
+
+@then("it names the open request and exits with 0 after the stream ended whole")
+def step_impl(context):
+    assert "requests in flight: 1" in context.output, context.output
+    assert context.request_id in context.output.split("requests in flight: 1")[1]
+    assert context.exit_code == 0, context.output
+    assert context.body.endswith(DONE_EVENT)
+
+
+@when("it is sent SIGTERM and may take 1 second")
+def step_impl(context):
+    async def work(router):
+        router.send(signal.SIGTERM)
+
+    run_with_stream(context, work, SHUTDOWN_TIMEOUT_MS=1_000)
+
+
+@then("it exits with 1, and the stream has no end marker")
+def step_impl(context):
+    assert context.exit_code == 1, (context.exit_code, context.output)
+    assert DONE_EVENT not in context.body
--- a/stoatpath/callers/connections.py
+++ b/stoatpath/callers/connections.py
@@ -71,6 +71,12 @@
         """Return whether the connection should be closed after its answer."""
         return self._server.is_leaving
 
+    @property
+    def is_idle(self):
+        """Return whether no part of a request has arrived that is not answered."""
+        is_busy = self._request_in_progress or self._messages or self._head_bytes
+        return not is_busy
+
     def connection_made(self, transport):
         """Take a connection, unless there are too many."""
         super().connection_made(transport)
@@ -145,6 +151,12 @@
         self.limits = limits
         self.is_leaving = False
 
+    def close_idle(self):
+        """Close the connections on which nobody has asked anything."""
+        for connection in self.connections:
+            if connection.is_idle:
+                connection.close()
+
     def __call__(self):
         """Return the protocol of a new connection."""
         return CallerConnection(
--- a/stoatpath/callers/listeners.py
+++ b/stoatpath/callers/listeners.py
@@ -75,7 +75,7 @@
         """Take no more connections and close those that are idle."""
         for site in list(self._runner.sites):
             await site.stop()
-        self._server.pre_shutdown()
+        self._server.close_idle()
 
     async def drain(self):
         """Return once no request is in flight."""
@@ -102,7 +102,7 @@
         return response
 
     def _answer_ready(self):
-        is_ready = not self.is_leaving and self._parts.follower.snapshot.revision > 0
+        is_ready = not self.is_leaving and self._parts.is_ready()
         status = 200 if is_ready else 503
         return web.json_response({"ready": is_ready}, status=status)
 
--- a/stoatpath/controllers.py
+++ b/stoatpath/controllers.py
@@ -40,9 +40,22 @@
         await self.metrics.start(self.settings.metrics_listen_address)
         await self.listener.start(self.settings.operator_listen_address)
 
+    def addresses(self):
+        """Return where this process listens, by who reaches it there."""
+        return {
+            "operators": self.listener.address,
+            "peers": self.node.peer_server.address,
+            "metrics": self.metrics.address,
+        }
+
+    def open_work(self):
+        """Return what a stop right now would cut: answers to operators at most."""
+        return "answers to operators under way would be cut"
+
     async def stop(self):
-        """Stop gracefully."""
+        """Stop gracefully; return whether nothing was cut."""
         await self.listener.stop()
         self.node.members.leave()
         await self.metrics.stop()
         await self.node.stop()
+        return True
--- a/stoatpath/explanations/rings.py
+++ b/stoatpath/explanations/rings.py
@@ -81,6 +81,7 @@
         if trail is None:
             trail = self._trails_by_request_id[request_id] = _Trail()
             self.size_bytes += trail.size
+        self._trails_by_request_id.move_to_end(request_id)
         if trail.size + len(encoded) > MAX_REQUEST_BYTES:
             return
         trail.encoded.append(encoded)
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -178,6 +178,19 @@
         await self._close()
         return is_clean
 
+    def is_ready(self):
+        """Return whether requests can be served: configuration and backends known."""
+        has_backends = any(each.slots for each in self.backends.by_name.values())
+        return self.follower.snapshot.revision > 0 and has_backends
+
+    def addresses(self):
+        """Return where this process listens, by who reaches it there."""
+        return {
+            "callers": self.listener.address,
+            "peers": self.node.peer_server.address,
+            "metrics": self.metrics.address,
+        }
+
     def open_work(self):
         """Return what a stop right now would cut or lose."""
         return OpenWork(
--- a/stoatpath/standins/sites.py
+++ b/stoatpath/standins/sites.py
@@ -87,7 +87,7 @@
         router = Router.from_settings(self.settings(name, zone, **overrides))
         await router.start()
         self.routers_by_name[name] = router
-        self._list(name, "router", router.node.peer_server.address, zone)
+        self.list_instance(name, "router", router.node.peer_server.address, zone)
         return router
 
     async def start_controller(self, name, zone, **overrides):
@@ -95,12 +95,22 @@
         controller = Controller.from_settings(self.settings(name, zone, **overrides))
         await controller.start()
         self.controllers_by_name[name] = controller
-        self._list(name, "controller", controller.node.peer_server.address, zone)
+        self.list_instance(
+            name, "controller", controller.node.peer_server.address, zone
+        )
         return controller
 
     def settings(self, name, zone, **overrides):
         """Return the settings of a process of this site."""
-        given = {
+        given = self.given_settings(name, zone, **overrides)
+        settings, problems = Settings.from_mapping(given)
+        if problems:
+            raise ValueError("; ".join(map(str, problems)))
+        return settings
+
+    def given_settings(self, name, zone, **overrides):
+        """Return what a settings file of a process of this site holds."""
+        return {
             "NAME": name,
             "ZONE": zone,
             "SESSION_KEYS": {"1": "sample-session-key"},
@@ -110,10 +120,6 @@
             **self._urls_by_setting,
             **overrides,
         }
-        settings, problems = Settings.from_mapping(given)
-        if problems:
-            raise ValueError("; ".join(map(str, problems)))
-        return settings
 
     def sample_files(self):
         """Return the paths of the sample configurations."""
@@ -129,7 +135,7 @@
                 engine = EngineStandin(name, by_version)
                 self.engines_by_name[name] = engine
                 zone = ZONES[index % len(ZONES)]
-                self._list(name, "engine", await engine.start(), zone, model)
+                self.list_instance(name, "engine", await engine.start(), zone, model)
 
     async def _start_services(self):
         for service in PLAIN_SERVICES:
@@ -138,9 +144,12 @@
                 standin = ServiceStandin(name)
                 self.services_by_name[name] = standin
                 zone = ZONES[index % len(ZONES)]
-                self._list(name, "service", await standin.start(), zone, service)
+                self.list_instance(
+                    name, "service", await standin.start(), zone, service
+                )
 
-    def _list(self, name, role, address, zone, serves=""):
+    def list_instance(self, name, role, address, zone, serves=""):
+        """Put an instance on the platform's list."""
         entry = LiveInstance(name, role, address, zone, serves, "live")
         self.instance_list.add(entry)
 
--- a/stoatpath/tools/programs.py
+++ b/stoatpath/tools/programs.py
@@ -1,6 +1,7 @@
 """What the daemons' command lines have in common."""
 
 import asyncio
+import logging
 import signal
 import sys
 
@@ -10,8 +11,11 @@
 from stoatpath import log
 from stoatpath.settings import Settings
 
+logger = logging.getLogger(__name__)
+
 FLAGS = flags.FLAGS
 EXIT_OK = 0
+EXIT_CUT = 1
 EXIT_BAD_SETTINGS = 2
 
 
@@ -23,7 +27,10 @@
 
 
 def run_daemon(program, build):
-    """Run the daemon that `build(settings)` makes until SIGTERM; return its code."""
+    """Run the daemon that `build(settings)` makes until SIGTERM; return its code.
+
+    The code is 1 when the stop had to cut work at its deadline.
+    """
     if FLAGS.version:
         print(f"{program} {stoatpath.VERSION}")
         return EXIT_OK
@@ -43,11 +50,19 @@
 
 
 async def _serve(daemon):
+    """Run a daemon until the first signal; a second one says what it would cut."""
     stopping = asyncio.Event()
+
+    def on_signal():
+        if stopping.is_set():
+            print(f"still stopping; {daemon.open_work()}", file=sys.stderr, flush=True)
+        stopping.set()
+
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
+        loop.add_signal_handler(number, on_signal)
     await daemon.start()
+    logger.info("program.listening", extra=daemon.addresses())
     await stopping.wait()
-    await daemon.stop()
-    return EXIT_OK
+    is_clean = await daemon.stop()
+    return EXIT_OK if is_clean else EXIT_CUT
