--- a/stoatpath/measure/experiments.py
+++ b/stoatpath/measure/experiments.py
@@ -7,6 +7,8 @@
     "cascades": "stoatpath.measure.cascade_costs",
     "control": "stoatpath.measure.control_traffic",
     "decision-costs": "stoatpath.measure.decision_costs",
+    "fairness": "stoatpath.measure.fairness",
+    "overload": "stoatpath.measure.overloads",
     "rate-limits": "stoatpath.measure.rate_limits",
     "retries": "stoatpath.measure.retry_budgets",
     "routing": "stoatpath.measure.routing_loads",
