--- a/stoatpath/measure/experiments.py
+++ b/stoatpath/measure/experiments.py
@@ -1,6 +1,7 @@
 """The experiments by name, each with the module that runs it."""
 
 MODULES_BY_NAME = {
+    "footprints": "stoatpath.measure.footprints",
     "hot-path": "stoatpath.measure.hot_path",
     "billing": "stoatpath.measure.billing",
     "caller-costs": "stoatpath.measure.caller_costs",
