--- /dev/null
+++ b/features/documents/documents.feature
@@ -0,0 +1,48 @@
+Feature: The documents agree with the code
+
+  Scenario: Links between documents lead somewhere
+    Then every relative link in the documents names a file that exists
+
+  Scenario: Commands in the documents exist
+    Then every make target in the documents is in the Makefile
+    And every program in the documents answers --help with its flags
+
+  Scenario: The documents that readers expect are there
+    Then each of these documents has text
+      | name            |
+      | QUICKSTART.md   |
+      | CONCEPTS.md     |
+      | INTERNALS.md    |
+      | OPERATING.md    |
+      | SETTINGS.md     |
+      | GLOSSARY.md     |
+      | DECISIONS.md    |
+      | CAPACITY.md     |
+      | CHANGELOG.md    |
+      | CONTRIBUTING.md |
+      | SECURITY.md     |
+      | LOGS.md         |
+      | METRICS.md      |
+
+  Scenario: Log events are listed
+    Then docs/LOGS.md lists exactly the events that the code logs
+
+  Scenario: The capacity page can't drift
+    Then the tables of docs/CAPACITY.md are those of the measurements
+
+  Scenario: A daemon loads only what it needs
+    Then importing a daemon loads none of these
+      | module             |
+      | stoatpath.standins |
+      | stoatpath.measure  |
+      | behave             |
+      | hypothesis         |
+      | matplotlib         |
+      | numpy              |
+      | hdrh               |
+
+  Scenario: Tests stay under a third of the code
+    Then the lines of tests are under a third of all lines
+
+  Scenario: Source files carry no banner
+    Then no source file starts with a comment or names a licence
