Routers met by real signals: killed and paused processes beside a running site

Cause: pauses were proved in virtual time only, kills by ending tasks. Change: the router program runs as a process of its own beside the site; SIGKILL before its billing flush, SIGSTOP until its peer has billed and SIGCONT, SIGSTOP with a booking under way. The listener logs where it listens, as operators need with port 0.

--- a/features/faults/faults.feature
+++ b/features/faults/faults.feature
@@ -90,5 +90,27 @@
       | after the answer            | unknown   | 1   | 0      |
       | before the billing flush    | completed | 1   | 1      |
 
+  Scenario: A router process is killed by a signal before the billing flush
+    Given a running site with two routers
+    When a router process answers and gets SIGKILL before its flush
+    Then the key's second caller gets a replay
+    And each answer is billed once, by the peer
+    And what ran and what is billed agree with what callers were told
+
+  Scenario: A router process is paused before the billing flush and wakes later
+    Given a running site with two routers
+    When a router process answers, is paused until its peer has billed, and wakes
+    Then the key's second caller gets a replay
+    And each answer is billed once, by the peer
+    And what ran and what is billed agree with what callers were told
+
+  Scenario: A router process is paused with a booking under way
+    Given a running site with two routers
+    When a router process is paused while a booking runs, and wakes later
+    Then the second caller is told "unknown"
+    And the first caller is told "completed"
+    And it ran 1 times
+    And what ran and what is billed agree with what callers were told
+
   Scenario: Random faults, kills and retries at the running site
     Then over random courses the site keeps its promises
--- a/features/faults/steps/fault_steps.py
+++ b/features/faults/steps/fault_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 from fault_sites import KINDS, FaultSite, hang, wait_until
 from hypothesis import given as forall, settings, strategies
+from processes import RouterProcess
 
 
 @given("a running site with two routers")
@@ -168,6 +169,116 @@
     await task
 
 
+async def _start_process(site, period_ms):
+    return await RouterProcess.start(
+        site.site, "router-9", "zone-a", BILLING_FLUSH_PERIOD_MS=period_ms
+    )
+
+
+async def _answer_some(site, router):
+    """Send requests until the process serves, then one of each kind."""
+    await wait_until(lambda: _serves(site, router))
+    site.told.clear()
+    await site.send("keyed booking", 1, router, "key-1")
+    await site.send("question", 2, router)
+    await site.send("summary", 3, router)
+    assert {told.outcome for told in site.told} == {"completed"}
+
+
+async def _serves(site, router):
+    told = await site.send("lookup", 10, router)
+    return told.outcome == "completed"
+
+
+async def _are_billed(site):
+    billed = await site.ledger()
+    return all(told.request_id in billed for told in site.told)
+
+
+@when("a router process answers and gets SIGKILL before its flush")
+def step_impl(context):
+    async def step(site):
+        router = await _start_process(site, 60_000)
+        try:
+            await _answer_some(site, router)
+            assert not await _are_billed(site)
+            router.kill()
+            await wait_until(lambda: _are_billed(site))
+            await site.send("keyed booking", 1, site.routers()[0], "key-1")
+        finally:
+            await router.stop()
+
+    play(context, step)
+
+
+@when("a router process answers, is paused until its peer has billed, and wakes")
+def step_impl(context):
+    async def step(site):
+        router = await _start_process(site, 60_000)
+        try:
+            await _answer_some(site, router)
+            router.pause()
+            await wait_until(lambda: _are_billed(site))
+            await site.send("keyed booking", 1, site.routers()[0], "key-1")
+            router.resume()
+            await wait_until(lambda: _serves(site, router))
+            told = await site.send("question", 4, router)
+            assert told.outcome == "completed", told.body
+            router.terminate()
+            await router.wait()
+        finally:
+            await router.stop()
+
+    play(context, step)
+
+
+@when("a router process is paused while a booking runs, and wakes later")
+def step_impl(context):
+    async def step(site):
+        router = await _start_process(site, 60_000)
+        try:
+            await wait_until(lambda: _serves(site, router))
+            site.told.clear()
+            site.arrange("slow")
+            work = site.send("keyed booking", 1, router, "key-1")
+            first = asyncio.create_task(work)
+            await wait_until(lambda: site.booked(1))
+            router.pause()
+            await site.send("keyed booking", 1, site.routers()[0], "key-1")
+            await asyncio.sleep(1.0)
+            router.resume()
+            await first
+            router.terminate()
+            await router.wait()
+        finally:
+            await router.stop()
+
+    play(context, step)
+
+
+@then('the first caller is told "{outcome}"')
+def step_impl(context, outcome):
+    assert context.told[0].outcome == outcome, context.told[0].body
+
+
+@then("the key's second caller gets a replay")
+def step_impl(context):
+    keyed = [told for told in context.told if told.key]
+    assert [told.is_replay for told in keyed] == [False, True]
+    assert keyed[0].body == keyed[1].body
+
+
+@then("each answer is billed once, by the peer")
+def step_impl(context):
+    answers = [
+        told.request_id
+        for told in context.told
+        if told.outcome == "completed" and not told.is_replay
+    ]
+    billed = [each for each in context.billed if each in answers]
+    assert sorted(billed) == sorted(answers), (billed, answers)
+
+
 FAULTS = [
     "reset-before",
     "reset-during",
--- a/stoatpath/callers/listeners.py
+++ b/stoatpath/callers/listeners.py
@@ -1,6 +1,7 @@
 """The HTTP listener that callers reach."""
 
 import asyncio
+import logging
 
 from aiohttp import web
 
@@ -13,6 +14,8 @@
 from stoatpath.outcomes import BROKEN_ANSWER, Failure, Outcome, is_failure
 from stoatpath.utils import new_id
 
+logger = logging.getLogger(__name__)
+
 HEALTH_PATH = "/healthz"
 READY_PATH = "/readyz"
 # aiohttp takes 0 for no limit at all.
@@ -68,6 +71,7 @@
         await site.start()
         bound = self._runner.addresses[0]
         self.address = f"{bound[0]}:{bound[1]}"
+        logger.info("callers.listening", extra={"address": self.address})
 
     def leave(self):
         """Stop being ready; close each connection after its next answer."""
