--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 PLAN ?= samples/load/mixed.json5
 
-.PHONY: install run serve test lint format measure load
+.PHONY: install run serve test lint format measure load capacity
 
 $(VENV)/.installed: requirements.lock
 	@echo "Installing the locked packages into $(VENV) ..."
@@ -35,5 +35,8 @@
 measure: install
 	@$(PYTHON) -m stoatpath.tools.measure --experiment=$(EXPERIMENT) --seed=$(SEED)
 
+capacity: install
+	@$(PYTHON) -m stoatpath.tools.capacity
+
 load: install
 	@$(PYTHON) -m stoatpath.tools.load --plan=$(PLAN)
--- a/stoatpath/measure/experiments.py
+++ b/stoatpath/measure/experiments.py
@@ -1,8 +1,10 @@
 """The experiments by name, each with the module that runs it."""
 
 MODULES_BY_NAME = {
+    "footprints": "stoatpath.measure.footprints",
     "hot-path": "stoatpath.measure.hot_path",
     "billing": "stoatpath.measure.billing",
+    "caller-costs": "stoatpath.measure.caller_costs",
     "cascades": "stoatpath.measure.cascade_costs",
     "control": "stoatpath.measure.control_traffic",
     "decision-costs": "stoatpath.measure.decision_costs",
