Roll-outs by steps under a sequential test, leases with fencing numbers

Cause: new work always went to the current version; nothing judged a new one. Change: shares by key hash, rating counters that merge, an e-process over windows and purposes, verdicts that spread in two hops and by gossip, steps stored by compare-and-set under a lease.

--- a/stoatpath/cascades/runners.py
+++ b/stoatpath/cascades/runners.py
@@ -46,8 +46,10 @@
         for stage in plan.stages:
             answer = await self._run_stage(request, stage, stream)
             if is_failure(answer):
+                self._parts.sampling.sampler.take(request, stage.version, answer)
                 return _with_history(answer, results)
             rating = await self._rate(request, stage, answer)
+            self._parts.sampling.sampler.take(request, stage.version, answer, rating)
             results.append(_stage_result(stage.version, answer, rating))
             if stage.accept_at is None or rating is None or rating >= stage.accept_at:
                 break
--- a/stoatpath/configuration/documents.py
+++ b/stoatpath/configuration/documents.py
@@ -10,16 +10,18 @@
 class Version:
     """One version of a model; `name` has the form `model@version`.
 
-    `cost` is the price of 1,000 tokens.
+    `cost` is the price of 1,000 tokens; `trial` counts how often operators let
+    the version be tried again after a suspension.
     """
 
-    __slots__ = ("name", "model", "cost", "state")
+    __slots__ = ("name", "model", "cost", "state", "trial")
 
-    def __init__(self, name, model, cost, state):
+    def __init__(self, name, model, cost, state, trial=1):
         self.name = name
         self.model = model
         self.cost = cost
         self.state = state
+        self.trial = trial
 
 
 class Model:
@@ -40,7 +42,8 @@
             full_name = f"{name}@{label}"
             cost = version.get("cost", body["cost"])
             state = version.get("state", ACTIVE)
-            by_version[full_name] = Version(full_name, name, cost, state)
+            trial = version.get("trial", 1)
+            by_version[full_name] = Version(full_name, name, cost, state, trial)
         return cls(name, f"{name}@{body['current']}", by_version)
 
 
--- a/stoatpath/configuration/schemas.py
+++ b/stoatpath/configuration/schemas.py
@@ -26,7 +26,12 @@
 
 
 _VERSION = _strict(
-    {}, {"state": {"enum": ["active", "withdrawn", "suspended"]}, "cost": _COST}
+    {},
+    {
+        "state": {"enum": ["active", "withdrawn", "suspended"]},
+        "cost": _COST,
+        "trial": {"type": "integer", "minimum": 1},
+    },
 )
 _VERSIONS = {
     "type": "object",
@@ -115,8 +120,15 @@
     {
         "model": _NAME,
         "to": {"type": "string"},
-        "steps": {"type": "array", "items": _SHARE, "minItems": 1},
-    }
+        "steps": {"type": "array", "items": _SHARE, "minItems": 1, "maxItems": 20},
+    },
+    {
+        "min_ratings": {"type": "integer", "minimum": 20},
+        "step_ms": {"type": "integer", "minimum": 1},
+        "tolerance": _SHARE,
+        "rating_share": {"type": "number", "exclusiveMinimum": 0, "maximum": 1},
+        "state": {"enum": ["running", "halted"]},
+    },
 )
 SCHEMAS_BY_KIND = {
     MODEL: MODEL_SCHEMA,
--- a/stoatpath/configuration/validators.py
+++ b/stoatpath/configuration/validators.py
@@ -157,4 +157,11 @@
         return [Problem(f"{path}.to", body["to"], expected)]
     if body["steps"] != sorted(body["steps"]):
         return [Problem(f"{path}.steps", body["steps"], "shares that rise")]
+    if body["to"] == model["current"]:
+        expected = "another version than the current one"
+        return [Problem(f"{path}.to", body["to"], expected)]
+    for name, other in by_kind[ROLLOUT].items():
+        if other["model"] == body["model"] and f"rollout.{name}" != path:
+            expected = f"a model without a roll-out; {name} is under way"
+            return [Problem(f"{path}.model", body["model"], expected)]
     return []
--- a/stoatpath/controllers.py
+++ b/stoatpath/controllers.py
@@ -1,8 +1,15 @@
 """Assembles one controller process: what operators reach."""
 
+import asyncio
+
 from stoatpath.clock import Clock
 from stoatpath.configuration.listeners import OperatorListener
+from stoatpath.leases.keepers import LeaseKeeper
 from stoatpath.nodes import Node
+from stoatpath.rollouts.keepers import RolloutKeeper
+from stoatpath.rollouts.nodes import RolloutNode
+from stoatpath.rollouts.reporters import CountReceiver, CountReporter, judge_of
+from stoatpath.utils import cancel_and_wait
 
 CONTROLLER = "controller"
 
@@ -10,13 +17,44 @@
 class Controller:
     """Accepts configurations and works on what instances share."""
 
-    __slots__ = ("settings", "clock", "node", "listener")
+    __slots__ = (
+        "settings",
+        "clock",
+        "node",
+        "listener",
+        "leases",
+        "rollouts",
+        "rollout_keeper",
+        "_collected",
+        "_forwarder",
+        "_tasks",
+    )
 
     def __init__(self, settings, clock):
         self.settings = settings
         self.clock = clock
         self.node = Node.from_settings(settings, CONTROLLER, clock)
         self.listener = OperatorListener(self.node, settings.operator_keys)
+        self.leases = LeaseKeeper(
+            self.node.table,
+            clock,
+            settings.name,
+            self.node.incarnation,
+            self._live_controllers,
+        )
+        self.rollouts = RolloutNode(self.node)
+        self._collected = CountReceiver(self.node.peer_server)
+        self._forwarder = CountReporter(
+            self._collected.counters,
+            self.node.members,
+            self.node.peer_client,
+            clock,
+            lambda name: judge_of(name, self._live_controllers()),
+        )
+        self.rollout_keeper = RolloutKeeper(
+            self.node, self.rollouts, self.leases, self._collected.counters
+        )
+        self._tasks = []
 
     @classmethod
     def from_settings(cls, settings, clock=None):
@@ -31,10 +69,23 @@
     async def start(self):
         """Start all tasks and listen."""
         await self.node.start()
+        await self.rollouts.read()
+        jobs = (
+            self.leases.run(),
+            self.rollouts.run(),
+            self._forwarder.run(),
+            self.rollout_keeper.run(),
+        )
+        self._tasks = [asyncio.create_task(job) for job in jobs]
         await self.listener.start(self.settings.operator_listen_address)
 
     async def stop(self):
         """Stop gracefully."""
         self.node.members.leave()
         await self.listener.stop()
+        await cancel_and_wait(self._tasks)
+        await self.rollouts.spreader.stop()
         await self.node.stop()
+
+    def _live_controllers(self):
+        return self.node.members.live_names(CONTROLLER)
--- /dev/null
+++ b/stoatpath/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases with fencing numbers on shards of duties, kept in the table."""
--- /dev/null
+++ b/stoatpath/leases/states.py
@@ -0,0 +1,101 @@
+"""What one process knows of the lease of one shard, and what it writes next.
+
+The holder counts its lease from before it sent the write; another process counts
+from after it first saw that write. On clocks that run through suspension the
+holder's count ends first, whatever the network did in between.
+"""
+
+from stoatpath.leases.messages import LeaseRow, LeaseWrite
+
+LEASE_MS = 15_000
+RENEW_MS = 5_000
+CLOCK_DRIFT_MARGIN_MS = 500
+NEVER_MS = float("-inf")
+
+
+class LeaseState:
+    """The lease of one shard as seen by one process."""
+
+    __slots__ = (
+        "shard",
+        "holder",
+        "held_until_ms",
+        "claimed_ms",
+        "fencing",
+        "row_version",
+        "_row",
+        "_first_seen_ms",
+        "_asked_ms_by_nonce",
+        "_renew_at_ms",
+    )
+
+    def __init__(self, shard, holder):
+        self.shard = shard
+        self.holder = holder
+        self.held_until_ms = NEVER_MS
+        self.claimed_ms = NEVER_MS
+        self.fencing = 0
+        self.row_version = None
+        self._row = None
+        self._first_seen_ms = NEVER_MS
+        self._asked_ms_by_nonce = {}
+        self._renew_at_ms = NEVER_MS
+
+    def is_held(self, until_ms):
+        """Return whether the lease is held up to a clock reading."""
+        return until_ms < self.held_until_ms
+
+    def observe(self, row_version, row, now_ms):
+        """Take the row as just read; `row` is None when it is absent."""
+        if self.row_version is not None and row_version < self.row_version:
+            return
+        if row_version != self.row_version:
+            self.row_version = row_version
+            self._row = row
+            self._first_seen_ms = now_ms
+            self._take_own_write(now_ms)
+
+    def next_write(self, now_ms, nonce, may_claim):
+        """Return the write that this process should send now, or None."""
+        if self.row_version is None:
+            return None
+        if self.is_held(now_ms):
+            if now_ms < self._renew_at_ms:
+                return None
+            return self._write(LeaseRow(self.holder, self.fencing, nonce), now_ms)
+        if not may_claim or not self._is_free(now_ms):
+            return None
+        fencing = 1 if self._row is None else self._row.fencing + 1
+        return self._write(LeaseRow(self.holder, fencing, nonce), now_ms)
+
+    def release(self, now_ms, nonce):
+        """Stop holding, and return the write that tells the others, or None."""
+        if not self.is_held(now_ms):
+            return None
+        self.held_until_ms = NEVER_MS
+        return self._write(LeaseRow(self.holder, self.fencing, nonce, True), now_ms)
+
+    def _write(self, row, now_ms):
+        self._asked_ms_by_nonce[row.nonce] = now_ms
+        return LeaseWrite(self.row_version, row, now_ms)
+
+    def _is_free(self, now_ms):
+        if self._row is None or self._row.is_released:
+            return True
+        free_at_ms = self._first_seen_ms + LEASE_MS + CLOCK_DRIFT_MARGIN_MS
+        return now_ms >= free_at_ms
+
+    def _take_own_write(self, now_ms):
+        """Hold the lease if the row is a write of this process, lose it if not."""
+        asked_ms = None
+        if self._row is not None:
+            asked_ms = self._asked_ms_by_nonce.get(self._row.nonce)
+        self._asked_ms_by_nonce.clear()
+        if asked_ms is None or self._row.is_released:
+            self.held_until_ms = NEVER_MS
+            return
+        if self._row.fencing != self.fencing or self.held_until_ms == NEVER_MS:
+            self.claimed_ms = now_ms
+        self.fencing = self._row.fencing
+        self.held_until_ms = asked_ms + LEASE_MS
+        self._renew_at_ms = asked_ms + RENEW_MS
--- /dev/null
+++ b/stoatpath/rollouts/judges.py
@@ -0,0 +1,156 @@
+"""Judges a roll-out: go on, hold, or suspend the new version.
+
+Within a step, evidence is weighed over windows that began at several times, so
+that a version that turns bad after a long good time is still found at once. The
+weights of the windows sum to 1 and each step has its part of the chance of a
+false alarm, so the whole roll-out keeps `FALSE_ALARM_CHANCE`.
+"""
+
+import math
+
+from stoatpath.rollouts.evidence import BetTable, log_evidence, log_sum
+from stoatpath.rollouts.messages import RATING_LEVELS
+
+FALSE_ALARM_CHANCE = 0.008
+WINDOW_RATINGS = 32
+MAX_WINDOWS = 8
+DOUBT_LOG_EVIDENCE = 1.0
+HOLD = "hold"
+ADVANCE = "advance"
+SUSPEND = "suspend"
+
+
+class Judgement:
+    """What to do with a roll-out, and why."""
+
+    __slots__ = ("action", "reason", "log_evidence")
+
+    def __init__(self, action, reason, log_evidence):
+        self.action = action
+        self.reason = reason
+        self.log_evidence = log_evidence
+
+
+class Sample:
+    """Ratings of both versions for one purpose, as counts by level."""
+
+    __slots__ = ("new", "old")
+
+    def __init__(self, new, old):
+        self.new = new
+        self.old = old
+
+    @classmethod
+    def empty(cls):
+        """Build a sample without ratings."""
+        return cls([0] * RATING_LEVELS, [0] * RATING_LEVELS)
+
+    def since(self, earlier):
+        """Return what was counted after an earlier sample."""
+        return Sample(
+            [now - then for now, then in zip(self.new, earlier.new)],
+            [now - then for now, then in zip(self.old, earlier.old)],
+        )
+
+
+class _Window:
+    """Where a window began, and its weight."""
+
+    __slots__ = ("start_by_purpose", "log_weight")
+
+    def __init__(self, start_by_purpose, log_weight):
+        self.start_by_purpose = start_by_purpose
+        self.log_weight = log_weight
+
+
+class Judge:
+    """Judges one step of one trial. Counts are those of the whole trial."""
+
+    __slots__ = (
+        "_rollout",
+        "_table",
+        "_threshold",
+        "_started_ms",
+        "_windows",
+        "_opened",
+        "_last_ratings",
+        "_first_ratings",
+    )
+
+    def __init__(self, rollout, by_purpose, now_ms):
+        self._rollout = rollout
+        self._table = BetTable.for_tolerance(rollout.tolerance)
+        self._threshold = math.log(len(rollout.steps) / FALSE_ALARM_CHANCE)
+        self._started_ms = now_ms
+        self._windows = []
+        self._opened = 0
+        self._first_ratings = _count_new(by_purpose)
+        self._last_ratings = self._first_ratings
+        self._open_window(by_purpose)
+
+    def look(self, by_purpose, now_ms):
+        """Return a judgement on the samples of the trial by purpose."""
+        evidence = self._evidence(by_purpose)
+        if evidence >= self._threshold:
+            reason = f"log evidence {evidence:.2f} of at most {self._threshold:.2f}"
+            return Judgement(SUSPEND, reason, evidence)
+        ratings = _count_new(by_purpose)
+        if ratings - self._last_ratings >= WINDOW_RATINGS:
+            self._last_ratings = ratings
+            self._open_window(by_purpose)
+        rated = ratings - self._first_ratings
+        wanted = self._rollout.min_ratings
+        if rated < wanted:
+            return Judgement(HOLD, f"{rated} of {wanted} ratings", evidence)
+        if now_ms < self._started_ms + self._rollout.step_ms:
+            return Judgement(HOLD, "the step has not lasted long enough", evidence)
+        if evidence > DOUBT_LOG_EVIDENCE:
+            return Judgement(HOLD, f"log evidence {evidence:.2f} is in doubt", evidence)
+        return Judgement(ADVANCE, f"{rated} ratings without evidence", evidence)
+
+    def _open_window(self, by_purpose):
+        self._opened += 1
+        start_by_purpose = {
+            purpose: Sample(list(sample.new), list(sample.old))
+            for purpose, sample in by_purpose.items()
+        }
+        log_weight = -math.log(self._opened * (self._opened + 1))
+        self._windows.append(_Window(start_by_purpose, log_weight))
+        if len(self._windows) > MAX_WINDOWS:
+            del self._windows[1]
+
+    def _evidence(self, by_purpose):
+        terms = [
+            window.log_weight + self._window_evidence(window, by_purpose)
+            for window in self._windows
+        ]
+        return log_sum(terms)
+
+    def _window_evidence(self, window, by_purpose):
+        """Return the log of the mean of two e-values: all purposes, or any one."""
+        logs = []
+        for purpose, sample in by_purpose.items():
+            start = window.start_by_purpose.get(purpose)
+            part = sample if start is None else sample.since(start)
+            logs.append(log_evidence(part.new, part.old, self._table))
+        if not logs:
+            return 0.0
+        any_purpose = log_sum(logs) - math.log(len(logs))
+        return log_sum([any_purpose, sum(logs)]) - math.log(2)
+
+
+def _count_new(by_purpose):
+    return sum(sum(sample.new) for sample in by_purpose.values())
+
+
+def collect_samples(new_totals, old_totals):
+    """Return samples by purpose from the totals of both versions."""
+    samples = {}
+    for purpose in sorted({*new_totals, *old_totals}):
+        sample = Sample.empty()
+        if purpose in new_totals:
+            sample.new = new_totals[purpose].levels
+        if purpose in old_totals:
+            sample.old = old_totals[purpose].levels
+        samples[purpose] = sample
+    return samples
--- /dev/null
+++ b/stoatpath/rollouts/messages.py
@@ -0,0 +1,202 @@
+"""Messages of roll-outs: plans, steps, verdicts and rating counts."""
+
+RUNNING = "running"
+HALTED = "halted"
+RATING_LEVELS = 21
+DEFAULT_MIN_RATINGS = 200
+DEFAULT_STEP_MS = 600_000
+DEFAULT_TOLERANCE = 0.05
+DEFAULT_RATING_SHARE = 0.5
+
+
+class Rollout:
+    """A roll-out as configured.
+
+    `version` is the full name of the new version; `steps` are shares of new
+    sessions, from 0 to 1; `min_ratings` and `step_ms` must be reached before the
+    next step; `tolerance` is the drop in quality that is still acceptable;
+    `rating_share` the share of the new version's answers that are rated.
+    """
+
+    __slots__ = (
+        "name",
+        "model",
+        "version",
+        "steps",
+        "min_ratings",
+        "step_ms",
+        "tolerance",
+        "rating_share",
+        "is_halted",
+    )
+
+    def __init__(
+        self,
+        name,
+        model,
+        version,
+        steps,
+        min_ratings=DEFAULT_MIN_RATINGS,
+        step_ms=DEFAULT_STEP_MS,
+        tolerance=DEFAULT_TOLERANCE,
+        rating_share=DEFAULT_RATING_SHARE,
+        is_halted=False,
+    ):
+        self.name = name
+        self.model = model
+        self.version = version
+        self.steps = steps
+        self.min_ratings = min_ratings
+        self.step_ms = step_ms
+        self.tolerance = tolerance
+        self.rating_share = rating_share
+        self.is_halted = is_halted
+
+    @classmethod
+    def from_document(cls, name, body):
+        """Build a roll-out from a validated document."""
+        return cls(
+            name,
+            body["model"],
+            f"{body['model']}@{body['to']}",
+            tuple(body["steps"]),
+            body.get("min_ratings", DEFAULT_MIN_RATINGS),
+            body.get("step_ms", DEFAULT_STEP_MS),
+            body.get("tolerance", DEFAULT_TOLERANCE),
+            body.get("rating_share", DEFAULT_RATING_SHARE),
+            body.get("state", RUNNING) == HALTED,
+        )
+
+    def has_same_plan(self, other):
+        """Return whether two documents describe the same roll-out."""
+        return all(
+            getattr(self, name) == getattr(other, name) for name in self.__slots__
+        )
+
+
+class Step:
+    """How far the roll-out of a version has come in one of its trials.
+
+    `index` counts the steps that were passed; at `len(steps)` the roll-out is
+    complete and waits for the configuration to say so.
+    """
+
+    __slots__ = ("version", "trial", "index")
+
+    def __init__(self, version, trial, index):
+        self.version = version
+        self.trial = trial
+        self.index = index
+
+    @classmethod
+    def from_json(cls, data):
+        """Build a step from its wire form."""
+        return cls(data["version"], data["trial"], data["index"])
+
+    def to_json(self):
+        """Return the wire form."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+    def is_after(self, other):
+        """Return whether this step replaces another of the same version."""
+        return (self.trial, self.index) > (other.trial, other.index)
+
+
+class Verdict:
+    """The suspension of one trial of a version, and why."""
+
+    __slots__ = ("version", "trial", "reason", "at_ms")
+
+    def __init__(self, version, trial, reason, at_ms):
+        self.version = version
+        self.trial = trial
+        self.reason = reason
+        self.at_ms = at_ms
+
+    @classmethod
+    def from_json(cls, data):
+        """Build a verdict from its wire form; fields of other releases are ignored."""
+        return cls(
+            data["version"],
+            data["trial"],
+            data.get("reason", ""),
+            data.get("at_ms", 0),
+        )
+
+    def to_json(self):
+        """Return the wire form."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+
+class Arm:
+    """What ratings are counted for: a version in one trial, and a purpose."""
+
+    __slots__ = ("rollout", "trial", "version", "purpose")
+
+    def __init__(self, rollout, trial, version, purpose):
+        self.rollout = rollout
+        self.trial = trial
+        self.version = version
+        self.purpose = purpose
+
+    @property
+    def key(self):
+        """Return the hashable form."""
+        return self.rollout, self.trial, self.version, self.purpose
+
+
+class Source:
+    """Who counted: a router and its incarnation."""
+
+    __slots__ = ("router", "incarnation")
+
+    def __init__(self, router, incarnation):
+        self.router = router
+        self.incarnation = incarnation
+
+    @property
+    def key(self):
+        """Return the hashable form."""
+        return self.router, self.incarnation
+
+
+class Cell:
+    """The counts of one source for one arm; each only grows.
+
+    `levels[i]` counts ratings of `i / (RATING_LEVELS - 1)`; `served` counts all
+    requests that ran, rated or not.
+    """
+
+    __slots__ = ("source", "arm", "levels", "served")
+
+    def __init__(self, source, arm, levels=None, served=0):
+        self.source = source
+        self.arm = arm
+        self.levels = levels or [0] * RATING_LEVELS
+        self.served = served
+
+    @classmethod
+    def from_json(cls, data):
+        """Build a cell from its wire form; levels that are absent count 0."""
+        levels = [0] * RATING_LEVELS
+        for level, count in data["levels"].items():
+            if 0 <= int(level) < RATING_LEVELS:
+                levels[int(level)] = count
+        arm = Arm(data["rollout"], data["trial"], data["version"], data["purpose"])
+        source = Source(data["router"], data["incarnation"])
+        return cls(source, arm, levels, data.get("served", 0))
+
+    def to_json(self):
+        """Return the wire form, without the levels that count 0."""
+        return {
+            "router": self.source.router,
+            "incarnation": self.source.incarnation,
+            "rollout": self.arm.rollout,
+            "trial": self.arm.trial,
+            "version": self.arm.version,
+            "purpose": self.arm.purpose,
+            "levels": {
+                str(level): count for level, count in enumerate(self.levels) if count
+            },
+            "served": self.served,
+        }
--- /dev/null
+++ b/stoatpath/rollouts/stores.py
@@ -0,0 +1,71 @@
+"""Steps and verdicts of roll-outs as kept in the platform's table.
+
+Rows `rollouts/steps/VERSION` and `rollouts/verdicts/VERSION`; both only grow.
+"""
+
+from stoatpath.outcomes import CONFLICT, Failure, is_failure
+from stoatpath.platform.messages import Applied, Condition, Put, Transaction
+from stoatpath.rollouts.messages import Step, Verdict
+
+STEP_PREFIX = "rollouts/steps/"
+VERDICT_PREFIX = "rollouts/verdicts/"
+ALL_PREFIX = "rollouts/"
+
+
+class RolloutStore:
+    """Reads and raises the rows. Every result is a value or a failure."""
+
+    __slots__ = ("_table",)
+
+    def __init__(self, table):
+        self._table = table
+
+    async def read_into(self, progress):
+        """Add all stored steps and verdicts; return a failure or None."""
+        rows = await self._table.scan(ALL_PREFIX)
+        if is_failure(rows):
+            return rows
+        for key, row in rows.items():
+            if key.startswith(STEP_PREFIX):
+                progress.reach(Step.from_json(row.value))
+            elif key.startswith(VERDICT_PREFIX):
+                progress.suspensions.add(Verdict.from_json(row.value))
+        return None
+
+    async def write_step(self, step, conditions):
+        """Return the stored step, which may be a later one, or a failure."""
+        key = STEP_PREFIX + step.version
+        return await self._raise(key, step, Step, Step.is_after, conditions)
+
+    async def write_verdict(self, verdict):
+        """Return the stored verdict, which may be a later one, or a failure."""
+        key = VERDICT_PREFIX + verdict.version
+        return await self._raise(key, verdict, Verdict, _is_later_trial, [])
+
+    async def _raise(self, key, value, kind, is_after, conditions):
+        rows = await self._table.read([key])
+        if is_failure(rows):
+            return rows
+        row = rows[key]
+        if row.version:
+            stored = kind.from_json(row.value)
+            if not is_after(value, stored):
+                return stored
+        transaction = Transaction(
+            [Condition(key, row.version), *conditions], [Put(key, value.to_json())]
+        )
+        result = await self._table.transact(transaction)
+        if is_failure(result):
+            return result
+        if isinstance(result, Applied):
+            return value
+        rows = await self._table.read([key])
+        if is_failure(rows):
+            return rows
+        if not rows[key].version:
+            return Failure(CONFLICT, "the lease was lost before the write")
+        return kind.from_json(rows[key].value)
+
+
+def _is_later_trial(verdict, other):
+    return verdict.trial > other.trial
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -20,6 +20,7 @@
 from stoatpath.nodes import Node
 from stoatpath.platform.ratings import RatingService
 from stoatpath.rollouts.assigners import VersionAssigner
+from stoatpath.rollouts.nodes import RolloutNode, RolloutSampling
 from stoatpath.routing.choosers import Chooser
 from stoatpath.sessions.pins import SessionPins
 from stoatpath.sessions.tokens import TokenSigner
@@ -45,7 +46,9 @@
         "watcher",
         "chooser",
         "gate",
+        "rollouts",
         "assigner",
+        "sampling",
         "estimates",
         "planner",
         "pins",
@@ -77,7 +80,9 @@
         )
         self.chooser = Chooser(settings.zone, rng)
         self.gate = AdmissionGate(AdmissionQueue(settings.max_queued_requests), clock)
-        self.assigner = VersionAssigner()
+        self.rollouts = RolloutNode(self.node)
+        self.assigner = VersionAssigner(self.rollouts.progress, self.follower)
+        self.sampling = RolloutSampling(self.node, self.assigner, self.ratings)
         self.estimates = QualityEstimates()
         self.planner = Planner(self.estimates)
         self.pins = SessionPins(TokenSigner(settings.session_keys))
@@ -102,11 +107,14 @@
         """Start all tasks and listen."""
         await self.sender.start()
         await self.node.start()
+        await self.rollouts.read()
         jobs = (
             self.watcher.run(),
             self.claims.run(),
             self.outbox.run(),
             self._keep_capacities(),
+            self.rollouts.run(),
+            self.sampling.reporter.run(),
         )
         self._tasks = [asyncio.create_task(job) for job in jobs]
         await self.listener.start(self.settings.listen_address)
@@ -127,6 +135,8 @@
     async def _close(self):
         await self.listener.stop()
         await cancel_and_wait(self._tasks)
+        await self.sampling.sampler.stop()
+        await self.rollouts.spreader.stop()
         await self.sender.close()
         await self.ratings.connection.close()
         await self.node.stop()
