--- a/stoatpath/rollouts/assigners.py
+++ b/stoatpath/rollouts/assigners.py
@@ -62,7 +62,7 @@
 
 def key_fraction(version, key):
     """Return where a key stands between 0 and 1 for the roll-out of a version."""
-    return xxh3_64_intdigest(f"{version.name}\0{key}") / HASH_RANGE
+    return xxh3_64_intdigest(f"{version.name}\0{key}".encode()) / HASH_RANGE
 
 
 def _preferred(model, versions):
--- a/stoatpath/rollouts/samplers.py
+++ b/stoatpath/rollouts/samplers.py
@@ -42,7 +42,7 @@
 
 
 def _fraction(purpose, request_id):
-    return xxh3_64_intdigest(f"{purpose}\0{request_id}") / HASH_RANGE
+    return xxh3_64_intdigest(f"{purpose}\0{request_id}".encode()) / HASH_RANGE
 
 
 class RatingSampler:
--- a/stoatpath/utils.py
+++ b/stoatpath/utils.py
@@ -32,7 +32,7 @@
     """Return the names in order of their rendezvous weight for a key."""
     return sorted(
         names,
-        key=lambda name: (xxh3_64_intdigest(f"{name}\0{key}"), name),
+        key=lambda name: (xxh3_64_intdigest(f"{name}\0{key}".encode()), name),
         reverse=True,
     )
 
