--- a/stoatpath/rollouts/progress.py
+++ b/stoatpath/rollouts/progress.py
@@ -53,11 +53,13 @@
         }
 
     def merge_json(self, data):
-        """Take the wire form of another node."""
-        for step in data.get("steps", ()):
-            self.reach(Step.from_json(step))
-        for verdict in data.get("verdicts", ()):
+        """Take the wire form of another node; return whether there was news."""
+        steps = [self.reach(Step.from_json(step)) for step in data.get("steps", ())]
+        verdicts = [
             self.suspensions.add(Verdict.from_json(verdict))
+            for verdict in data.get("verdicts", ())
+        ]
+        return any(steps) or any(verdicts)
 
 
 def find_rollouts(snapshot):
--- a/stoatpath/rollouts/topics.py
+++ b/stoatpath/rollouts/topics.py
@@ -17,5 +17,5 @@
         return news if news["steps"] or news["verdicts"] else None
 
     def merge(self, sender, data):
-        """Take the steps and verdicts of another node."""
-        self._progress.merge_json(data)
+        """Take the steps and verdicts of another node; return whether it was news."""
+        return self._progress.merge_json(data)
