--- a/stoatpath/controllers.py
+++ b/stoatpath/controllers.py
@@ -84,6 +84,7 @@
         self.node.members.leave()
         await self.listener.stop()
         await cancel_and_wait(self._tasks)
+        await self.leases.release_all()
         await self.rollouts.spreader.stop()
         await self.node.stop()
 
--- a/stoatpath/leases/keepers.py
+++ b/stoatpath/leases/keepers.py
@@ -4,7 +4,7 @@
 
 from stoatpath.leases.messages import LeaseRow, lease_key
 from stoatpath.leases.states import LeaseState
-from stoatpath.outcomes import is_failure
+from stoatpath.outcomes import Outcome, is_failure
 from stoatpath.platform.messages import Condition, Put, Transaction
 from stoatpath.utils import new_id, rendezvous_rank
 
@@ -63,6 +63,13 @@
         for lease, is_first in wanted:
             await self._keep(lease, is_first)
 
+    async def release_all(self):
+        """Give up every lease, for a graceful stop."""
+        for lease in self.by_shard.values():
+            write = lease.release(self._clock.now_ms(), new_id("lease"))
+            if write is not None:
+                await self._send(lease, write)
+
     def _wanted(self):
         """Return the leases to look at, and whether this process comes first."""
         names = self._live_names()
@@ -96,8 +103,11 @@
             write = lease.release(now_ms, nonce)
         else:
             write = lease.next_write(now_ms, nonce, is_first)
-        if write is None:
-            return
+        if write is not None and await self._send(lease, write):
+            await self._settle(lease, write)
+
+    async def _send(self, lease, write):
+        """Send a write; return whether its result can be read back now."""
         key = lease_key(lease.shard)
         result = await self._table.transact(
             Transaction(
@@ -106,6 +116,11 @@
         )
         if is_failure(result):
             logger.warning("leases.write-unsettled", extra={"why": result.detail})
+        return not is_failure(result) or result.outcome is not Outcome.NOT_RUN
+
+    async def _settle(self, lease, write):
+        """Read the row back, which alone says whether the write took effect."""
+        key = lease_key(lease.shard)
         rows = await self._table.read([key])
         if not is_failure(rows):
             self._observe(lease, rows[key])
--- a/stoatpath/standins/engines.py
+++ b/stoatpath/standins/engines.py
@@ -5,7 +5,8 @@
 Faults of `complete`: `reset-before`, `reset-during` (while the request is sent),
 `reset-after`, `not-run`, `slow`, `error-after`, `half-answer`,
 `half-answer-unmarked`, `twice`, `wrong-id`, `wrong-version`, `no-finish`,
-`stream-cut`, `stream-ends`, `stream-stall`, `foreign-event`, `other-text`.
+`stream-cut`, `stream-ends`, `stream-stall`, `foreign-event`, `other-text`. Those
+that come after the request was read may also be arranged for one version.
 """
 
 import asyncio
@@ -129,6 +130,7 @@
             return await reset_while_sending(request)
         message = decode_json(await request.read())
         version = message["version"]
+        fault = fault or self.faults.take(version)
         if fault is not None and fault.kind == "not-run":
             return self._refuse(request, 503, "the engine ran nothing")
         if version not in self.by_version:
