--- a/stoatpath/controllers.py
+++ b/stoatpath/controllers.py
@@ -5,6 +5,8 @@
 from stoatpath.clock import Clock
 from stoatpath.configuration.listeners import OperatorListener
 from stoatpath.leases.keepers import LeaseKeeper
+from stoatpath.metric_sources import node_samples
+from stoatpath.metrics import MetricsServer
 from stoatpath.nodes import Node
 from stoatpath.rollouts.keepers import RolloutKeeper
 from stoatpath.rollouts.nodes import RolloutNode
@@ -25,6 +27,7 @@
         "leases",
         "rollouts",
         "rollout_keeper",
+        "metrics",
         "_collected",
         "_forwarder",
         "_tasks",
@@ -55,6 +58,7 @@
             self.node, self.rollouts, self.leases, self._collected.counters
         )
         self._tasks = []
+        self.metrics = MetricsServer(lambda: node_samples(self.node))
 
     @classmethod
     def from_settings(cls, settings, clock=None):
@@ -77,6 +81,7 @@
             self.rollout_keeper.run(),
         )
         self._tasks = [asyncio.create_task(job) for job in jobs]
+        await self.metrics.start(self.settings.metrics_listen_address)
         await self.listener.start(self.settings.operator_listen_address)
 
     async def stop(self):
@@ -86,6 +91,7 @@
         await cancel_and_wait(self._tasks)
         await self.leases.release_all()
         await self.rollouts.spreader.stop()
+        await self.metrics.stop()
         await self.node.stop()
 
     def _live_controllers(self):
--- a/stoatpath/rollouts/samplers.py
+++ b/stoatpath/rollouts/samplers.py
@@ -5,7 +5,13 @@
 
 from xxhash import xxh3_64_intdigest
 
-from stoatpath.outcomes import BACKEND_ERROR, BROKEN_ANSWER, TIMED_OUT, is_failure
+from stoatpath.outcomes import (
+    BACKEND_ERROR,
+    BROKEN_ANSWER,
+    TIMED_OUT,
+    Outcome,
+    is_failure,
+)
 from stoatpath.rollouts.messages import RATING_LEVELS, Arm
 from stoatpath.rollouts.progress import CONTROL_SHARE
 
@@ -41,6 +47,12 @@
     return _fraction(version_name, request_id) < chance
 
 
+def _is_counted(failure):
+    """Return whether a failure says something about the version that ran."""
+    has_run = failure.outcome is not Outcome.NOT_RUN
+    return has_run and failure.reason in COUNTED_FAILURES
+
+
 def _fraction(purpose, request_id):
     return xxh3_64_intdigest(f"{purpose}\0{request_id}".encode()) / HASH_RANGE
 
@@ -62,7 +74,7 @@
         rollout = self._assigner.rollout_of(version.model)
         if rollout is None:
             return
-        if is_failure(answer) and answer.reason not in COUNTED_FAILURES:
+        if is_failure(answer) and not _is_counted(answer):
             return
         trial, share = self._find_trial(rollout)
         if trial is None:
