--- a/stoatpath/controllers.py
+++ b/stoatpath/controllers.py
@@ -86,8 +86,8 @@
 
     async def stop(self):
         """Stop gracefully."""
-        self.node.members.leave()
         await self.listener.stop()
+        self.node.members.leave()
         await cancel_and_wait(self._tasks)
         await self.leases.release_all()
         await self.rollouts.spreader.stop()
