Windows of the roll-out judge are spaced by time, their ages by ratios

Cause: at the last step 491 ratings a second opened a window each 65 ms; the oldest were dropped, and those kept held too few ratings of the replaced version. Change: a window each 400 ms at most; the most crowded one is dropped. The tests of the judge now pass a clock, as windows open by time.

--- a/stoatpath/rollouts/features/steps/judging_steps.py
+++ b/stoatpath/rollouts/features/steps/judging_steps.py
@@ -12,6 +12,7 @@
 
 SEEDS = range(5)
 LOOK_EVERY = 4
+RATING_PERIOD_MS = 100
 GOOD = 0.9
 
 
@@ -27,13 +28,15 @@
     for index in range(good):
         source.add(names[index % len(names)], GOOD, GOOD)
         if index % (5 * LOOK_EVERY) == 0:
-            assert judge.look(source.by_purpose, 0).action != SUSPEND
+            now_ms = index * RATING_PERIOD_MS
+            assert judge.look(source.by_purpose, now_ms).action != SUSPEND
     for index in range(1000):
         purpose = names[index % len(names)]
         source.add(purpose, mean if purpose == "a" else GOOD, GOOD)
         if index % LOOK_EVERY:
             continue
-        if judge.look(source.by_purpose, 0).action == SUSPEND:
+        now_ms = (good + index) * RATING_PERIOD_MS
+        if judge.look(source.by_purpose, now_ms).action == SUSPEND:
             return index + 1
     return math.inf
 
@@ -79,7 +82,8 @@
         for index in range(count):
             source.add("question", *means(index))
             if index % (5 * LOOK_EVERY) == 0:
-                context.actions.add(judge.look(source.by_purpose, 0).action)
+                now_ms = index * RATING_PERIOD_MS
+                context.actions.add(judge.look(source.by_purpose, now_ms).action)
 
 
 @then("it is never suspended")
--- a/stoatpath/rollouts/judges.py
+++ b/stoatpath/rollouts/judges.py
@@ -13,7 +13,8 @@
 
 FALSE_ALARM_CHANCE = 0.008
 WINDOW_RATINGS = 32
-MAX_WINDOWS = 8
+WINDOW_PERIOD_MS = 400
+MAX_WINDOWS = 10
 DOUBT_LOG_EVIDENCE = 1.0
 HOLD = "hold"
 ADVANCE = "advance"
@@ -54,13 +55,14 @@
 
 
 class _Window:
-    """Where a window began, and its weight."""
+    """Where a window began, how many began before it, and its weight."""
 
-    __slots__ = ("start_by_purpose", "log_weight")
+    __slots__ = ("start_by_purpose", "serial", "log_weight")
 
-    def __init__(self, start_by_purpose, log_weight):
+    def __init__(self, start_by_purpose, serial):
         self.start_by_purpose = start_by_purpose
-        self.log_weight = log_weight
+        self.serial = serial
+        self.log_weight = -math.log(serial * (serial + 1))
 
 
 class Judge:
@@ -74,6 +76,7 @@
         "_windows",
         "_opened",
         "_last_ratings",
+        "_last_window_ms",
         "_first_ratings",
     )
 
@@ -86,7 +89,7 @@
         self._opened = 0
         self._first_ratings = _count_new(by_purpose)
         self._last_ratings = self._first_ratings
-        self._open_window(by_purpose)
+        self._open_window(by_purpose, now_ms)
 
     def look(self, by_purpose, now_ms):
         """Return a judgement on the samples of the trial by purpose."""
@@ -95,9 +98,10 @@
             reason = f"log evidence {evidence:.2f} of at most {self._threshold:.2f}"
             return Judgement(SUSPEND, reason, evidence)
         ratings = _count_new(by_purpose)
-        if ratings - self._last_ratings >= WINDOW_RATINGS:
+        is_due = now_ms >= self._last_window_ms + WINDOW_PERIOD_MS
+        if is_due and ratings - self._last_ratings >= WINDOW_RATINGS:
             self._last_ratings = ratings
-            self._open_window(by_purpose)
+            self._open_window(by_purpose, now_ms)
         rated = ratings - self._first_ratings
         wanted = self._rollout.min_ratings
         if rated < wanted:
@@ -108,16 +112,23 @@
             return Judgement(HOLD, f"log evidence {evidence:.2f} is in doubt", evidence)
         return Judgement(ADVANCE, f"{rated} ratings without evidence", evidence)
 
-    def _open_window(self, by_purpose):
+    def _open_window(self, by_purpose, now_ms):
         self._opened += 1
+        self._last_window_ms = now_ms
         start_by_purpose = {
             purpose: Sample(list(sample.new), list(sample.old))
             for purpose, sample in by_purpose.items()
         }
-        log_weight = -math.log(self._opened * (self._opened + 1))
-        self._windows.append(_Window(start_by_purpose, log_weight))
+        self._windows.append(_Window(start_by_purpose, self._opened))
         if len(self._windows) > MAX_WINDOWS:
-            del self._windows[1]
+            del self._windows[self._most_crowded()]
+
+    def _most_crowded(self):
+        """Return which window to drop so that ages stay spaced by ratios."""
+        ages = [self._opened + 1 - window.serial for window in self._windows]
+        return min(
+            range(1, len(ages) - 1), key=lambda index: ages[index - 1] / ages[index + 1]
+        )
 
     def _evidence(self, by_purpose):
         terms = [
