The last step of a roll-out keeps a control group of 20%

Cause: with 5% the judge has 25 ratings of the replaced version in a second, against 491 of the new one; the few set the pace. Change: CONTROL_SHARE 0.05 -> 0.2; the test of shares says 0.8 at the last step.

--- a/stoatpath/rollouts/features/assignment.feature
+++ b/stoatpath/rollouts/features/assignment.feature
@@ -17,7 +17,7 @@
       | no step is known                            | 0.0   |
       | step 0 is reached                           | 0.1   |
       | step 1 is reached                           | 0.5   |
-      | step 2 is reached                           | 0.95  |
+      | step 2 is reached                           | 0.8   |
       | step 3 is reached                           | 1.0   |
       | step 1 is reached by an earlier trial       | 0.0   |
       | step 1 is reached and an operator halts it  | 0.0   |
--- a/stoatpath/rollouts/progress.py
+++ b/stoatpath/rollouts/progress.py
@@ -3,7 +3,7 @@
 from stoatpath.rollouts.messages import Rollout, Step, Verdict
 from stoatpath.rollouts.suspensions import Suspensions
 
-CONTROL_SHARE = 0.05
+CONTROL_SHARE = 0.2
 
 
 class Progress:
