--- a/stoatpath/rollouts/evidence.py
+++ b/stoatpath/rollouts/evidence.py
@@ -15,7 +15,7 @@
 from stoatpath.rollouts.messages import RATING_LEVELS
 
 GRID_CELLS = 32
-BET_FRACTIONS = (0.1, 0.25, 0.5, 0.8)
+BET_FRACTIONS = (0.2, 0.5, 0.9)
 LOG_BETS = math.log(len(BET_FRACTIONS))
 _RATINGS = tuple(level / (RATING_LEVELS - 1) for level in range(RATING_LEVELS))
 _GRID = tuple(index / GRID_CELLS for index in range(GRID_CELLS + 1))
