--- a/stoatpath/controllers.py
+++ b/stoatpath/controllers.py
@@ -4,6 +4,7 @@
 
 from stoatpath.clock import Clock
 from stoatpath.configuration.listeners import OperatorListener
+from stoatpath.explanations.finders import ExplanationFinder
 from stoatpath.leases.keepers import LeaseKeeper
 from stoatpath.metric_sources import node_samples
 from stoatpath.metrics import MetricsServer
@@ -37,7 +38,6 @@
         self.settings = settings
         self.clock = clock
         self.node = Node.from_settings(settings, CONTROLLER, clock)
-        self.listener = OperatorListener(self.node, settings.operator_keys)
         self.leases = LeaseKeeper(
             self.node.table,
             clock,
@@ -58,6 +58,9 @@
             self.node, self.rollouts, self.leases, self._collected.counters
         )
         self._tasks = []
+        self.listener = OperatorListener(
+            self.node, settings.operator_keys, ExplanationFinder(self.node)
+        )
         self.metrics = MetricsServer(lambda: node_samples(self.node))
 
     @classmethod
--- a/stoatpath/measure/experiments.py
+++ b/stoatpath/measure/experiments.py
@@ -1,10 +1,14 @@
 """The experiments by name, each with the module that runs it."""
 
 MODULES_BY_NAME = {
+    "hot-path": "stoatpath.measure.hot_path",
     "billing": "stoatpath.measure.billing",
     "cascades": "stoatpath.measure.cascade_costs",
+    "control": "stoatpath.measure.control_traffic",
     "decision-costs": "stoatpath.measure.decision_costs",
+    "rate-limits": "stoatpath.measure.rate_limits",
     "exposure": "stoatpath.measure.exposures",
     "retries": "stoatpath.measure.retry_budgets",
     "routing": "stoatpath.measure.routing_loads",
+    "session-costs": "stoatpath.measure.session_costs",
 }
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -159,6 +159,8 @@
         await self.sender.start()
         await self.node.start()
         await self.node.wait_for_peers()
+        self.rate_exchange.count_instances()
+        await self.pins.hand_over()
         await self.rollouts.read()
         jobs = (
             self.watcher.run(),
