--- a/stoatpath/measure/experiments.py
+++ b/stoatpath/measure/experiments.py
@@ -6,6 +6,8 @@
     "cascades": "stoatpath.measure.cascade_costs",
     "control": "stoatpath.measure.control_traffic",
     "decision-costs": "stoatpath.measure.decision_costs",
+    "fairness": "stoatpath.measure.fairness",
+    "overload": "stoatpath.measure.overloads",
     "rate-limits": "stoatpath.measure.rate_limits",
     "exposure": "stoatpath.measure.exposures",
     "retries": "stoatpath.measure.retry_budgets",
