Placement by orders under leases, within the weight store's rate

Cause: nothing told engines what to hold; a withdrawn version stayed loaded. Change: a pure planner of few changes, complete desired states with fencing number and deadline, a part of the weight store's rate with each shard's lease, the weight store client and stand-in, orders of the stand-in engine in a module of their own. The site of make run shows that engines are ordered to drop a withdrawn version.

--- a/stoatpath/controllers.py
+++ b/stoatpath/controllers.py
@@ -9,6 +9,7 @@
 from stoatpath.metric_sources import node_samples
 from stoatpath.metrics import MetricsServer
 from stoatpath.nodes import Node
+from stoatpath.placement.keepers import PlacementKeeper
 from stoatpath.rollouts.keepers import RolloutKeeper
 from stoatpath.rollouts.nodes import RolloutNode
 from stoatpath.rollouts.reporters import CountReceiver, CountReporter, judge_of
@@ -28,6 +29,7 @@
         "leases",
         "rollouts",
         "rollout_keeper",
+        "placement",
         "metrics",
         "_collected",
         "_forwarder",
@@ -57,6 +59,7 @@
         self.rollout_keeper = RolloutKeeper(
             self.node, self.rollouts, self.leases, self._collected.counters
         )
+        self.placement = PlacementKeeper(self.node, self.leases, self.rollouts.progress)
         self._tasks = []
         self.listener = OperatorListener(
             self.node, settings.operator_keys, ExplanationFinder(self.node)
@@ -82,6 +85,7 @@
             self.rollouts.run(),
             self._forwarder.run(),
             self.rollout_keeper.run(),
+            self.placement.run(),
         )
         self._tasks = [asyncio.create_task(job) for job in jobs]
         await self.metrics.start(self.settings.metrics_listen_address)
--- a/stoatpath/measure/experiments.py
+++ b/stoatpath/measure/experiments.py
@@ -6,6 +6,7 @@
     "cascades": "stoatpath.measure.cascade_costs",
     "control": "stoatpath.measure.control_traffic",
     "decision-costs": "stoatpath.measure.decision_costs",
+    "placement": "stoatpath.measure.placements",
     "rate-limits": "stoatpath.measure.rate_limits",
     "exposure": "stoatpath.measure.exposures",
     "retries": "stoatpath.measure.retry_budgets",
--- /dev/null
+++ b/stoatpath/placement/keepers.py
@@ -0,0 +1,144 @@
+"""The controller's task that places versions on the engines of its shards."""
+
+import asyncio
+import logging
+
+import aiohttp
+
+from stoatpath.configuration.documents import ACTIVE, WITHDRAWN
+from stoatpath.leases.keepers import SHARDS
+from stoatpath.outcomes import is_failure
+from stoatpath.placement.budgets import LoadBudget
+from stoatpath.placement.messages import EngineView
+from stoatpath.placement.planners import plan_pool
+from stoatpath.placement.senders import ORDER_TIMEOUT_MS, OrderSender
+from stoatpath.placement.wants import WantKeeper
+from stoatpath.tls import scheme
+from stoatpath.utils import decode_json
+
+logger = logging.getLogger(__name__)
+
+PLACE_PERIOD_MS = 1_000
+REPORT_TIMEOUT_MS = 1_000
+ENGINE = "engine"
+MALFORMED = (AttributeError, KeyError, TypeError)
+
+
+class PlacementKeeper:
+    """Reads what engines report, plans, and orders what has to change.
+
+    A pool is the engines that serve the same model by the platform's list; its
+    duty belongs to one shard. Read-back is the next round: an order that was
+    lost, refused or half done is planned again from what the engine reports.
+    """
+
+    __slots__ = (
+        "_node",
+        "_clock",
+        "_leases",
+        "_progress",
+        "_sender",
+        "_wants_by_pool",
+        "_budgets_by_shard",
+        "_loads_per_minute",
+        "_session",
+    )
+
+    def __init__(self, node, leases, progress):
+        settings = node.settings
+        self._node = node
+        self._clock = node.clock
+        self._leases = leases
+        self._progress = progress
+        self._sender = OrderSender(
+            node.clock, settings.engines_without_fencing, node.tls.backends
+        )
+        self._wants_by_pool = {}
+        self._budgets_by_shard = {}
+        self._loads_per_minute = settings.weight_loads_per_minute
+        self._session = None
+
+    async def run(self):
+        """Place until cancelled."""
+        connector = aiohttp.TCPConnector(ssl=self._node.tls.backends or True)
+        timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_MS / 1000)
+        try:
+            async with aiohttp.ClientSession(
+                connector=connector, timeout=timeout
+            ) as self._session:
+                while True:
+                    await self.place()
+                    next_ms = self._clock.now_ms() + PLACE_PERIOD_MS
+                    await self._clock.sleep_until(next_ms)
+        finally:
+            await self._sender.close()
+
+    async def place(self):
+        """Plan and order once for every pool whose lease is held here."""
+        entries = await self._node.instance_list.read_shared(self._clock.now_ms())
+        if is_failure(entries):
+            logger.warning("placement.list-failed", extra={"why": entries.detail})
+            return
+        entries_by_pool = {}
+        for entry in entries.values():
+            if entry.role == ENGINE:
+                entries_by_pool.setdefault(entry.serves, []).append(entry)
+        for pool, listed in sorted(entries_by_pool.items()):
+            lease = self._leases.lease_of(pool)
+            if lease.is_held(self._clock.now_ms() + ORDER_TIMEOUT_MS):
+                await self._place_pool(pool, listed, lease)
+
+    async def _place_pool(self, pool, listed, lease):
+        reports = await asyncio.gather(*(self._read(entry) for entry in listed))
+        engines = [view for view in reports if view is not None]
+        model = self._node.follower.snapshot.models_by_name.get(pool)
+        if model is None or not engines:
+            return
+        now_ms = self._clock.now_ms()
+        versions = model.by_version.values()
+        closed = {each.name for each in versions if each.state == WITHDRAWN}
+        opened = [each.name for each in versions if self._is_open(each)]
+        keeper = self._wants_by_pool.setdefault(pool, WantKeeper())
+        wants = keeper.update(sorted(opened), engines, now_ms)
+        budget = self._budget(lease.shard)
+        plans = plan_pool(
+            engines, wants, closed, budget.available(lease.fencing, now_ms)
+        )
+        for plan in plans:
+            budget.spend(len(plan.versions - plan.engine.ordered))
+            await self._order(pool, plan, lease)
+
+    def _is_open(self, version):
+        is_suspended = self._progress.suspensions.holds(version)
+        return version.state == ACTIVE and not is_suspended
+
+    async def _order(self, pool, plan, lease):
+        self._leases.keep_until(lease.shard, self._clock.now_ms() + ORDER_TIMEOUT_MS)
+        sent = await self._sender.send(plan, lease)
+        logger.info(
+            "placement.decision",
+            extra={
+                "pool": pool,
+                "engine": plan.engine.name,
+                "versions": sorted(plan.versions),
+                "why": plan.reason,
+                "fencing": lease.fencing,
+                "outcome": sent.detail if is_failure(sent) else sent.order_id,
+            },
+        )
+
+    def _budget(self, shard):
+        if shard not in self._budgets_by_shard:
+            budget = LoadBudget(self._loads_per_minute, SHARDS)
+            self._budgets_by_shard[shard] = budget
+        return self._budgets_by_shard[shard]
+
+    async def _read(self, entry):
+        """Return the view of an engine, or None when it does not report."""
+        url = f"{scheme(self._node.tls.backends)}://{entry.address}/v1/load"
+        try:
+            async with self._session.get(url) as response:
+                report = decode_json(await response.read())
+            return EngineView.from_report(entry, report)
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError, *MALFORMED):
+            return None
--- /dev/null
+++ b/stoatpath/placement/messages.py
@@ -0,0 +1,97 @@
+"""Messages of placement: engines as seen, what is wanted, plans and orders."""
+
+SERVE = "serve"
+
+
+class EngineView:
+    """An engine as it reported itself.
+
+    `capacity` is how many versions it can hold, `versions` what it holds,
+    `ordered` what it should hold by the last order that it took and works on,
+    `running_by_version` how many requests run on each.
+    """
+
+    __slots__ = (
+        "name",
+        "zone",
+        "address",
+        "pool",
+        "capacity",
+        "slots",
+        "versions",
+        "ordered",
+        "running_by_version",
+        "is_leaving",
+    )
+
+    def __init__(self, name, zone, address, pool, capacity, slots, versions):
+        self.name = name
+        self.zone = zone
+        self.address = address
+        self.pool = pool
+        self.capacity = capacity
+        self.slots = slots
+        self.versions = frozenset(versions)
+        self.ordered = self.versions
+        self.running_by_version = {}
+        self.is_leaving = False
+
+    @classmethod
+    def from_report(cls, entry, report):
+        """Build a view from a list entry and a load report."""
+        view = cls(
+            entry.name,
+            entry.zone,
+            entry.address,
+            entry.serves,
+            report.get("capacity", len(report["versions"])),
+            report["slots"],
+            report["versions"],
+        )
+        view.running_by_version = report.get("running_by_version", {})
+        view.is_leaving = report["leaving"] or entry.state != "live"
+        if report.get("is_loading", False):
+            view.ordered = frozenset(report["ordered"])
+        return view
+
+
+class Want:
+    """How many replicas and zones one open version should have."""
+
+    __slots__ = ("version", "replicas", "zones")
+
+    def __init__(self, version, replicas, zones):
+        self.version = version
+        self.replicas = replicas
+        self.zones = zones
+
+
+class EnginePlan:
+    """The complete set of versions that one engine should hold, and why."""
+
+    __slots__ = ("engine", "versions", "reason")
+
+    def __init__(self, engine, versions, reason):
+        self.engine = engine
+        self.versions = frozenset(versions)
+        self.reason = reason
+
+
+class Order:
+    """A complete desired state for one engine.
+
+    `not_after_ms` is Unix time; an engine drops the order when it comes later.
+    """
+
+    __slots__ = ("order_id", "fencing", "versions", "role", "not_after_ms")
+
+    def __init__(self, order_id, fencing, versions, role, not_after_ms):
+        self.order_id = order_id
+        self.fencing = fencing
+        self.versions = versions
+        self.role = role
+        self.not_after_ms = not_after_ms
+
+    def to_json(self):
+        """Return the wire form."""
+        return {name: getattr(self, name) for name in self.__slots__}
--- a/stoatpath/settings_checks.py
+++ b/stoatpath/settings_checks.py
@@ -38,6 +38,13 @@
     return 'a list of IP numbers with ports, such as ["10.0.0.7:8080"]'
 
 
+def check_names(value):
+    """Expect a list of names."""
+    if all(isinstance(each, str) and each for each in value):
+        return None
+    return 'a list of names, such as ["engine-7"]'
+
+
 def check_operator_keys(value):
     """Expect a secret, or a secret and a role, by operator."""
     if all(map(_is_operator_key, value.values())):
@@ -133,6 +140,8 @@
     "BODY_TIMEOUT_MS": check_positive,
     "MAX_TIMEOUT_MS": check_positive,
     "MAX_QUEUED_REQUESTS": check_positive,
+    "WEIGHT_LOADS_PER_MINUTE": check_positive,
+    "ENGINES_WITHOUT_FENCING": check_names,
     "STALENESS_LIMIT_MS": check_positive,
     "LOG_LEVEL": check_log_level,
 }
--- a/stoatpath/standins/engines.py
+++ b/stoatpath/standins/engines.py
@@ -20,6 +20,7 @@
     send_half_unmarked,
     send_twice,
 )
+from stoatpath.standins.engine_orders import EngineOrders
 from stoatpath.standins.faults import FaultTable
 from stoatpath.standins.servers import StandinServer, drop_connection
 from stoatpath.utils import decode_json, encode_json
@@ -28,6 +29,7 @@
 REQUEST_ID_HEADER = "Stoatpath-Request-Id"
 DEFAULT_TOKENS = 16
 STALL_S = 30.0
+VERSION_CAPACITY = 3
 
 
 class Execution:
@@ -42,15 +44,17 @@
         "version",
         "prompt",
         "resumed_from",
+        "quality",
         "finished",
     )
 
-    def __init__(self, request_id, attempt_id, version, prompt, resumed_from):
+    def __init__(self, request_id, attempt_id, version, prompt, resumed_from, quality):
         self.request_id = request_id
         self.attempt_id = attempt_id
         self.version = version
         self.prompt = prompt
         self.resumed_from = resumed_from
+        self.quality = quality
         self.finished = False
 
 
@@ -69,11 +73,10 @@
         "executions",
         "running",
         "leaving",
-        "fencing",
-        "checks_fencing",
         "resumes",
         "connections",
         "orders",
+        "capacity",
         "_cancelled",
         "_server",
     )
@@ -87,18 +90,17 @@
         self.executions = []
         self.running = 0
         self.leaving = False
-        self.fencing = 0
-        self.checks_fencing = checks_fencing
         self.resumes = True
         self.connections = SilentConnections()
-        self.orders = []
+        self.orders = EngineOrders(self.by_version, checks_fencing)
+        self.capacity = VERSION_CAPACITY
         self._cancelled = set()
         self._server = StandinServer(
             [
                 web.post("/v1/chat/completions", self._complete),
                 web.post("/v1/cancel", self._cancel),
                 web.get("/v1/load", self._load),
-                web.post("/v1/orders", self._order),
+                web.post("/v1/orders", self.orders.take),
             ]
         )
 
@@ -108,6 +110,7 @@
 
     async def stop(self):
         """Stop listening and drop all connections."""
+        await self.orders.close()
         await self._server.stop()
 
     @property
@@ -161,6 +164,7 @@
             message["version"],
             message["messages"][-1]["content"],
             message.get("resume_from", 0) if self.resumes else 0,
+            self.by_version[message["version"]],
         )
 
     def _continues(self, message, execution):
@@ -195,9 +199,9 @@
         )
 
     def _tokens(self, message, execution):
-        quality = self.by_version[execution.version]
         text = (
-            f"[quality {quality:.3f}] {execution.version} answers: {execution.prompt}"
+            f"[quality {execution.quality:.3f}] {execution.version} answers: "
+            f"{execution.prompt}"
         )
         count = message.get("max_tokens") or DEFAULT_TOKENS
         words = text.split(" ")
@@ -282,18 +286,11 @@
             "leaving": self.leaving,
             "resumes": self.resumes,
             "token_ms": self.token_ms,
+            "capacity": self.capacity,
+            **self.orders.report(),
         }
         return web.json_response(report)
 
-    async def _order(self, request):
-        message = decode_json(await request.read())
-        if self.checks_fencing and message["fencing"] < self.fencing:
-            return web.json_response({"fencing": self.fencing}, status=409)
-        self.fencing = max(self.fencing, message["fencing"])
-        self.orders.append(message)
-        self.by_version = dict(message["versions"])
-        return web.json_response({"fencing": self.fencing})
-
 
 def _echo(request):
     request_id = request.headers.get(REQUEST_ID_HEADER, "")
--- a/stoatpath/standins/sites.py
+++ b/stoatpath/standins/sites.py
@@ -5,6 +5,7 @@
 
 from stoatpath.controllers import Controller
 from stoatpath.platform.messages import LiveInstance
+from stoatpath.platform.weights import WeightStore
 from stoatpath.routers import Router
 from stoatpath.settings import Settings
 from stoatpath.standins.engines import EngineStandin
@@ -13,6 +14,7 @@
 from stoatpath.standins.ratings import RatingStandin
 from stoatpath.standins.services import ServiceStandin
 from stoatpath.standins.tables import TableStandin
+from stoatpath.standins.weights import WeightsStandin
 
 SAMPLES = os.path.join(
     os.path.dirname(os.path.dirname(os.path.dirname(__file__))), "samples"
@@ -36,6 +38,7 @@
         "objects",
         "instance_list",
         "ratings",
+        "weights",
         "engines_by_name",
         "services_by_name",
         "routers_by_name",
@@ -48,6 +51,7 @@
         self.objects = ObjectStoreStandin()
         self.instance_list = InstanceListStandin()
         self.ratings = RatingStandin()
+        self.weights = WeightsStandin(_sample_qualities())
         self.engines_by_name = {}
         self.services_by_name = {}
         self.routers_by_name = {}
@@ -68,6 +72,7 @@
             "OBJECTS_URL": await self.objects.start(),
             "INSTANCE_LIST_URL": await self.instance_list.start(),
             "RATINGS_URL": await self.ratings.start(),
+            "WEIGHTS_URL": await self.weights.start(),
         }
         await self._start_engines()
         await self._start_services()
@@ -127,6 +132,8 @@
                 name = f"engine-{model}-{index + 1}"
                 by_version = {f"{model}@1": quality, f"{model}@2": quality}
                 engine = EngineStandin(name, by_version)
+                weights_url = self._urls_by_setting["WEIGHTS_URL"]
+                engine.orders.weights = WeightStore.from_url(weights_url)
                 self.engines_by_name[name] = engine
                 zone = ZONES[index % len(ZONES)]
                 self._list(name, "engine", await engine.start(), zone, model)
@@ -150,6 +157,20 @@
             self.objects,
             self.instance_list,
             self.ratings,
+            self.weights,
             *self.engines_by_name.values(),
             *self.services_by_name.values(),
         ]
+
+
+def _sample_qualities():
+    """Return the quality of each version of the sample models."""
+    qualities = {}
+    for models, quality in (
+        (SMALL_MODELS, SMALL_QUALITY),
+        (LARGE_MODELS, LARGE_QUALITY),
+    ):
+        for model in models:
+            qualities[f"{model}@1"] = quality
+            qualities[f"{model}@2"] = quality
+    return qualities
--- a/stoatpath/tools/demonstrations.py
+++ b/stoatpath/tools/demonstrations.py
@@ -1,5 +1,6 @@
 """The requests of `make run`, their table, and the checks of the promises."""
 
+import asyncio
 import time
 
 import aiohttp
@@ -10,6 +11,8 @@
 from stoatpath.standins.sites import OPERATOR, OPERATOR_SECRET
 from stoatpath.utils import decode_json, encode_json, new_id
 
+PLACEMENT_TIMEOUT_S = 30.0
+PAUSE_S = 0.05
 DONE_EVENT = b"data: [DONE]\n\n"
 COLUMNS = ("request", "organisation", "outcome", "version", "stages", "cost", "ms")
 
@@ -206,6 +209,21 @@
             self._replies.append(await self._send(session, call))
         is_kept = self._ran("tern-small@1") == before
         self._check("a withdrawn version gets no new work", is_kept)
+        await self._check_placement("tern-small@1")
+
+    async def _check_placement(self, version):
+        """Wait until the orders of the controller have reached every engine."""
+        engines = self._site.engines_by_name.values()
+        deadline = time.monotonic() + PLACEMENT_TIMEOUT_S
+        while time.monotonic() < deadline:
+            if not any(version in engine.by_version for engine in engines):
+                break
+            await asyncio.sleep(PAUSE_S)
+        is_kept = not any(version in engine.by_version for engine in engines)
+        self._check("engines are ordered to drop a withdrawn version", is_kept)
+        orders = [order for engine in engines for order in engine.orders.taken]
+        is_kept = bool(orders) and all(order["versions"] for order in orders)
+        self._check("no order leaves an engine empty", is_kept)
 
     async def _check_ledger(self):
         table = Table.from_url(self._site.settings("check", "zone-a").table_url)
