--- a/stoatpath/cascades/runners.py
+++ b/stoatpath/cascades/runners.py
@@ -64,13 +64,13 @@
     async def _run_stages(self, request, course, stream):
         while course.stage is not None:
             answer = await self._run_stage(request, course, stream)
+            stage = course.stage
             if is_failure(answer):
                 self._parts.sampling.sampler.take(request, stage.version, answer)
                 if course.best() is None:
                     return answer
                 course.fail()
                 break
-            stage = course.stage
             rating = await self._rate(request, stage, answer, course.is_raised)
             self._parts.sampling.sampler.take(request, stage.version, answer, rating)
             result = _stage_result(stage.version, answer, rating)
