--- a/stoatpath/commands/features/commands.feature
+++ b/stoatpath/commands/features/commands.feature
@@ -28,6 +28,8 @@
       | withdraw tern-small@1 --wait                | 0    | in force at all           |
       | withdraw tern-small@9                       | 2    | EXPECTED                  |
       | withdraw tern-small                         | 1    | usage                     |
+      | rollout halt nothing                        | 2    | EXPECTED                  |
+      | rollout halt                                | 1    | usage                     |
       | explain req-unknown                         | 9    | no instance remembers     |
       | explain KNOWN                               | 0    | route                     |
       | nonsense                                    | 1    | usage                     |
--- a/stoatpath/commands/operations.py
+++ b/stoatpath/commands/operations.py
@@ -20,6 +20,7 @@
     render_status,
     why_lagging,
 )
+from stoatpath.commands.rollouts import ACTIONS, plan_rollout_change
 from stoatpath.commands.withdrawals import plan_withdrawal
 from stoatpath.configuration.files import read_changes
 from stoatpath.configuration.messages import (
@@ -34,7 +35,7 @@
 from stoatpath.utils import new_id
 
 WAIT_PERIOD_S = 0.5
-WITHDRAW_ATTEMPTS = 5
+PLANNED_ATTEMPTS = 5
 
 
 class Options:
@@ -147,16 +148,37 @@
     """Withdraw a version; a race with another change is run again."""
     if len(arguments) != 1 or "@" not in arguments[0]:
         return _usage("withdraw MODEL@VERSION [--replacement VERSION]")
+
+    def plan(snapshot):
+        change = plan_withdrawal(snapshot, arguments[0], options.replacement)
+        return change if isinstance(change, Problem) else [change]
+
+    return await _send_planned(client, plan, options)
+
+
+async def rollout(client, arguments, options):
+    """Halt, resume or retry a roll-out."""
+    if len(arguments) != 2 or arguments[0] not in ACTIONS:
+        return _usage("rollout halt|resume|retry NAME")
+
+    def plan(snapshot):
+        return plan_rollout_change(snapshot, *arguments)
+
+    return await _send_planned(client, plan, options)
+
+
+async def _send_planned(client, plan, options):
+    """Send the changes that are planned on what is in force; again after a race."""
     result = None
-    for _ in range(WITHDRAW_ATTEMPTS):
+    for _ in range(PLANNED_ATTEMPTS):
         snapshot = await _read_snapshot(client)
         if isinstance(snapshot, Result):
             return snapshot
-        change = plan_withdrawal(snapshot, arguments[0], options.replacement)
-        if isinstance(change, Problem):
-            return render_problems([change])
+        changes = plan(snapshot)
+        if isinstance(changes, Problem):
+            return render_problems([changes])
         result = await _send(
-            client, "/v1/submissions", [change], snapshot.revision, options
+            client, "/v1/submissions", changes, snapshot.revision, options
         )
         if "conflicts" not in result.data:
             break
@@ -184,6 +206,7 @@
     "history": history,
     "status": status,
     "withdraw": withdraw,
+    "rollout": rollout,
     "explain": explain,
 }
 
--- a/stoatpath/tools/ctl.py
+++ b/stoatpath/tools/ctl.py
@@ -30,6 +30,8 @@
   history                print who had what accepted when
   status                 print which member has which revision, and why one lags
   withdraw MODEL@VERSION withdraw a version from new work
+  rollout halt|resume|retry NAME
+                         stop, carry on, or lift a suspension and begin again
   explain REQUEST_ID     print why a request was served as it was
 
 Flags:
