The judge's evidence by splitting ranges; leases don't use up counted faults

Cause: a look with three purposes took 8.7 ms of processor time, 4.4% of a core at five looks a second, over the budget of 3.4%. Change: the least cell is found by splitting the range with the least bound, and who judges is ranked once per membership. Change: faults with a count pass leases by; lasting ones meet them too.

--- a/stoatpath/measure/experiments.py
+++ b/stoatpath/measure/experiments.py
@@ -10,6 +10,7 @@
     "fairness": "stoatpath.measure.fairness",
     "overload": "stoatpath.measure.overloads",
     "rate-limits": "stoatpath.measure.rate_limits",
+    "rollout-costs": "stoatpath.measure.rollout_costs",
     "exposure": "stoatpath.measure.exposures",
     "retries": "stoatpath.measure.retry_budgets",
     "routing": "stoatpath.measure.routing_loads",
--- a/stoatpath/rollouts/evidence.py
+++ b/stoatpath/rollouts/evidence.py
@@ -7,9 +7,11 @@
 the least product over all `m` is then one whatever the means are, and exceeds
 `1 / alpha` at any time with a chance of at most `alpha` (Ville's inequality). The
 grid of `m` costs no validity: wealth against the new mean rises with `m` and
-wealth for the old mean falls, so each cell is bounded by its two ends.
+wealth for the old mean falls, so each range of cells is bounded by its two ends,
+and the least cell is found by splitting the range with the least bound.
 """
 
+import heapq
 import math
 
 from stoatpath.rollouts.messages import RATING_LEVELS
@@ -33,9 +35,7 @@
 
 def _high_bets(mean):
     """Return log factors by bet and level for bets that a mean is above `mean`."""
-    if mean >= 1.0:
-        return [[0.0] * RATING_LEVELS for _ in BET_FRACTIONS]
-    mean = max(mean, 1.0 / (2 * GRID_CELLS))
+    mean = min(max(mean, 1.0 / (2 * GRID_CELLS)), 1.0)
     return [
         [math.log(1 + bet * (rating - mean) / mean) for rating in _RATINGS]
         for bet in BET_FRACTIONS
@@ -63,13 +63,34 @@
 
 def log_evidence(new_levels, old_levels, table):
     """Return the log of the e-value of counts of new and old ratings."""
-    new_counts = [(level, count) for level, count in enumerate(new_levels) if count]
-    old_counts = [(level, count) for level, count in enumerate(old_levels) if count]
-    least = math.inf
-    for low, high in zip(table.low, table.high):
-        wealth = _log_wealth(low, new_counts) + _log_wealth(high, old_counts)
-        least = min(least, wealth)
-    return least
+    low = _LazyWealth(table.low, new_levels)
+    high = _LazyWealth(table.high, old_levels)
+    heap = [(low.at(0) + high.at(GRID_CELLS - 1), 0, GRID_CELLS)]
+    while True:
+        bound, first, end = heapq.heappop(heap)
+        if end - first == 1:
+            return bound
+        middle = (first + end) // 2
+        for start, stop in ((first, middle), (middle, end)):
+            heapq.heappush(heap, (low.at(start) + high.at(stop - 1), start, stop))
+
+
+class _LazyWealth:
+    """The log wealth of one version's counts in each cell, computed when asked."""
+
+    __slots__ = ("_bets_by_cell", "_counts", "_wealth_by_cell")
+
+    def __init__(self, bets_by_cell, levels):
+        self._bets_by_cell = bets_by_cell
+        self._counts = [(level, count) for level, count in enumerate(levels) if count]
+        self._wealth_by_cell = {}
+
+    def at(self, cell):
+        """Return the log wealth in a cell."""
+        if cell not in self._wealth_by_cell:
+            bets = self._bets_by_cell[cell]
+            self._wealth_by_cell[cell] = _log_wealth(bets, self._counts)
+        return self._wealth_by_cell[cell]
 
 
 def _log_wealth(bets, counts):
--- a/stoatpath/rollouts/reporters.py
+++ b/stoatpath/rollouts/reporters.py
@@ -6,6 +6,7 @@
 
 import logging
 import math
+from functools import lru_cache
 
 from stoatpath.outcomes import is_failure
 from stoatpath.rollouts.counters import RatingCounters
@@ -17,23 +18,30 @@
 RATINGS_TOPIC = "rating-counts"
 REPORT_PERIOD_MS = 100
 DIRECT_REPORTERS = 32
+RANKS_KEPT = 256
 
 
 def judge_of(rollout_name, controllers):
     """Return the controller that judges a roll-out, or None."""
-    ranked = rendezvous_rank(rollout_name, controllers)
+    ranked = _rank(rollout_name, tuple(controllers))
     return ranked[0] if ranked else None
 
 
 def collector_of(rollout_name, reporter, controllers, reporters):
     """Return whom a router reports to."""
-    ranked = rendezvous_rank(rollout_name, controllers)
+    ranked = _rank(rollout_name, tuple(controllers))
     if len(ranked) < 2 or reporters <= DIRECT_REPORTERS:
         return ranked[0] if ranked else None
     collectors = ranked[1 : 1 + math.isqrt(reporters)]
     return rendezvous_rank(reporter, collectors)[0]
 
 
+@lru_cache(maxsize=RANKS_KEPT)
+def _rank(key, names):
+    """Return a ranking that is asked for many times while members stay the same."""
+    return rendezvous_rank(key, names)
+
+
 class CountReporter:
     """Sends counts that changed, and sends all of them to a new receiver.
 
--- a/stoatpath/standins/faults.py
+++ b/stoatpath/standins/faults.py
@@ -51,6 +51,13 @@
         """Drop every arranged fault."""
         self._by_operation.clear()
 
+    def find_lasting(self, operation):
+        """Return the fault of an operation that lasts until cleared, or None."""
+        for fault in self._by_operation.get(operation, ()):
+            if fault.count is None:
+                return fault
+        return None
+
     def take(self, operation):
         """Return the fault that the next call of an operation meets, or None."""
         faults = self._by_operation.get(operation)
--- a/stoatpath/standins/tables.py
+++ b/stoatpath/standins/tables.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from stoatpath.clock import Clock
+from stoatpath.leases.messages import LEASE_PREFIX
 from stoatpath.standins.faults import (
     THROTTLED_STATUS,
     FaultTable,
@@ -83,18 +84,30 @@
         self._window[index] += 1
         return self._window[index] > (WRITES_PER_S if is_write else READS_PER_S)
 
-    async def _admit(self, request, operation):
+    async def _admit(self, request, operation, keys=()):
         """Apply budget and faults; return an early response or None, and the fault."""
         is_write = operation == "transact"
         if self._over_budget(is_write):
             self.throttled += 1
             return web.Response(status=THROTTLED_STATUS), None
-        fault = self.faults.take(operation)
+        fault = self._take_fault(operation, keys)
         return await answer_early(fault, request), fault
 
+    def _take_fault(self, operation, keys):
+        """Return the fault of a call; leases don't use up those with a count.
+
+        Controllers read and write leases all the time, so that a fault that is
+        meant for the next call of a test would meet one of these.
+        """
+        if keys and all(key.startswith(LEASE_PREFIX) for key in keys):
+            return self.faults.find_lasting(operation)
+        return self.faults.take(operation)
+
     async def _transact(self, request):
         message = decode_json(await request.read())
-        early, fault = await self._admit(request, "transact")
+        early, fault = await self._admit(
+            request, "transact", [put["key"] for put in message["puts"]]
+        )
         if early is not None:
             return early
         if fault is not None and fault.kind == "write-lost":
@@ -112,7 +125,7 @@
 
     async def _read(self, request):
         message = decode_json(await request.read())
-        early, fault = await self._admit(request, "read")
+        early, fault = await self._admit(request, "read", message["keys"])
         if early is not None:
             return early
         self.reads += 1
