--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -28,6 +28,7 @@
 from stoatpath.explanations.rings import DecisionRing
 from stoatpath.idempotency.claims import ClaimKeeper
 from stoatpath.idempotency.retention import ClaimSweeper
+from stoatpath.lookups.kept_answers import KeptAnswers
 from stoatpath.membership.backends import BackendServers
 from stoatpath.membership.watchers import BackendWatcher
 from stoatpath.metric_sources import router_samples
@@ -75,6 +76,7 @@
         "guard",
         "estimates",
         "planner",
+        "kept_answers",
         "rater",
         "archive",
         "pins",
@@ -124,6 +126,7 @@
         )
         self.estimates = Estimates()
         self.planner = Planner(self.estimates, rng)
+        self.kept_answers = KeptAnswers()
         self.rater = Rater(self.ratings, self.estimates, clock)
         self.rates = RateLimits()
         self.rate_exchange = RateExchange(self.rates, self.node, rng)
@@ -186,6 +189,19 @@
         await self._close()
         return is_clean
 
+    def is_ready(self):
+        """Return whether requests can be served: configuration and backends known."""
+        has_backends = any(each.slots for each in self.backends.by_name.values())
+        return self.follower.snapshot.revision > 0 and has_backends
+
+    def addresses(self):
+        """Return where this process listens, by who reaches it there."""
+        return {
+            "callers": self.listener.address,
+            "peers": self.node.peer_server.address,
+            "metrics": self.metrics.address,
+        }
+
     def open_work(self):
         """Return what a stop right now would cut or lose."""
         return OpenWork(
