--- a/stoatpath/controllers.py
+++ b/stoatpath/controllers.py
@@ -1,11 +1,19 @@
 """Assembles one controller process: what operators reach."""
 
+import asyncio
+
 from stoatpath.clock import Clock
 from stoatpath.configuration.listeners import OperatorListener
 from stoatpath.explanations.finders import ExplanationFinder
+from stoatpath.leases.keepers import LeaseKeeper
 from stoatpath.metric_sources import node_samples
 from stoatpath.metrics import MetricsServer
 from stoatpath.nodes import Node
+from stoatpath.placement.keepers import PlacementKeeper
+from stoatpath.rollouts.keepers import RolloutKeeper
+from stoatpath.rollouts.nodes import RolloutNode
+from stoatpath.rollouts.reporters import CountReceiver, CountReporter, judge_of
+from stoatpath.utils import cancel_and_wait
 
 CONTROLLER = "controller"
 
@@ -13,12 +21,46 @@
 class Controller:
     """Accepts configurations and works on what instances share."""
 
-    __slots__ = ("settings", "clock", "node", "listener", "metrics")
+    __slots__ = (
+        "settings",
+        "clock",
+        "node",
+        "listener",
+        "leases",
+        "rollouts",
+        "rollout_keeper",
+        "placement",
+        "metrics",
+        "_collected",
+        "_forwarder",
+        "_tasks",
+    )
 
     def __init__(self, settings, clock):
         self.settings = settings
         self.clock = clock
         self.node = Node.from_settings(settings, CONTROLLER, clock)
+        self.leases = LeaseKeeper(
+            self.node.table,
+            clock,
+            settings.name,
+            self.node.incarnation,
+            self._live_controllers,
+        )
+        self.rollouts = RolloutNode(self.node)
+        self._collected = CountReceiver(self.node.peer_server)
+        self._forwarder = CountReporter(
+            self._collected.counters,
+            self.node.members,
+            self.node.peer_client,
+            clock,
+            lambda name: judge_of(name, self._live_controllers()),
+        )
+        self.rollout_keeper = RolloutKeeper(
+            self.node, self.rollouts, self.leases, self._collected.counters
+        )
+        self.placement = PlacementKeeper(self.node, self.leases, self.rollouts.progress)
+        self._tasks = []
         self.listener = OperatorListener(
             self.node, settings.operator_keys, ExplanationFinder(self.node)
         )
@@ -37,6 +79,15 @@
     async def start(self):
         """Start all tasks and listen."""
         await self.node.start()
+        await self.rollouts.read()
+        jobs = (
+            self.leases.run(),
+            self.rollouts.run(),
+            self._forwarder.run(),
+            self.rollout_keeper.run(),
+            self.placement.run(),
+        )
+        self._tasks = [asyncio.create_task(job) for job in jobs]
         await self.metrics.start(self.settings.metrics_listen_address)
         await self.listener.start(self.settings.operator_listen_address)
 
@@ -56,6 +107,12 @@
         """Stop gracefully; return whether nothing was cut."""
         await self.listener.stop()
         self.node.members.leave()
+        await cancel_and_wait(self._tasks)
+        await self.leases.release_all()
+        await self.rollouts.spreader.stop()
         await self.metrics.stop()
         await self.node.stop()
         return True
+
+    def _live_controllers(self):
+        return self.node.members.live_names(CONTROLLER)
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -36,6 +36,7 @@
 from stoatpath.nodes import Node
 from stoatpath.platform.ratings import RatingService
 from stoatpath.rollouts.assigners import VersionAssigner
+from stoatpath.rollouts.nodes import RolloutNode, RolloutSampling
 from stoatpath.routing.choosers import Chooser
 from stoatpath.sessions.archives import PinArchive
 from stoatpath.sessions.directories import PinDirectory
@@ -69,7 +70,9 @@
         "gate",
         "rates",
         "rate_exchange",
+        "rollouts",
         "assigner",
+        "sampling",
         "guard",
         "estimates",
         "planner",
@@ -115,7 +118,9 @@
         )
         self.chooser = Chooser(settings.zone, rng)
         self.gate = AdmissionGate(AdmissionQueue(settings.max_queued_requests), clock)
-        self.assigner = VersionAssigner()
+        self.rollouts = RolloutNode(self.node)
+        self.assigner = VersionAssigner(self.rollouts.progress, self.follower)
+        self.sampling = RolloutSampling(self.node, self.assigner, self.ratings)
         self.guard = FreshnessGuard(
             self.follower, self.assigner, self.node.gossip.contacts, settings, clock
         )
@@ -159,6 +164,7 @@
         await self.node.wait_for_peers()
         self.rate_exchange.count_instances()
         await self.pins.hand_over()
+        await self.rollouts.read()
         jobs = (
             self.watcher.run(),
             self.claims.run(),
@@ -170,6 +176,8 @@
             self.pins.run(),
             self._keep_capacities(),
             self._trim_connections(),
+            self.rollouts.run(),
+            self.sampling.reporter.run(),
         )
         self._tasks = [asyncio.create_task(job) for job in jobs]
         await self.metrics.start(self.settings.metrics_listen_address)
@@ -211,6 +219,8 @@
         await self.metrics.stop()
         await self.pins.close()
         await cancel_and_wait(self._tasks)
+        await self.sampling.sampler.stop()
+        await self.rollouts.spreader.stop()
         await self.sender.close()
         await self.rater.close()
         await self.ratings.connection.close()
