--- a/stoatpath/measure/billing.py
+++ b/stoatpath/measure/billing.py
@@ -127,7 +127,7 @@
         Target("billing.writes_at_1700_per_s", "at-most", 1.0),
         Target("billing.writes_at_design_size", "at-most", WRITES_PER_S / 2),
     ]
-    return Report("billing", seed, figures, targets)
+    return Report("billing", seed, figures, targets, is_timed=True)
 
 
 def _figures(trial):
--- a/stoatpath/measure/caller_costs.py
+++ b/stoatpath/measure/caller_costs.py
@@ -36,7 +36,7 @@
         Figure("callers.decision_logged_us", round(with_line, 2), "us"),
         Figure("callers.bytes_per_explained_request", round(_bytes_explained()), "B"),
     ]
-    return Report("caller-costs", seed, figures)
+    return Report("caller-costs", seed, figures, is_timed=True)
 
 
 async def _bytes_per_stream():
--- a/stoatpath/measure/control_traffic.py
+++ b/stoatpath/measure/control_traffic.py
@@ -70,7 +70,7 @@
         Target("control.core_share.peers-540", "at-most", MAX_CORE_SHARE),
     ]
     figures += _totals(figures)
-    return Report("control", seed, figures, targets)
+    return Report("control", seed, figures, targets, is_timed=True)
 
 
 def _measure_gossip(size, seed):
--- a/stoatpath/measure/design_sizes.py
+++ b/stoatpath/measure/design_sizes.py
@@ -1,7 +1,9 @@
 """The size to design for, and what each role does at it."""
 
 from stoatpath.explanations.rings import MAX_RING_BYTES
+from stoatpath.leases.keepers import SHARDS
 from stoatpath.measure.capacities import Demand, Line, Resource
+from stoatpath.placement.keepers import POLL_BYTES_PER_S
 from stoatpath.sessions.archives import SITE_WRITES_PER_S
 
 DAEMONS = 540
@@ -18,6 +20,8 @@
 KEYED_SHARE = 0.05
 WRITES_PER_KEYED_REQUEST = 2
 POLLED_SERVERS = 87
+ROLLOUT_REQUESTS_PER_S = REQUESTS_PER_S / VERSIONS
+LOOKS_PER_S = 5
 
 REQUESTS_PER_ROUTER = REQUESTS_PER_S / DAEMONS
 TOKENS_PER_ROUTER = TOKENS_PER_S / DAEMONS
@@ -38,6 +42,7 @@
 
 PERCENT = 100
 US_TO_PERCENT = 1e-6 * PERCENT
+MS_TO_PERCENT = 1e-3 * PERCENT
 B_TO_MB = 1e-6
 B_TO_KB = 1e-3
 KB_TO_MB = 1e-3
@@ -247,11 +252,69 @@
 
 
 def _controller_network():
-    return [_gossip_network()]
+    return [
+        _gossip_network(),
+        Line(
+            "counts of ratings, as a judge",
+            "rollout-costs",
+            "rollouts.bytes_per_cell",
+            ROLLOUT_REQUESTS_PER_S,
+            "cells/s of one roll-out, one for each request",
+            B_TO_KB,
+            "grow-only counters, collectors between",
+        ),
+        Line.bounded(
+            "load reports, as the holder of a shard",
+            POLL_BYTES_PER_S,
+            "B/s",
+            1,
+            "at most",
+            B_TO_KB,
+            "period grows with the engines",
+        ),
+    ]
 
 
 def _controller_core():
-    return [_gossip_core()]
+    return [
+        _gossip_core(),
+        Line(
+            "counts of ratings merged by a judge",
+            "rollout-costs",
+            "rollouts.merge_us_per_cell",
+            ROLLOUT_REQUESTS_PER_S,
+            "cells/s of one roll-out",
+            US_TO_PERCENT,
+            "grow-only counters, collectors between",
+        ),
+        Line(
+            "looks of a judge",
+            "rollout-costs",
+            "rollouts.look_ms",
+            LOOKS_PER_S,
+            "looks/s of one roll-out",
+            MS_TO_PERCENT,
+            "sequential test over windows",
+        ),
+        Line(
+            "leases",
+            "rollout-costs",
+            "leases.tick_ms",
+            1,
+            "second of ticks",
+            MS_TO_PERCENT,
+            "16 shards, rendezvous over the live controllers",
+        ),
+        Line(
+            "plans of placement",
+            "placement",
+            "placement.planner_ms",
+            1 / SHARDS,
+            "of all 2,800 engines, each second at the most often",
+            MS_TO_PERCENT,
+            "one shard of 16",
+        ),
+    ]
 
 
 def _writes():
@@ -265,6 +328,15 @@
             1,
             "one large write a router in 5 s, copies at peers between",
         ),
+        Line(
+            "leases",
+            "rollout-costs",
+            "leases.writes_per_s",
+            1,
+            "site",
+            1,
+            "16 shards renewed by compare-and-set",
+        ),
         Line.bounded(
             "accepted changes",
             CHANGES_PER_DAY / SECONDS_PER_DAY,
--- a/stoatpath/measure/hot_path.py
+++ b/stoatpath/measure/hot_path.py
@@ -210,7 +210,7 @@
         Target("hot-path.added_p99", "at-most", 2.0),
         Target("hot-path.tokens_per_cpu_s", "at-least", 25_000),
     ]
-    return Report("hot-path", seed, figures, targets)
+    return Report("hot-path", seed, figures, targets, is_timed=True)
 
 
 def _buffered_figures():
--- a/stoatpath/measure/placements.py
+++ b/stoatpath/measure/placements.py
@@ -118,4 +118,4 @@
         figures.append(Figure(f"placement.{label}.short", short, "share of wants"))
     figures.append(Figure("placement.planner_ms", _planner_ms(), "ms per plan"))
     targets = [Target("placement.planner_ms", "at-most", MAX_PLANNER_MS)]
-    return Report("placement", seed, figures, targets)
+    return Report("placement", seed, figures, targets, is_timed=True)
--- a/stoatpath/measure/rate_limits.py
+++ b/stoatpath/measure/rate_limits.py
@@ -95,7 +95,7 @@
         Target("rates.overload.of-limit", "at-most", 1.02),
         Target("rates.overload.of-limit", "at-least", 0.9),
     ]
-    return Report("rate-limits", seed, figures, targets)
+    return Report("rate-limits", seed, figures, targets, is_timed=True)
 
 
 def _take_us():
--- a/stoatpath/measure/rollout_costs.py
+++ b/stoatpath/measure/rollout_costs.py
@@ -144,4 +144,4 @@
         Figure("leases.writes_per_s", round(writes, 2), "writes per second per site"),
         Figure("leases.renewals_per_s", SHARDS * 1000 / RENEW_MS, "by the period"),
     ]
-    return Report("rollout-costs", seed, figures)
+    return Report("rollout-costs", seed, figures, is_timed=True)
--- a/stoatpath/measure/session_costs.py
+++ b/stoatpath/measure/session_costs.py
@@ -33,7 +33,7 @@
         figures.append(Figure(f"sessions.rank_us.{count}", _time_rank(count), "us"))
     for chance in CHANCES_GOOD:
         figures.extend(_pin_prices(chance, random.Random(seed)))
-    return Report("session-costs", seed, figures)
+    return Report("session-costs", seed, figures, is_timed=True)
 
 
 def _signer():
--- a/stoatpath/membership/peers.py
+++ b/stoatpath/membership/peers.py
@@ -137,6 +137,7 @@
             connector = aiohttp.TCPConnector(limit=0, ssl=self._tls or True)
             self._session = aiohttp.ClientSession(
                 connector=connector,
+                cookie_jar=aiohttp.DummyCookieJar(),
                 skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
             )
         nonce = new_nonce(self._clock.wall_ms())
--- a/stoatpath/placement/features/placement.feature
+++ b/stoatpath/placement/features/placement.feature
@@ -59,3 +59,13 @@
       | ignores them   | number 3 for 2 after number 5 for 1,2        | 2    |
       | ignores them   | number 5 for 2 past its deadline             | 1    |
       | checks numbers | number 5 for 2,3 and the load of 3 failing   | 1,2  |
+
+  Scenario Outline: Reading the reports of engines stays within its bytes
+    When one controller places <engines> engines
+    Then it reads at most <bytes_per_s> bytes a second of reports
+
+    Examples:
+      | engines | bytes_per_s |
+      | 4       | 8000        |
+      | 175     | 8000        |
+      | 2800    | 8000        |
--- a/stoatpath/placement/features/steps/placement_steps.py
+++ b/stoatpath/placement/features/steps/placement_steps.py
@@ -10,6 +10,7 @@
 from stoatpath.clock import ManualClock
 from stoatpath.leases.states import LeaseState
 from stoatpath.placement.budgets import LoadBudget
+from stoatpath.placement.keepers import BYTES_PER_POLL, place_period_ms
 from stoatpath.placement.messages import EngineView, Order, Want
 from stoatpath.placement.planners import plan_pool
 from stoatpath.placement.senders import OrderSender
@@ -255,3 +256,15 @@
 @then("the engine holds {versions}")
 def step_impl(context, versions):
     assert context.held == versions.split(","), context.held
+
+
+@when("one controller places {engines:d} engines")
+def step_impl(context, engines):
+    context.engines = engines
+    context.period_ms = place_period_ms(engines)
+
+
+@then("it reads at most {bytes_per_s:d} bytes a second of reports")
+def step_impl(context, bytes_per_s):
+    read = context.engines * BYTES_PER_POLL * 1000 / context.period_ms
+    assert 0 < read <= bytes_per_s, read
--- a/stoatpath/placement/keepers.py
+++ b/stoatpath/placement/keepers.py
@@ -18,12 +18,20 @@
 
 logger = logging.getLogger(__name__)
 
-PLACE_PERIOD_MS = 1_000
+MIN_PLACE_PERIOD_MS = 1_000
+BYTES_PER_POLL = 400
+POLL_BYTES_PER_S = 8_000
 REPORT_TIMEOUT_MS = 1_000
 ENGINE = "engine"
 MALFORMED = (AttributeError, KeyError, TypeError)
 
 
+def place_period_ms(polled):
+    """Return the period that keeps reading the reports of engines within its bytes."""
+    wanted_ms = polled * BYTES_PER_POLL / POLL_BYTES_PER_S * 1000
+    return max(MIN_PLACE_PERIOD_MS, wanted_ms)
+
+
 class PlacementKeeper:
     """Reads what engines report, plans, and orders what has to change.
 
@@ -42,6 +50,7 @@
         "_budgets_by_shard",
         "_loads_per_minute",
         "_session",
+        "_polled",
     )
 
     def __init__(self, node, leases, progress):
@@ -57,6 +66,7 @@
         self._budgets_by_shard = {}
         self._loads_per_minute = settings.weight_loads_per_minute
         self._session = None
+        self._polled = 0
 
     async def run(self):
         """Place until cancelled."""
@@ -68,7 +78,7 @@
             ) as self._session:
                 while True:
                     await self.place()
-                    next_ms = self._clock.now_ms() + PLACE_PERIOD_MS
+                    next_ms = self._clock.now_ms() + place_period_ms(self._polled)
                     await self._clock.sleep_until(next_ms)
         finally:
             await self._sender.close()
@@ -79,6 +89,7 @@
         if is_failure(entries):
             logger.warning("placement.list-failed", extra={"why": entries.detail})
             return
+        self._polled = 0
         entries_by_pool = {}
         for entry in entries.values():
             if entry.role == ENGINE:
@@ -89,6 +100,7 @@
                 await self._place_pool(pool, listed, lease)
 
     async def _place_pool(self, pool, listed, lease):
+        self._polled += len(listed)
         reports = await asyncio.gather(*(self._read(entry) for entry in listed))
         engines = [view for view in reports if view is not None]
         model = self._node.follower.snapshot.models_by_name.get(pool)
