--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -175,7 +175,7 @@
             self.archive.run(),
             self.pins.run(),
             self._keep_capacities(),
-            self._trim_connections(),
+            self._trim(),
             self.rollouts.run(),
             self.sampling.reporter.run(),
         )
@@ -231,10 +231,15 @@
             self.gate.set_capacities(self._slots_by_pool())
             await self.clock.sleep_until(self.clock.now_ms() + CAPACITY_PERIOD_MS)
 
-    async def _trim_connections(self):
+    async def _trim(self):
+        """Give up what is kept of backend servers and versions that are gone."""
         while True:
             await self.clock.sleep_until(self.clock.now_ms() + TRIM_PERIOD_MS)
             await self.sender.trim()
+            self.chooser.breakers.forget(self.backends.by_name)
+            snapshot = self.follower.snapshot
+            known = {*snapshot.versions_by_name, *snapshot.services_by_name}
+            self.estimates.keep_only(known)
 
     def _build_outbox(self):
         node = self.node
