Log the warnings of libraries as JSON lines too

Cause: aiohttp and asyncio wrote tracebacks of several lines beside the JSON. Change: their loggers get the same handler from WARNING up.

--- a/stoatpath/log.py
+++ b/stoatpath/log.py
@@ -5,9 +5,15 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+PACKAGE = "stoatpath"
+LIBRARIES = ("aiohttp", "asyncio")
+
 
 def setup(program, instance, level="INFO", stream=None):
-    """Send every record of the package to a stream as one JSON object a line."""
+    """Send every record to a stream as one JSON object a line.
+
+    Libraries are heard from WARNING up.
+    """
     handler = logging.StreamHandler(stream or sys.stderr)
     formatter = JsonFormatter(
         "%(levelname)s %(name)s %(message)s",
@@ -16,7 +22,8 @@
         timestamp="time",
     )
     handler.setFormatter(formatter)
-    root = logging.getLogger("stoatpath")
-    root.handlers = [handler]
-    root.setLevel(level)
-    root.propagate = False
+    for name in (PACKAGE, *LIBRARIES):
+        logger = logging.getLogger(name)
+        logger.handlers = [handler]
+        logger.setLevel(level if name == PACKAGE else logging.WARNING)
+        logger.propagate = False
