Let the load run's check know of bills secured after the deadline

Cause: on one core the check 'nothing is billed that was not answered' failed for 4 requests. A trace (one core, nine busy loops beside it) shows the case: the whole answer was there, its bill could not be secured by the deadline, the caller was told unknown ('the request ran; its bill could not be secured in time'), and the record was written later, as docs/decisions/billing.md says. Ruled out: a record of a request that got no reply, or of one told not-run; both are still found. Change: a billed request must have been answered whole or told unknown.

--- a/stoatpath/measure/features/loads.feature
+++ b/stoatpath/measure/features/loads.feature
@@ -15,7 +15,7 @@
       | a request got no reply              | every request gets a reply                  |
       | a record is missing in the ledger   | a whole answer is billed once               |
       | a record stands twice in the ledger | a whole answer is billed once               |
-      | a record of another request appears | nothing is billed that was not answered     |
+      | a record of another request appears | only answered or `unknown` requests are billed     |
       | a call ran twice                    | a call that may not be repeated runs once   |
       | a refused request ran after all     | `not-run` did not run                       |
       | an answer names another request     | an answer is whole and the caller's own     |
--- a/stoatpath/measure/load_reports.py
+++ b/stoatpath/measure/load_reports.py
@@ -11,6 +11,7 @@
 PERCENTILES = (50, 95, 99)
 COMPLETED = "completed"
 NOT_RUN = "not-run"
+UNKNOWN = "unknown"
 DATA_PREFIX = b"data: "
 END_MARKER = b"[DONE]"
 
@@ -61,6 +62,8 @@
     billed = _count([record["request_id"] for record in ledger])
     ran = _executions(site)
     completed = {reply.request_id for reply in result.completed()}
+    unknown = {reply.request_id for reply in result.replies if reply.outcome == UNKNOWN}
+    may_be_billed = completed | unknown
     not_run = [reply for reply in result.replies if reply.outcome == NOT_RUN]
     return [
         Check("every request gets a reply", ["no reply"] * result.lost),
@@ -69,8 +72,8 @@
             [each for each in sorted(completed) if billed.get(each) != 1],
         ),
         Check(
-            "nothing is billed that was not answered",
-            [each for each in sorted(billed) if each not in completed],
+            "only answered or `unknown` requests are billed",
+            [each for each in sorted(billed) if each not in may_be_billed],
         ),
         Check(
             "what is billed did run",
