--- a/features/documents/documents.feature
+++ b/features/documents/documents.feature
@@ -7,6 +7,17 @@
     Then every make target in the documents is in the Makefile
     And every program in the documents answers --help with its flags
 
+  Scenario Outline: The help of <module> fits a screen and lists its flags
+    Then the help of <module> lists <flags> in at most 40 lines
+
+    Examples:
+      | module                     | flags                       |
+      | stoatpath.tools.router     | --settings --check --version |
+      | stoatpath.tools.controller | --settings --check --version |
+      | stoatpath.tools.ctl        | --json --wait --version      |
+      | stoatpath.tools.measure    | --experiment --seed --version |
+      | stoatpath.tools.standins   | --version                    |
+
   Scenario: The documents that readers expect are there
     Then each of these documents has text
       | name            |
--- a/features/documents/steps/documents_steps.py
+++ b/features/documents/steps/documents_steps.py
@@ -115,6 +115,16 @@
         assert not missing, (program, missing)
 
 
+@then("the help of {module} lists {flags} in at most {most:d} lines")
+def step_impl(context, module, flags, most):
+    command = [sys.executable, "-m", module, "--help"]
+    done = subprocess.run(command, capture_output=True, text=True)
+    lines = (done.stdout + done.stderr).splitlines()
+    missing = [flag for flag in flags.split() if flag[2:] not in "\n".join(lines)]
+    assert not missing, missing
+    assert len(lines) <= most, len(lines)
+
+
 @then("each of these documents has text")
 def step_impl(context):
     names = [row["name"] for row in context.table]
--- a/stoatpath/tools/measure.py
+++ b/stoatpath/tools/measure.py
@@ -4,8 +4,10 @@
 
 from absl import app, flags
 
+import stoatpath
 from stoatpath.measure.experiments import MODULES_BY_NAME
 from stoatpath.measure.trials import run_experiments
+from stoatpath.tools.programs import show_flags
 
 FLAGS = flags.FLAGS
 EXIT_BAD_NAME = 2
@@ -13,10 +15,15 @@
 flags.DEFINE_string("experiment", "all", "The experiment to run, or all.")
 flags.DEFINE_integer("seed", 1, "The seed of all random choices.")
 flags.DEFINE_bool("plots", False, "Draw the figures, with matplotlib installed.")
+flags.DEFINE_bool("version", False, "Print the version and exit.")
+show_flags("experiment", "seed", "plots", "version")
 
 
 def main(argv):
     """Run experiments, write and print their reports; return the exit code."""
+    if FLAGS.version:
+        print(f"stoatpath-measure {stoatpath.VERSION}")
+        return 0
     names = [FLAGS.experiment]
     if FLAGS.experiment == "all":
         names = sorted(MODULES_BY_NAME)
--- a/stoatpath/tools/programs.py
+++ b/stoatpath/tools/programs.py
@@ -25,6 +25,13 @@
     flags.DEFINE_string("settings", None, "Settings file, JSON with comments.")
     flags.DEFINE_bool("check", False, "Check the settings and exit.")
     flags.DEFINE_bool("version", False, "Print the version and exit.")
+    show_flags("settings", "check", "version")
+
+
+def show_flags(*names):
+    """Have `--help` list flags, also when run as an installed script."""
+    for name in names:
+        FLAGS.register_key_flag_for_module(sys.argv[0], FLAGS[name])
 
 
 def run_daemon(program, build):
