Roll-outs: tell a slow release by streams that never run at an idle pace

Cause: paces of a new release were held against the median of the old one's. The old release carries the load, so its median is that of busy backend servers (33 to 68 ms an event, up to 370); a release four times as slow ran its trial nearly alone, at 93 ms, and stayed under twice that median. Ruled out: paces by model (a stream advances at the pace of the batch, whatever its model: the medians of both models agree on each backend server). Change: a stream is crowded from 2.5 times the idle pace (the tenth part of the recent ones) and 1.3 times the median; crowded streams are counted, shared and weighed against a rate of 0.35 or the old release's own.

--- a/stoatpath/rollouts/answer_paces.py
+++ b/stoatpath/rollouts/answer_paces.py
@@ -1,4 +1,4 @@
-"""The usual pace of answers, and which answers are far slower."""
+"""The usual pace of answers, and which answers are far from it."""
 
 from collections import deque
 from statistics import median
@@ -8,10 +8,23 @@
 SLOW_FACTOR = 2.0
 SLOW_FACTOR_MOVED = 4.0
 MIN_SLOW_MS = 30.0
+# A stream is crowded from this many times the pace of an idle backend server. A trial
+# gives a new release so little to do that most of its streams run nearly alone.
+CROWDED_FACTOR = 2.5
+# Under the same load as the old release a new one may be as slow as most of that.
+CROWDED_FACTOR_MEDIAN = 1.3
+# Recent streams that are at least as quick as an idle backend server's: one in ten.
+IDLE_PART = 0.1
 MIN_PACED_EVENTS = 3
 MIN_SAMPLES = 10
 KEPT_SAMPLES = 30
 
+# How the pace of an answer compares with recent ones.
+UNPACED = "unpaced"
+USUAL = "usual"
+CROWDED = "crowded"
+SLOW = "slow"
+
 
 class AnswerPaces:
     """Recent paces by service for streams, by route for whole answers."""
@@ -21,24 +34,41 @@
     def __init__(self):
         self._recent_by_kind = {}
 
-    def judge(self, service, result, learns, factor=SLOW_FACTOR):
-        """Return whether an answer is slow; learn from it where that is wanted.
+    def judge(self, service, result, learns, is_moved=False):
+        """Return how the pace of an answer compares; learn from it if wanted.
 
-        `result` is an `AttemptResult`. The new release of a roll-out teaches nothing.
+        `result` is an `AttemptResult`. The new release of a roll-out teaches nothing;
+        `is_moved` says that all work has moved to it.
         """
         pace_ms = _pace_ms(result)
         if pace_ms is None or result.reason is not None:
-            return False
+            return UNPACED
         kind = (service, None if result.events is not None else result.route)
         recent = self._recent_by_kind.get(kind)
         if recent is None:
             recent = self._recent_by_kind[kind] = deque(maxlen=KEPT_SAMPLES)
-        is_slow = len(recent) >= MIN_SAMPLES and pace_ms > max(
-            MIN_SLOW_MS, factor * median(recent)
-        )
+        verdict = UNPACED
+        if len(recent) >= MIN_SAMPLES:
+            has_idle = result.events is not None and not is_moved
+            verdict = _compare(pace_ms, recent, is_moved, has_idle)
         if learns:
             recent.append(pace_ms)
-        return is_slow
+        return verdict
+
+
+def _compare(pace_ms, recent, is_moved, has_idle):
+    """Return what a pace is beside recent ones."""
+    factor = SLOW_FACTOR_MOVED if is_moved else SLOW_FACTOR
+    median_ms = median(recent)
+    if pace_ms > max(MIN_SLOW_MS, factor * median_ms):
+        return SLOW
+    idle_ms = sorted(recent)[int(IDLE_PART * len(recent))]
+    crowded_ms = max(
+        MIN_SLOW_MS, CROWDED_FACTOR * idle_ms, CROWDED_FACTOR_MEDIAN * median_ms
+    )
+    if has_idle and pace_ms > crowded_ms:
+        return CROWDED
+    return USUAL
 
 
 def _pace_ms(result):
--- a/stoatpath/rollouts/features/releases.feature
+++ b/stoatpath/rollouts/features/releases.feature
@@ -80,6 +80,26 @@
     When 10 streams of the new release have 200 ms between events
     Then the new release is unsuspected
 
+  Scenario Outline: <crowded> of <count> streams far from an idle pace while the old release is loaded
+    Given 9 streams of the old release with 21 ms between events
+    And 12 streams of the old release with 45 ms between events
+    And 9 streams of the old release with 110 ms between events
+    When <idle> streams of the new release have 22 ms between events
+    And <crowded> streams of the new release have 93 ms between events
+    Then the new release is <verdict>
+
+    Examples:
+      | idle | crowded | count | verdict     |
+      | 0    | 9       | 9     | suspected   |
+      | 1    | 14      | 15    | suspected   |
+      | 0    | 5       | 5     | unsuspected |
+      | 8    | 6       | 14    | unsuspected |
+
+  Scenario: Gateways that each saw a few crowded streams suspect a release together
+    Given 5 gateways that each saw 2 of 2 streams of the new release crowded
+    When one of them weighs what all of them counted
+    Then the new release is suspected
+
   Scenario: Long waits for the first event alone say nothing of a release
     Given 40 streams of the old release with 20 ms between events
     When 10 streams of the new release begin after 3000 ms with 20 ms between events
--- a/stoatpath/rollouts/features/steps/release_steps.py
+++ b/stoatpath/rollouts/features/steps/release_steps.py
@@ -9,7 +9,12 @@
 from stoatpath.clock import ManualClock
 from stoatpath.dispatch.messages import AttemptResult
 from stoatpath.outcomes import BACKEND_ERROR
-from stoatpath.rollouts.answer_paces import AnswerPaces
+from stoatpath.rollouts.answer_paces import (
+    CROWDED,
+    UNPACED,
+    USUAL,
+    AnswerPaces,
+)
 from stoatpath.rollouts.messages import (
     COMPLETED,
     ROLLED_BACK,
@@ -17,7 +22,7 @@
     RolloutOrder,
     RolloutStatus,
 )
-from stoatpath.rollouts.release_evidence import ReleaseEvidence
+from stoatpath.rollouts.release_evidence import AnswerCounts, ReleaseEvidence
 from stoatpath.rollouts.release_keepers import ReleaseKeeper
 from stoatpath.rollouts.releases import ReleaseBook
 from stoatpath.standins.deployments import PLAIN, Deployment
@@ -127,16 +132,16 @@
     evidence = context.evidence = ReleaseEvidence()
     for number in range(int(row["old_total"])):
         bad = BACKEND_ERROR if number < int(row["old_bad"]) else None
-        evidence.take(result(f"old-{number % 4}", bad), False, False)
+        evidence.take(result(f"old-{number % 4}", bad), False, UNPACED)
     for number in range(int(row["total"])):
         bad = BACKEND_ERROR if number < int(row["bad"]) else None
         name = f"new-{number % int(row['backends'])}"
-        evidence.take(result(name, bad), True, False)
+        evidence.take(result(name, bad), True, UNPACED)
 
 
 def take_paced(context, made, is_new):
-    is_slow = context.paces.judge(SERVICE, made, learns=not is_new)
-    context.evidence.take(made, is_new, is_slow)
+    pace = context.paces.judge(SERVICE, made, learns=not is_new)
+    context.evidence.take(made, is_new, pace)
 
 
 @given("{count:d} streams of the old release with {gap:d} ms between events")
@@ -154,6 +159,29 @@
         take_paced(context, result(f"new-{number % 3}", gap_ms=gap), True)
 
 
+@given(
+    "{count:d} gateways that each saw {crowded:d} of {paced:d} streams of the new "
+    "release crowded"
+)
+def step_impl(context, count, crowded, paced):
+    context.evidence = ReleaseEvidence()
+    context.stored = []
+    for gateway in range(count):
+        seen = ReleaseEvidence()
+        for number in range(paced):
+            pace = CROWDED if number < crowded else USUAL
+            seen.take(result(f"new-{gateway}"), True, pace)
+        assert seen.find_problem(seen.new_by_route) is None
+        context.stored.append(seen.new_by_route["chat"].to_json())
+
+
+@when("one of them weighs what all of them counted")
+def step_impl(context):
+    merged = context.evidence.new_by_route["chat"] = AnswerCounts()
+    for row in context.stored:
+        merged.add(AnswerCounts.from_json(row))
+
+
 @when(
     "{count:d} streams of the new release begin after {began:d} ms with {gap:d} ms "
     "between events"
--- a/stoatpath/rollouts/release_evidence.py
+++ b/stoatpath/rollouts/release_evidence.py
@@ -2,30 +2,46 @@
 
 import math
 
+from stoatpath.rollouts.answer_paces import CROWDED, SLOW, UNPACED
+
 # Bad answers of a release that count as chance at the least; one at most in fifty
 # answers of a sound service fails by itself.
 MIN_BAD_RATE = 0.02
 MIN_BAD_ANSWERS = 3
 MIN_BAD_BACKENDS = 2
+# Streams of a new release that are crowded by chance at the least. Good ones in a
+# trial had none in twenty; a burst can crowd some.
+MIN_CROWDED_RATE = 0.35
 # Chance of a false alarm of one comparison; a roll-out has some hundred of them.
 SIGNIFICANCE = 0.0001
 
 
 class AnswerCounts:
-    """Answers of one release to one kind of request: all, and the bad ones."""
+    """Answers of one release to one kind of request: all, and the bad ones.
+
+    `paced` counts its streams of a known pace, `crowded` those of them that are as
+    slow as on a backend server with much to do.
+    """
 
-    __slots__ = ("total", "bad", "bad_backends")
+    __slots__ = ("total", "bad", "bad_backends", "paced", "crowded")
 
-    def __init__(self, total=0, bad=0, bad_backends=()):
+    def __init__(self, total=0, bad=0, bad_backends=(), paced=0, crowded=0):
         self.total = total
         self.bad = bad
         self.bad_backends = set(bad_backends)
+        self.paced = paced
+        self.crowded = crowded
 
-    def count(self, backend, is_bad):
+    def count(self, backend, is_bad, pace):
         """Count one answer."""
         self.total += 1
         if is_bad:
             self.bad += 1
+        if pace is not UNPACED:
+            self.paced += 1
+        if pace in (CROWDED, SLOW):
+            self.crowded += 1
+        if is_bad or pace is CROWDED:
             self.bad_backends.add(backend)
 
     def add(self, other):
@@ -33,16 +49,34 @@
         self.total += other.total
         self.bad += other.bad
         self.bad_backends |= other.bad_backends
+        self.paced += other.paced
+        self.crowded += other.crowded
+
+    @property
+    def signs(self):
+        """Return how many answers speak against the release."""
+        return max(self.bad, self.crowded)
 
     @classmethod
     def from_json(cls, data):
         """Build counts from their stored form."""
-        return cls(int(data["total"]), int(data["bad"]), map(str, data["backends"]))
+        return cls(
+            int(data["total"]),
+            int(data["bad"]),
+            map(str, data["backends"]),
+            int(data["paced"]),
+            int(data["crowded"]),
+        )
 
     def to_json(self):
         """Return the stored form."""
-        backends = sorted(self.bad_backends)
-        return {"total": self.total, "bad": self.bad, "backends": backends}
+        return {
+            "total": self.total,
+            "bad": self.bad,
+            "backends": sorted(self.bad_backends),
+            "paced": self.paced,
+            "crowded": self.crowded,
+        }
 
 
 class ReleaseEvidence:
@@ -54,13 +88,13 @@
         self.old_by_route = {}
         self.new_by_route = {}
 
-    def take(self, result, is_new, is_slow):
-        """Take the `AttemptResult` of an answer; return whether it is a bad one."""
-        is_bad = is_slow or result.reason is not None
+    def take(self, result, is_new, pace):
+        """Take the `AttemptResult` of an answer; return whether it is a bad sign."""
+        is_bad = pace is SLOW or result.reason is not None
         by_route = self.new_by_route if is_new else self.old_by_route
         counts = by_route.setdefault(result.route, AnswerCounts())
-        counts.count(result.backend, is_bad)
-        return is_bad
+        counts.count(result.backend, is_bad, pace)
+        return is_bad or pace is CROWDED
 
     def find_problem(self, new_by_route):
         """Return why the counts of a new release speak against it, or None."""
@@ -74,7 +108,7 @@
             problem = _compare(counts, self.old_by_route.get(route, AnswerCounts()))
             if problem is not None:
                 return f"route {route}: {problem}"
-        return _compare(whole, old)
+        return _compare(whole, old) or _compare_paces(whole, old)
 
 
 def _compare(new, old):
@@ -87,6 +121,20 @@
     return f"{new.bad} of {new.total} answers are bad, {old.bad} of {old.total} before"
 
 
+def _compare_paces(new, old):
+    """Return what is wrong if few streams of a new release run at an idle pace."""
+    if len(new.bad_backends) < MIN_BAD_BACKENDS:
+        return None
+    # One in three is assumed of an old release that has not been seen yet.
+    rate = max(MIN_CROWDED_RATE, (old.crowded + 1) / (old.paced + 3))
+    if _tail(new.paced, new.crowded, rate) > SIGNIFICANCE:
+        return None
+    return (
+        f"{new.crowded} of {new.paced} streams run as on a busy backend server, "
+        f"{old.crowded} of {old.paced} before"
+    )
+
+
 def _tail(total, least, rate):
     """Return the chance of at least so many bad answers at a rate."""
     chance = 0.0
--- a/stoatpath/rollouts/release_keepers.py
+++ b/stoatpath/rollouts/release_keepers.py
@@ -7,11 +7,7 @@
 
 from stoatpath.outcomes import BACKEND_ERROR, is_failure
 from stoatpath.platform.row_stores import Committed, RowWrite
-from stoatpath.rollouts.answer_paces import (
-    SLOW_FACTOR,
-    SLOW_FACTOR_MOVED,
-    AnswerPaces,
-)
+from stoatpath.rollouts.answer_paces import AnswerPaces
 from stoatpath.rollouts.messages import (
     COMPLETED,
     ROLLED_BACK,
@@ -27,7 +23,7 @@
 PERIOD_MS = 200.0
 # Instances wait a random part of this before they write, so that one of them does.
 WRITE_SPREAD_MS = 300.0
-# Counts of bad answers are shared at most this often.
+# Counts of bad signs are shared at most this often.
 SHARE_PERIOD_MS = 600.0
 EVIDENCE_TABLE = "release-evidence"
 
@@ -145,20 +141,20 @@
         order = self.book.orders_by_service.get(backend.service)
         is_open = order is not None and self.book.state(order) is RUNNING
         is_new = is_open and backend.release == order.release
-        factor = self._slow_factor(order) if is_open else SLOW_FACTOR
-        is_slow = self._paces.judge(backend.service, result, not is_new, factor)
+        is_moved = is_open and self._is_moved(order)
+        pace = self._paces.judge(backend.service, result, not is_new, is_moved)
         if not is_open:
             return
         evidence = self._evidence(order)
-        if evidence.take(result, is_new, is_slow) and is_new:
+        if evidence.take(result, is_new, pace) and is_new:
             self._suspect(order, evidence.find_problem(evidence.new_by_route))
 
-    def _slow_factor(self, order):
-        """Return from how many times the usual pace an answer is slow."""
+    def _is_moved(self, order):
+        """Return whether all work may have moved to the new release."""
         store_ms = self._reachability.store_ms(self._clock.now_ms())
-        if store_ms is None or self.book.progress(order, store_ms) >= self.book.move_at:
-            return SLOW_FACTOR_MOVED
-        return SLOW_FACTOR
+        return store_ms is None or (
+            self.book.progress(order, store_ms) >= self.book.move_at
+        )
 
     async def run(self):
         """Drive all roll-outs until cancelled."""
@@ -234,15 +230,15 @@
             )
 
     async def _share_evidence(self, order):
-        """Store own bad answers and weigh those of all instances together."""
+        """Store own counts of bad signs and weigh those of all instances together."""
         evidence = self._evidence(order)
-        bad = sum(counts.bad for counts in evidence.new_by_route.values())
+        signs = sum(counts.signs for counts in evidence.new_by_route.values())
         key = (order.service, order.version)
-        shared_bad, due_ms = self._shared_ms_by_order.get(key, (0, 0.0))
+        shared_signs, due_ms = self._shared_ms_by_order.get(key, (0, 0.0))
         now_ms = self._clock.now_ms()
-        if bad <= shared_bad or now_ms < due_ms:
+        if signs <= shared_signs or now_ms < due_ms:
             return
-        self._shared_ms_by_order[key] = (shared_bad, now_ms + SHARE_PERIOD_MS)
+        self._shared_ms_by_order[key] = (shared_signs, now_ms + SHARE_PERIOD_MS)
         row_key = f"{order.service}/{self._instance}"
         version = self._evidence_versions_by_key.get(row_key, 0)
         value = _encode_counts(order, evidence.new_by_route)
@@ -250,7 +246,7 @@
         result = await self._store.write([write])
         if isinstance(result, Committed):
             self._evidence_versions_by_key[row_key] = result.version
-            self._shared_ms_by_order[key] = (bad, now_ms + SHARE_PERIOD_MS)
+            self._shared_ms_by_order[key] = (signs, now_ms + SHARE_PERIOD_MS)
         page = await self._store.read(EVIDENCE_TABLE, f"{order.service}/")
         if not is_failure(page):
             self._weigh(order, evidence, page.rows)
--- a/stoatpath/rollouts/releases.py
+++ b/stoatpath/rollouts/releases.py
@@ -11,8 +11,9 @@
 
 HASH_RANGE = 2**64
 # Part of the exposure that a deployment allows which the share of a trial uses. The
-# less it uses, the sooner work may move and what the old release runs may end.
-TRIAL_PART = 0.3
+# less it uses, the sooner work may move and what the old release runs may end; the
+# more it uses, the more answers there are to judge a slow release by.
+TRIAL_PART = 0.45
 # Part of the allowed exposure that trial and move use together by the end.
 EXPOSURE_PART = 0.97
 # Part of a roll-out's time after which it is completed, in time for its end.
