--- a/features/metrics/steps/metrics_steps.py
+++ b/features/metrics/steps/metrics_steps.py
@@ -2,15 +2,20 @@
 
 import asyncio
 import re
+import time
 
 import aiohttp
 from behave import given, then, when
 
+from stoatpath.standins.deployments import HOST, KEY, PLAIN, Deployment
+from stoatpath.standins.faults import Fault
 from stoatpath.standins.sites import Site
 from stoatpath.tools.demonstrations import Demonstration, chat
 
 SECRET = "reef-villages.reef-villages-sample-secret"
 ROW = re.compile(r"^\| `(stoatpath_[a-z_]+)` \| [^|]*\| (router|both) \|", re.M)
+GATEWAY_PART = "A gateway serves them"
+GATEWAY_ROW = re.compile(r"^\| `(stoatpath_[a-z_]+)` \|", re.M)
 SUFFIX = re.compile(r"_(bucket|count|sum)$")
 
 
@@ -84,3 +89,85 @@
     served = names_of(run(context, scrape(controller.metrics.address)))
     shared = {name for name, role in roles_by_name.items() if role == "both"}
     assert served == shared, served ^ shared
+
+
+@given("a deployment of a store, replicas and a gateway")
+def step_impl(context):
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.deployment = Deployment()
+    run(context, context.deployment.start())
+    context.add_cleanup(lambda: run(context, context.deployment.stop()))
+    context.gateway = context.deployment.gateways[0]
+    run(context, context.gateway.metrics.start("127.0.0.1:0"))
+
+
+@when("a booking, a lookup that one replica fails, and a chat are sent")
+def step_impl(context):
+    run(context, call_gateway(context, "POST", "book", "b-1"))
+    context.deployment.replicas_by_name["p0"].faults.add(Fault("serve", "error", 1))
+    # What is under way elsewhere makes the failing replica the first choice.
+    context.gateway.backends.by_name["p1"].in_flight += 5
+    run(context, call_gateway(context, "GET", "look", "l-1"))
+    run(context, call_gateway(context, "POST", "chat", "c-1"))
+
+
+async def call_gateway(context, method, route, request_id):
+    headers = {
+        "Host": HOST,
+        "Authorization": f"Bearer {KEY}",
+        "X-Stoatpath-Attempt-Id": request_id,
+        "X-Stoatpath-Deadline-Ms": "4000",
+    }
+    if route == "chat":
+        headers["X-Stoatpath-Model"] = "*"
+        headers["X-Stoatpath-Token-Counts"] = "100,50"
+    url = f"http://{context.gateway.listener.address}/{route}/1"
+    async with aiohttp.ClientSession() as session:
+        async with session.request(method, url, headers=headers) as response:
+            await response.read()
+
+
+@then("the gateway's metrics hold")
+def step_impl(context):
+    values = run(context, scrape(context.gateway.metrics.address))
+    for row in context.table:
+        assert values.get(row["metric"]) == float(row["value"]), (
+            row["metric"],
+            values,
+        )
+
+
+@when("the event loop is held up for {held:d} ms")
+def step_impl(context, held):
+    async def hold():
+        await asyncio.sleep(0.02)
+        time.sleep(held / 1000)
+        await asyncio.sleep(0.02)
+
+    run(context, hold())
+
+
+@then("its lag over 100 ms was counted")
+def step_impl(context):
+    values = run(context, scrape(context.gateway.metrics.address))
+    name = "stoatpath_event_loop_lag_seconds"
+    over = values[f"{name}_count"] - values[name + '_bucket{le="0.1"}']
+    assert over >= 1, values
+
+
+@then("what is left of the retry budget of the plain service is shown")
+def step_impl(context):
+    values = run(context, scrape(context.gateway.metrics.address))
+    left = values[f'stoatpath_retry_budget_left{{service="{PLAIN}"}}']
+    assert left == context.gateway.retry_budget.left(PLAIN), left
+
+
+@then("the metrics of the gateway are those of docs/METRICS.md")
+def step_impl(context):
+    with open("docs/METRICS.md", encoding="utf-8") as file:
+        part = file.read().partition(GATEWAY_PART)[2].partition("## ")[0]
+    served = names_of(run(context, scrape(context.gateway.metrics.address)))
+    assert served == set(GATEWAY_ROW.findall(part)), served ^ set(
+        GATEWAY_ROW.findall(part)
+    )
--- /dev/null
+++ b/stoatpath/commands/features/steps/store_view_steps.py
@@ -0,0 +1,101 @@
+"""Steps about commands that read the platform's store."""
+
+import asyncio
+import json
+import os
+import sys
+import tempfile
+
+from behave import given, then, when
+
+from stoatpath.rollouts.release_evidence import (
+    EVIDENCE_TABLE,
+    AnswerCounts,
+    encode_counts,
+)
+from stoatpath.standins.deployments import KEY, PLAIN, Deployment, boot_mapping
+from stoatpath.utils import decode_json
+
+ORDER = {"service": PLAIN, "to": "v2", "duration_s": 20}
+
+
+@given("a deployment in which a bad release was rolled back")
+def step_impl(context):
+    async def fill(deployment):
+        await deployment.store.put("op", f"rollout/{PLAIN}", ORDER)
+        version = deployment.store.version("op", f"rollout/{PLAIN}")
+        counts = AnswerCounts(total=9, bad=4, bad_backends=["p0", "p1"])
+        row = decode_json(encode_counts(version, {"look": counts}))
+        await deployment.store.put(EVIDENCE_TABLE, f"{PLAIN}/gateway-0", row)
+        status = {
+            "service": PLAIN,
+            "to": "v2",
+            "state": "rolled_back",
+            "order": version,
+            "started_ms": 1.0,
+            "by": "gateway-0",
+            "reason": "4 of 9 answers are bad",
+        }
+        await deployment.store.put("status", f"rollout/{PLAIN}", status)
+
+    context.fill = fill
+
+
+@given("a deployment with an entry that can't be read")
+def step_impl(context):
+    async def fill(deployment):
+        await deployment.store.put("servers", "odd", {"state": "elsewhere"})
+
+    context.fill = fill
+
+
+@when("somebody on call runs stoatpathctl {line}")
+def step_impl(context, line):
+    if line.endswith(" alone"):
+        words = line.split()[:-1]
+        context.code, context.output = asyncio.run(_run_program(words))
+        return
+    with_file = line.endswith(" with a settings file")
+    words = line.removesuffix(" with a settings file").split()
+    context.code, context.output = asyncio.run(_play(context, words, with_file))
+
+
+async def _play(context, words, with_file):
+    deployment = Deployment()
+    await deployment.start(gateways=0)
+    try:
+        await context.fill(deployment)
+        address = deployment.store_address
+        if not with_file:
+            return await _run_program([f"--store={address}", *words])
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, "boot.yaml")
+            with open(path, "w", encoding="utf-8") as file:
+                json.dump(boot_mapping("gateway-0", address, {}), file)
+            return await _run_program([f"--boot={path}", *words])
+    finally:
+        await deployment.stop()
+
+
+async def _run_program(words):
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "stoatpath.tools.ctl",
+        *words,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    output, _ = await process.communicate()
+    return process.returncode, output.decode()
+
+
+@then("the exit code is {code:d} and the output holds {text}")
+def step_impl(context, code, text):
+    assert context.code == code, (context.code, context.output)
+    assert text.lower() in context.output.lower(), context.output
+
+
+@then("the output does not hold the key of harbour")
+def step_impl(context):
+    assert KEY not in context.output
--- a/stoatpath/commands/operations.py
+++ b/stoatpath/commands/operations.py
@@ -22,6 +22,7 @@
     why_lagging,
 )
 from stoatpath.commands.rollouts import ACTIONS, plan_rollout_change
+from stoatpath.commands.store_views import show_store
 from stoatpath.commands.withdrawals import plan_withdrawal
 from stoatpath.configuration.files import read_changes
 from stoatpath.configuration.messages import (
@@ -43,7 +44,7 @@
     """What the command line said besides the command.
 
     `deadline_ms` is the clock reading at which `--wait` gives up; `progress`
-    takes a line about it.
+    takes a line about it. `store` is the client of the platform's store, or None.
     """
 
     __slots__ = (
@@ -54,6 +55,7 @@
         "deadline_ms",
         "limit",
         "replacement",
+        "store",
         "clock",
         "progress",
     )
@@ -68,6 +70,7 @@
         self.deadline_ms = fields.get("deadline_ms", float("inf"))
         self.limit = fields.get("limit", 20)
         self.replacement = fields.get("replacement", "")
+        self.store = fields.get("store")
 
 
 async def check(client, arguments, options):
@@ -212,6 +215,13 @@
     return Result(EXIT_OK, render_story(story), story.to_json())
 
 
+async def store(client, arguments, options):
+    """Print what the platform's store holds."""
+    if options.store is None:
+        return _usage("--store=IP:PORT store ... (or --boot=FILE)")
+    return await show_store(options.store, arguments)
+
+
 COMMANDS = {
     "check": check,
     "render": render,
@@ -222,6 +232,7 @@
     "withdraw": withdraw,
     "rollout": rollout,
     "explain": explain,
+    "store": store,
 }
 
 
--- /dev/null
+++ b/stoatpath/commands/store_views.py
@@ -0,0 +1,213 @@
+"""What the platform's store holds: routes in force, backend servers, roll-outs."""
+
+from stoatpath.commands.messages import EXIT_INVALID, EXIT_OK, EXIT_USAGE, Result
+from stoatpath.commands.renderers import render_failure
+from stoatpath.commands.tables import format_table
+from stoatpath.outcomes import BAD_REQUEST, Failure, is_failure
+from stoatpath.platform import documents, names
+from stoatpath.platform.row_stores import RowPage
+from stoatpath.rollouts.release_evidence import EVIDENCE_TABLE, read_counts
+
+USAGE = "usage: stoatpathctl --store=IP:PORT store routes|backends|rollouts [SERVICE]"
+END_OF_KEYS = "\0"
+
+
+async def show_store(store, arguments):
+    """Return the `Result` of `store VIEW [SERVICE]`."""
+    view = VIEWS_BY_NAME.get(arguments[0]) if arguments else None
+    if view is None or len(arguments) > 2:
+        return Result(EXIT_USAGE, [USAGE], {"error": USAGE})
+    service = arguments[1] if len(arguments) == 2 else ""
+    found = await view(store, service)
+    return render_failure(found) if is_failure(found) else found
+
+
+async def _show_routes(store, service):
+    rows = await _read_table(store, names.OPERATOR_TABLE)
+    if is_failure(rows):
+        return rows
+    row = rows.get(names.CONFIG_KEY)
+    if row is None:
+        return Failure(BAD_REQUEST, "the store holds no configuration")
+    table = documents.decode_route_table(row.value)
+    if is_failure(table):
+        return _unreadable(names.CONFIG_KEY, table)
+    routes = [
+        {
+            "name": route.name,
+            "host": route.host,
+            "prefix": route.prefix,
+            "repeats": route.repeats.name,
+            "services": route.weights_by_service,
+            "timeout_ms": route.timeout_ms,
+            "target_ms": route.target_ms,
+            "max_attempts": route.max_attempts,
+            "priority": route.priority,
+            "models": list(route.models),
+        }
+        for route in table.routes
+        if not service or service in route.weights_by_service
+    ]
+    organisations = {each.name for each in table.organisations_by_key.values()}
+    summary = (
+        f"revision {table.revision} (row version {row.version}): "
+        f"{len(routes)} routes, {len(organisations)} organisations with "
+        f"{len(table.organisations_by_key)} keys"
+    )
+    titles = ("ROUTE", "HOST", "PREFIX", "REPEATS", "SERVICES", "TIMEOUT", "ATTEMPTS")
+    lines = format_table(
+        titles,
+        [
+            (
+                each["name"],
+                each["host"],
+                each["prefix"],
+                each["repeats"],
+                _weights(each["services"]),
+                f"{each['timeout_ms']:g} ms",
+                each["max_attempts"],
+            )
+            for each in routes
+        ],
+    )
+    data = {
+        "revision": table.revision,
+        "row_version": row.version,
+        "organisations": sorted(organisations),
+        "routes": routes,
+    }
+    return Result(EXIT_OK, [summary, *lines], data)
+
+
+async def _show_backends(store, service):
+    rows = await _read_table(store, names.SERVERS_TABLE)
+    if is_failure(rows):
+        return rows
+    backends = []
+    problems = []
+    for row in rows.values():
+        entry = documents.decode_backend(row.key, row.value)
+        if is_failure(entry):
+            problems.append({"name": row.key, "problem": entry.detail})
+        elif not service or entry.service == service:
+            backends.append(
+                {
+                    "name": entry.name,
+                    "service": entry.service,
+                    "release": entry.release,
+                    "zone": entry.zone,
+                    "address": entry.address,
+                    "slots": entry.slots,
+                    "state": "leaving" if entry.is_leaving else "usable",
+                    "row_version": row.version,
+                }
+            )
+    titles = ("BACKEND", "SERVICE", "RELEASE", "ZONE", "ADDRESS", "SLOTS", "STATE")
+    keys = ("name", "service", "release", "zone", "address", "slots", "state")
+    backends.sort(key=lambda each: (each["service"], each["name"]))
+    lines = format_table(titles, [[each[key] for key in keys] for each in backends])
+    lines += [f"unreadable: {each['name']}: {each['problem']}" for each in problems]
+    return Result(EXIT_OK, lines, {"backends": backends, "unreadable": problems})
+
+
+async def _show_rollouts(store, service):
+    orders = await _read_table(store, names.OPERATOR_TABLE)
+    statuses = await _read_table(store, names.STATUS_TABLE)
+    evidence = await _read_table(store, EVIDENCE_TABLE)
+    for rows in (orders, statuses, evidence):
+        if is_failure(rows):
+            return rows
+    rollouts = []
+    for key, row in orders.items():
+        name = documents.rollout_service(key)
+        if name is None or (service and name != service):
+            continue
+        order = documents.decode_order(row)
+        if is_failure(order):
+            return _unreadable(key, order)
+        rollouts.append(_build_rollout(order, statuses.get(key), evidence))
+    titles = ("SERVICE", "RELEASE", "STATE", "JUDGED BY", "WHY")
+    keys = ("service", "release", "state", "writer", "reason")
+    lines = format_table(titles, [[each[key] for key in keys] for each in rollouts])
+    for each in rollouts:
+        lines += _evidence_lines(each)
+    return Result(EXIT_OK, lines, {"rollouts": rollouts})
+
+
+def _build_rollout(order, row, evidence):
+    """Return a roll-out with its status and the counts of each instance."""
+    status = None if row is None else documents.decode_status(row)
+    if status is None or is_failure(status):
+        status = None
+    elif status.order_version != order.version:
+        status = None
+    counts_by_instance = {}
+    for key, kept in evidence.items():
+        name, _, instance = key.rpartition("/")
+        if name != order.service:
+            continue
+        counts = read_counts(order.version, kept.value)
+        if counts:
+            counts_by_instance[instance] = {
+                route: each.to_json() for route, each in counts.items()
+            }
+    return {
+        "service": order.service,
+        "release": order.release,
+        "order": order.version,
+        "duration_ms": order.duration_ms,
+        "state": "ordered" if status is None else status.state,
+        "writer": "" if status is None else status.writer,
+        "reason": "" if status is None else status.reason,
+        "evidence": counts_by_instance,
+    }
+
+
+def _evidence_lines(rollout):
+    rows = [
+        (
+            instance,
+            route,
+            f"{counts['bad']} of {counts['total']}",
+            f"{counts['crowded']} of {counts['paced']}",
+            " ".join(counts["backends"]),
+        )
+        for instance, by_route in sorted(rollout["evidence"].items())
+        for route, counts in sorted(by_route.items())
+    ]
+    if not rows:
+        return []
+    titles = ("INSTANCE", "ROUTE", "BAD ANSWERS", "CROWDED STREAMS", "BACKENDS")
+    return ["", f"evidence on {rollout['service']}:", *format_table(titles, rows)]
+
+
+async def _read_table(store, table):
+    """Return the rows of a table by key, or a failure."""
+    rows = {}
+    start = ""
+    while True:
+        page = await store.read(table, start)
+        if not isinstance(page, RowPage):
+            return page
+        rows.update((row.key, row) for row in page.rows if not row.is_gone)
+        if page.is_whole or not page.rows:
+            return rows
+        start = page.rows[-1].key + END_OF_KEYS
+
+
+def _unreadable(key, failure):
+    detail = f"{key}: {failure.detail}"
+    return Result(EXIT_INVALID, [detail], {"error": detail})
+
+
+def _weights(weights_by_service):
+    if len(weights_by_service) == 1:
+        return next(iter(weights_by_service))
+    return " ".join(f"{name}:{part:g}" for name, part in weights_by_service.items())
+
+
+VIEWS_BY_NAME = {
+    "routes": _show_routes,
+    "backends": _show_backends,
+    "rollouts": _show_rollouts,
+}
--- a/stoatpath/configuration/routes.py
+++ b/stoatpath/configuration/routes.py
@@ -141,6 +141,7 @@
 
     __slots__ = (
         "revision",
+        "routes",
         "services_by_name",
         "organisations_by_key",
         "needs_keys",
@@ -158,6 +159,7 @@
         limits,
     ):
         self.revision = revision
+        self.routes = routes
         self.services_by_name = services_by_name
         self.organisations_by_key = organisations_by_key
         self.needs_keys = needs_keys
--- /dev/null
+++ b/stoatpath/dispatch/attempt_statistics.py
@@ -0,0 +1,26 @@
+"""Counts attempts by kind of route, model and end, with times to the first byte."""
+
+from stoatpath.callers.statistics import Durations
+
+WHOLE = "whole"
+
+
+class AttemptStatistics:
+    """Observes attempts; kinds are few, models those of the configuration."""
+
+    __slots__ = ("counts_by_key", "first_bytes_by_kind")
+
+    def __init__(self):
+        self.counts_by_key = {}
+        self.first_bytes_by_kind = {}
+
+    def observe(self, result):
+        """Take the `AttemptResult` of an attempt."""
+        ended = WHOLE if result.reason is None else result.reason.name
+        key = (result.kind, result.version, ended)
+        self.counts_by_key[key] = self.counts_by_key.get(key, 0) + 1
+        if result.first_byte_ms is not None:
+            durations = self.first_bytes_by_kind.get(result.kind)
+            if durations is None:
+                durations = self.first_bytes_by_kind[result.kind] = Durations()
+            durations.add(result.first_byte_ms - result.started_ms)
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -197,6 +197,7 @@
             self._clock.now_ms(),
             self._dialect.route_name(request),
             None if course.relay is None else attempt.events,
+            self._dialect.kind_name(request),
         )
         for observer in self.observers:
             observer(result)
--- a/stoatpath/dispatch/engine_dialects.py
+++ b/stoatpath/dispatch/engine_dialects.py
@@ -63,6 +63,10 @@
         """Return the kind of request by which answers are counted."""
         return request.service.name
 
+    def kind_name(self, request):
+        """Return what may be repeated of a request, for counts."""
+        return "repeatable" if request.is_repeatable else "at-most-once"
+
     def first_byte_at_ms(self, request, backend):
         """Return the clock reading by which an answer must begin."""
         limit_ms = self._parts.settings.first_byte_timeout_ms
--- a/stoatpath/dispatch/messages.py
+++ b/stoatpath/dispatch/messages.py
@@ -58,7 +58,8 @@
 
     `reason` is None after a whole answer. `first_byte_ms` and `ended_ms` are
     clock readings; `first_byte_ms` is None when nothing came. `route` names the
-    kind of request; `events` counts those of a stream, None for a whole answer.
+    kind of request, `kind` what may be repeated of it; `events` counts those of a
+    stream, None for a whole answer.
     """
 
     __slots__ = (
@@ -71,6 +72,7 @@
         "ended_ms",
         "route",
         "events",
+        "kind",
     )
 
     def __init__(
@@ -84,6 +86,7 @@
         ended_ms,
         route="",
         events=None,
+        kind="",
     ):
         self.backend = backend
         self.version = version
@@ -94,6 +97,7 @@
         self.ended_ms = ended_ms
         self.route = route
         self.events = events
+        self.kind = kind
 
 
 class Answer:
--- a/stoatpath/dispatch/opaque_dialects.py
+++ b/stoatpath/dispatch/opaque_dialects.py
@@ -56,6 +56,10 @@
         """Return the kind of request by which answers are counted."""
         return request.route.name
 
+    def kind_name(self, request):
+        """Return what may be repeated of a request, for counts."""
+        return request.route.repeats.name
+
     def first_byte_at_ms(self, request, backend):
         """Return the clock reading by which an answer must begin."""
         if not request.is_stream:
--- a/stoatpath/dispatch/window_budgets.py
+++ b/stoatpath/dispatch/window_budgets.py
@@ -64,6 +64,10 @@
         window = self._window(service)
         return self._ratio * window.requests + self._slack - window.extras
 
+    def left_by_service(self):
+        """Return how many extra sends are allowed now, for all known services."""
+        return {name: self.left(name) for name in self._windows_by_service}
+
     def spend(self, service):
         """Take one extra send; return False when the budget is spent."""
         if self.left(service) < 1.0:
--- a/stoatpath/gateway_metrics.py
+++ b/stoatpath/gateway_metrics.py
@@ -1,5 +1,6 @@
 """The metrics of a gateway, read from its slices when they are asked for."""
 
+from stoatpath.log import dropped_lines
 from stoatpath.metrics import Sample
 
 
@@ -8,6 +9,8 @@
     now_ms = gateway.clock.now_ms()
     return [
         *_requests(gateway.listener),
+        *_attempts(gateway),
+        *_process(gateway),
         *_store(gateway, now_ms),
         *_backends(gateway),
         Sample.gauge(
@@ -43,6 +46,46 @@
     )
 
 
+def _attempts(gateway):
+    statistics = gateway.attempt_statistics
+    for (kind, model, result), count in statistics.counts_by_key.items():
+        yield Sample.counter(
+            "stoatpath_attempts_total",
+            "Attempts by kind of route, model or service, and how they ended.",
+            count,
+            kind=kind,
+            model=model,
+            result=result,
+        )
+    for kind, durations in statistics.first_bytes_by_kind.items():
+        yield Sample.histogram(
+            "stoatpath_first_byte_seconds",
+            "Time from sending an attempt to the head of its answer.",
+            durations,
+            kind=kind,
+        )
+    for service, left in gateway.retry_budget.left_by_service().items():
+        yield Sample.gauge(
+            "stoatpath_retry_budget_left",
+            "Extra sends that are allowed now.",
+            left,
+            service=service,
+        )
+
+
+def _process(gateway):
+    yield Sample.histogram(
+        "stoatpath_event_loop_lag_seconds",
+        "How late timers fire.",
+        gateway.loop_lag,
+    )
+    yield Sample.counter(
+        "stoatpath_log_lines_dropped_total",
+        "Log lines beyond the budget or without room.",
+        dropped_lines(),
+    )
+
+
 def _store(gateway, now_ms):
     yield Sample.counter(
         "stoatpath_store_calls_total", "Calls to the store.", gateway.store.calls
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -11,10 +11,12 @@
 from stoatpath.callers.listeners import Listener
 from stoatpath.callers.pipelines import Pipeline
 from stoatpath.callers.relays import RelayInterface
+from stoatpath.callers.statistics import Durations
 from stoatpath.cascades.confidence import ConfidencePlanner, ConfidenceRunner
 from stoatpath.clock import Clock
 from stoatpath.configuration.route_guards import RouteGuard
 from stoatpath.configuration.route_keepers import RouteKeeper
+from stoatpath.dispatch.attempt_statistics import AttemptStatistics
 from stoatpath.dispatch.attempts import AttemptRunner
 from stoatpath.dispatch.opaque_dialects import OpaqueDialect
 from stoatpath.dispatch.opaque_senders import OpaqueSender
@@ -91,6 +93,8 @@
         "calls",
         "sender",
         "attempts",
+        "attempt_statistics",
+        "loop_lag",
         "gate",
         "planner",
         "stages",
@@ -120,6 +124,7 @@
         self._build_path()
         self.ready_server = ReadyServer(self.is_ready)
         self.metrics = MetricsServer(lambda: gateway_samples(self))
+        self.loop_lag = Durations()
         self._tasks = []
 
     @classmethod
@@ -180,7 +185,9 @@
         self.calls = BackendCalls()
         self.sender = OpaqueSender(self.clock, self.calls, decode_head)
         self.attempts = AttemptRunner(self, self.random, OpaqueDialect(self))
+        self.attempt_statistics = AttemptStatistics()
         self.attempts.observers += [
+            self.attempt_statistics.observe,
             self.chooser.observe,
             self.releases.observe,
             self._observe,
@@ -324,7 +331,9 @@
     async def _tend(self):
         """Do what is due with time rather than with news."""
         while True:
-            await self.clock.sleep_until(self.clock.now_ms() + TEND_PERIOD_MS)
+            due_ms = self.clock.now_ms() + TEND_PERIOD_MS
+            await self.clock.sleep_until(due_ms)
+            self.loop_lag.add(max(0.0, self.clock.now_ms() - due_ms))
             self.backends.expire(self.clock.now_ms())
             self.chooser.forget(self.backends.by_name)
             self._set_capacities()
--- a/stoatpath/log.py
+++ b/stoatpath/log.py
@@ -89,6 +89,12 @@
         return self.format(short).encode(errors="replace")[: MAX_LINE_BYTES - 1] + b"\n"
 
 
+def dropped_lines():
+    """Return how many lines this process has dropped so far."""
+    handlers = logging.getLogger(PACKAGE).handlers
+    return sum(getattr(handler, "dropped", 0) for handler in handlers)
+
+
 def setup(program, instance, level="INFO", stream=None, handler=None):
     """Send every record to a stream or a handler as one JSON object a line.
 
--- a/stoatpath/rollouts/release_evidence.py
+++ b/stoatpath/rollouts/release_evidence.py
@@ -1,8 +1,15 @@
 """Counts good and bad answers of the releases of a service, and weighs them."""
 
+import logging
 import math
 
 from stoatpath.rollouts.answer_paces import CROWDED, SLOW, UNPACED
+from stoatpath.utils import decode_json, encode_json
+
+logger = logging.getLogger(__name__)
+
+# Rows of the counts that instances share, by service and instance.
+EVIDENCE_TABLE = "release-evidence"
 
 # Bad answers of a release that count as chance at the least; one at most in fifty
 # answers of a sound service fails by itself.
@@ -111,6 +118,25 @@
         return _compare(whole, old) or _compare_paces(whole, old)
 
 
+def encode_counts(order_version, counts_by_route):
+    """Return the row of one instance; it holds the counts of one order at a time."""
+    routes = {route: counts.to_json() for route, counts in counts_by_route.items()}
+    return encode_json({"order": order_version, "routes": routes})
+
+
+def read_counts(order_version, value):
+    """Return the counts by route of an instance for an order; none if unreadable."""
+    data = decode_json(value) if value is not None else None
+    try:
+        if data["order"] != order_version:
+            return {}
+        routes = data["routes"].items()
+        return {route: AnswerCounts.from_json(each) for route, each in routes}
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        logger.warning("release.counts-unreadable", extra={"why": repr(error)})
+        return {}
+
+
 def _compare(new, old):
     """Return what is wrong if the new release fails more often than by chance."""
     if new.bad < MIN_BAD_ANSWERS or len(new.bad_backends) < MIN_BAD_BACKENDS:
--- a/stoatpath/rollouts/release_keepers.py
+++ b/stoatpath/rollouts/release_keepers.py
@@ -14,9 +14,14 @@
     RUNNING,
     RolloutStatus,
 )
-from stoatpath.rollouts.release_evidence import AnswerCounts, ReleaseEvidence
+from stoatpath.rollouts.release_evidence import (
+    EVIDENCE_TABLE,
+    AnswerCounts,
+    ReleaseEvidence,
+    encode_counts,
+    read_counts,
+)
 from stoatpath.rollouts.releases import COMPLETE_AT
-from stoatpath.utils import decode_json, encode_json
 
 logger = logging.getLogger(__name__)
 
@@ -25,7 +30,6 @@
 WRITE_SPREAD_MS = 300.0
 # Counts of bad signs are shared at most this often.
 SHARE_PERIOD_MS = 600.0
-EVIDENCE_TABLE = "release-evidence"
 
 
 class ReleaseKeeper:
@@ -241,7 +245,7 @@
         self._shared_ms_by_order[key] = (shared_signs, now_ms + SHARE_PERIOD_MS)
         row_key = f"{order.service}/{self._instance}"
         version = self._evidence_versions_by_key.get(row_key, 0)
-        value = _encode_counts(order, evidence.new_by_route)
+        value = encode_counts(order.version, evidence.new_by_route)
         write = RowWrite(EVIDENCE_TABLE, row_key, value, version)
         result = await self._store.write([write])
         if isinstance(result, Committed):
@@ -260,7 +264,7 @@
             if instance == self._instance:
                 # A process that starts anew finds the row of the one before.
                 self._evidence_versions_by_key[row.key] = row.version
-            for route, counts in _read_counts(order, row.value).items():
+            for route, counts in read_counts(order.version, row.value).items():
                 merged.setdefault(route, AnswerCounts()).add(counts)
         self._suspect(order, evidence.find_problem(merged))
 
@@ -294,22 +298,3 @@
         if evidence is None:
             evidence = self._evidence_by_order[key] = ReleaseEvidence()
         return evidence
-
-
-def _encode_counts(order, counts_by_route):
-    """Return the row of one instance; it holds the counts of one order at a time."""
-    routes = {route: counts.to_json() for route, counts in counts_by_route.items()}
-    return encode_json({"order": order.version, "routes": routes})
-
-
-def _read_counts(order, value):
-    """Return the counts by route of an instance for an order; none if unreadable."""
-    data = decode_json(value) if value is not None else None
-    try:
-        if data["order"] != order.version:
-            return {}
-        routes = data["routes"].items()
-        return {route: AnswerCounts.from_json(each) for route, each in routes}
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        logger.warning("release.counts-unreadable", extra={"why": repr(error)})
-        return {}
--- a/stoatpath/standins/deployments.py
+++ b/stoatpath/standins/deployments.py
@@ -27,18 +27,18 @@
     (idempotent) and `/open/` (the same, without a key).
     """
 
-    __slots__ = ("store", "replicas_by_name", "gateways", "config", "_store_address")
+    __slots__ = ("store", "replicas_by_name", "gateways", "config", "store_address")
 
     def __init__(self):
         self.store = RowStoreStandin()
         self.replicas_by_name = {}
         self.gateways = []
         self.config = sample_config()
-        self._store_address = ""
+        self.store_address = ""
 
     async def start(self, models=2, plain=2, gateways=1):
         """Start the store, replicas of both services, and gateways."""
-        self._store_address = await self.store.start()
+        self.store_address = await self.store.start()
         await self.store.put("op", "config", self.config)
         for index in range(models):
             await self.add_replica(f"m{index}", LLM)
@@ -58,7 +58,7 @@
 
     async def add_gateway(self, name, **bounds):
         """Start a gateway."""
-        boot = BootFile.from_mapping(boot_mapping(name, self._store_address, bounds))
+        boot = BootFile.from_mapping(boot_mapping(name, self.store_address, bounds))
         assert not is_failure(boot), boot
         gateway = Gateway.from_boot(boot, rng=random.Random(1))
         await gateway.start()
--- a/stoatpath/standins/row_stores.py
+++ b/stoatpath/standins/row_stores.py
@@ -97,6 +97,11 @@
             return None
         return decode_json(base64.b64decode(row.value))
 
+    def version(self, table, key):
+        """Return the version of a row, or 0 when there is none."""
+        row = self._rows.get((table, key))
+        return 0 if row is None else row.version
+
     def forget_history(self):
         """Answer 410 to whoever asks for changes before now."""
         self._changes.clear()
--- a/stoatpath/tools/ctl.py
+++ b/stoatpath/tools/ctl.py
@@ -14,10 +14,14 @@
 from stoatpath.commands.messages import EXIT_CODES_HELP, EXIT_OK, EXIT_USAGE
 from stoatpath.commands.operations import COMMANDS, Options
 from stoatpath.commands.tables import GREEN, RED, paint
+from stoatpath.outcomes import is_failure
+from stoatpath.platform.boot_files import BootFile
+from stoatpath.platform.row_stores import RowStore
 
 FLAGS = flags.FLAGS
 KEY_VARIABLE = "STOATPATH_OPERATOR_KEY"
 CONTROLLERS_VARIABLE = "STOATPATH_CONTROLLERS"
+STORE_VARIABLE = "STOATPATH_STORE"
 
 USAGE = f"""\
 usage: stoatpathctl [FLAGS] COMMAND [ARGUMENT ...]
@@ -35,8 +39,13 @@
   explain REQUEST_ID [LOG ...]
                          print why a request was served as it was; from log files
                          of all instances where they are given
+  store routes|backends|rollouts [SERVICE]
+                         print what the platform's store holds: the configuration
+                         in force, the backend servers, roll-outs and who judged them
 
 Flags:
+  --store=IP:PORT        the platform's store (or {STORE_VARIABLE})
+  --boot=FILE            settings file of a gateway that names the store
   --controllers=IP:PORT,...  controllers to ask (or {CONTROLLERS_VARIABLE})
   --key=NAME.SECRET      operator key (better: {KEY_VARIABLE})
   --authority=FILE       certificate authority of the controllers, for TLS
@@ -56,6 +65,8 @@
     flags.DEFINE_list("controllers", None, "Addresses of controllers.")
     flags.DEFINE_string("key", None, "Operator key.")
     flags.DEFINE_string("authority", None, "Certificate authority, for TLS.")
+    flags.DEFINE_string("store", None, "Address of the platform's store.")
+    flags.DEFINE_string("boot", None, "Settings file that names the store.")
     flags.DEFINE_bool("wait", False, "Wait until in force everywhere.")
     flags.DEFINE_integer("timeout_s", 60, "How long to wait.")
     flags.DEFINE_bool("accept_warnings", False, "Accept warnings.")
@@ -81,13 +92,28 @@
     urls = [f"{scheme}://{address}" for address in addresses if address]
     key = FLAGS.key or os.environ.get(KEY_VARIABLE, "")
     client = ControllerClient(urls, key, tls)
+    store = _build_store()
     try:
-        return await COMMANDS[name](client, arguments, _options())
+        return await COMMANDS[name](client, arguments, _options(store))
     finally:
         await client.close()
+        if store is not None:
+            await store.close()
 
 
-def _options():
+def _build_store():
+    """Return a client of the platform's store, or None when nothing names it."""
+    address = FLAGS.store or os.environ.get(STORE_VARIABLE, "")
+    if not address and FLAGS.boot:
+        boot = BootFile.from_file(FLAGS.boot)
+        if is_failure(boot):
+            print(f"stoatpathctl: {boot.detail}", file=sys.stderr)
+            sys.exit(EXIT_USAGE)
+        address = boot.store_address
+    return RowStore.from_address(address) if address else None
+
+
+def _options(store):
     clock = Clock()
     return Options(
         clock,
@@ -99,6 +125,7 @@
         deadline_ms=clock.now_ms() + FLAGS.timeout_s * 1000,
         limit=FLAGS.limit,
         replacement=FLAGS.replacement,
+        store=store,
     )
 
 
