Routing: long prompts are read apart from short ones

Cause: an engine reads prompts in the order of their arrival. Ruled out (trials, docs/decisions/worth.md): a higher price for what is under way, zones kept apart, shared parts at a quarter, polled reports of engines. Change: each instance learns from what it sends what is long (twice the mean work) and how much of the work is short; short prompts get 1.5 times that part of the fleet, at most half, by an order that all instances agree on. The other side is taken when its queue is 400,000 tokens shorter. Backend servers that fail are on no side.

--- a/stoatpath/dispatch/opaque_dialects.py
+++ b/stoatpath/dispatch/opaque_dialects.py
@@ -37,6 +37,7 @@
             request.prompt.shared_name,
             version.work_of(request.prompt.shared_tokens),
             tried,
+            version.work(request.prompt),
         )
 
     def candidates(self, request, version, relay):
--- a/stoatpath/measure/experiments.py
+++ b/stoatpath/measure/experiments.py
@@ -12,6 +12,7 @@
     "fairness": "stoatpath.measure.fairness",
     "lookups": "stoatpath.measure.lookup_ways",
     "overload": "stoatpath.measure.overloads",
+    "prompts": "stoatpath.measure.prompt_ways",
     "rate-limits": "stoatpath.measure.rate_limits",
     "rollout-costs": "stoatpath.measure.rollout_costs",
     "exposure": "stoatpath.measure.exposures",
--- /dev/null
+++ b/stoatpath/routing/features/steps/prompt_split_steps.py
@@ -0,0 +1,143 @@
+"""Steps about long and short prompts."""
+
+import random
+
+from behave import given, then, when
+
+from stoatpath.measure.prompt_loads import SERVICE
+from stoatpath.measure.prompt_ways import run_trial
+from stoatpath.membership.directories import DirectoryBackend
+from stoatpath.membership.messages import ListedBackend
+from stoatpath.outcomes import BACKEND_ERROR
+from stoatpath.routing.affinity import AffinityChooser, AffinityQuery
+from stoatpath.routing.prompt_splits import PromptSplit
+
+from affinity_steps import result  # isort: skip
+
+SHORT = 1_000.0
+LONG = 14_000.0
+NAMES = [f"p{number}" for number in range(9)]
+
+
+@when(
+    'the load "{pattern}" is played with prompts apart and anywhere, for {count:d} seeds'
+)
+def step_impl(context, pattern, count):
+    context.means_by_way = {}
+    for way in ("apart", "anywhere"):
+        results = [run_trial((pattern, way, seed)) for seed in range(count)]
+        context.means_by_way[way] = (
+            sum(each[2] for each in results) / count,
+            sum(each[3]["short"] for each in results) / count,
+        )
+
+
+@then("apart earns more credit")
+def step_impl(context):
+    means = context.means_by_way
+    assert means["apart"][0] > means["anywhere"][0], means
+
+
+@then("at most half as many short prompts are late")
+def step_impl(context):
+    means = context.means_by_way
+    assert 2 * means["apart"][1] <= means["anywhere"][1], means
+
+
+def mixed_split(short=40, long=10):
+    split = PromptSplit()
+    for _ in range(short):
+        split.note(SHORT, 0.0)
+    for _ in range(long):
+        split.note(LONG, 0.0)
+    return split
+
+
+@given("two instances that sent {short:d} short prompts for each {long:d} long ones")
+def step_impl(context, short, long):
+    context.splits = [mixed_split(short, long), mixed_split(2 * short, 2 * long)]
+
+
+@then("both keep the same {kept:d} of {count:d} backend servers for short prompts")
+def step_impl(context, kept, count):
+    names = NAMES[:count]
+    first, second = context.splits
+    avoided = first.other_side(SERVICE, LONG, names)
+    assert avoided == second.other_side(SERVICE, LONG, names[::-1]), avoided
+    assert len(avoided) == kept, avoided
+    assert first.other_side(SERVICE, SHORT, names) == set(names) - avoided
+
+
+@given("an instance that sent {count:d} prompts")
+def step_impl(context, count):
+    context.split = mixed_split(count * 4 // 5, count // 5)
+
+
+@then("a long prompt avoids {avoided:d} of {count:d} backend servers")
+def step_impl(context, avoided, count):
+    found = context.split.other_side(SERVICE, LONG, NAMES[:count])
+    assert len(found) == avoided, found
+
+
+@given("an instance that sent {count:d} prompts of one length")
+def step_impl(context, count):
+    context.split = mixed_split(count, 0)
+
+
+@then("such a prompt may go to at least half of {count:d} backend servers")
+def step_impl(context, count):
+    avoided = context.split.other_side(SERVICE, SHORT, NAMES[:count])
+    assert 2 * len(avoided) <= count + 1, avoided
+
+
+@given(
+    "an instance that sent {long:d} long prompts, and 60 s later {short:d} short ones"
+)
+def step_impl(context, long, short):
+    context.split = PromptSplit()
+    for _ in range(long):
+        context.split.note(LONG, 0.0)
+    for _ in range(short):
+        context.split.note(SHORT, 60_000.0)
+
+
+@then("what is beside them long is judged by the short ones")
+def step_impl(context):
+    assert context.split.is_long(4 * SHORT)
+
+
+@given(
+    "a chooser that sent {short:d} short prompts for each {long:d} long ones to "
+    "{count:d} backend servers"
+)
+def step_impl(context, short, long, count):
+    context.chooser = AffinityChooser("zone-a", random.Random(1))
+    context.chooser.split = mixed_split(short, long)
+    context.backends = [
+        DirectoryBackend(
+            ListedBackend(name, SERVICE, name, "zone-a", "v1", 32, False), 0.0
+        )
+        for name in NAMES[:count]
+    ]
+    context.short_side = places_of(context, SHORT)
+
+
+def places_of(context, work):
+    query = AffinityQuery(SERVICE, "small", "", 0.0, (), work)
+    return {
+        context.chooser.choose(query, context.backends, 0.0).backend.name
+        for _ in range(40)
+    }
+
+
+@when("those that serve short prompts fail half of their answers")
+def step_impl(context):
+    for name in context.short_side:
+        for number in range(6):
+            reason = BACKEND_ERROR if number % 2 else None
+            context.chooser.failures.observe(result(name, reason, 0.0))
+
+
+@then("others serve short prompts")
+def step_impl(context):
+    assert not places_of(context, SHORT) & context.short_side, context.short_side
