--- a/features/documents/documents.feature
+++ b/features/documents/documents.feature
@@ -13,7 +13,7 @@
     Examples:
       | module                     | flags                       |
       | stoatpath.tools.router     | --settings --check --version |
-      | stoatpath.tools.gateway    | --boot --metrics_port --check --version |
+      | stoatpath.tools.gateway    | --boot --metrics_port --check --deploy --version |
       | stoatpath.tools.controller | --settings --check --version |
       | stoatpath.tools.ctl        | --json --wait --version      |
       | stoatpath.tools.measure    | --experiment --seed --version |
--- /dev/null
+++ b/features/platform/deploy_files.feature
@@ -0,0 +1,41 @@
+Feature: The deploy file is checked before it is handed in
+
+  Scenario: The project's own deploy file has no faults
+    When a check is made of deploy/system.toml
+    Then the check finds no problems
+
+  Scenario Outline: <field> = <value> is named with what was expected
+    Given a deploy file in which <field> is <value>
+    When it is checked
+    Then the only problem is at <field> and expects <expected>
+
+    Examples:
+      | field              | value              | expected                        |
+      | build              | ""                 | a shell command                 |
+      | packages           | "curl"             | a list of package names         |
+      | roles              | {}                 | a table of roles                |
+      | roles.gateway      | 7                  | a table                         |
+      | roles.gateway.run  | "  "               | a program with its arguments    |
+      | roles.gateway.on   | 3                  | a class of machines             |
+      | roles.gateway.share | 0                 | a number over 0, up to 1        |
+      | roles.gateway.share | 1.5               | a number over 0, up to 1        |
+      | roles.gateway.share | true              | a number over 0, up to 1        |
+      | roles.gateway.serves | ["front", "back"] | a list of front and control     |
+      | roles.gateway.serves | "front"           | a list of front and control     |
+      | roles.gateway.metrics | "metrics"        | PORT/PATH                       |
+      | roles.gateway.metrics | "99999/metrics"  | PORT/PATH                       |
+
+  Scenario: Roles that can't be together on a machine are named
+    Given a deploy file with 3 roles on one class that all serve front
+    When it is checked
+    Then there are 2 problems
+
+  Scenario: All faults of both files are named at once
+    Given a deploy file in which build is ""
+    When it is checked beside a settings file without a store
+    Then the problems are at build and at provider.address
+
+  Scenario: A file that is not TOML is one problem
+    Given a deploy file that is not TOML
+    When it is checked
+    Then the check says not TOML
--- /dev/null
+++ b/stoatpath/platform/deploy_files.py
@@ -0,0 +1,117 @@
+"""Checks the deploy file: how the platform builds the system and where it runs."""
+
+import shlex
+import tomllib
+
+from stoatpath.outcomes import BAD_REQUEST, Failure
+
+# What a role may serve to callers from outside.
+SERVED = ("front", "control")
+MAX_PORT = 65_535
+# A machine runs at most this many roles.
+MAX_ROLES_A_CLASS = 2
+
+
+class DeployFile:
+    """A deploy file that has no faults; `roles` are the names of its roles."""
+
+    __slots__ = ("build", "roles")
+
+    def __init__(self, build, roles):
+        self.build = build
+        self.roles = roles
+
+    @classmethod
+    def from_file(cls, path):
+        """Return a deploy file read from TOML, or a failure that names all faults."""
+        try:
+            with open(path, "rb") as file:
+                data = tomllib.load(file)
+        except OSError as error:
+            return Failure(BAD_REQUEST, f"{path}: {error.strerror}")
+        except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+            return Failure(BAD_REQUEST, f"{path}: not TOML: {error}")
+        problems = list(_find_problems(data))
+        if problems:
+            return Failure(BAD_REQUEST, f"{path}: " + "; ".join(problems))
+        return cls(data["build"], sorted(data["roles"]))
+
+
+def _find_problems(data):
+    """Yield every fault with its place, its value and what was expected."""
+    build = data.get("build")
+    if not isinstance(build, str) or not build.strip():
+        yield _problem("build", build, "a shell command")
+    packages = data.get("packages", [])
+    if not isinstance(packages, list) or not all(map(_is_text, packages)):
+        yield _problem("packages", packages, "a list of package names")
+    roles = data.get("roles")
+    if not isinstance(roles, dict) or not roles:
+        yield _problem("roles", roles, "a table of roles")
+        return
+    for name, role in roles.items():
+        if isinstance(role, dict):
+            yield from _check_role(f"roles.{name}", role)
+        else:
+            yield _problem(f"roles.{name}", role, "a table")
+    yield from _check_together(roles)
+
+
+def _check_role(place, role):
+    run = role.get("run")
+    if not _is_text(run) or not shlex.split(run):
+        yield _problem(f"{place}.run", run, "a program with its arguments")
+    if not _is_text(role.get("on")):
+        yield _problem(f"{place}.on", role.get("on"), "a class of machines")
+    share = role.get("share")
+    count = role.get("count")
+    if (share is None) == (count is None):
+        yield _problem(place, {"share": share, "count": count}, "one of the two")
+    if share is not None and not (_is_number(share) and 0 < share <= 1):
+        yield _problem(f"{place}.share", share, "a number over 0, up to 1")
+    if count is not None and not (isinstance(count, int) and count >= 1):
+        yield _problem(f"{place}.count", count, "a whole number from 1")
+    serves = role.get("serves", [])
+    if not isinstance(serves, list) or not set(map(str, serves)) <= set(SERVED):
+        yield _problem(f"{place}.serves", serves, f"a list of {' and '.join(SERVED)}")
+    metrics = role.get("metrics")
+    if metrics is not None and not _is_metrics(metrics):
+        yield _problem(f"{place}.metrics", metrics, "PORT/PATH")
+
+
+def _check_together(roles):
+    """Yield what roles of one class of machines can't have together."""
+    by_class = {}
+    for name, role in roles.items():
+        if isinstance(role, dict) and _is_text(role.get("on")):
+            by_class.setdefault(role["on"], []).append((name, role))
+    for machine_class, own in by_class.items():
+        names = [name for name, _ in own]
+        if len(own) > MAX_ROLES_A_CLASS:
+            expected = f"at most {MAX_ROLES_A_CLASS} roles on {machine_class}"
+            yield _problem("roles", names, expected)
+        served = [each for _, role in own for each in _listed(role.get("serves"))]
+        for each in sorted({each for each in served if served.count(each) > 1}):
+            yield _problem("roles", names, f"one role that serves {each}")
+
+
+def _listed(serves):
+    return [str(each) for each in serves] if isinstance(serves, list) else []
+
+
+def _is_text(value):
+    return isinstance(value, str) and bool(value.strip())
+
+
+def _is_number(value):
+    return isinstance(value, (int, float)) and not isinstance(value, bool)
+
+
+def _is_metrics(value):
+    port, slash, path = value.partition("/") if isinstance(value, str) else ("",) * 3
+    is_port = port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT
+    return is_port and bool(slash) and bool(path)
+
+
+def _problem(place, value, expected):
+    return f"{place} = {value!r}: expected {expected}"
--- a/stoatpath/routing/features/steps/prompt_split_steps.py
+++ b/stoatpath/routing/features/steps/prompt_split_steps.py
@@ -20,7 +20,8 @@
 
 
 @when(
-    'the load "{pattern}" is played with prompts apart and anywhere, for {count:d} seeds'
+    'the load "{pattern}" is played with prompts apart and anywhere, '
+    "for {count:d} seeds"
 )
 def step_impl(context, pattern, count):
     context.means_by_way = {}
--- a/stoatpath/tools/gateway.py
+++ b/stoatpath/tools/gateway.py
@@ -14,6 +14,7 @@
 from stoatpath.gateways import Gateway
 from stoatpath.outcomes import is_failure
 from stoatpath.platform.boot_files import BOOT_VARIABLE, BootFile
+from stoatpath.platform.deploy_files import DeployFile
 from stoatpath.tools.command_lines import (
     EXIT_BAD_SETTINGS,
     EXIT_CUT,
@@ -31,8 +32,9 @@
 )
 flags.DEFINE_integer("metrics_port", 7340, "Port of the metrics; 0 takes a free one.")
 flags.DEFINE_bool("check", False, "Check the settings and exit.")
+flags.DEFINE_string("deploy", None, "Deploy file to check beside the settings.")
 flags.DEFINE_bool("version", False, "Print the version and exit.")
-show_flags("boot", "metrics_port", "check", "version")
+show_flags("boot", "metrics_port", "check", "deploy", "version")
 
 
 def main(argv):
@@ -40,17 +42,35 @@
     if FLAGS.version:
         print(f"{PROGRAM} {stoatpath.VERSION}")
         return EXIT_OK
+    if FLAGS.check:
+        return _check()
     boot = _read_boot()
     if is_failure(boot):
         print(f"{PROGRAM}: {boot.detail}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    if FLAGS.check:
-        print(f"{PROGRAM}: no problems found")
-        return EXIT_OK
     log.setup(PROGRAM, boot.instance, handler=log.BoundedHandler(sys.stdout.fileno()))
     return uvloop.run(_serve(Gateway.from_boot(boot)))
 
 
+def _check():
+    """Name every fault of the settings and of the deploy file, where one is given.
+
+    Without a settings file, the deploy file alone is checked.
+    """
+    found = []
+    if FLAGS.boot or not FLAGS.deploy:
+        found.append(_read_boot())
+    if FLAGS.deploy:
+        found.append(DeployFile.from_file(FLAGS.deploy))
+    failures = [each for each in found if is_failure(each)]
+    for failure in failures:
+        print(f"{PROGRAM}: {failure.detail}", file=sys.stderr)
+    if failures:
+        return EXIT_BAD_SETTINGS
+    print(f"{PROGRAM}: no problems found")
+    return EXIT_OK
+
+
 async def _serve(gateway):
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
