--- a/features/platform/deploy_files.feature
+++ b/features/platform/deploy_files.feature
@@ -22,6 +22,9 @@
       | roles.gateway.share | true              | a number over 0, up to 1        |
       | roles.gateway.serves | ["front", "back"] | a list of front and control     |
       | roles.gateway.serves | "front"           | a list of front and control     |
+      | roles.gateway.env | ["A"]               | names in capitals with texts    |
+      | roles.gateway.env | {"lower": "x"}      | names in capitals with texts    |
+      | roles.gateway.env | {"LEVEL": 7}        | names in capitals with texts    |
       | roles.gateway.metrics | "metrics"        | PORT/PATH                       |
       | roles.gateway.metrics | "99999/metrics"  | PORT/PATH                       |
 
--- a/stoatpath/platform/deploy_files.py
+++ b/stoatpath/platform/deploy_files.py
@@ -1,5 +1,6 @@
 """Checks the deploy file: how the platform builds the system and where it runs."""
 
+import re
 import shlex
 import tomllib
 
@@ -8,6 +9,7 @@
 # What a role may serve to callers from outside.
 SERVED = ("front", "control")
 MAX_PORT = 65_535
+VARIABLE = re.compile("[A-Z][A-Z0-9_]*")
 # A machine runs at most this many roles.
 MAX_ROLES_A_CLASS = 2
 
@@ -74,6 +76,9 @@
     serves = role.get("serves", [])
     if not isinstance(serves, list) or not set(map(str, serves)) <= set(SERVED):
         yield _problem(f"{place}.serves", serves, f"a list of {' and '.join(SERVED)}")
+    env = role.get("env", {})
+    if not isinstance(env, dict) or not all(map(_is_variable, env.items())):
+        yield _problem(f"{place}.env", env, "names in capitals with texts")
     metrics = role.get("metrics")
     if metrics is not None and not _is_metrics(metrics):
         yield _problem(f"{place}.metrics", metrics, "PORT/PATH")
@@ -107,6 +112,11 @@
     return isinstance(value, (int, float)) and not isinstance(value, bool)
 
 
+def _is_variable(item):
+    name, value = item
+    return VARIABLE.fullmatch(name) is not None and isinstance(value, str)
+
+
 def _is_metrics(value):
     port, slash, path = value.partition("/") if isinstance(value, str) else ("",) * 3
     is_port = port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT
