Feeds: how often the store is asked follows from the deployment's bounds

Cause: waits and gathering were constants that fit one set of bounds; a tighter drain_ms or revoke_ms would have been broken, a wider one asked too often. Change: reads of the operator's rows wait for 0.3 of revoke_ms (1.5 s as before at 5 s), of statuses for half of rollback_ms (2.5 s instead of 1.5), entries are gathered for half of drain_ms (1.0 s at 2 s instead of 0.7); a reload applies it.

--- a/features/platform/steps/store_steps.py
+++ b/features/platform/steps/store_steps.py
@@ -7,7 +7,9 @@
 from callers import call, headers_of, wait_until
 from relaying_steps import World
 
+from stoatpath.gateways import _feed_times
 from stoatpath.platform.boot_files import BootFile
+from stoatpath.platform.names import SERVERS_TABLE
 from stoatpath.standins.deployments import boot_mapping
 from stoatpath.standins.faults import Fault
 
@@ -31,8 +33,6 @@
     world.run(world.deployment.gateways.pop().kill())
     world.run(world.deployment.add_gateway("strict", revoke_ms=limit))
     world.run(world.deployment.settle())
-    # Waits for changes are far under the limit, as they are on the platform.
-    world.gateway.operator_rows._wait_ms = 200
 
 
 @given("a deployment with {count:d} gateways")
@@ -232,3 +232,27 @@
 @then("the retry budget holds no extra send")
 def step_impl(context):
     assert context.world.gateway.retry_budget.left("booking-desk") < 1.0
+
+
+@then("reads of the operator's rows wait for at most {most:d} ms")
+def step_impl(context, most):
+    store = context.world.deployment.store
+    calls = len(store.calls)
+    assert context.world.run(wait_until(lambda: len(store.calls) > calls + 1))
+    assert 0 < store.waits_by_table["op"] <= most, store.waits_by_table
+
+
+@when("the settings are read again with keys to be confirmed within {limit:d} ms")
+def step_impl(context, limit):
+    world = context.world
+    mapping = boot_mapping("strict", world.deployment.store_address, {})
+    mapping["bounds"] |= {"revoke_ms": limit}
+    world.gateway.reload(BootFile.from_mapping(mapping))
+
+
+@then("changes of backend servers are gathered for less than a drain of {drain:d} ms")
+def step_impl(context, drain):
+    bounds = {"drain_ms": drain}
+    mapping = boot_mapping("strict", context.world.deployment.store_address, bounds)
+    wait_ms, gather_ms = _feed_times(BootFile.from_mapping(mapping))[SERVERS_TABLE]
+    assert 0 < gather_ms <= drain / 2, gather_ms
--- a/features/platform/store.feature
+++ b/features/platform/store.feature
@@ -49,3 +49,10 @@
     When the settings are read again with keys to be confirmed within 1 ms and no retries
     Then a keyed request is refused as not run, and a public one is served
     And the retry budget holds no extra send
+
+  Scenario: How often the store is asked follows from the bounds of the deployment
+    Given a deployment whose keys must be confirmed within 600 ms
+    Then reads of the operator's rows wait for at most 200 ms
+    And changes of backend servers are gathered for less than a drain of 500 ms
+    When the settings are read again with keys to be confirmed within 300 ms
+    Then reads of the operator's rows wait for at most 100 ms
--- a/stoatpath/feeds/followers.py
+++ b/stoatpath/feeds/followers.py
@@ -62,6 +62,11 @@
         self._is_whole = False
         self._failures = 0
 
+    def set_times(self, wait_ms, gather_ms):
+        """Take how long a read waits for changes, and how long they are gathered."""
+        self._wait_ms = wait_ms
+        self._gather_ms = gather_ms
+
     async def run(self):
         """Follow the table until cancelled."""
         while True:
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -42,16 +42,21 @@
 
 logger = logging.getLogger(__name__)
 
-# Longest wait of one read for changes. Each answer confirms what is known, so that
-# keys are served for 3 s, as long as they are owed, into any loss of the store.
-OPERATOR_WAIT_MS = 1_500
-STATUS_WAIT_MS = 1_500
+# Longest wait of one read for changes, as parts of bounds. Each answer confirms what is
+# known, so that keys are served for 0.6 of `revoke_ms`, as long as they are owed, into
+# any loss of the store.
+OPERATOR_WAIT_PART = 0.3
+# A connection that went silent is noticed in time for a roll-back.
+STATUS_WAIT_PART = 0.5
+# The store's rates are for all instances together; tighter bounds go unmet.
+MIN_WAIT_MS = 50
 # Nothing is bounded by how old the list of backend servers is while it is quiet.
 SERVERS_WAIT_MS = 4_000
 # How long changes are gathered before the next read. Entries change in series, while
-# fleets start or shrink, and must be known within 2 s; orders and verdicts can't wait.
+# fleets start or shrink; this part of `drain_ms` leaves the rest to the read itself.
+# Orders and verdicts can't wait.
 OPERATOR_GATHER_MS = 200
-SERVERS_GATHER_MS = 700
+SERVERS_GATHER_PART = 0.5
 STATUS_GATHER_MS = 50
 TEND_PERIOD_MS = 250.0
 # Of 4,100 descriptors, 200 are for files; the rest go to callers, sends and the store.
@@ -146,27 +151,17 @@
         )
 
     def _build_followers(self):
-        self.operator_rows = self._follow(
-            names.OPERATOR_TABLE,
-            OPERATOR_WAIT_MS,
-            OPERATOR_GATHER_MS,
-            self._apply_operator,
-        )
+        self.operator_rows = self._follow(names.OPERATOR_TABLE, self._apply_operator)
         self.routes.confirm_by(self.operator_rows.copy)
-        self.server_rows = self._follow(
-            names.SERVERS_TABLE, SERVERS_WAIT_MS, SERVERS_GATHER_MS, self._apply_servers
-        )
-        self.status_rows = self._follow(
-            names.STATUS_TABLE, STATUS_WAIT_MS, STATUS_GATHER_MS, self._apply_statuses
-        )
+        self.server_rows = self._follow(names.SERVERS_TABLE, self._apply_servers)
+        self.status_rows = self._follow(names.STATUS_TABLE, self._apply_statuses)
         self.status_rows.is_wanted.clear()
 
-    def _follow(self, table, wait_ms, gather_ms, on_changes):
+    def _follow(self, table, on_changes):
         return TableFollower(
             self.store,
             table,
-            wait_ms,
-            gather_ms,
+            *_feed_times(self.boot)[table],
             self.reachability,
             self.clock,
             self.random,
@@ -258,6 +253,10 @@
             boot.retry_ratio, boot.retry_window_ms, boot.retry_slack
         )
         self.releases.book.set_exposure(boot.exposure_share)
+        times_by_table = _feed_times(boot)
+        self.operator_rows.set_times(*times_by_table[names.OPERATOR_TABLE])
+        self.server_rows.set_times(*times_by_table[names.SERVERS_TABLE])
+        self.status_rows.set_times(*times_by_table[names.STATUS_TABLE])
         logger.info("settings.reloaded", extra={"changed": changed})
 
     def is_ready(self):
@@ -348,6 +347,21 @@
         self.gate.set_capacities(slots_by_service)
 
 
+def _feed_times(boot):
+    """Return the longest wait for and the gathering of changes, by table, in ms."""
+    return {
+        names.OPERATOR_TABLE: (
+            max(MIN_WAIT_MS, int(OPERATOR_WAIT_PART * boot.revoke_ms)),
+            OPERATOR_GATHER_MS,
+        ),
+        names.SERVERS_TABLE: (SERVERS_WAIT_MS, SERVERS_GATHER_PART * boot.drain_ms),
+        names.STATUS_TABLE: (
+            max(MIN_WAIT_MS, int(STATUS_WAIT_PART * boot.rollback_ms)),
+            STATUS_GATHER_MS,
+        ),
+    }
+
+
 def _log_unreadable(key, failure):
     logger.warning("store.row-unreadable", extra={"row": key, "why": failure.detail})
 
--- a/stoatpath/platform/boot_files.py
+++ b/stoatpath/platform/boot_files.py
@@ -12,6 +12,8 @@
 DEFAULT_BOUNDS = {
     "fail_closed": True,
     "revoke_ms": 5_000,
+    "drain_ms": 2_000,
+    "rollback_ms": 5_000,
     "grace_s": 8,
     "retry_budget_ratio": 0.2,
     "budget_window_s": 10,
@@ -41,6 +43,8 @@
         "memory_mb",
         "fails_closed",
         "revoke_ms",
+        "drain_ms",
+        "rollback_ms",
         "grace_ms",
         "retry_ratio",
         "retry_window_ms",
@@ -66,6 +70,8 @@
         bound = _Reader(bounds, "bounds.", reader.problems)
         boot.fails_closed = bound.flag("fail_closed")
         boot.revoke_ms = bound.number("revoke_ms", least=1)
+        boot.drain_ms = bound.number("drain_ms", least=1)
+        boot.rollback_ms = bound.number("rollback_ms", least=1)
         boot.grace_ms = bound.number("grace_s", least=0) * 1_000
         boot.retry_ratio = bound.number("retry_budget_ratio", least=0)
         boot.retry_window_ms = bound.number("budget_window_s", least=0) * 1_000
--- a/stoatpath/standins/row_stores.py
+++ b/stoatpath/standins/row_stores.py
@@ -40,13 +40,14 @@
 class RowStoreStandin:
     """Keeps rows and all their changes until `forget_history` is called.
 
-    `calls` lists the operations that were served; `is_deaf` keeps feeds from
-    hearing of changes.
+    `calls` lists the operations that were served, `waits_by_table` the last wait for
+    changes that was asked for; `is_deaf` keeps feeds from hearing of changes.
     """
 
     __slots__ = (
         "faults",
         "calls",
+        "waits_by_table",
         "is_deaf",
         "_rows",
         "_changes",
@@ -59,6 +60,7 @@
     def __init__(self):
         self.faults = FaultTable()
         self.calls = []
+        self.waits_by_table = {}
         self.is_deaf = False
         self._rows = {}
         self._changes = []
@@ -143,7 +145,8 @@
         after = int(request.query["after"])
         if after < self._oldest:
             return web.Response(status=410)
-        wait_s = int(request.query["wait_ms"]) / 1000
+        self.waits_by_table[table] = int(request.query["wait_ms"])
+        wait_s = self.waits_by_table[table] / 1000
         try:
             async with asyncio.timeout(wait_s), self._changed:
                 await self._changed.wait_for(lambda: self._news(table, after))
