--- a/stoatpath/callers/relays.py
+++ b/stoatpath/callers/relays.py
@@ -124,6 +124,7 @@
         if service is None:
             return self._parts.guard.stale("the service of the route is not known")
         prompt = self._wire.prompt(request.headers)
+        self._note_read(request_id, route, service, organisation, timeout_ms, prompt)
         return RelayedRequest(
             request_id,
             organisation,
@@ -141,6 +142,23 @@
             self._wire.last_event_id(request.headers),
         )
 
+    def _note_read(self, request_id, route, service, organisation, timeout_ms, prompt):
+        """Note what a request asks for, and by which routes of which age."""
+        routes = self._parts.routes
+        self._parts.ring.note(
+            request_id,
+            "read",
+            "a route leads there",
+            route=route.name,
+            repeats=route.repeats.name,
+            service=service.name,
+            organisation="" if organisation is None else organisation.name,
+            timeout_ms=round(timeout_ms),
+            tokens=prompt.tokens,
+            revision=routes.table.revision,
+            confirmed_ms_ago=round(routes.age_ms(self._parts.clock.now_ms())),
+        )
+
     def _unknown(self, reason, detail, field):
         """Return a refusal, or say that the routes are too old to tell."""
         if not self._parts.guard.is_fresh:
--- a/stoatpath/commands/log_stories.py
+++ b/stoatpath/commands/log_stories.py
@@ -17,6 +17,13 @@
     "settings.",
     "store.",
 )
+# Of states that last, the latest news is told however old it is.
+LASTING_EVENTS = (
+    ("store.lost", "store.regained"),
+    ("routes.in-force",),
+    ("program.listening",),
+    ("drain.began",),
+)
 CAUSES_BY_REASON = {
     "completed": "it was served",
     "bad-request": "its head or body is not what the protocol asks for",
@@ -107,6 +114,7 @@
         return None
     own.sort(key=lambda line: line.at_s)
     beliefs = [line for line in lines if any(_bears_on(line, each) for each in own)]
+    beliefs += _find_lasting(lines, own, beliefs)
     beliefs.sort(key=lambda line: line.at_s)
     return Story(own, beliefs)
 
@@ -137,6 +145,25 @@
     return began_s - BEFORE_S <= line.at_s <= request.at_s
 
 
+def _find_lasting(lines, own, known):
+    """Return the last news of each lasting state before each request began."""
+    found = []
+    for request in own:
+        began_s = request.at_s - request.fields.get("took_ms", 0.0) / 1000
+        for events in LASTING_EVENTS:
+            earlier = [
+                line
+                for line in lines
+                if line.instance == request.instance
+                and line.event in events
+                and line.at_s <= began_s
+            ]
+            last = max(earlier, key=lambda line: line.at_s, default=None)
+            if last is not None and last not in known and last not in found:
+                found.append(last)
+    return found
+
+
 def _render_request(line):
     fields = line.fields
     began_s = line.at_s - fields.get("took_ms", 0.0) / 1000
