Roll-outs: many instances share their counts less often

Cause: each instance that sees bad answers wrote its counts each 0.6 s; 540 of them would make 900 writes a second, more than the store takes from all. Change: beyond 20 instances with shared counts the period grows with their number; the first write of each stays at once, so the verdict is as early.

--- a/stoatpath/rollouts/features/releases.feature
+++ b/stoatpath/rollouts/features/releases.feature
@@ -100,6 +100,16 @@
     When one of them weighs what all of them counted
     Then the new release is suspected
 
+  Scenario Outline: <count> instances share their counts of a bad release <writes> times in 10 s at most
+    Given a keeper beside <count> instances that share counts of a running roll-out
+    When it sees one bad answer of the new release in each 100 ms for 10 s
+    Then it has written its counts at most <writes> times, and at least once
+
+    Examples:
+      | count | writes |
+      | 8     | 18     |
+      | 200   | 4      |
+
   Scenario: Long waits for the first event alone say nothing of a release
     Given 40 streams of the old release with 20 ms between events
     When 10 streams of the new release begin after 3000 ms with 20 ms between events
--- a/stoatpath/rollouts/features/steps/release_steps.py
+++ b/stoatpath/rollouts/features/steps/release_steps.py
@@ -9,6 +9,7 @@
 from stoatpath.clock import ManualClock
 from stoatpath.dispatch.messages import AttemptResult
 from stoatpath.outcomes import BACKEND_ERROR
+from stoatpath.platform.row_stores import Committed, RowPage, StoredRow
 from stoatpath.rollouts.answer_paces import (
     CROWDED,
     UNPACED,
@@ -22,7 +23,11 @@
     RolloutOrder,
     RolloutStatus,
 )
-from stoatpath.rollouts.release_evidence import AnswerCounts, ReleaseEvidence
+from stoatpath.rollouts.release_evidence import (
+    AnswerCounts,
+    ReleaseEvidence,
+    encode_counts,
+)
 from stoatpath.rollouts.release_keepers import ReleaseKeeper
 from stoatpath.rollouts.releases import ReleaseBook
 from stoatpath.standins.deployments import PLAIN, Deployment
@@ -294,3 +299,68 @@
         choice = context.book.choose(SERVICE, f"s-{number}", None, store_ms)
         new += choice.select(BACKENDS)[0].name == "new"
     assert new <= exposure * count, new
+
+
+class SharedRows:
+    """A store of which only the counts matter; it takes every write."""
+
+    def __init__(self, count):
+        counts = encode_counts(7, {"chat": AnswerCounts(total=1)})
+        self.rows = [
+            StoredRow(f"{SERVICE}/other-{number}", 1, counts) for number in range(count)
+        ]
+        self.writes = 0
+
+    async def write(self, writes):
+        self.writes += 1
+        return Committed(self.writes, 0.0)
+
+    async def read(self, table, start=""):
+        return RowPage(self.rows, 1, 0.0, True)
+
+
+@given("a keeper beside {count:d} instances that share counts of a running roll-out")
+def step_impl(context, count):
+    context.clock = ManualClock(STARTED_MS)
+    context.store = SharedRows(count)
+    context.order = RolloutOrder(SERVICE, "v2", DURATION_MS, 7)
+    book = ReleaseBook(EXPOSURE)
+    book.take_order(context.order)
+    book.take_status(status(RUNNING, 8))
+    names = [f"v2-{number}" for number in range(3)]
+    directory = SimpleNamespace(
+        by_name={
+            name: SimpleNamespace(name=name, service=SERVICE, release="v2")
+            for name in names
+        }
+    )
+    context.keeper = ReleaseKeeper(
+        "gateway-0",
+        book,
+        context.store,
+        None,
+        None,
+        directory,
+        REACH,
+        context.clock,
+        None,
+    )
+    # What is under test is how often counts are shared, not the verdict on them.
+    book.suspect(SERVICE, "bad answers")
+
+
+@when("it sees one bad answer of the new release in each 100 ms for 10 s")
+def step_impl(context):
+    async def see():
+        for number in range(100):
+            bad = result(f"v2-{number % 3}", BACKEND_ERROR)
+            context.keeper.observe(bad)
+            await context.keeper._share_evidence(context.order)
+            context.clock.advance_by(100.0)
+
+    asyncio.run(see())
+
+
+@then("it has written its counts at most {most:d} times, and at least once")
+def step_impl(context, most):
+    assert 1 <= context.store.writes <= most, context.store.writes
--- a/stoatpath/rollouts/release_keepers.py
+++ b/stoatpath/rollouts/release_keepers.py
@@ -28,8 +28,10 @@
 PERIOD_MS = 200.0
 # Instances wait a random part of this before they write, so that one of them does.
 WRITE_SPREAD_MS = 300.0
-# Counts of bad signs are shared at most this often.
+# Counts of bad signs are shared at most this often by so many instances, and less
+# often by more of them: the store's rates are for all together.
 SHARE_PERIOD_MS = 600.0
+SHARING_INSTANCES = 20
 
 
 class ReleaseKeeper:
@@ -250,10 +252,14 @@
         result = await self._store.write([write])
         if isinstance(result, Committed):
             self._evidence_versions_by_key[row_key] = result.version
-            self._shared_ms_by_order[key] = (signs, now_ms + SHARE_PERIOD_MS)
+            shared_signs = signs
         page = await self._store.read(EVIDENCE_TABLE, f"{order.service}/")
-        if not is_failure(page):
-            self._weigh(order, evidence, page.rows)
+        if is_failure(page):
+            return
+        pace = max(1.0, len(page.rows) / SHARING_INSTANCES)
+        due_ms = now_ms + pace * SHARE_PERIOD_MS
+        self._shared_ms_by_order[key] = (shared_signs, due_ms)
+        self._weigh(order, evidence, page.rows)
 
     def _weigh(self, order, evidence, rows):
         merged = {}
