Dispatch: no hedge where the request is being run already

Cause: with one backend server left, a slow answer made the hedge choose among those tried, that is the same one; a request then ran there twice at once. Test: a slow lookup with one backend server left; failed first.

--- a/features/platform/relaying.feature
+++ b/features/platform/relaying.feature
@@ -114,6 +114,13 @@
       | waits at  | silent |
       | runs on   | stall  |
 
+  Scenario: The long pause of a busy backend server is waited out
+    Given a deployment
+    And streams of 2 events with 3300 ms between them
+    When a caller sends a chat request
+    Then the caller got events 1 to 2 in order, and the end
+    And the request ran at most 1 times
+
   Scenario: Headers that are the router's to set are not the caller's
     Given a deployment
     When a caller sends a look request with forged headers
@@ -131,6 +138,12 @@
     When backend server p0 says that it drains
     Then 10 look requests all run on p1
 
+  Scenario: A slow answer is not asked for again where it is being made
+    Given a deployment
+    When backend server p0 says that it drains
+    Then 30 look requests all run on p1
+    And 1 look requests all run on p1 though it takes 400 ms
+
   Scenario: An address that another process took over is not used again
     Given a deployment
     When the address of p0 answers as another process
--- a/features/platform/steps/relaying_steps.py
+++ b/features/platform/steps/relaying_steps.py
@@ -87,6 +87,13 @@
         replica.event_ms = 10.0
 
 
+@given("streams of {events:d} events with {gap:d} ms between them")
+def step_impl(context, events, gap):
+    for replica in context.world.deployment.replicas_by_name.values():
+        replica.events = events
+        replica.event_ms = gap
+
+
 @when("a caller sends a {route} request")
 def step_impl(context, route):
     world = context.world
@@ -292,7 +299,13 @@
     assert context.was_cancelled
 
 
-@then("{count:d} look requests all run on {name}")
+@then("{count:d} look requests all run on {name} though it takes {delay:d} ms")
+def step_impl(context, count, name, delay):
+    context.world.deployment.replicas_by_name[name].delay_ms = delay
+    context.execute_steps(f"Then {count} look requests all run on {name}")
+
+
+@then("{count:d} look requests all run on {name:w}")
 def step_impl(context, count, name):
     world = context.world
     for replica in world.replicas():
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -131,6 +131,9 @@
         choice = self._choose(course)
         if is_failure(choice) or self._check_send(course) is not None:
             return None
+        if choice.backend.name in course.tried:
+            # It is at work on it already; a second run there would come later.
+            return None
         if not self._parts.retry_budget.spend_on_hedge(course.request.service.name):
             return None
         self._note(course.request, "hedge", "slow to begin")
