--- a/features/metrics/gateway_metrics.feature
+++ b/features/metrics/gateway_metrics.feature
@@ -15,7 +15,7 @@
       | stoatpath_log_lines_dropped_total                                                                 | 0     |
 
   Scenario: An event loop that was held up shows it
-    When the event loop is held up for 300 ms
+    When the event loop is held up for 400 ms
     Then its lag over 100 ms was counted
 
   Scenario: The retry budget that is left is shown by service
