--- a/stoatpath/measure/prompt_engines.py
+++ b/stoatpath/measure/prompt_engines.py
@@ -69,12 +69,12 @@
         self._free_ms = 0.0
         self._cached = OrderedDict()
         self._cached_tokens = 0
-        self._open = set()
+        self._open = {}
 
     def accept(self, job):
         """Queue a job."""
         job.engine = self
-        self._open.add(job)
+        self._open[job] = None
         fresh = self._read(job)
         self.read_tokens += fresh
         read_ms = fresh * job.pace / (READ_PER_MS * READING_PART)
@@ -84,8 +84,8 @@
     def lose(self):
         """Crash: end everything unfinished."""
         self.is_lost = True
-        jobs, self._open = self._open, set()
-        for job in sorted(jobs, key=id):
+        jobs, self._open = self._open, {}
+        for job in jobs:
             job.on_end(job)
 
     def _read(self, job):
@@ -111,7 +111,7 @@
         if job not in self._open:
             return
         if not job.on_head(job):
-            self._open.discard(job)
+            self._open.pop(job, None)
             job.on_end(job)
             return
         due_ms = self._events.now_ms + job.tokens * STEP_MS / READING_PART
@@ -119,6 +119,6 @@
 
     def _end(self, job):
         if job in self._open:
-            self._open.discard(job)
+            self._open.pop(job, None)
             job.is_whole = True
             job.on_end(job)
