Stop: a cancellation that a time-out swallowed is sent again

Cause: on Python 3.11 aiohttp takes a cancellation that meets its own time-out for that time-out; the task that follows a silent store then went on, and the stop of a gateway waited for it for ever (until the platform's SIGKILL). Brought about again: 20 runs of the folder on four cores hung twice, 24 of two features once; a dump of the tasks showed the follower in a read, uncancelled, and cancel_and_wait waiting for it, each time at the end of a scenario in which the store answers nothing. Ruled out: load alone (the reads went on by the clock); an endless loop of a test. Change: cancel_and_wait cancels again after 0.5 s what still runs; errors of tasks that are being stopped are logged. Test: a task that misses its first cancellation; failed first.

--- a/stoatpath/feeds/features/feeds.feature
+++ b/stoatpath/feeds/features/feeds.feature
@@ -62,3 +62,13 @@
     When 40 changes come within 400 ms
     Then the copy has the new value within a few reads
     And no more than 30 reads were made
+
+  Scenario: A task that misses its cancellation is cancelled again
+    Given a task whose first cancellation is taken for a time-out
+    When it is stopped
+    Then it has ended, and so has the stop
+
+  Scenario: An error of a task that is being stopped is logged
+    Given a task that fails when it is cancelled
+    When it is stopped
+    Then the log names the error
--- a/stoatpath/feeds/features/steps/feed_steps.py
+++ b/stoatpath/feeds/features/steps/feed_steps.py
@@ -1,6 +1,7 @@
 """Steps about copies of the store's tables."""
 
 import asyncio
+import logging
 import random
 
 from behave import given, then, when
@@ -13,11 +14,13 @@
 from stoatpath.platform.row_stores import RowStore, StoredRow
 from stoatpath.standins.faults import Fault
 from stoatpath.standins.row_stores import RowStoreStandin
+from stoatpath.utils import cancel_and_wait
 
 TABLE = "desk"
 WAIT_MS = 100
 GATHER_MS = 40
 MOST_READS = 12
+HANG_S = 5
 
 
 class Reach(Reachability):
@@ -282,3 +285,62 @@
 @then("no more than {most:d} reads were made")
 def step_impl(context, most):
     assert len(context.world.store.calls) <= most, context.world.store.calls
+
+
+async def miss_first_cancellation():
+    """Go on after the first cancellation, as a library does that mistakes it."""
+    try:
+        await asyncio.Event().wait()
+    except asyncio.CancelledError:
+        pass
+    await asyncio.Event().wait()
+
+
+async def fail_when_cancelled():
+    try:
+        await asyncio.Event().wait()
+    except asyncio.CancelledError:
+        raise ValueError("a half-written page") from None
+
+
+@given("a task whose first cancellation is taken for a time-out")
+def step_impl(context):
+    context.job = miss_first_cancellation
+
+
+@given("a task that fails when it is cancelled")
+def step_impl(context):
+    context.job = fail_when_cancelled
+
+
+@when("it is stopped")
+def step_impl(context):
+    async def stop():
+        context.task = asyncio.create_task(context.job())
+        await asyncio.sleep(0)
+        stopping = asyncio.create_task(cancel_and_wait([context.task]))
+        # A bound that only a stop that hangs reaches.
+        await asyncio.wait([stopping], timeout=HANG_S)
+        context.is_stopped = stopping.done()
+        context.has_ended = context.task.done()
+
+    context.lines = []
+    handler = logging.Handler()
+    handler.emit = context.lines.append
+    logger = logging.getLogger("stoatpath.utils")
+    logger.addHandler(handler)
+    try:
+        asyncio.run(stop())
+    finally:
+        logger.removeHandler(handler)
+
+
+@then("it has ended, and so has the stop")
+def step_impl(context):
+    assert context.has_ended and context.is_stopped
+
+
+@then("the log names the error")
+def step_impl(context):
+    (line,) = context.lines
+    assert line.msg == "task.failed" and "half-written" in line.why, line.why
--- a/stoatpath/utils.py
+++ b/stoatpath/utils.py
@@ -1,11 +1,16 @@
 """Small helpers shared by all slices."""
 
 import asyncio
+import logging
 import secrets
 
 import msgspec
 from xxhash import xxh3_64_intdigest
 
+logger = logging.getLogger(__name__)
+
+# Cleaning up after a cancellation takes less.
+CANCEL_AGAIN_S = 0.5
 _encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder()
 
@@ -38,7 +43,19 @@
 
 
 async def cancel_and_wait(tasks):
-    """Cancel tasks and return once all of them have ended."""
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+    """Cancel tasks and return once all of them have ended.
+
+    aiohttp takes a cancellation that meets its own time-out for that time-out, and the
+    task goes on; so the ones that still run are cancelled again.
+    """
+    pending = set(tasks)
+    while pending:
+        for task in pending:
+            task.cancel()
+        ended, pending = await asyncio.wait(pending, timeout=CANCEL_AGAIN_S)
+        for task in ended:
+            if not task.cancelled() and task.exception() is not None:
+                why = repr(task.exception())
+                logger.warning(
+                    "task.failed", extra={"task": task.get_name(), "why": why}
+                )
