Retries choose their release anew, so a completed roll-out breaks no stream (LOST)

The log of front-ba-coast-27 shows the cause: the roll-out was completed at 25.27 s, which stops the servers of the old release at once. The stream on one of them was found silent at 26.1 s and sent again, by the choice of releases made when it had arrived, in the canary phase: to the old release first, whose servers were still listed. The second of them refused the connection, and the retry budget was spent. Ruled out: a cut by the change of the configuration at 21.5 s (it only makes the rule count), the route's time (7 of 20 s used). Change: each attempt chooses the release anew, by the newest state of the roll-out.

--- a/stoatpath/dispatch/relay_policies.py
+++ b/stoatpath/dispatch/relay_policies.py
@@ -42,7 +42,12 @@
         )
 
     def candidates(self, request, version, relay):
-        """Return the backend servers with a release that may run the request."""
+        """Return the backend servers with a release that may run the request.
+
+        The roll-out may have gone on since the request arrived, so a retry or a resumed
+        stream chooses anew: a completed roll-out stops the servers of the old release.
+        """
+        request.releases = self._router.releases.choose(request)
         backends = self._router.backends.of_service(request.service.name)
         return request.releases.select(backends)
 
