--- a/features/platform/deploy_files.feature
+++ b/features/platform/deploy_files.feature
@@ -31,7 +31,7 @@
   Scenario: Roles that can't share a machine are reported
     Given a deploy file with 3 roles on one class that all serve front
     When it is checked
-    Then there are 2 problems
+    Then there are 3 problems
 
   Scenario: All problems of both files are reported at once
     Given a deploy file in which build is ""
--- a/stoatpath/feeds/followers.py
+++ b/stoatpath/feeds/followers.py
@@ -6,11 +6,15 @@
 from stoatpath.feeds.copies import TableCopy
 from stoatpath.outcomes import is_failure
 from stoatpath.platform.row_stores import RowPage
+from stoatpath.utils import cancel_and_wait
 
 logger = logging.getLogger(__name__)
 
-BACKOFF_BASE_MS = 100.0
+# The first pause after a problem, as a share of the longest one.
+BACKOFF_BASE_SHARE = 0.125
 BACKOFF_CAP_MS = 800.0
+# After a longer pause the table is read whole, since the store keeps a short history.
+MAX_PAUSE_MS = 5_000.0
 END_OF_KEYS = "\0"
 
 
@@ -18,13 +22,20 @@
     """Reads a whole table, then follows its changes; reads it again after any gap.
 
     `on_changes` is called with the `RowChange`s of each read, in order. Nothing is
-    read while the event `is_enabled` is cleared. After a change, the next read is
-    delayed by `batch_delay_ms`, so that one call returns a series of changes.
+    read while the event `is_enabled` is cleared; updates from another instance may
+    still be applied. After a change, the next read is delayed by `batch_delay_ms`, so
+    that one call returns a series of changes. `on_answer` is called after each answer
+    of the store with the newest version of all its tables, and `on_failure` after each
+    failed call. `backoff_cap_ms` limits the
+    pause after repeated problems.
     """
 
     __slots__ = (
         "copy",
         "is_enabled",
+        "on_answer",
+        "on_failure",
+        "backoff_cap_ms",
         "_store",
         "_table",
         "_wait_ms",
@@ -33,8 +44,10 @@
         "_clock",
         "_random",
         "_on_changes",
-        "_is_synced",
+        "_has_gap",
         "_failures",
+        "_is_overdue",
+        "_poll_sent_ms",
     )
 
     def __init__(
@@ -59,8 +72,13 @@
         self._clock = clock
         self._random = random
         self._on_changes = on_changes
-        self._is_synced = False
+        self.on_answer = lambda version: None
+        self.on_failure = lambda: None
+        self.backoff_cap_ms = BACKOFF_CAP_MS
+        self._has_gap = True
         self._failures = 0
+        self._is_overdue = asyncio.Event()
+        self._poll_sent_ms = None
 
     def set_times(self, wait_ms, batch_delay_ms):
         """Set how long a read waits for changes, and the delay after a change."""
@@ -71,10 +89,40 @@
         """Follow the table until cancelled."""
         while True:
             if not self.is_enabled.is_set():
-                self._is_synced = False
                 await self.is_enabled.wait()
+                if self.copy.age_ms(self._clock.now_ms()) > MAX_PAUSE_MS:
+                    self._has_gap = True
             await self.step()
 
+    def apply_update(self, update, as_of_ms):
+        """Apply a `TableUpdate` of another instance, unless it is older than the copy.
+
+        `as_of_ms` is a clock reading no later than the store's answer behind it.
+        """
+        if self.copy.is_known and update.version < self.copy.version:
+            return
+        if not update.is_whole and not self.copy.is_known:
+            return
+        apply = (
+            self.copy.apply_full_read if update.is_whole else (self.copy.apply_changes)
+        )
+        changes = apply(
+            update.rows, update.version, as_of_ms, update.confirmed_store_ms
+        )
+        self._has_gap = False
+        self._report_changes(changes)
+
+    def check_version(self, version, max_wait_ms):
+        """Replace a long poll that waits on although the store has a newer version.
+
+        A change of another table also raises the version of the store. The poll may
+        wait for `max_wait_ms`; its connection may have become unresponsive.
+        """
+        if self._poll_sent_ms is None or version <= self.copy.version:
+            return
+        if self._clock.now_ms() - self._poll_sent_ms >= max_wait_ms:
+            self._is_overdue.set()
+
     async def step(self):
         """Read once; after a problem, wait for an exponential backoff with jitter.
 
@@ -86,33 +134,57 @@
         if problem is None:
             self._failures = 0
             return
-        self._is_synced = False
+        self._has_gap = True
         if is_failure(problem):
             self._reachability.record_failure(problem, now_ms)
-        limit_ms = min(BACKOFF_CAP_MS, BACKOFF_BASE_MS * 2**self._failures)
+            self.on_failure()
+        base_ms = BACKOFF_BASE_SHARE * self.backoff_cap_ms
+        limit_ms = min(self.backoff_cap_ms, base_ms * 2**self._failures)
         self._failures += 1
         pause_ms = limit_ms * self._random.uniform(0.5, 1.0)
         await self._clock.sleep_until(now_ms + pause_ms)
 
     async def _read(self, sent_ms):
         """Read once; return None, a failure, or the answer that the history is gone."""
-        if not self._is_synced:
+        if self._has_gap:
             return await self._read_table(sent_ms)
-        page = await self._store.wait_for_changes(
-            self._table, self.copy.version, self._wait_ms
-        )
+        page = await self._poll(sent_ms)
         if not isinstance(page, RowPage):
             return self._log_gap(page)
         as_of_ms = self._record_answer(page, sent_ms)
-        self._report_changes(self.copy.apply_changes(page.rows, page.version, as_of_ms))
+        self._report_changes(
+            self.copy.apply_changes(page.rows, page.version, as_of_ms, page.store_ms)
+        )
+        self.on_answer(page.version)
         if page.rows:
             await self._clock.sleep_until(self._clock.now_ms() + self._batch_delay_ms)
         return None
 
+    async def _poll(self, sent_ms):
+        """Wait for changes; once the poll is overdue, ask anew without waiting."""
+        self._is_overdue.clear()
+        self._poll_sent_ms = sent_ms
+        poll = asyncio.create_task(self._wait_for_changes(self._wait_ms))
+        overdue = asyncio.create_task(self._is_overdue.wait())
+        try:
+            await asyncio.wait({poll, overdue}, return_when=asyncio.FIRST_COMPLETED)
+            if poll.done():
+                return poll.result()
+            return await self._wait_for_changes(0)
+        finally:
+            self._poll_sent_ms = None
+            await cancel_and_wait([poll, overdue])
+
+    async def _wait_for_changes(self, wait_ms):
+        return await self._store.wait_for_changes(
+            self._table, self.copy.version, wait_ms
+        )
+
     async def _read_table(self, sent_ms):
         rows = []
         version = None
         as_of_ms = None
+        as_of_store_ms = None
         start_key = ""
         while True:
             page = await self._store.read(self._table, start_key)
@@ -123,12 +195,16 @@
             # Later pages may be newer; following from the first page's version
             # reads the changes made in between again.
             version = page.version if version is None else version
-            as_of_ms = page_as_of_ms if as_of_ms is None else as_of_ms
+            if as_of_ms is None:
+                as_of_ms, as_of_store_ms = page_as_of_ms, page.store_ms
             if page.is_last or not page.rows:
                 break
             start_key = page.rows[-1].key + END_OF_KEYS
-        self._is_synced = True
-        self._report_changes(self.copy.apply_full_read(rows, version, as_of_ms))
+        self._has_gap = False
+        self._report_changes(
+            self.copy.apply_full_read(rows, version, as_of_ms, as_of_store_ms)
+        )
+        self.on_answer(version)
         return None
 
     def _record_answer(self, page, sent_ms):
--- a/stoatpath/feeds/reachability.py
+++ b/stoatpath/feeds/reachability.py
@@ -40,7 +40,7 @@
         """
         self._clock_bound.update_bound(sent_ms, store_ms)
         self._record_return(now_ms)
-        return min(now_ms, self._clock_bound.earliest_ms(store_ms))
+        return self.local_ms(store_ms, now_ms)
 
     def _record_return(self, now_ms):
         if self.outage_start_ms is None:
@@ -58,6 +58,22 @@
             self.outage_start_ms = now_ms
             logger.warning("store.lost", extra={"why": failure.detail})
 
+    def record_relayed_answer(self, sent_ms, answer):
+        """Record what the `TablesAnswer` of another instance tells of the store."""
+        if answer.store_ms is None:
+            return
+        self._clock_bound.update_bound(sent_ms, answer.store_ms)
+        if answer.outage_end_store_ms is None:
+            return
+        end_ms = self._clock_bound.earliest_ms(answer.outage_end_store_ms)
+        if end_ms > self.outage_end_ms:
+            self.outage_end_ms = end_ms
+            self.outage_duration_ms = answer.outage_duration_ms
+
+    def local_ms(self, store_ms, now_ms):
+        """Return a clock reading no later than a reading of the store's clock."""
+        return min(now_ms, self._clock_bound.earliest_ms(store_ms))
+
     def store_ms(self, now_ms):
         """Return the latest possible reading of the store's clock, or None."""
         return self._clock_bound.store_ms(now_ms)
--- /dev/null
+++ b/stoatpath/feeds/relays.py
@@ -0,0 +1,420 @@
+"""Keeps the copies of all tables up to date, from another instance or the store.
+
+Reading the store has a price for each call, so one instance reads it and the others
+copy its tables along a tree (see `feeds.sources`). Every copy is dated by the store's
+answer behind it, not by when it was passed on. An instance whose copies are not
+confirmed in time selects another source, and soon after reads the store itself.
+"""
+
+import asyncio
+import logging
+
+from stoatpath.feeds.copies import NEVER_MS
+from stoatpath.feeds.messages import TablesAnswer, TablesRequest, TableUpdate
+from stoatpath.membership.messages import LEAVING
+from stoatpath.outcomes import CONNECT_FAILED, Failure, is_failure
+
+logger = logging.getLogger(__name__)
+
+TABLES_TOPIC = "tables"
+# Shares of the bound on the time from a change in the store to its effect everywhere.
+# The reader's polls confirm the tables each `POLL_SHARE`. An instance without a
+# confirmation selects another source after `RESELECT_SHARE`; each level of the tree
+# waits a little longer, so that a new source of the level above can provide it first.
+# After `DIRECT_SHARE` it reads the store; the rest of the bound is left for that read.
+POLL_SHARE = 0.2
+RESELECT_SHARE = 0.35
+RESELECT_SHARE_PER_LEVEL = 0.05
+DIRECT_SHARE = 0.6
+# Time for an answer to travel beyond the time that its sender may wait, as a share.
+TRAVEL_SHARE = 0.1
+MIN_HOLD_MS = 50.0
+MAX_HOLD_MS = 5_000.0
+RESELECT_PERIOD_MS = 500.0
+JOIN_CHECK_PERIOD_MS = 25.0
+CHECK_PERIOD_MS = 100.0
+FAILURE_PAUSE_MS = 50.0
+# Longest pauses between reads in an outage: the first instance tells the others when
+# the store is back.
+FIRST_BACKOFF_CAP_MS = 400.0
+OTHERS_BACKOFF_CAP_MS = 3_000.0
+
+
+class TableRelay:
+    """Follows a source, answers followers, and decides when to read the store.
+
+    `followers_by_table` are the `TableFollower`s, in the order in which updates are
+    applied. The confirmations of the table `lead` count for the whole. `bound_ms` is
+    the time within which each change must be known. `sessions` are `SharedSessions`,
+    which travel with the tables in both directions. Until `first_read_ms`, a clock
+    reading, the store is not read, so that instances which start together find each
+    other.
+    """
+
+    __slots__ = (
+        "source",
+        "is_reading_store",
+        "relayed_answers",
+        "_followers_by_table",
+        "_lead_table",
+        "_lead",
+        "_bound_ms",
+        "_first_read_ms",
+        "_selector",
+        "_members",
+        "_client",
+        "_reachability",
+        "_clock",
+        "_random",
+        "_sessions",
+        "_source_sessions_digest",
+        "_disabled_tables",
+        "_asked_name",
+        "_asks_any",
+        "_news",
+    )
+
+    def __init__(
+        self,
+        followers_by_table,
+        lead,
+        bound_ms,
+        first_read_ms,
+        selector,
+        members,
+        client,
+        server,
+        reachability,
+        clock,
+        random,
+        sessions,
+    ):
+        self.source = None
+        self.is_reading_store = False
+        self.relayed_answers = 0
+        self._followers_by_table = followers_by_table
+        self._lead_table = lead
+        self._lead = followers_by_table[lead]
+        self._bound_ms = bound_ms
+        self._first_read_ms = first_read_ms
+        self._selector = selector
+        self._members = members
+        self._client = client
+        self._reachability = reachability
+        self._clock = clock
+        self._random = random
+        self._sessions = sessions
+        self._source_sessions_digest = ""
+        self._disabled_tables = set()
+        self._asked_name = None
+        self._asks_any = False
+        self._news = asyncio.Event()
+        server.register(TABLES_TOPIC, self._handle_request)
+        for follower in followers_by_table.values():
+            follower.is_enabled.clear()
+            follower.on_answer = self._handle_store_answer
+            follower.on_failure = self._update_followers
+
+    def set_bound(self, bound_ms):
+        """Set the time within which each change must be known."""
+        self._bound_ms = bound_ms
+
+    def set_enabled(self, table, is_enabled):
+        """Set whether a table is read from the store at all."""
+        if is_enabled:
+            self._disabled_tables.discard(table)
+        else:
+            self._disabled_tables.add(table)
+        self._update_followers()
+
+    def announce_leaving(self):
+        """Make the followers of this instance select another source at once."""
+        self._notify_followers()
+
+    async def run(self):
+        """Keep the copies up to date until cancelled."""
+        watch = asyncio.create_task(self._watch_age())
+        try:
+            while True:
+                await self.step()
+        finally:
+            watch.cancel()
+
+    async def step(self):
+        """Ask the source once, or read the store as the first instance."""
+        now_ms = self._clock.now_ms()
+        if self._is_cut_off():
+            await self._ask_around(now_ms)
+            return
+        source = self._selector.select(now_ms)
+        if source is None and now_ms < self._first_read_ms:
+            await self._clock.sleep_until(now_ms + JOIN_CHECK_PERIOD_MS)
+            return
+        if source is None:
+            if self.source is not None or not self.is_reading_store:
+                self._set_source(None, "no other instance ranks higher")
+            await self._clock.sleep_until(now_ms + RESELECT_PERIOD_MS)
+            return
+        if self.source is None or self.source.name != source.name:
+            self._set_source(source, "it ranks higher")
+        if await self._follow(source, now_ms):
+            self._set_reading_store(False)
+
+    def _is_cut_off(self):
+        """Return whether neither a source nor the store has confirmed the tables."""
+        is_out = self._reachability.outage_start_ms is not None
+        is_late = self.copy_age_ms() >= DIRECT_SHARE * self._bound_ms
+        return self.is_reading_store and is_out and is_late
+
+    async def _ask_around(self, now_ms):
+        """Ask the source and any other instance in turn, whoever has news first."""
+        self._asks_any = not self._asks_any
+        source = self._selector.select_regardless()
+        if source is None or self._asks_any:
+            source = self._selector.select_any(now_ms, self._random)
+        if source is None:
+            await self._clock.sleep_until(now_ms + RESELECT_PERIOD_MS)
+            return
+        answer = await self._ask(source, now_ms, POLL_SHARE * self._bound_ms)
+        if is_failure(answer):
+            self._reject_source(source, answer.detail)
+            await self._clock.sleep_until(self._clock.now_ms() + FAILURE_PAUSE_MS)
+        elif self._apply(answer, now_ms):
+            logger.info("tables.news", extra={"source": source.name})
+
+    async def _follow(self, source, now_ms):
+        """Ask a source once; return whether it confirms the tables more recently."""
+        is_new = source.name != self._asked_name
+        self._asked_name = source.name
+        answer = await self._ask(
+            source, now_ms, 0.0 if is_new else self._hold_ms(now_ms)
+        )
+        if is_failure(answer):
+            self._reject_source(source, answer.detail)
+            await self._clock.sleep_until(self._clock.now_ms() + FAILURE_PAUSE_MS)
+            return False
+        if is_new and self._is_behind(answer):
+            self._reject_source(source, "it is behind")
+            await self._clock.sleep_until(self._clock.now_ms() + FAILURE_PAUSE_MS)
+            return False
+        is_newer = self._apply(answer, now_ms)
+        if not is_newer and not is_new and self._is_source_overdue():
+            self._reject_source(source, "it has no newer confirmation")
+        elif answer.is_leaving:
+            self._reject_source(source, "it is leaving")
+        return is_newer
+
+    async def _ask(self, source, now_ms, hold_ms):
+        """Return the `TablesAnswer` of a source, or a failure."""
+        request = TablesRequest(
+            {
+                table: follower.copy.version
+                for table, follower in self._followers_by_table.items()
+                if follower.copy.is_known
+            },
+            self._lead.copy.confirmed_store_ms,
+            hold_ms,
+            self._sessions.digest(),
+            self._sessions_unless(self._source_sessions_digest),
+        )
+        timeout_ms = hold_ms + TRAVEL_SHARE * self._bound_ms
+        answer = await self._client.ask(
+            source.address, TABLES_TOPIC, request.to_json(), timeout_ms
+        )
+        if is_failure(answer):
+            return answer
+        try:
+            answer = TablesAnswer.from_json(answer)
+            self._sessions.merge(answer.sessions or {})
+            self._source_sessions_digest = answer.sessions_digest
+            return answer
+        except ValueError as error:
+            return Failure(CONNECT_FAILED, str(error))
+
+    def _is_behind(self, answer):
+        """Return whether a source was confirmed over a poll earlier than this copy."""
+        if not self._lead.copy.is_known:
+            return False
+        update = answer.updates_by_table.get(self._lead_table)
+        limit_ms = self._lead.copy.confirmed_store_ms - POLL_SHARE * self._bound_ms
+        return update is None or update.confirmed_store_ms < limit_ms
+
+    def _is_source_overdue(self):
+        confirmed_ms = self._lead.copy.confirmed_ms
+        if not self._lead.copy.is_known:
+            confirmed_ms = self._first_read_ms
+        return self._clock.now_ms() >= confirmed_ms + self._reselect_after_ms()
+
+    def _hold_ms(self, now_ms):
+        """Return how long the source may wait before it answers without news."""
+        full_ms = RESELECT_SHARE * self._bound_ms
+        if self.is_reading_store:
+            return full_ms
+        if not self._lead.copy.is_known:
+            due_ms = self._first_read_ms + self._reselect_after_ms()
+            return max(MIN_HOLD_MS, due_ms - now_ms)
+        due_ms = self._lead.copy.confirmed_ms + self._reselect_after_ms()
+        return min(full_ms, max(MIN_HOLD_MS, due_ms - now_ms))
+
+    def _apply(self, answer, sent_ms):
+        """Apply an answer; return whether it confirms the tables more recently."""
+        self.relayed_answers += 1
+        before_store_ms = self._lead.copy.confirmed_store_ms
+        self._reachability.record_relayed_answer(sent_ms, answer)
+        for table, follower in self._followers_by_table.items():
+            update = answer.updates_by_table.get(table)
+            if update is not None:
+                now_ms = self._clock.now_ms()
+                as_of_ms = self._reachability.local_ms(
+                    update.confirmed_store_ms, now_ms
+                )
+                follower.apply_update(update, as_of_ms)
+        is_newer = self._lead.copy.confirmed_store_ms > before_store_ms
+        if is_newer:
+            self._notify_followers()
+        return is_newer
+
+    async def _watch_age(self):
+        """Read the store whenever the copies are not confirmed in time."""
+        while True:
+            due_ms = self._lead.copy.confirmed_ms + DIRECT_SHARE * self._bound_ms
+            if not self._lead.copy.is_known:
+                due_ms = self._first_read_ms + DIRECT_SHARE * self._bound_ms
+            now_ms = self._clock.now_ms()
+            if now_ms >= due_ms:
+                self._set_reading_store(True, "no confirmation in time")
+                due_ms = now_ms + CHECK_PERIOD_MS
+            await self._clock.sleep_until(due_ms)
+
+    def copy_age_ms(self):
+        """Return how long ago the tables were confirmed."""
+        return self._lead.copy.age_ms(self._clock.now_ms())
+
+    def _reselect_after_ms(self):
+        depth = self._selector.depth(self._clock.now_ms())
+        share = RESELECT_SHARE + RESELECT_SHARE_PER_LEVEL * max(0, depth - 1)
+        return min(share, DIRECT_SHARE) * self._bound_ms
+
+    def _set_source(self, source, reason):
+        self.source = source
+        name = None if source is None else source.name
+        logger.info("tables.source", extra={"source": name, "why": reason})
+        if source is None:
+            self._set_reading_store(True, reason)
+
+    def _reject_source(self, source, reason):
+        self._selector.exclude(source.name, self._clock.now_ms())
+        self._asked_name = None
+        logger.info(
+            "tables.source-rejected",
+            extra={
+                "source": source.name,
+                "why": reason,
+                "age_ms": _rounded(self.copy_age_ms()),
+            },
+        )
+
+    def _set_reading_store(self, is_reading, reason="the source has news again"):
+        if is_reading != self.is_reading_store:
+            self.is_reading_store = is_reading
+            logger.info(
+                "tables.reading-store",
+                extra={
+                    "is_reading": is_reading,
+                    "why": reason,
+                    "age_ms": _rounded(self.copy_age_ms()),
+                },
+            )
+        self._update_followers()
+
+    def _update_followers(self):
+        is_first = self._selector.select_regardless() is None
+        is_out = self._reachability.outage_start_ms is not None
+        for table, follower in self._followers_by_table.items():
+            follower.backoff_cap_ms = (
+                FIRST_BACKOFF_CAP_MS if is_first else OTHERS_BACKOFF_CAP_MS
+            )
+            # In an outage, reads of one table tell when the store is back.
+            is_needed = table not in self._disabled_tables and not (
+                is_out and follower is not self._lead
+            )
+            if self.is_reading_store and is_needed:
+                follower.is_enabled.set()
+            else:
+                follower.is_enabled.clear()
+
+    def _handle_store_answer(self, version):
+        """Pass on an answer of the store; detect polls that missed a change."""
+        for follower in self._followers_by_table.values():
+            follower.check_version(version, POLL_SHARE * self._bound_ms)
+        self._update_followers()
+        self._notify_followers()
+
+    def _notify_followers(self):
+        self._news.set()
+        self._news = asyncio.Event()
+
+    async def _handle_request(self, message):
+        request = TablesRequest.from_json(message)
+        self._sessions.merge(request.sessions or {})
+        deadline_ms = self._clock.now_ms() + min(request.wait_ms, MAX_HOLD_MS)
+        while not self._has_news(request):
+            left_ms = deadline_ms - self._clock.now_ms()
+            if left_ms <= 0 or self._is_leaving():
+                break
+            try:
+                async with asyncio.timeout(left_ms / 1000):
+                    await self._news.wait()
+            except TimeoutError:
+                break
+        return self._build_answer(request).to_json()
+
+    def _has_news(self, request):
+        if self._lead.copy.confirmed_store_ms > request.confirmed_store_ms:
+            return True
+        if self._sessions.digest() != request.sessions_digest:
+            return True
+        return any(
+            follower.copy.is_known
+            and follower.copy.version > request.versions_by_table.get(table, -1)
+            for table, follower in self._followers_by_table.items()
+        )
+
+    def _build_answer(self, request):
+        reachability = self._reachability
+        outage_end_store_ms = outage_duration_ms = None
+        if reachability.outage_end_ms != NEVER_MS:
+            outage_end_store_ms = reachability.store_ms(reachability.outage_end_ms)
+            outage_duration_ms = reachability.outage_duration_ms
+        updates_by_table = {}
+        for table, follower in self._followers_by_table.items():
+            known_version = request.versions_by_table.get(table)
+            is_newer_there = (known_version or 0) > follower.copy.version
+            if follower.copy.is_known and not is_newer_there:
+                updates_by_table[table] = TableUpdate.from_copy(
+                    follower.copy, known_version
+                )
+        return TablesAnswer(
+            reachability.store_ms(self._clock.now_ms()),
+            outage_end_store_ms,
+            outage_duration_ms,
+            self._is_leaving(),
+            updates_by_table,
+            self._sessions.digest(),
+            self._sessions_unless(request.sessions_digest),
+        )
+
+    def _sessions_unless(self, known_digest):
+        """Return the wire form of the sessions, or None if the other side has them."""
+        return (
+            None
+            if self._sessions.digest() == known_digest
+            else (self._sessions.to_json())
+        )
+
+    def _is_leaving(self):
+        return self._members.local.state == LEAVING
+
+
+def _rounded(age_ms):
+    return None if age_ms == float("inf") else round(age_ms)
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -25,8 +25,14 @@
 from stoatpath.explanations.request_logs import RequestLog
 from stoatpath.feeds.followers import TableFollower
 from stoatpath.feeds.reachability import Reachability
+from stoatpath.feeds.relays import POLL_SHARE, TableRelay
+from stoatpath.feeds.sources import SourceSelector
 from stoatpath.gateway_metrics import gateway_samples
 from stoatpath.membership.directories import BackendDirectory
+from stoatpath.membership.gossip import Gossip
+from stoatpath.membership.members import MemberTable
+from stoatpath.membership.messages import LIVE, Member
+from stoatpath.membership.peers import PeerClient, PeerServer, PeerSigner
 from stoatpath.metrics import MetricsServer
 from stoatpath.outcomes import WRONG_PROCESS, is_failure
 from stoatpath.platform import documents, names
@@ -42,26 +48,36 @@
 
 logger = logging.getLogger(__name__)
 
-# Wait of one long poll for operator rows, as a share of `revoke_ms`. Keys are accepted
-# for 0.9 of `revoke_ms` after the last answer (see `RouteGuard`), so they are served
-# for at least 0.6 of it after the store is lost, which is as long as is required.
-OPERATOR_WAIT_SHARE = 0.3
 # Wait of one long poll for statuses, as a share of `rollback_ms`. A read on an
 # unresponsive connection then times out in time for a roll-back.
 STATUS_WAIT_SHARE = 0.5
-# Lower limit of both waits, since all instances share the store's rate limits. Lower
-# bounds (`revoke_ms`, `rollback_ms`) that need a shorter wait are not met.
+# Shares of `revoke_ms` and `rollback_ms` within which changes must be known everywhere;
+# what follows a change (requests on their way, further bad answers) needs the rest.
+REVOKE_KNOWN_SHARE = 0.5
+ROLLBACK_KNOWN_SHARE = 0.5
+# Lower limit of waits, since all instances share the store's rate limits. Lower bounds
+# that need a shorter wait are not met.
 MIN_WAIT_MS = 50
 # No bound limits the age of the list of backend servers while it does not change.
 SERVERS_WAIT_MS = 4_000
 # Delay between a change and the next read, so that one read returns several changes:
-# backend servers change in series while a fleet starts or shrinks. For these the delay
-# is half of `drain_ms`; the other half is left for the read itself. The delays of
-# roll-out orders and statuses are short, since these are urgent.
+# backend servers change in series while a fleet starts or shrinks. For these it is a
+# share of `drain_ms`. The delays of roll-out orders and statuses are short, since these
+# are urgent.
 OPERATOR_BATCH_DELAY_MS = 200
-SERVERS_BATCH_DELAY_SHARE = 0.5
+SERVERS_BATCH_DELAY_SHARE = 0.1
 STATUS_BATCH_DELAY_MS = 50
 MAINTENANCE_PERIOD_MS = 250.0
+# Time that an instance spends on finding others before it reads the store, if all start
+# at the same time, which is long before the first request, and otherwise.
+FIRST_START_JOIN_MS = 1_500.0
+JOIN_MS = 100.0
+# A starting instance contacts others more often than in regular gossip rounds.
+JOIN_ROUNDS_UNTIL_MS = 4_000.0
+JOIN_ROUND_PERIOD_MS = 500.0
+# Changes of members are not urgent: sources are judged by their answers.
+GOSSIP_PERIOD_MS = 2_500.0
+GATEWAY_ROLE = "gateway"
 # A process has 4,100 file descriptors: 200 are for files, and what callers leave is for
 # connections to backend servers and the store.
 MAX_CONNECTIONS = 3_000
@@ -115,6 +131,11 @@
         "operator_rows",
         "server_rows",
         "status_rows",
+        "members",
+        "peer_server",
+        "peer_client",
+        "gossip",
+        "tables",
         "_tasks",
     )
 
@@ -129,6 +150,7 @@
         self.backends = BackendDirectory(documents.decode_backend, self.reachability)
         self.releases = self._build_releases()
         self._build_followers()
+        self._build_peers()
         self.guard = RouteGuard(self.routes, boot.fails_closed, boot.revoke_ms, clock)
         self._build_request_path()
         self.ready_server = ReadyServer(self.is_ready)
@@ -165,7 +187,55 @@
         self.status_rows = self._build_follower(
             names.STATUS_TABLE, self._apply_status_rows
         )
-        self.status_rows.is_enabled.clear()
+
+    def _build_peers(self):
+        """Build what instances tell each other; they are on a network of their own."""
+        boot = self.boot
+        signer = PeerSigner({})
+        self.peer_server = PeerServer(signer, self.clock)
+        self.peer_client = PeerClient(signer, self.clock)
+        incarnation = self.clock.wall_ms()
+        self.members = MemberTable(
+            Member(
+                boot.instance,
+                GATEWAY_ROLE,
+                boot.peer_address,
+                boot.zone,
+                incarnation,
+                LIVE,
+            )
+        )
+        self.gossip = Gossip(
+            self.members,
+            self.peer_client,
+            self.peer_server,
+            self.clock,
+            self.random,
+            push_period_ms=GOSSIP_PERIOD_MS,
+            period_ms=GOSSIP_PERIOD_MS,
+        )
+        seeds = [seed for seed in boot.peer_seeds if seed != boot.peer_address]
+        self.gossip.contacts.add_seed_addresses(seeds)
+        join_ms = FIRST_START_JOIN_MS if boot.is_first_start else JOIN_MS
+        self.tables = TableRelay(
+            {
+                names.OPERATOR_TABLE: self.operator_rows,
+                names.SERVERS_TABLE: self.server_rows,
+                names.STATUS_TABLE: self.status_rows,
+            },
+            names.OPERATOR_TABLE,
+            knowledge_bound_ms(boot),
+            self.clock.now_ms() + (join_ms if seeds else 0.0),
+            SourceSelector(self.members),
+            self.members,
+            self.peer_client,
+            self.peer_server,
+            self.reachability,
+            self.clock,
+            self.random,
+            self.releases.shared_sessions,
+        )
+        self.tables.set_enabled(names.STATUS_TABLE, False)
 
     def _build_follower(self, table, on_changes):
         return TableFollower(
@@ -216,7 +286,11 @@
     async def start(self, metrics_address=None):
         """Start all tasks and listen."""
         await self.backend_client.start()
+        await self.peer_server.start(self.boot.peer_address)
+        self.members.local.address = self.peer_server.address
         coroutines = (
+            self._run_gossip(),
+            self.tables.run(),
             self.operator_rows.run(),
             self.server_rows.run(),
             self.status_rows.run(),
@@ -233,6 +307,8 @@
 
     async def stop(self):
         """Stop gracefully; return whether all requests ended in the grace period."""
+        self.members.leave()
+        self.tables.announce_leaving()
         is_clean = await Drain(self).run()
         await self._close()
         return is_clean
@@ -248,6 +324,8 @@
         await self.ready_server.stop()
         await self.metrics.stop()
         await self.backend_client.close()
+        await self.peer_server.stop()
+        await self.peer_client.close()
         await self.store.close()
 
     def reload(self, boot):
@@ -263,6 +341,7 @@
             boot.retry_ratio, boot.retry_window_ms, boot.retry_slack
         )
         self.releases.registry.set_exposure(boot.exposure_share)
+        self.tables.set_bound(knowledge_bound_ms(boot))
         times_by_table = poll_times_by_table(boot)
         self.operator_rows.set_times(*times_by_table[names.OPERATOR_TABLE])
         self.server_rows.set_times(*times_by_table[names.SERVERS_TABLE])
@@ -324,10 +403,8 @@
 
     def _update_status_polling(self):
         """Poll statuses only while a roll-out is open, since each read has a price."""
-        if self.releases.registry.open_orders():
-            self.status_rows.is_enabled.set()
-        else:
-            self.status_rows.is_enabled.clear()
+        has_open_orders = bool(self.releases.registry.open_orders())
+        self.tables.set_enabled(names.STATUS_TABLE, has_open_orders)
 
     def _remove_reassigned(self, result):
         if result.reason is WRONG_PROCESS:
@@ -341,6 +418,15 @@
         limits.idle_timeout_ms = table.limits.idle_timeout_ms
         self.interface.bodies.max_bytes = table.limits.max_body_bytes
 
+    async def _run_gossip(self):
+        """Find the other instances quickly, then gossip at the regular pace."""
+        join_ends_ms = self.clock.now_ms() + JOIN_ROUNDS_UNTIL_MS
+        while self.boot.peer_seeds and self.clock.now_ms() < join_ends_ms:
+            due_ms = self.clock.now_ms() + JOIN_ROUND_PERIOD_MS
+            await self.gossip.run_round()
+            await self.clock.sleep_until(due_ms)
+        await self.gossip.run()
+
     async def _run_maintenance(self):
         """Do periodic work, and measure by how much the timer is late."""
         while True:
@@ -361,11 +447,21 @@
         self.gate.set_capacities(slots_by_service)
 
 
+def knowledge_bound_ms(boot):
+    """Return the time within which every instance must know a change in the store."""
+    return min(
+        boot.config_ms,
+        boot.drain_ms,
+        REVOKE_KNOWN_SHARE * boot.revoke_ms,
+        ROLLBACK_KNOWN_SHARE * boot.rollback_ms,
+    )
+
+
 def poll_times_by_table(boot):
     """Return the long-poll wait and the batch delay of each table, in ms."""
     return {
         names.OPERATOR_TABLE: (
-            max(MIN_WAIT_MS, int(OPERATOR_WAIT_SHARE * boot.revoke_ms)),
+            max(MIN_WAIT_MS, int(POLL_SHARE * knowledge_bound_ms(boot))),
             OPERATOR_BATCH_DELAY_MS,
         ),
         names.SERVERS_TABLE: (
--- /dev/null
+++ b/stoatpath/measure/relay_models.py
@@ -0,0 +1,319 @@
+"""A model of instances that copy the store's tables from each other, in virtual time.
+
+The instances run the code of gateways; the store and the network are simulated. All
+members know each other, and a failed one stays in everybody's list: gossip would only
+make failovers faster.
+"""
+
+import asyncio
+import random
+
+from stoatpath.feeds.followers import TableFollower
+from stoatpath.feeds.reachability import Reachability
+from stoatpath.feeds.relays import POLL_SHARE, TableRelay
+from stoatpath.feeds.sources import SourceSelector
+from stoatpath.measure.virtual_loops import VirtualClock
+from stoatpath.membership.members import MemberTable
+from stoatpath.membership.messages import LIVE, Member
+from stoatpath.outcomes import (
+    CONNECT_FAILED,
+    CONNECTION_REFUSED,
+    PLATFORM_UNAVAILABLE,
+    Failure,
+)
+from stoatpath.platform.row_stores import RowPage, StoredRow
+from stoatpath.sessions.shared_releases import SharedSessions
+from stoatpath.utils import cancel_and_wait, decode_json, encode_json
+
+TABLES = ("op", "servers")
+LEAD = "op"
+STORE_DELAY_MS = 4.0
+PEER_DELAY_MS = 2.0
+SERVERS_WAIT_MS = 4_000
+BATCH_DELAY_MS = 200.0
+SILENCE_S = 60.0
+CLOCK_SPREAD_MS = 1_000_000.0
+
+
+class ModelStore:
+    """Rows of two tables; counts the calls of all instances by name.
+
+    The store is unreachable for the instances in `unreachable_from`. Waiting polls of
+    the tables in `silent_polls` are never answered.
+    """
+
+    __slots__ = (
+        "calls_by_name",
+        "unreachable_from",
+        "silent_polls",
+        "_loop",
+        "_rows",
+        "_changed",
+    )
+
+    def __init__(self, loop):
+        self.calls_by_name = {}
+        self.unreachable_from = set()
+        self.silent_polls = set()
+        self._loop = loop
+        self._rows = []
+        self._changed = asyncio.Event()
+
+    @property
+    def version(self):
+        """The newest version of all tables."""
+        return len(self._rows)
+
+    @property
+    def calls(self):
+        """The number of calls of all instances."""
+        return sum(self.calls_by_name.values())
+
+    def put(self, table, key, is_deleted=False):
+        """Write or remove a row; return the new version."""
+        value = None if is_deleted else b"{}"
+        row = StoredRow(key, self.version + 1, value, is_deleted)
+        self._rows.append((table, row))
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return self.version
+
+    async def call(self, name, answer, wait_ms=0.0):
+        """Return `answer()` after the delays of a call, or a failure."""
+        self.calls_by_name[name] = self.calls_by_name.get(name, 0) + 1
+        await asyncio.sleep(STORE_DELAY_MS / 2000)
+        page = answer()
+        deadline_s = self._loop.time() + wait_ms / 1000
+        while not page.rows and self._loop.time() < deadline_s:
+            if name in self.unreachable_from:
+                break
+            try:
+                async with asyncio.timeout_at(deadline_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+            page = answer()
+        if name in self.unreachable_from:
+            # The client's time limit.
+            await asyncio.sleep(1.0)
+            return Failure(PLATFORM_UNAVAILABLE, "unreachable")
+        await asyncio.sleep(STORE_DELAY_MS / 2000)
+        return page
+
+    def page(self, table, after=None):
+        """Return the newest rows of a table, or those changed after a version."""
+        newest = {}
+        for name, row in self._rows:
+            if name == table and (after is None or row.version > after):
+                newest[row.key] = row
+        rows = [row for row in newest.values() if after is not None or row.value]
+        return RowPage(rows, self.version, self._loop.time() * 1000, True)
+
+
+class ModelStoreClient:
+    """The calls of one instance, as `RowStore` makes them."""
+
+    __slots__ = ("_store", "_name")
+
+    def __init__(self, store, name):
+        self._store = store
+        self._name = name
+
+    async def read(self, table, start=""):
+        """Read a whole table."""
+        return await self._store.call(self._name, lambda: self._store.page(table))
+
+    async def wait_for_changes(self, table, version, wait_ms):
+        """Wait for changes of a table."""
+        answer = self._store.call(
+            self._name, lambda: self._store.page(table, version), wait_ms
+        )
+        page = await answer
+        if wait_ms and table in self._store.silent_polls:
+            await asyncio.sleep(SILENCE_S)
+        return page
+
+
+class ModelInstance:
+    """One instance: its copies, and the relay that keeps them up to date."""
+
+    __slots__ = ("name", "zone", "clock", "members", "followers_by_table", "relay")
+
+    def __init__(self, fleet, name, zone, bound_ms, rng):
+        self.name = name
+        self.zone = zone
+        self.clock = VirtualClock(fleet.loop, rng.uniform(0.0, CLOCK_SPREAD_MS))
+        self.members = MemberTable(_member(name, zone))
+        reachability = Reachability()
+        store = ModelStoreClient(fleet.store, name)
+        waits_ms = {LEAD: POLL_SHARE * bound_ms, "servers": SERVERS_WAIT_MS}
+        self.followers_by_table = {
+            table: TableFollower(
+                store,
+                table,
+                waits_ms[table],
+                BATCH_DELAY_MS,
+                reachability,
+                self.clock,
+                rng,
+                lambda changes: None,
+            )
+            for table in TABLES
+        }
+        self.relay = TableRelay(
+            self.followers_by_table,
+            LEAD,
+            bound_ms,
+            self.clock.now_ms(),
+            SourceSelector(self.members),
+            self.members,
+            ModelPeerClient(fleet, name),
+            fleet.handlers(name),
+            reachability,
+            self.clock,
+            rng,
+            SharedSessions(),
+        )
+
+    def version(self, table):
+        """Return the version of the local copy of a table."""
+        return self.followers_by_table[table].copy.version
+
+    def coroutines(self):
+        """Return what runs all the time."""
+        followers = self.followers_by_table.values()
+        return [self.relay.run(), *(follower.run() for follower in followers)]
+
+
+class ModelPeerClient:
+    """Calls of one instance to others, with the faults of the fleet."""
+
+    __slots__ = ("_fleet", "_name")
+
+    def __init__(self, fleet, name):
+        self._fleet = fleet
+        self._name = name
+
+    async def ask(self, address, topic, message, timeout_ms):
+        """Return the answer of an instance, whose address is its name."""
+        fleet = self._fleet
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                await asyncio.sleep(PEER_DELAY_MS / 2000)
+                if address in fleet.killed:
+                    return Failure(CONNECTION_REFUSED, "refused")
+                if address not in fleet.silent:
+                    fleet.messages += 1
+                    handler = fleet.handlers_by_name[address][topic]
+                    answer = await handler(decode_json(encode_json(message)))
+                    fleet.bytes_sent += len(encode_json(answer))
+                    await asyncio.sleep(PEER_DELAY_MS / 2000)
+                    if address not in fleet.silent | fleet.killed:
+                        return decode_json(encode_json(answer))
+                await asyncio.sleep(SILENCE_S)
+        except TimeoutError:
+            pass
+        return Failure(CONNECT_FAILED, "no answer in time")
+
+
+class ModelFleet:
+    """Instances in availability zones, with one store.
+
+    `killed` and `silent` are the names of instances that refuse connections or do not
+    answer. `messages` and `bytes_sent` count what instances tell each other.
+    """
+
+    __slots__ = (
+        "loop",
+        "store",
+        "killed",
+        "silent",
+        "messages",
+        "bytes_sent",
+        "handlers_by_name",
+        "instances_by_name",
+        "_tasks_by_name",
+    )
+
+    def __init__(self, loop, count, zones, bound_ms, seed=1):
+        self.loop = loop
+        self.store = ModelStore(loop)
+        self.killed = set()
+        self.silent = set()
+        self.messages = 0
+        self.bytes_sent = 0
+        self.handlers_by_name = {}
+        self.instances_by_name = {}
+        self._tasks_by_name = {}
+        rng = random.Random(seed)
+        self.store.put("op", "config")
+        for index in range(count):
+            zone = f"zone-{index % zones}"
+            name = f"instance-{seed}-{index}"
+            self.instances_by_name[name] = ModelInstance(
+                self, name, zone, bound_ms, rng
+            )
+        records = [
+            _member(each.name, each.zone) for each in self.instances_by_name.values()
+        ]
+        for instance in self.instances_by_name.values():
+            instance.members.merge(records, instance.clock.now_ms())
+
+    def handlers(self, name):
+        """Return an object with which an instance registers its handlers."""
+        return _Handlers(self.handlers_by_name.setdefault(name, {}))
+
+    def start(self):
+        """Start all instances."""
+        for instance in self.instances_by_name.values():
+            self._tasks_by_name[instance.name] = [
+                self.loop.create_task(each) for each in instance.coroutines()
+            ]
+
+    async def kill(self, name):
+        """End an instance; its connections are refused from now on."""
+        self.killed.add(name)
+        await cancel_and_wait(self._tasks_by_name.pop(name))
+
+    async def stop(self):
+        """End all instances."""
+        for name in list(self._tasks_by_name):
+            await cancel_and_wait(self._tasks_by_name.pop(name))
+
+    def readers(self):
+        """Return the instances that read the store."""
+        return [
+            instance
+            for name, instance in self.instances_by_name.items()
+            if instance.relay.is_reading_store and name not in self.killed
+        ]
+
+    async def time_to_all(self, table, version, limit_ms, excluded=()):
+        """Return the time until all have a version, in ms, or None beyond a limit."""
+        started_s = self.loop.time()
+        others = [
+            instance
+            for name, instance in self.instances_by_name.items()
+            if name not in self.killed and name not in excluded
+        ]
+        while any(each.version(table) < version for each in others):
+            if (self.loop.time() - started_s) * 1000 > limit_ms:
+                return None
+            await asyncio.sleep(0.005)
+        return (self.loop.time() - started_s) * 1000
+
+
+class _Handlers:
+    """Has the method `register` of a `PeerServer`."""
+
+    __slots__ = ("_by_topic",)
+
+    def __init__(self, by_topic):
+        self._by_topic = by_topic
+
+    def register(self, topic, handler):
+        self._by_topic[topic] = handler
+
+
+def _member(name, zone):
+    return Member(name, "gateway", name, zone, 1, LIVE)
--- a/stoatpath/membership/gossip.py
+++ b/stoatpath/membership/gossip.py
@@ -20,7 +20,9 @@
 MIN_PUSH_PERIOD_MS = 100
 PUSH_FANOUT = 3
 INDIRECT_PROBES = 3
-MIN_SYNC_PERIOD_MS = 30_000
+# All records are fetched often at first, then less and less.
+FIRST_SYNC_PERIOD_MS = 500
+MAX_SYNC_PERIOD_MS = 30_000
 MAX_ROUND_GAP_MS = 3_000
 GOSSIP_TOPIC = "gossip"
 PROBE_TOPIC = "probe"
@@ -40,23 +42,37 @@
         "_budget",
         "_messenger",
         "_schedule",
+        "_push_period_ms",
+        "_period_ms",
         "_push_requested",
         "_jobs",
-        "_last_sync_ms",
+        "_next_sync_ms",
+        "_sync_period_ms",
     )
 
     def __init__(
-        self, members, client, server, clock, random, bytes_per_s=DEFAULT_BYTES_PER_S
+        self,
+        members,
+        client,
+        server,
+        clock,
+        random,
+        bytes_per_s=DEFAULT_BYTES_PER_S,
+        push_period_ms=MIN_PUSH_PERIOD_MS,
+        period_ms=GOSSIP_PERIOD_MS,
     ):
         self._members = members
         self._client = client
         self._clock = clock
+        self._push_period_ms = push_period_ms
+        self._period_ms = period_ms
         self._budget = ByteBudget(bytes_per_s, clock.now_ms())
         self._messenger = Messenger(members, self._budget, clock)
         self._schedule = ProbeSchedule(random)
         self._push_requested = asyncio.Event()
         self._jobs = set()
-        self._last_sync_ms = float("-inf")
+        self._next_sync_ms = float("-inf")
+        self._sync_period_ms = FIRST_SYNC_PERIOD_MS
         self.contacts = Contacts(members)
         members.on_local_change = self.trigger_push
         server.register(GOSSIP_TOPIC, self._handle_gossip)
@@ -78,7 +94,7 @@
             while True:
                 started_ms = self._clock.now_ms()
                 self._start_job(self.run_round())
-                await self._clock.sleep_until(started_ms + GOSSIP_PERIOD_MS)
+                await self._clock.sleep_until(started_ms + self._period_ms)
         finally:
             for job in [push_task, *self._jobs]:
                 job.cancel()
@@ -178,11 +194,12 @@
                 self.trigger_push()
 
     async def _sync(self, member):
-        """Fetch all member records of a member, once per `MIN_SYNC_PERIOD_MS`."""
+        """Fetch all member records of a member, with growing pauses between fetches."""
         now_ms = self._clock.now_ms()
-        if now_ms - self._last_sync_ms < MIN_SYNC_PERIOD_MS:
+        if now_ms < self._next_sync_ms:
             return
-        self._last_sync_ms = now_ms
+        self._next_sync_ms = now_ms + self._sync_period_ms
+        self._sync_period_ms = min(MAX_SYNC_PERIOD_MS, 2 * self._sync_period_ms)
         request = {"from": self._members.local.to_json()}
         answer = await self._client.ask(member.address, SYNC_TOPIC, request)
         if not is_failure(answer):
@@ -211,7 +228,7 @@
             self._push_requested.clear()
             if self._budget.has_bytes_left(self._clock.now_ms()):
                 await self.push()
-            await self._clock.sleep_until(self._clock.now_ms() + MIN_PUSH_PERIOD_MS)
+            await self._clock.sleep_until(self._clock.now_ms() + self._push_period_ms)
 
     def _start_job(self, job):
         task = asyncio.create_task(job)
--- a/stoatpath/platform/boot_files.py
+++ b/stoatpath/platform/boot_files.py
@@ -12,6 +12,7 @@
 DEFAULT_BOUNDS = {
     "fail_closed": True,
     "revoke_ms": 5_000,
+    "config_ms": 2_000,
     "drain_ms": 2_000,
     "rollback_ms": 5_000,
     "grace_s": 8,
@@ -28,11 +29,13 @@
     """The settings that the platform gives to a process at its start.
 
     `instance`, `zone` and `ip` identify the process. `front_address` is the listener
-    for callers, `ready_address` the one for readiness checks of the platform and
-    `store_address` the platform's store, each as `IP:PORT`. The other attributes are
-    bounds of the deployment; durations are in the unit of the name's suffix, shares
-    and ratios are fractions of requests, and slacks are numbers of requests allowed
-    beyond those fractions.
+    for callers, `ready_address` the one for readiness checks of the platform,
+    `peer_address` the one for other instances and `store_address` the platform's store,
+    each as `IP:PORT`. `peer_seeds` are peer addresses of a few instances, which may be
+    out of date. `is_first_start` tells that all instances start now. The other
+    attributes are bounds of the deployment; durations are in the unit of the name's
+    suffix, shares and ratios are fractions of requests, and slacks are numbers of
+    requests allowed beyond those fractions.
     """
 
     __slots__ = (
@@ -41,10 +44,14 @@
         "ip",
         "front_address",
         "ready_address",
+        "peer_address",
         "store_address",
+        "peer_seeds",
+        "is_first_start",
         "memory_mb",
         "fails_closed",
         "revoke_ms",
+        "config_ms",
         "drain_ms",
         "rollback_ms",
         "grace_ms",
@@ -66,12 +73,18 @@
         boot.ip = reader.text("ip")
         boot.front_address = reader.address("listen", "front")
         boot.ready_address = reader.address("listen", "ready")
+        boot.peer_address = reader.optional_address("listen", "control") or (
+            f"{boot.ip}:0"
+        )
+        boot.peer_seeds = reader.addresses("seeds")
+        boot.is_first_start = reader.optional_flag("bootstrap")
         boot.store_address = reader.address("provider", "address")
         boot.memory_mb = reader.number("limits", "memory_mb", minimum=1)
         bounds = {**DEFAULT_BOUNDS, **reader.table("bounds")}
         bounds_reader = _FieldReader(bounds, "bounds.", reader.problems)
         boot.fails_closed = bounds_reader.flag("fail_closed")
         boot.revoke_ms = bounds_reader.number("revoke_ms", minimum=1)
+        boot.config_ms = bounds_reader.number("config_ms", minimum=1)
         boot.drain_ms = bounds_reader.number("drain_ms", minimum=1)
         boot.rollback_ms = bounds_reader.number("rollback_ms", minimum=1)
         boot.grace_ms = bounds_reader.number("grace_s", minimum=0) * 1_000
@@ -136,6 +149,15 @@
             return self._record_problem(path, value, "IP:PORT", "")
         return value
 
+    def optional_address(self, *path):
+        return None if self._get_value(path) is None else self.address(*path)
+
+    def addresses(self, *path):
+        values = self._get_value(path)
+        if values is not None and not isinstance(values, list):
+            return self._record_problem(path, values, "a list of IP:PORT", [])
+        return [self.address(*path, index) for index, _ in enumerate(values or ())]
+
     def number(self, *path, minimum):
         value = self._get_value(path)
         is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
@@ -151,6 +173,9 @@
             return self._record_problem(path, value, "true or false", True)
         return value
 
+    def optional_flag(self, *path):
+        return False if self._get_value(path) is None else self.flag(*path)
+
     def table(self, *path):
         value = self._get_value(path)
         if value is not None and not isinstance(value, dict):
@@ -160,10 +185,13 @@
     def _get_value(self, path):
         value = self._data
         for name in path:
-            value = value.get(name) if isinstance(value, dict) else None
+            if isinstance(name, int):
+                value = value[name]
+            else:
+                value = value.get(name) if isinstance(value, dict) else None
         return value
 
     def _record_problem(self, path, value, expected, default):
-        name = self._prefix + ".".join(path)
+        name = self._prefix + ".".join(map(str, path))
         self.problems.append(f"{name} = {value!r}: expected {expected}")
         return default
--- a/stoatpath/rollouts/features/releases.feature
+++ b/stoatpath/rollouts/features/releases.feature
@@ -125,3 +125,23 @@
       | count | how            | quality | state       | most |
       | 2     | good           | good    | completed   | 0    |
       | 2     | bad            | bad     | rolled_back | 20   |
+
+  Scenario: A stream that breaks off when the roll-out completes continues on the new release
+    Given a request that began on the old release
+    When the roll-out is completed before it is sent again
+    Then only backend servers of the new release are candidates
+
+  Scenario Outline: A session that began before the roll-out moves to another instance <when>
+    Given two instances, and a session of the canary share known to one of them
+    When the roll-out starts and <what>
+    Then the other instance keeps the session on the <side> release <after_ms> ms later
+
+    Examples:
+      | when                          | what                        | side | after_ms |
+      | that was told of it           | they tell each other        | old  | 4000     |
+      | before it can have been told  | they don't tell each other  | old  | 1000     |
+      | that was not told in time     | they don't tell each other  | new  | 4000     |
+
+  Scenario: Sessions that instances tell each other are the same in any order
+    Given any sessions of any roll-outs at three instances
+    Then they all know all of them after any exchange in both directions
--- a/stoatpath/rollouts/release_keepers.py
+++ b/stoatpath/rollouts/release_keepers.py
@@ -22,10 +22,13 @@
     encode_counts,
 )
 from stoatpath.rollouts.releases import COMPLETION_FRACTION
+from stoatpath.sessions.shared_releases import SharedSessions
 
 logger = logging.getLogger(__name__)
 
 CHECK_PERIOD_MS = 200.0
+# Stands for any release but the new one of a roll-out.
+OLD_RELEASE = ""
 # Longest random delay before a write, so that instances don't all write at once.
 MAX_WRITE_JITTER_MS = 300.0
 # An instance publishes its counts at most once in this period. If more instances than
@@ -44,6 +47,7 @@
 
     __slots__ = (
         "registry",
+        "shared_sessions",
         "status_versions_by_service",
         "_instance",
         "_store",
@@ -73,6 +77,7 @@
         random,
     ):
         self.registry = book
+        self.shared_sessions = SharedSessions()
         self.status_versions_by_service = {}
         self._instance = instance
         self._store = store
@@ -95,11 +100,15 @@
         earlier = None
         if request.session:
             earlier = self._sessions.get_release(service, request.session, now_ms)
+            if earlier is None:
+                earlier = self._told_release(service, request.session)
         store_ms = self._reachability.store_ms(now_ms)
         if store_ms is None:
             store_ms = 0.0
         key = request.session or request.request_id
-        return self.registry.choose(service, key, earlier, store_ms)
+        return self.registry.choose(
+            service, key, earlier, store_ms, bool(request.session)
+        )
 
     def record_run(self, request):
         """Record the release that a request ran on as that of its session."""
@@ -109,11 +118,33 @@
             self._sessions.record_release(
                 service, request.session, request.release, now_ms
             )
+            order = self.registry.orders_by_service.get(service)
+            if order is not None and request.release != order.release:
+                self._share_session(order, request.session)
+
+    def _told_release(self, service, session):
+        """Return `OLD_RELEASE` if another instance told so of a session, else None."""
+        order = self.registry.orders_by_service.get(service)
+        if order is None:
+            return None
+        is_told = self.shared_sessions.contains(order.version, session)
+        return OLD_RELEASE if is_told else None
+
+    def _share_session(self, order, session):
+        """Tell other instances of a session that would else be in the canary share."""
+        is_open = self.registry.state(order) in (None, RUNNING)
+        if is_open and self.registry.is_canary(order, session):
+            self.shared_sessions.add(order.version, session)
 
     def apply_order(self, order):
         """Apply an operator's order unless a newer one is known."""
         if self.registry.apply_order(order):
             self._drop_earlier_orders(order)
+            now_ms = self._clock.now_ms()
+            for session in self._sessions.sessions_off_release(
+                order.service, order.release, now_ms
+            ):
+                self._share_session(order, session)
             logger.info(
                 "release.ordered",
                 extra={
@@ -171,7 +202,9 @@
         """Drive all roll-outs until cancelled."""
         while True:
             await self._clock.sleep_until(self._clock.now_ms() + CHECK_PERIOD_MS)
-            for order in self.registry.open_orders():
+            orders = self.registry.open_orders()
+            self.shared_sessions.retain(order.version for order in orders)
+            for order in orders:
                 await self._advance_rollout(order)
 
     async def _advance_rollout(self, order):
--- a/stoatpath/rollouts/releases.py
+++ b/stoatpath/rollouts/releases.py
@@ -18,6 +18,9 @@
 CANARY_EXPOSURE_FRACTION = 0.45
 # Fraction of the allowed exposure that is planned for the whole roll-out.
 TOTAL_EXPOSURE_FRACTION = 0.97
+# New sessions stay on the old release for this time after a roll-out has started, until
+# all instances know which sessions are older.
+SESSIONS_KNOWN_AFTER_MS = 1_500.0
 # Fraction of a roll-out's duration after which it is completed, so as to end in time.
 COMPLETION_FRACTION = 0.95
 
@@ -122,10 +125,10 @@
         status = self.statuses_by_service[order.service]
         return (store_ms - status.started_ms) / max(1.0, order.duration_ms)
 
-    def choose(self, service, key, earlier_release, store_ms):
+    def choose(self, service, key, earlier_release, store_ms, is_session=False):
         """Return the `ReleaseChoice` of a request.
 
-        `key` identifies its session, or the request if it has none;
+        `key` identifies its session if `is_session`, else the request itself;
         `earlier_release` is the release that the session ran on before, or None.
         """
         order = self.orders_by_service.get(service)
@@ -142,9 +145,15 @@
             return ReleaseChoice(order.release, prefers_new=True)
         if earlier_release is not None:
             return ReleaseChoice(order.release, earlier_release == order.release)
-        is_canary = key_fraction(order, key) < self._canary_share
+        elapsed_ms = self.progress(order, store_ms) * order.duration_ms
+        is_early = is_session and elapsed_ms < SESSIONS_KNOWN_AFTER_MS
+        is_canary = self.is_canary(order, key) and not is_early
         return ReleaseChoice(order.release, prefers_new=is_canary)
 
+    def is_canary(self, order, key):
+        """Return whether a new session or request is in the canary share."""
+        return key_fraction(order, key) < self._canary_share
+
 
 def key_fraction(order, key):
     """Return the hash of a key for one roll-out, scaled to 0..1."""
--- a/stoatpath/sessions/releases.py
+++ b/stoatpath/sessions/releases.py
@@ -26,6 +26,16 @@
             return None
         return entry[0]
 
+    def sessions_off_release(self, service, release, now_ms):
+        """Return the sessions of a service that ran on another release last."""
+        return [
+            session
+            for (name, session), (last, used_ms) in self._entries_by_session.items()
+            if name == service
+            and last != release
+            and now_ms - used_ms <= self._retention_ms
+        ]
+
     def record_release(self, service, session, release, now_ms):
         """Record the release that a session runs on."""
         key = (service, session)
--- a/stoatpath/standins/deployments.py
+++ b/stoatpath/standins/deployments.py
@@ -59,9 +59,11 @@
         await self.store.put("servers", name, replica.server_row())
         return replica
 
-    async def add_gateway(self, name, **bounds):
-        """Start a gateway."""
-        boot = BootFile.from_mapping(boot_mapping(name, self.store_address, bounds))
+    async def add_gateway(self, name, zone="zone-a", seeds=(), **bounds):
+        """Start a gateway; `seeds` are peer addresses of others."""
+        mapping = boot_mapping(name, self.store_address, bounds)
+        mapping |= {"zone": zone, "seeds": list(seeds)}
+        boot = BootFile.from_mapping(mapping)
         assert not is_failure(boot), boot
         gateway = Gateway.from_boot(boot, rng=random.Random(1))
         await gateway.start()
