--- a/stoatpath/callers/relays.py
+++ b/stoatpath/callers/relays.py
@@ -177,6 +177,7 @@
             tokens=prompt.tokens,
             revision=routes.table.revision,
             confirmed_ms_ago=round(routes.age_ms(self._router.clock.now_ms())),
+            confirmed_by=self._router.tables.confirmed_by,
         )
 
     def _not_found_or_stale(self, reason, detail, field):
--- a/stoatpath/commands/request_traces.py
+++ b/stoatpath/commands/request_traces.py
@@ -16,11 +16,14 @@
     "routes.",
     "settings.",
     "store.",
+    "tables.",
 )
 # Of each of these groups, the last event before a request belongs to its trace,
 # however old it is, because the state that it reports persists.
 PERSISTENT_STATE_EVENTS = (
     ("store.lost", "store.regained"),
+    ("tables.source",),
+    ("tables.reading-store",),
     ("routes.in-force",),
     ("program.listening",),
     ("drain.began",),
--- a/stoatpath/feeds/relays.py
+++ b/stoatpath/feeds/relays.py
@@ -17,6 +17,8 @@
 logger = logging.getLogger(__name__)
 
 TABLES_TOPIC = "tables"
+# Value of `confirmed_by` if the store itself confirmed the tables.
+STORE = "store"
 # Shares of the bound on the time from a change in the store to its effect everywhere.
 # The reader's polls confirm the tables each `POLL_SHARE`. An instance without a
 # confirmation selects another source after `RESELECT_SHARE`; each level of the tree
@@ -43,6 +45,10 @@
 class TableRelay:
     """Follows a source, answers followers, and decides when to read the store.
 
+    `source` is the member that is followed, None for the first instance, which reads
+    the store. `confirmed_by` names the instance that confirmed the tables last, or is
+    `STORE`. `relayed_answers` counts the answers of other instances.
+
     `followers_by_table` are the `TableFollower`s, in the order in which updates are
     applied. The confirmations of the table `lead` count for the whole. `bound_ms` is
     the time within which each change must be known. `sessions` are `SharedSessions`,
@@ -55,6 +61,7 @@
         "source",
         "is_reading_store",
         "relayed_answers",
+        "confirmed_by",
         "_followers_by_table",
         "_lead_table",
         "_lead",
@@ -92,6 +99,7 @@
         self.source = None
         self.is_reading_store = False
         self.relayed_answers = 0
+        self.confirmed_by = ""
         self._followers_by_table = followers_by_table
         self._lead_table = lead
         self._lead = followers_by_table[lead]
@@ -179,7 +187,7 @@
         if is_failure(answer):
             self._reject_source(source, answer.detail)
             await self._clock.sleep_until(self._clock.now_ms() + FAILURE_PAUSE_MS)
-        elif self._apply(answer, now_ms):
+        elif self._apply(source, answer, now_ms):
             logger.info("tables.news", extra={"source": source.name})
 
     async def _follow(self, source, now_ms):
@@ -197,7 +205,7 @@
             self._reject_source(source, "it is behind")
             await self._clock.sleep_until(self._clock.now_ms() + FAILURE_PAUSE_MS)
             return False
-        is_newer = self._apply(answer, now_ms)
+        is_newer = self._apply(source, answer, now_ms)
         if not is_newer and not is_new and self._is_source_overdue():
             self._reject_source(source, "it has no newer confirmation")
         elif answer.is_leaving:
@@ -256,7 +264,7 @@
         due_ms = self._lead.copy.confirmed_ms + self._reselect_after_ms()
         return min(full_ms, max(MIN_HOLD_MS, due_ms - now_ms))
 
-    def _apply(self, answer, sent_ms):
+    def _apply(self, source, answer, sent_ms):
         """Apply an answer; return whether it confirms the tables more recently."""
         self.relayed_answers += 1
         before_store_ms = self._lead.copy.confirmed_store_ms
@@ -271,6 +279,7 @@
                 follower.apply_update(update, as_of_ms)
         is_newer = self._lead.copy.confirmed_store_ms > before_store_ms
         if is_newer:
+            self.confirmed_by = source.name
             self._notify_followers()
         return is_newer
 
@@ -345,6 +354,7 @@
 
     def _handle_store_answer(self, version):
         """Pass on an answer of the store; detect polls that missed a change."""
+        self.confirmed_by = STORE
         for follower in self._followers_by_table.values():
             follower.check_version(version, POLL_SHARE * self._bound_ms)
         self._update_followers()
--- a/stoatpath/gateway_metrics.py
+++ b/stoatpath/gateway_metrics.py
@@ -95,6 +95,26 @@
         "Calls to the store that failed.",
         gateway.store.failures,
     )
+    yield Sample.gauge(
+        "stoatpath_reads_store",
+        "Whether this instance reads the tables from the store.",
+        int(gateway.tables.is_reading_store),
+    )
+    yield Sample.counter(
+        "stoatpath_tables_relayed_total",
+        "Answers with tables of other instances.",
+        gateway.tables.relayed_answers,
+    )
+    yield Sample.counter(
+        "stoatpath_peer_sent_bytes_total",
+        "Bytes of messages sent to other instances.",
+        gateway.peer_client.bytes_sent + gateway.peer_server.bytes_sent,
+    )
+    yield Sample.gauge(
+        "stoatpath_members",
+        "Other instances that are not known to have failed.",
+        len(gateway.members.peers()),
+    )
     followers = {
         "operator": gateway.operator_rows,
         "servers": gateway.server_rows,
