--- a/stoatpath/callers/features/steps/sites.py
+++ b/stoatpath/callers/features/steps/sites.py
@@ -1,14 +1,17 @@
 """A complete site with one router, and the work that its components ran."""
 
 import asyncio
+import random
 
 import aiohttp
 
 from stoatpath.billing.ledgers import read_ledger
+from stoatpath.cascades.planners import Planner
 from stoatpath.services.tables import Table
 from stoatpath.standins.sites import Site
 from stoatpath.tools.demonstrations import Demonstration, chat
 
+PLANNER_SEED = 7
 WAIT_STEP_S = 0.02
 WAIT_STEPS = 500
 
@@ -20,6 +23,8 @@
         site = Site()
         await site.start(routers=0)
         router = await site.start_router("router-1", "zone-a", **overrides)
+        # Some plans explore at random.
+        router.planner = Planner(router.estimates, random.Random(PLANNER_SEED))
         try:
             await Demonstration(site).submit_samples()
             async with aiohttp.ClientSession() as session:
