The reader of the store begins and completes roll-outs; others write 0.7 s later

Cause: every instance wrote the state of a roll-out after up to 0.3 s, those that had not yet heard of another's write too.

--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -236,6 +236,7 @@
             self.releases.shared_sessions,
         )
         self.tables.set_enabled(names.STATUS_TABLE, False)
+        self.releases.reads_store = lambda: self.tables.is_reading_store
 
     def _build_follower(self, table, on_changes):
         return TableFollower(
--- a/stoatpath/rollouts/features/releases.feature
+++ b/stoatpath/rollouts/features/releases.feature
@@ -145,3 +145,13 @@
   Scenario: Sessions that instances tell each other are the same in any order
     Given any sessions of any roll-outs at three instances
     Then they all know all of them after any exchange in both directions
+
+  Scenario Outline: An instance that <role> begins an ordered roll-out <when>
+    Given an instance that <role>, and an order without a status
+    When nobody else writes the status
+    Then it writes the status after <least> to <most> ms
+
+    Examples:
+      | role                            | when     | least | most |
+      | reads the store                 | soon     | 0     | 500  |
+      | copies the tables from another  | later    | 700   | 1200 |
--- a/stoatpath/rollouts/features/steps/shared_session_steps.py
+++ b/stoatpath/rollouts/features/steps/shared_session_steps.py
@@ -1,5 +1,7 @@
 """Steps about sessions that must stay on the old release of a service."""
 
+import asyncio
+import random
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -7,6 +9,8 @@
 
 from stoatpath.clock import ManualClock
 from stoatpath.dispatch.relay_policies import RelayPolicy
+from stoatpath.platform.documents import StatusCodec
+from stoatpath.platform.row_stores import Committed
 from stoatpath.rollouts.messages import (
     COMPLETED,
     RUNNING,
@@ -154,3 +158,55 @@
 @then("they all know all of them after any exchange in both directions")
 def step_impl(context):
     context.check()
+
+
+class FirstWrite:
+    """A store that records when the first write came."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.written_ms = None
+
+    async def write(self, writes):
+        if self.written_ms is None:
+            self.written_ms = self.clock.now_ms()
+        return Committed(9, self.written_ms)
+
+
+@given("an instance that {role}, and an order without a status")
+def step_impl(context, role):
+    context.keepers = []
+    for seed in range(10):
+        clock = ManualClock(STARTED_MS)
+        keeper = ReleaseKeeper(
+            "gateway",
+            ReleaseRegistry(EXPOSURE),
+            FirstWrite(clock),
+            StatusCodec(),
+            SessionReleases(SESSION_MS),
+            SimpleNamespace(by_name={}),
+            SimpleNamespace(store_ms=lambda now_ms: now_ms),
+            clock,
+            random.Random(seed),
+        )
+        keeper.reads_store = lambda: role == "reads the store"
+        keeper.apply_order(ORDER)
+        context.keepers.append(keeper)
+
+
+@when("nobody else writes the status")
+def step_impl(context):
+    async def advance(keeper):
+        while keeper._store.written_ms is None:
+            await keeper._advance_rollout(ORDER)
+            keeper._clock.advance_by(100.0)
+
+    for keeper in context.keepers:
+        asyncio.run(advance(keeper))
+
+
+@then("it writes the status after {least:d} to {most:d} ms")
+def step_impl(context, least, most):
+    for keeper in context.keepers:
+        elapsed_ms = keeper._store.written_ms - STARTED_MS
+        assert least <= elapsed_ms <= most, elapsed_ms
--- a/stoatpath/rollouts/release_keepers.py
+++ b/stoatpath/rollouts/release_keepers.py
@@ -31,6 +31,9 @@
 OLD_RELEASE = ""
 # Longest random delay before a write, so that instances don't all write at once.
 MAX_WRITE_JITTER_MS = 300.0
+# An instance that copies the tables from another one leaves the write to the readers of
+# the store, unless their write is not known after this time.
+FOLLOWER_WRITE_DELAY_MS = 700.0
 # An instance publishes its counts at most once in this period. If more instances than
 # `PUBLISHERS_PER_PERIOD` have published for a service, it grows in proportion, because
 # the store's rate limits are for all instances together.
@@ -41,6 +44,8 @@
 class ReleaseKeeper:
     """Assigns releases to requests and drives the roll-outs of all services.
 
+    `reads_store` tells whether this instance reads the store for others.
+
     `book` holds orders and statuses, `sessions` the releases that sessions ran on,
     `directory` the backend servers. `codec` encodes statuses and names their rows.
     """
@@ -48,6 +53,7 @@
     __slots__ = (
         "registry",
         "shared_sessions",
+        "reads_store",
         "status_versions_by_service",
         "_instance",
         "_store",
@@ -78,6 +84,7 @@
     ):
         self.registry = book
         self.shared_sessions = SharedSessions()
+        self.reads_store = lambda: True
         self.status_versions_by_service = {}
         self._instance = instance
         self._store = store
@@ -233,8 +240,10 @@
         """Write a state after a random delay; urgent ones are written at once."""
         key = (order.service, order.version, state)
         now_ms = self._clock.now_ms()
-        max_jitter_ms = 0.0 if is_urgent else MAX_WRITE_JITTER_MS
-        wait_ms = self._random.uniform(0.0, max_jitter_ms)
+        wait_ms = 0.0
+        if not is_urgent:
+            wait_ms = self._random.uniform(0.0, MAX_WRITE_JITTER_MS)
+            wait_ms += 0.0 if self.reads_store() else FOLLOWER_WRITE_DELAY_MS
         due_ms = self._write_due_ms_by_order.setdefault(key, now_ms + wait_ms)
         if now_ms < due_ms:
             return
