Sessions of a roll-out that has ended are ignored, so that sources are not asked in haste

Cause, found by reading: until both ends had dropped the sessions of an ended roll-out, a source answered each request at once, as its sessions differed from the follower's.

--- a/stoatpath/feeds/relays.py
+++ b/stoatpath/feeds/relays.py
@@ -382,7 +382,7 @@
     def _has_news(self, request):
         if self._lead.copy.confirmed_store_ms > request.confirmed_store_ms:
             return True
-        if self._sessions.digest() != request.sessions_digest:
+        if self._sessions.digest() not in ("", request.sessions_digest):
             return True
         return any(
             follower.copy.is_known
--- a/stoatpath/rollouts/features/steps/shared_session_steps.py
+++ b/stoatpath/rollouts/features/steps/shared_session_steps.py
@@ -141,6 +141,8 @@
     @forall(st.lists(entries, min_size=3, max_size=3))
     def check(entries_by_instance):
         instances = [SharedSessions() for _ in entries_by_instance]
+        for sessions in instances:
+            sessions.set_open_orders([1, 2, 3])
         for sessions, entries in zip(instances, entries_by_instance):
             for version, session in entries:
                 sessions.add(version, session)
@@ -151,6 +153,9 @@
         for entries in entries_by_instance:
             for version, session in entries:
                 assert all(each.contains(version, session) for each in instances)
+        instances[0].set_open_orders([])
+        instances[0].merge(instances[1].to_json())
+        assert instances[0].digest() == ""
 
     context.check = check
 
--- a/stoatpath/rollouts/release_keepers.py
+++ b/stoatpath/rollouts/release_keepers.py
@@ -129,6 +129,10 @@
             if order is not None and request.release != order.release:
                 self._share_session(order, request.session)
 
+    def _update_open_orders(self):
+        orders = self.registry.open_orders()
+        self.shared_sessions.set_open_orders([order.version for order in orders])
+
     def _told_release(self, service, session):
         """Return `OLD_RELEASE` if another instance told so of a session, else None."""
         order = self.registry.orders_by_service.get(service)
@@ -147,6 +151,7 @@
         """Apply an operator's order unless a newer one is known."""
         if self.registry.apply_order(order):
             self._drop_earlier_orders(order)
+            self._update_open_orders()
             now_ms = self._clock.now_ms()
             for session in self._sessions.sessions_off_release(
                 order.service, order.release, now_ms
@@ -165,6 +170,7 @@
     def apply_status(self, status):
         """Apply a status that the store holds, unless a newer one is known."""
         if self.registry.apply_status(status):
+            self._update_open_orders()
             logger.info(
                 "release.status",
                 extra={
@@ -209,9 +215,7 @@
         """Drive all roll-outs until cancelled."""
         while True:
             await self._clock.sleep_until(self._clock.now_ms() + CHECK_PERIOD_MS)
-            orders = self.registry.open_orders()
-            self.shared_sessions.retain(order.version for order in orders)
-            for order in orders:
+            for order in self.registry.open_orders():
                 await self._advance_rollout(order)
 
     async def _advance_rollout(self, order):
--- a/stoatpath/sessions/shared_releases.py
+++ b/stoatpath/sessions/shared_releases.py
@@ -11,7 +11,10 @@
 
 
 class SharedSessions:
-    """Hashes of sessions by the version of the roll-out order; the sets only grow."""
+    """Hashes of sessions by the version of the order of an open roll-out.
+
+    The sets only grow, and end with the roll-out.
+    """
 
     __slots__ = ("_hashes_by_order", "_digest")
 
@@ -27,14 +30,19 @@
         """Return whether a session is known to stay on the old release."""
         return _hash(session) in self._hashes_by_order.get(order_version, ())
 
-    def retain(self, order_versions):
-        """Drop the sessions of all other roll-outs."""
-        for version in set(self._hashes_by_order) - set(order_versions):
-            del self._hashes_by_order[version]
-            self._digest = None
+    def set_open_orders(self, order_versions):
+        """Set which roll-outs are open, and drop the sessions of all others."""
+        self._hashes_by_order = {
+            version: self._hashes_by_order.get(version, set())
+            for version in order_versions
+        }
+        self._digest = None
 
     def merge(self, data):
-        """Add the sessions in the wire form; raise ValueError if it is malformed."""
+        """Add the sessions in the wire form; raise ValueError if it is malformed.
+
+        Those of roll-outs that are not open here are ignored.
+        """
         try:
             for version, hashes in data.items():
                 self._add_hashes(int(version), map(str, hashes))
@@ -53,10 +61,13 @@
         return {
             str(version): sorted(hashes)
             for version, hashes in self._hashes_by_order.items()
+            if hashes
         }
 
     def _add_hashes(self, order_version, hashes):
-        known = self._hashes_by_order.setdefault(order_version, set())
+        known = self._hashes_by_order.get(order_version)
+        if known is None:
+            return
         before = len(known)
         for each in hashes:
             if len(known) >= MAX_SESSIONS_PER_ORDER:
