--- a/features/platform/decoding.feature
+++ b/features/platform/decoding.feature
@@ -15,6 +15,11 @@
       | a negative grace              | bounds.grace_s = -1: expected a number from 0 |
       | a text as fail_closed         | bounds.fail_closed = 'yes': expected true or false |
       | a list as bounds              | bounds = [1]: expected a table         |
+      | no port for others            | listen.control = '10.0.0.1': expected IP:PORT |
+      | a text as seeds               | seeds = '10.0.0.1:8229': expected a list |
+      | a seed without port           | seeds.1 = '10.0.0.1': expected IP:PORT |
+      | a number as bootstrap         | bootstrap = 1: expected true or false  |
+      | no time for a change          | bounds.config_ms = 0: expected a number from 1 |
 
   Scenario: All problems of a settings file are reported at once
     Given the settings of a gateway
--- a/features/platform/steps/decoding_steps.py
+++ b/features/platform/steps/decoding_steps.py
@@ -36,6 +36,11 @@
         "a negative grace": lambda: data["bounds"].update(grace_s=-1),
         "a text as fail_closed": lambda: data["bounds"].update(fail_closed="yes"),
         "a list as bounds": lambda: data.update(bounds=[1]),
+        "no port for others": lambda: data["listen"].update(control="10.0.0.1"),
+        "a text as seeds": lambda: data.update(seeds="10.0.0.1:8229"),
+        "a seed without port": lambda: data.update(seeds=["10.0.0.2:1", "10.0.0.1"]),
+        "a number as bootstrap": lambda: data.update(bootstrap=1),
+        "no time for a change": lambda: data["bounds"].update(config_ms=0),
     }
     changes[fault]()
 
