An error of the age watch ends the task that is watched; comments in plainer words

Cause, found by reading: the task that makes an instance read the store when its copies get old was only cancelled, never awaited, so an error of it would have been lost without a log line. It now runs under the task whose failure the gateway logs.

--- a/stoatpath/callers/features/steps/sites.py
+++ b/stoatpath/callers/features/steps/sites.py
@@ -23,7 +23,7 @@
         site = Site()
         await site.start(routers=0)
         router = await site.start_router("router-1", "zone-a", **overrides)
-        # Some plans explore at random.
+        # The planner runs a few requests on the cheapest version at random, to learn.
         router.planner = Planner(router.estimates, random.Random(PLANNER_SEED))
         try:
             await Demonstration(site).submit_samples()
--- a/stoatpath/feeds/followers.py
+++ b/stoatpath/feeds/followers.py
@@ -10,7 +10,7 @@
 
 logger = logging.getLogger(__name__)
 
-# The first pause after a problem, as a share of the longest one.
+# The first pause after a failed read, as a fraction of `backoff_cap_ms`.
 BACKOFF_BASE_SHARE = 0.125
 BACKOFF_CAP_MS = 800.0
 # After a longer pause the table is read whole, since the store keeps a short history.
--- a/stoatpath/feeds/messages.py
+++ b/stoatpath/feeds/messages.py
@@ -8,7 +8,7 @@
 
 
 class TableUpdate:
-    """Rows of a table that changed, or all of its rows if `is_whole`.
+    """Rows of a table that changed since a version, or all of them if `is_whole`.
 
     `version` is the version of the sender's copy, `confirmed_store_ms` the reading of
     the store's clock at the answer that last confirmed it.
--- a/stoatpath/feeds/relays.py
+++ b/stoatpath/feeds/relays.py
@@ -136,17 +136,16 @@
         self._update_followers()
 
     def announce_leaving(self):
-        """Make the followers of this instance select another source at once."""
+        """Answer all held requests, so that their senders select another source."""
         self._notify_followers()
 
     async def run(self):
         """Keep the copies up to date until cancelled."""
-        watch = asyncio.create_task(self._watch_age())
-        try:
-            while True:
-                await self.step()
-        finally:
-            watch.cancel()
+        await asyncio.gather(self._watch_age(), self._run_steps())
+
+    async def _run_steps(self):
+        while True:
+            await self.step()
 
     async def step(self):
         """Ask the source once, or read the store as the first instance."""
@@ -240,7 +239,7 @@
             return Failure(CONNECT_FAILED, str(error))
 
     def _is_behind(self, answer):
-        """Return whether a source was confirmed over a poll earlier than this copy."""
+        """Return whether the source's copy is older than this one by over one poll."""
         if not self._lead.copy.is_known:
             return False
         update = answer.updates_by_table.get(self._lead_table)
--- a/stoatpath/sessions/shared_releases.py
+++ b/stoatpath/sessions/shared_releases.py
@@ -11,9 +11,9 @@
 
 
 class SharedSessions:
-    """Hashes of sessions by the version of the order of an open roll-out.
+    """Hashes of sessions, by the version of the roll-out order that they belong to.
 
-    The sets only grow, and end with the roll-out.
+    Sessions are only added; all those of a roll-out are dropped when it ends.
     """
 
     __slots__ = ("_hashes_by_order", "_digest")
