Limits that backend servers name are logged and counted, not yet kept

An instance now logs backends.limit when a backend server names, changes or no longer names a limit, with the requests it sent meanwhile; the step route of a request has limit_per_s; two metrics count. Nothing is withheld yet.

--- /dev/null
+++ b/stoatpath/backpressure/__init__.py
@@ -0,0 +1,1 @@
+"""What backend servers ask of their senders in their answers."""
--- a/stoatpath/callers/relay_messages.py
+++ b/stoatpath/callers/relay_messages.py
@@ -142,7 +142,8 @@
     `is_not_executed` if the backend server did not run the request, and
     `is_misdirected` if another process answered at this address. `is_encoded` is true
     if the answer has a `Content-Encoding`. `confidence` is the model's confidence in
-    its answer, from 0 to 100, or None. `headers` are the end-to-end headers as pairs.
+    its answer, from 0 to 100, or None. `signals` are `BackendSignals`. `headers` are
+    the end-to-end headers as pairs.
     """
 
     __slots__ = (
@@ -154,6 +155,7 @@
         "is_encoded",
         "is_event_stream",
         "confidence",
+        "signals",
         "headers",
     )
 
@@ -167,6 +169,7 @@
         is_encoded,
         is_event_stream,
         confidence,
+        signals,
         headers,
     ):
         self.status = status
@@ -177,6 +180,7 @@
         self.is_encoded = is_encoded
         self.is_event_stream = is_event_stream
         self.confidence = confidence
+        self.signals = signals
         self.headers = headers
 
 
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -168,6 +168,7 @@
     async def _send(self, state, attempt):
         backend = attempt.backend
         started_ms = self._clock.now_ms()
+        self._router.limits.record_send(backend.name)
         backend.in_flight += 1
         try:
             answer = await self._router.sender.send(attempt)
@@ -240,8 +241,13 @@
             choice.reason,
             backend=choice.backend.name,
             candidates=[candidate.to_json() for candidate in choice.candidates],
+            **self._limit_details(choice.backend.name),
         )
         return choice
 
+    def _limit_details(self, name):
+        per_s = self._router.limits.limit_per_s(name)
+        return {} if per_s is None else {"limit_per_s": per_s}
+
     def _record_decision(self, request, step, reason, **details):
         self._router.ring.record_decision(request.request_id, step, reason, **details)
--- a/stoatpath/dispatch/features/steps/dispatch_rig.py
+++ b/stoatpath/dispatch/features/steps/dispatch_rig.py
@@ -5,6 +5,7 @@
 import socket
 from types import SimpleNamespace
 
+from stoatpath.backpressure.limits import LimitTable
 from stoatpath.callers.messages import CallerRequest
 from stoatpath.clock import Clock
 from stoatpath.configuration.documents import (
@@ -67,6 +68,7 @@
             chooser=LeastTimeChooser("zone-a", random.Random(1)),
             sender=Sender(self.clock, SHORT_TIMEOUT_MS),
             retry_budget=RetryBudget(),
+            limits=LimitTable(),
             guard=SimpleNamespace(check_send=lambda request, version: None),
             ring=SimpleNamespace(record_decision=self._record_decision),
         )
--- a/stoatpath/dispatch/relay_senders.py
+++ b/stoatpath/dispatch/relay_senders.py
@@ -29,15 +29,17 @@
 class RelaySender:
     """Sends attempts over `calls` and checks the identity and integrity of answers.
 
-    `decode_head` converts a response into an `AnswerHead`.
+    `decode_head` converts a response into an `AnswerHead`. `limits` is the
+    `LimitTable`.
     """
 
-    __slots__ = ("_clock", "_calls", "_decode_head")
+    __slots__ = ("_clock", "_calls", "_decode_head", "_limits")
 
-    def __init__(self, clock, calls, decode_head):
+    def __init__(self, clock, calls, decode_head, limits):
         self._clock = clock
         self._calls = calls
         self._decode_head = decode_head
+        self._limits = limits
 
     async def send(self, attempt):
         """Return an answer, or a failure with the outcome of the execution."""
@@ -66,13 +68,15 @@
 
     async def _exchange(self, attempt, deadlines, pending):
         request = attempt.request
-        remaining_ms = request.deadline_ms - self._clock.now_ms()
+        sent_ms = self._clock.now_ms()
+        remaining_ms = request.deadline_ms - sent_ms
         request.was_sent = True
         async with self._calls.open(attempt, remaining_ms) as response:
             pending.end()
             deadlines.record_bytes()
             request.release = attempt.backend.release
             head = self._decode_head(response)
+            self._observe_signals(attempt, head, sent_ms)
             problem = _check_head(attempt, head)
             if problem is not None:
                 response.close()
@@ -86,6 +90,16 @@
                 return AnsweredFailure(BACKEND_ERROR, detail, Outcome.UNKNOWN, answer)
             return answer
 
+    def _observe_signals(self, attempt, head, sent_ms):
+        """Record the signals of the backend server, unless another process answered."""
+        request_id = attempt.request.request_id
+        if head.is_misdirected or head.request_id not in (None, request_id):
+            return
+        head.signals.is_authentic = head.is_sealed and head.request_id == request_id
+        self._limits.observe(
+            attempt.backend.name, head.signals, sent_ms, self._clock.now_ms()
+        )
+
     async def _relay(self, attempt, head, content, deadlines):
         relay = attempt.relay
         start = relay.last_event_id or attempt.request.last_event_id
--- a/stoatpath/gateway_metrics.py
+++ b/stoatpath/gateway_metrics.py
@@ -141,6 +141,16 @@
         "Connections made to backend servers.",
         gateway.backend_client.calls,
     )
+    yield Sample.gauge(
+        "stoatpath_backend_limits",
+        "Backend servers that name a limit of requests per second.",
+        gateway.limits.count_in_force(),
+    )
+    yield Sample.counter(
+        "stoatpath_limited_sends_total",
+        "Requests to backend servers with a limit in force.",
+        gateway.limits.limited_sends,
+    )
     counts_by_state = {"usable": 0, "leaving": 0}
     for backend in gateway.backends.by_name.values():
         counts_by_state["leaving" if backend.is_leaving else "usable"] += 1
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -6,6 +6,7 @@
 
 from stoatpath.admission.gates import AdmissionGate
 from stoatpath.admission.queues import AdmissionQueue
+from stoatpath.backpressure.limits import LimitTable
 from stoatpath.callers.bodies import BodyReader
 from stoatpath.callers.connections import ConnectionLimits
 from stoatpath.callers.listeners import Listener
@@ -116,6 +117,7 @@
         "retry_budget",
         "chooser",
         "backend_client",
+        "limits",
         "sender",
         "attempts",
         "attempt_statistics",
@@ -259,7 +261,10 @@
         )
         self.chooser = AffinityChooser(boot.zone, self.random)
         self.backend_client = BackendClient()
-        self.sender = RelaySender(self.clock, self.backend_client, decode_head)
+        self.limits = LimitTable()
+        self.sender = RelaySender(
+            self.clock, self.backend_client, decode_head, self.limits
+        )
         self.attempts = AttemptRunner(self, self.random, RelayPolicy(self))
         self.attempt_statistics = AttemptStatistics()
         self.attempts.observers += [
@@ -436,6 +441,7 @@
             self.loop_lag.add(max(0.0, self.clock.now_ms() - due_ms))
             self.backends.expire_lapsed(self.clock.now_ms())
             self.chooser.retain_backends(self.backends.by_name)
+            self.limits.retain_backends(self.backends.by_name)
             self._update_capacities()
             self._update_status_polling()
 
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import functools
+import math
 import socket
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
+from stoatpath.backpressure.messages import BackendSignals
 from stoatpath.callers.relay_messages import AnswerHead
 from stoatpath.platform import names
 
@@ -21,6 +23,11 @@
 KEEPALIVE_PROBES = 2
 UNACKNOWLEDGED_TIMEOUT_MS = 1_500
 MAX_PRIORITY = 9
+# A backend server that names no request at all still gets one now and then, since only
+# an answer can tell that its limit has ended.
+MIN_LIMIT_PER_S = 0.05
+MAX_LIMIT_PER_S = 1e6
+MAX_LOGGED_CHARS = 40
 SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 # Not forwarded: the router sets these itself for each request, or consumes them.
 REPLACED_HEADERS = frozenset(
@@ -111,6 +118,7 @@
         "Content-Encoding" in headers,
         headers.get("Content-Type", "").startswith(EVENT_STREAM),
         _decode_confidence(headers.get(names.CONFIDENCE)),
+        _decode_signals(headers),
         [
             (name, value)
             for name, value in headers.items()
@@ -153,6 +161,27 @@
     return {name.strip().lower() for name in text.split(",")}
 
 
+def _decode_signals(headers):
+    """Return the `BackendSignals` of a head."""
+    limit_text = headers.get(names.SERVER_LIMIT)
+    limit_per_s = _decode_limit(limit_text)
+    unreadable = []
+    if limit_text is not None and limit_per_s is None:
+        unreadable.append(f"{names.SERVER_LIMIT}: {limit_text[:MAX_LOGGED_CHARS]}")
+    return BackendSignals(limit_per_s, unreadable)
+
+
+def _decode_limit(text):
+    """Return requests per second within bounds, or None if the text names none."""
+    try:
+        per_s = float(text)
+    except (TypeError, ValueError):
+        return None
+    if not math.isfinite(per_s) or per_s < 0.0:
+        return None
+    return min(MAX_LIMIT_PER_S, max(MIN_LIMIT_PER_S, per_s))
+
+
 def _decode_confidence(text):
     try:
         return float(text)
--- a/stoatpath/platform/names.py
+++ b/stoatpath/platform/names.py
@@ -44,6 +44,8 @@
 SEAL = "X-Stoatpath-Replica-Seal"
 NOT_EXECUTED = "X-Stoatpath-Not-Executed"
 CONFIDENCE = "X-Stoatpath-Confidence"
+# Requests per second that a replica takes from all machines together.
+SERVER_LIMIT = "Server-Limit"
 # Misdirected Request: another replica than the expected one has the address.
 MISDIRECTED_STATUS = 421
 
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -8,6 +8,7 @@
 from stoatpath.admission.gates import AdmissionGate
 from stoatpath.admission.queues import AdmissionQueue
 from stoatpath.admission.rates import RateLimits
+from stoatpath.backpressure.limits import LimitTable
 from stoatpath.billing.holders import MirrorHolder
 from stoatpath.billing.ledgers import LedgerWriter
 from stoatpath.billing.messages import Source
@@ -85,6 +86,7 @@
         "attempts",
         "sender",
         "retry_budget",
+        "limits",
         "pipeline",
         "listener",
         "metrics",
@@ -139,6 +141,7 @@
             clock, settings.between_bytes_timeout_ms, self.node.tls.backends
         )
         self.retry_budget = RetryBudget()
+        self.limits = LimitTable()
         self.attempts = AttemptRunner(self, rng)
         self.attempts.observers.append(self.chooser.breakers.observe)
         self.stages = StageRunner(self)
--- a/stoatpath/standins/replicas.py
+++ b/stoatpath/standins/replicas.py
@@ -13,6 +13,7 @@
 
 from aiohttp import web
 
+from stoatpath.clock import Clock
 from stoatpath.standins.faults import FaultTable
 from stoatpath.standins.servers import StandinServer, drop_connection
 
@@ -41,7 +42,9 @@
 
     `confidence_by_model` sets the confidence header of its answers; `events` is the
     number of events of a stream, `event_ms` the delay after each. `received_count`
-    counts all requests, including those that did not run.
+    counts all requests, including those that did not run, and `arrivals` holds the
+    clock reading and the identifier of each. `limit_per_s` is the limit that it names
+    in its answers, or None.
     """
 
     __slots__ = (
@@ -53,6 +56,8 @@
         "faults",
         "runs",
         "received_count",
+        "arrivals",
+        "limit_per_s",
         "confidence_by_model",
         "events",
         "event_ms",
@@ -69,6 +74,8 @@
         self.faults = FaultTable()
         self.runs = []
         self.received_count = 0
+        self.arrivals = []
+        self.limit_per_s = None
         self.confidence_by_model = {}
         self.events = 5
         self.event_ms = 1.0
@@ -104,6 +111,9 @@
 
     async def _serve(self, request):
         self.received_count += 1
+        self.arrivals.append(
+            (Clock().now_ms(), request.headers.get(ATTEMPT_ID_HEADER, ""))
+        )
         fault = self.faults.next_fault("serve")
         kind = "" if fault is None else fault.kind
         if kind == "silent":
@@ -112,6 +122,8 @@
             drop_connection(request)
             return web.Response(status=503)
         echo = {ATTEMPT_ID_HEADER: request.headers.get(ATTEMPT_ID_HEADER, "")}
+        if self.limit_per_s is not None:
+            echo["Server-Limit"] = f"{self.limit_per_s:g}"
         if request.headers.get("X-Stoatpath-Expect-Replica") != self.name:
             return web.Response(status=421, headers=echo)
         if kind == "shed":
