Reproduce: a backend server that names a limit gets more from five gateways (failing)

Five gateways before three backend servers of a plain service, one of which names a limit of 2 a second; 40 requests a second.

--- /dev/null
+++ b/features/platform/steps/backpressure_steps.py
@@ -0,0 +1,135 @@
+"""Steps on backend servers that ask for fewer requests, before several gateways."""
+
+import asyncio
+
+from behave import given, then, when
+from callers import request_headers, send_request, wait_until
+
+from stoatpath.standins.deployments import Deployment
+
+ALLOWED_FACTOR = 1.5
+ALLOWED_EXTRA = 5
+WINDOW_MS = 4_000.0
+# Requests that a gateway had already sent when it was told don't count.
+TOLD_SLACK_MS = 500.0
+
+
+class FleetFixture:
+    """Gateways that know each other, with an event loop of their own.
+
+    Request identifiers begin with the name of the gateway that got the request.
+    """
+
+    def __init__(self, gateways, plain):
+        self.loop = asyncio.new_event_loop()
+        self.deployment = Deployment()
+        self.responses = []
+        self.told_ms_by_gateway = {}
+        self.run(self._start(gateways, plain))
+
+    def run(self, work):
+        return self.loop.run_until_complete(work)
+
+    @property
+    def gateways(self):
+        return self.deployment.gateways
+
+    def replica(self, name):
+        return self.deployment.replicas_by_name[name]
+
+    def close(self):
+        self.run(self.deployment.stop())
+        self.loop.close()
+
+    async def _start(self, gateways, plain):
+        await self.deployment.start(models=0, plain=plain, gateways=1)
+        seed = self.gateways[0].peer_server.address
+        for index in range(1, gateways):
+            await self.deployment.add_gateway(f"gateway-{index}", seeds=[seed])
+        await self.deployment.wait_until_in_sync()
+        assert await wait_until(
+            lambda: all(
+                len(gateway.members.peers()) == gateways - 1
+                for gateway in self.gateways
+            )
+        )
+
+    async def send(self, gateway, number, route="look"):
+        name = gateway.boot.instance
+        headers = request_headers(route, number)
+        headers["X-Stoatpath-Attempt-Id"] = f"{name}/{number}"
+        response = await send_request(gateway, route, headers=headers)
+        self.responses.append(response)
+        if "Server-Limit" in response.headers:
+            now_ms = gateway.clock.now_ms()
+            self.told_ms_by_gateway.setdefault(name, now_ms)
+
+    async def send_steadily(self, rate_per_s, seconds, route="look"):
+        """Send requests through all gateways in turn, without waiting for answers."""
+        tasks = []
+        for number in range(int(rate_per_s * seconds)):
+            gateway = self.gateways[number % len(self.gateways)]
+            tasks.append(asyncio.create_task(self.send(gateway, number, route)))
+            await asyncio.sleep(1 / rate_per_s)
+        await asyncio.gather(*tasks)
+
+    def counted_arrivals(self, replica):
+        """Return when requests of gateways that had been told arrived."""
+        return sorted(
+            arrived_ms
+            for arrived_ms, request_id in replica.arrivals
+            if arrived_ms
+            >= self.told_ms_by_gateway.get(request_id.split("/")[0], float("inf"))
+            + TOLD_SLACK_MS
+        )
+
+
+def most_in_window(times_ms, window_ms):
+    """Return the largest number of arrivals in a window."""
+    return max(
+        (
+            sum(start_ms <= each < start_ms + window_ms for each in times_ms)
+            for start_ms in times_ms
+        ),
+        default=0,
+    )
+
+
+@given(
+    "{count:d} gateways that know each other, and {plain:d} backend servers of a service"
+)
+def step_impl(context, count, plain):
+    context.fleet = FleetFixture(count, plain)
+    context.add_cleanup(context.fleet.close)
+
+
+@given("backend server {name} names a limit of {limit:g} requests a second")
+def step_impl(context, name, limit):
+    context.fleet.replica(name).limit_per_s = limit
+
+
+@when(
+    "callers send {rate:d} look requests a second through all gateways for {seconds:d} s"
+)
+def step_impl(context, rate, seconds):
+    context.fleet.run(context.fleet.send_steadily(rate, seconds))
+
+
+@then("{name} got at most one and a half times its limit and 5 requests in any 4 s")
+def step_impl(context, name):
+    replica = context.fleet.replica(name)
+    allowed = ALLOWED_FACTOR * replica.limit_per_s * WINDOW_MS / 1000 + ALLOWED_EXTRA
+    counted = most_in_window(context.fleet.counted_arrivals(replica), WINDOW_MS)
+    assert counted <= allowed, (counted, allowed)
+
+
+@then("{name} got at least {count:d} requests from gateways that it had told")
+def step_impl(context, name, count):
+    arrivals = context.fleet.counted_arrivals(context.fleet.replica(name))
+    assert len(arrivals) >= count, len(arrivals)
+
+
+@then("all requests are answered with {status:d}")
+def step_impl(context, status):
+    statuses = {response.status for response in context.fleet.responses}
+    assert statuses == {status}, statuses
