A limit that a backend server names is kept by all instances together

What callers saw: nothing.

Cause: the limit is part of an answer's head, and nothing read it; the selection goes by price, and a server that others leave alone looks cheapest. Class: a statement of a backend server that holds for the whole fleet, where each instance decides by itself.

Fix: each limit has one issuer, the first of the live members by rendezvous hashing. An instance asks it for a permit when it is about to send to a server with a limit; without one it sends elsewhere at once, or refuses at once with the time to return. Retries, later stages, resumed streams and hedges pass the same place. An issuer grants 0.95 of a limit, and half of it times the share of members that it reaches while it has reason to doubt its view, so two issuers of different views stay within one and a half times. An empty bucket at the start, the newest answer decides, doubt keeps the limit.

--- a/features/platform/steps/backpressure_steps.py
+++ b/features/platform/steps/backpressure_steps.py
@@ -59,6 +59,7 @@
         headers = request_headers(route, number)
         headers["X-Stoatpath-Attempt-Id"] = f"{name}/{number}"
         response = await send_request(gateway, route, headers=headers)
+        response.request_id = f"{name}/{number}"
         self.responses.append(response)
         if "Server-Limit" in response.headers:
             now_ms = gateway.clock.now_ms()
@@ -133,3 +134,34 @@
 def step_impl(context, status):
     statuses = {response.status for response in context.fleet.responses}
     assert statuses == {status}, statuses
+
+
+@given("all backend servers name a limit of {limit:g} requests a second")
+def step_impl(context, limit):
+    for replica in context.fleet.deployment.replicas_by_name.values():
+        replica.limit_per_s = limit
+
+
+def refusals(context):
+    refused = [each for each in context.fleet.responses if each.status == 503]
+    assert refused, context.fleet.responses
+    return refused
+
+
+@then(
+    "some requests are refused with {status:d} and a time to return "
+    "of {least:g} s to {most:g} s"
+)
+def step_impl(context, status, least, most):
+    for response in refusals(context):
+        assert response.status == status
+        seconds = float(response.headers["Retry-After"])
+        assert least <= seconds <= most, seconds
+
+
+@then("none of the refused requests ran")
+def step_impl(context):
+    refused = {response.request_id for response in refusals(context)}
+    replicas = context.fleet.deployment.replicas_by_name.values()
+    ran = {run.request_id for replica in replicas for run in replica.runs}
+    assert not refused & ran, refused & ran
--- a/stoatpath/backpressure/limits.py
+++ b/stoatpath/backpressure/limits.py
@@ -5,6 +5,9 @@
 logger = logging.getLogger(__name__)
 
 MAX_REMEMBERED_TEXTS = 100
+# Upper limit of the time that a message of another instance takes. The end of a limit
+# counts as heard that much sooner, since the age that the message states is too low.
+TRAVEL_MS = 100.0
 
 
 class NamedLimit:
@@ -26,13 +29,16 @@
 class LimitTable:
     """The limits that backend servers have named, by their names.
 
-    `limited_sends` counts the requests to those with a limit in force.
+    `limited_sends` counts the requests to those with a limit in force. Each of
+    `observers` is called with the name of a backend server whose answers to this
+    instance began, changed or ended a limit.
     """
 
-    __slots__ = ("by_name", "limited_sends", "_unreadable_texts")
+    __slots__ = ("by_name", "limited_sends", "observers", "_unreadable_texts")
 
     def __init__(self):
         self.by_name = {}
+        self.observers = []
         self.limited_sends = 0
         self._unreadable_texts = set()
 
@@ -50,6 +56,7 @@
         for text in signals.unreadable:
             self._log_unreadable(name, text)
         known = self.by_name.get(name)
+        before_per_s = self.limit_per_s(name)
         if signals.limit_per_s is not None:
             per_s = signals.limit_per_s
             if self._is_concurrent(known, sent_ms):
@@ -59,6 +66,19 @@
             return
         elif not self._is_concurrent(known, sent_ms):
             self._set(name, None, max(known.heard_ms, sent_ms))
+        if self.limit_per_s(name) != before_per_s:
+            for observer in self.observers:
+                observer(name)
+
+    def merge(self, name, per_s, heard_ms):
+        """Record what another instance heard; `per_s` is None if the limit ended."""
+        known = self.by_name.get(name)
+        if per_s is None:
+            heard_ms -= TRAVEL_MS
+            if known is None:
+                return
+        if known is None or heard_ms > known.heard_ms:
+            self._set(name, per_s, heard_ms)
 
     def record_send(self, name):
         """Count a request to a backend server."""
--- a/stoatpath/commands/request_traces.py
+++ b/stoatpath/commands/request_traces.py
@@ -11,6 +11,7 @@
     "backends.",
     "drain.",
     "log.dropped",
+    "permits.",
     "program.",
     "release.",
     "routes.",
@@ -40,6 +41,8 @@
     "look for drain.began",
     "no-backend": "no backend server was known that may serve it; look for "
     "backends.gone",
+    "backends-limited": "all backend servers that may serve it take no more requests "
+    "for now; look for backends.limit",
     "overloaded": "more requests waited than the instance lets wait",
     "deadline-unreachable": "its turn would have come after its deadline",
     "refused-by-backend": "every backend server that was tried refused it unrun, and "
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -5,14 +5,22 @@
 from stoatpath.dispatch.messages import Attempt, AttemptResult
 from stoatpath.dispatch.retries import MAX_ATTEMPTS, backoff_ms, may_retry
 from stoatpath.outcomes import (
+    BACKENDS_LIMITED,
     BROKEN_ANSWER,
     FOREIGN_ANSWER,
     SILENT_CONNECTION,
     SUPERSEDED,
     UNSURE_ANSWER,
+    Failure,
     is_failure,
 )
+from stoatpath.routing.messages import Candidate
 
+# Permits that a request may ask for before it is sent elsewhere; each takes a round
+# trip to another instance.
+MAX_PERMIT_REQUESTS = 3
+MAX_LISTED_WITHHELD = 4
+WITHHELD = "limit reached"
 CONNECTION_FAULTS = (BROKEN_ANSWER, FOREIGN_ANSWER, SILENT_CONNECTION)
 
 
@@ -83,7 +91,7 @@
         relay = self._policy.open_relay(request, stream)
         state = _RequestState(request, version, relay, min_confidence)
         for retries in range(MAX_ATTEMPTS):
-            choice = self._select_backend(state)
+            choice = await self._acquire_backend(state)
             if is_failure(choice):
                 return state.worst_failure or choice
             problem = self._check_guard(state)
@@ -133,7 +141,7 @@
         """Return the coroutine of a hedged attempt, or None when not allowed."""
         if state.relay is not None and state.relay.has_begun:
             return None
-        choice = self._select_backend(state)
+        choice = self._select_backend(state, only_permitted=True)
         if is_failure(choice) or self._check_guard(state) is not None:
             return None
         if choice.backend.name in state.tried_names:
@@ -141,9 +149,28 @@
             return None
         if not self._router.retry_budget.try_spend_on_hedge(state.request.service.name):
             return None
+        self._router.permits.try_acquire(choice.backend.name)
         self._record_decision(state.request, "hedge", "slow to begin")
         return self._send(state, self._build_attempt(state, choice.backend))
 
+    async def _acquire_backend(self, state):
+        """Select a backend server and acquire the permit to send to it.
+
+        Return a `Choice` or a failure.
+        """
+        permits = self._router.permits
+        for _ in range(MAX_PERMIT_REQUESTS):
+            choice = self._select_backend(state)
+            if is_failure(choice) or await permits.acquire(choice.backend.name):
+                return choice
+            self._record_decision(
+                state.request, "permit", WITHHELD, backend=choice.backend.name
+            )
+        choice = self._select_backend(state, only_permitted=True)
+        if not is_failure(choice):
+            permits.try_acquire(choice.backend.name)
+        return choice
+
     def _build_attempt(self, state, backend):
         state.sent_count += 1
         state.tried_names.add(backend.name)
@@ -168,6 +195,7 @@
     async def _send(self, state, attempt):
         backend = attempt.backend
         started_ms = self._clock.now_ms()
+        self._router.chooser.breakers.record_send(backend.name, started_ms)
         self._router.limits.record_send(backend.name)
         backend.in_flight += 1
         try:
@@ -227,14 +255,26 @@
             events=attempt.events,
         )
 
-    def _select_backend(self, state):
+    def _select_backend(self, state, only_permitted=False):
+        """Return the `Choice` of a backend server, or a failure.
+
+        With `only_permitted`, a limited backend server needs a permit at hand.
+        """
         request = state.request
         query = self._policy.query(request, state.version, state.tried_names)
         backends = self._policy.candidates(request, state.version, state.relay)
-        choice = self._router.chooser.choose(query, backends, self._clock.now_ms())
+        backends, withheld = self._split_withheld(backends, only_permitted)
+        if withheld and not backends:
+            choice = self._limited_failure(request, withheld)
+        else:
+            choice = self._router.chooser.choose(query, backends, self._clock.now_ms())
         if is_failure(choice):
             self._record_decision(request, "route", choice.detail)
             return choice
+        choice.candidates += [
+            Candidate(backend.name, None, WITHHELD)
+            for backend in withheld[:MAX_LISTED_WITHHELD]
+        ]
         self._record_decision(
             request,
             "route",
@@ -245,6 +285,29 @@
         )
         return choice
 
+    def _split_withheld(self, backends, only_permitted):
+        """Return the backend servers that may get a request now, and the others."""
+        permits = self._router.permits
+        if not self._router.limits.by_name:
+            return backends, []
+        now_ms = self._clock.now_ms()
+        open_backends, withheld = [], []
+        for backend in backends:
+            if only_permitted:
+                is_open = permits.has_permit(backend.name)
+            else:
+                is_open = permits.retry_at_ms(backend.name) <= now_ms
+            (open_backends if is_open else withheld).append(backend)
+        return open_backends, withheld
+
+    def _limited_failure(self, request, withheld):
+        permits = self._router.permits
+        retry_at_ms = min(permits.retry_at_ms(each.name) for each in withheld)
+        detail = f"all backend servers of {request.service.name} are at their limits"
+        return Failure(
+            BACKENDS_LIMITED, detail, retry_at_ms=max(retry_at_ms, self._clock.now_ms())
+        )
+
     def _limit_details(self, name):
         per_s = self._router.limits.limit_per_s(name)
         return {} if per_s is None else {"limit_per_s": per_s}
--- a/stoatpath/dispatch/features/steps/dispatch_rig.py
+++ b/stoatpath/dispatch/features/steps/dispatch_rig.py
@@ -5,6 +5,7 @@
 import socket
 from types import SimpleNamespace
 
+from stoatpath.backpressure.exchanges import PermitExchange
 from stoatpath.backpressure.limits import LimitTable
 from stoatpath.callers.messages import CallerRequest
 from stoatpath.clock import Clock
@@ -18,6 +19,8 @@
 from stoatpath.dispatch.retries import RetryBudget
 from stoatpath.dispatch.senders import Sender
 from stoatpath.membership.backends import BackendServers
+from stoatpath.membership.members import MemberTable
+from stoatpath.membership.messages import LIVE, Member
 from stoatpath.outcomes import is_failure
 from stoatpath.routing.choosers import LeastTimeChooser
 from stoatpath.services.messages import ListedInstance
@@ -59,6 +62,7 @@
         self.results = []
         self.decisions = []
         self._entries = {}
+        limits = LimitTable()
         self.router = SimpleNamespace(
             clock=self.clock,
             settings=SimpleNamespace(
@@ -68,7 +72,14 @@
             chooser=LeastTimeChooser("zone-a", random.Random(1)),
             sender=Sender(self.clock, SHORT_TIMEOUT_MS),
             retry_budget=RetryBudget(),
-            limits=LimitTable(),
+            limits=limits,
+            permits=PermitExchange(
+                limits,
+                MemberTable(Member("router-0", "router", "", "zone-a", 1, LIVE)),
+                None,
+                SimpleNamespace(register=lambda topic, handler: None),
+                self.clock,
+            ),
             guard=SimpleNamespace(check_send=lambda request, version: None),
             ring=SimpleNamespace(record_decision=self._record_decision),
         )
--- a/stoatpath/gateway_metrics.py
+++ b/stoatpath/gateway_metrics.py
@@ -151,6 +151,11 @@
         "Requests to backend servers with a limit in force.",
         gateway.limits.limited_sends,
     )
+    yield Sample.counter(
+        "stoatpath_permits_refused_total",
+        "Times that a request got no permit for a backend server with a limit.",
+        gateway.permits.withheld,
+    )
     counts_by_state = {"usable": 0, "leaving": 0}
     for backend in gateway.backends.by_name.values():
         counts_by_state["leaving" if backend.is_leaving else "usable"] += 1
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -6,6 +6,7 @@
 
 from stoatpath.admission.gates import AdmissionGate
 from stoatpath.admission.queues import AdmissionQueue
+from stoatpath.backpressure.exchanges import PermitExchange
 from stoatpath.backpressure.limits import LimitTable
 from stoatpath.callers.bodies import BodyReader
 from stoatpath.callers.connections import ConnectionLimits
@@ -118,6 +119,7 @@
         "chooser",
         "backend_client",
         "limits",
+        "permits",
         "sender",
         "attempts",
         "attempt_statistics",
@@ -262,6 +264,9 @@
         self.chooser = AffinityChooser(boot.zone, self.random)
         self.backend_client = BackendClient()
         self.limits = LimitTable()
+        self.permits = PermitExchange(
+            self.limits, self.members, self.peer_client, self.peer_server, self.clock
+        )
         self.sender = RelaySender(
             self.clock, self.backend_client, decode_head, self.limits
         )
@@ -329,6 +334,7 @@
         await self.listener.stop()
         await self.ready_server.stop()
         await self.metrics.stop()
+        await self.permits.close()
         await self.backend_client.close()
         await self.peer_server.stop()
         await self.peer_client.close()
@@ -442,6 +448,7 @@
             self.backends.expire_lapsed(self.clock.now_ms())
             self.chooser.retain_backends(self.backends.by_name)
             self.limits.retain_backends(self.backends.by_name)
+            self.permits.retain_backends(self.backends.by_name)
             self._update_capacities()
             self._update_status_polling()
 
--- a/stoatpath/measure/prompt_loads.py
+++ b/stoatpath/measure/prompt_loads.py
@@ -232,6 +232,7 @@
             self._load.counts[kind.name, "failed"] += 1
             return
         backend = chosen.backend
+        self._instance.chooser.breakers.record_send(backend.name, now_ms)
         pending_work = [choice.work_for_tokens(kind.shared_tokens + kind.unique_tokens)]
         backend.in_flight += 1
         backend.pending_prompt_work += pending_work[0]
--- a/stoatpath/measure/routing_runs.py
+++ b/stoatpath/measure/routing_runs.py
@@ -227,6 +227,7 @@
         self.attempts += 1
         self.outage_attempts += self._is_in_outage(arrival)
         backend = choice.backend
+        router.chooser.breakers.record_send(backend.name, now_ms)
         tried.add(backend.name)
         backend.in_flight += 1
         job = Job(self, arrival, router, backend, tried, now_ms)
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -8,6 +8,7 @@
 from stoatpath.admission.gates import AdmissionGate
 from stoatpath.admission.queues import AdmissionQueue
 from stoatpath.admission.rates import RateLimits
+from stoatpath.backpressure.exchanges import PermitExchange
 from stoatpath.backpressure.limits import LimitTable
 from stoatpath.billing.holders import MirrorHolder
 from stoatpath.billing.ledgers import LedgerWriter
@@ -87,6 +88,7 @@
         "sender",
         "retry_budget",
         "limits",
+        "permits",
         "pipeline",
         "listener",
         "metrics",
@@ -142,6 +144,13 @@
         )
         self.retry_budget = RetryBudget()
         self.limits = LimitTable()
+        self.permits = PermitExchange(
+            self.limits,
+            self.node.members,
+            self.node.peer_client,
+            self.node.peer_server,
+            clock,
+        )
         self.attempts = AttemptRunner(self, rng)
         self.attempts.observers.append(self.chooser.breakers.observe)
         self.stages = StageRunner(self)
@@ -226,6 +235,7 @@
         await cancel_and_wait(self._tasks)
         await self.sampling.sampler.stop()
         await self.rollouts.broadcaster.stop()
+        await self.permits.close()
         await self.sender.close()
         await self.rater.close()
         await self.ratings.connection.close()
@@ -244,6 +254,8 @@
             await self.clock.sleep_until(self.clock.now_ms() + CLEANUP_PERIOD_MS)
             await self.sender.close_unused()
             self.chooser.breakers.retain_backends(self.backends.by_name)
+            self.limits.retain_backends(self.backends.by_name)
+            self.permits.retain_backends(self.backends.by_name)
             snapshot = self.follower.snapshot
             known = {*snapshot.versions_by_name, *snapshot.services_by_name}
             self.estimates.retain_only(known)
--- a/stoatpath/routing/affinity.py
+++ b/stoatpath/routing/affinity.py
@@ -95,7 +95,6 @@
             self.length_partition.record_prompt(query.work, now_ms)
         evaluated, preferred = self._evaluate(query, eligible, now_ms)
         cheapest = evaluated[0][1]
-        self.breakers.record_send(cheapest.name, now_ms)
         listed = [
             Candidate(backend.name, round(cost), EVALUATED)
             for cost, backend in evaluated[:MAX_LISTED_CANDIDATES]
--- a/stoatpath/routing/choosers.py
+++ b/stoatpath/routing/choosers.py
@@ -46,7 +46,6 @@
             if expected_ms < best_ms:
                 best = backend
                 best_ms = expected_ms
-        self.breakers.record_send(best.name, now_ms)
         return Choice(best, candidates, "least expected time of the sample")
 
     def _select_sample(self, query, backends, now_ms, candidates):
--- a/stoatpath/utils.py
+++ b/stoatpath/utils.py
@@ -35,11 +35,16 @@
 
 def rendezvous_rank(key, names):
     """Return the names, highest rendezvous hash for a key first."""
-    return sorted(
-        names,
-        key=lambda name: (xxh3_64_intdigest(f"{name}\0{key}".encode()), name),
-        reverse=True,
-    )
+    return sorted(names, key=lambda name: _rendezvous_order(key, name), reverse=True)
+
+
+def rendezvous_first(key, names):
+    """Return the name with the highest rendezvous hash for a key."""
+    return max(names, key=lambda name: _rendezvous_order(key, name))
+
+
+def _rendezvous_order(key, name):
+    return xxh3_64_intdigest(f"{name}\0{key}".encode()), name
 
 
 async def cancel_and_wait(tasks):
