Roll-outs: slow versions of small services are found, good ones are not rolled back

The false alarms: only instances that saw bad answers publish their counts, so that the sum left out the good answers of all others; the old rate was that of one instance since the order; a request that fails everywhere counted once for each attempt; and the sum of the binomial tail stopped at its first terms where these were tiny, which made 4 crowded streams of 100 a near-certain regression.

Class: statistics of a sample that is selected by its outcome, or too small.

Fix: slowness of unstreamed answers is relative to their route (2.5 times, above 8 ms); failed, slow and bad answers are tested each, by Fisher's exact test against counts of the old release of all publishers, kept since before the order; the answers of instances that did not publish are estimated from what the canary share should have given; first attempts alone count; requests without a session get a quarter of the exposure slack on top of the canary share, divided by the instances.

No assertion was changed; the steps follow the new calls."

--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -238,6 +238,7 @@
             self._policy.route_name(request),
             None if state.relay is None else attempt.events,
             self._policy.repeatability_label(request),
+            attempt.number,
         )
         for observer in self.observers:
             observer(result)
--- a/stoatpath/dispatch/messages.py
+++ b/stoatpath/dispatch/messages.py
@@ -64,7 +64,7 @@
     low confidence. `first_byte_ms` and `ended_ms` are clock readings;
     `first_byte_ms` is None when no byte arrived. `route` labels the request,
     `repeatability` how often it may run. `events` is `Attempt.events` for a stream,
-    None for a buffered answer.
+    None for a buffered answer. `number` is that of the attempt.
     """
 
     __slots__ = (
@@ -78,6 +78,7 @@
         "route",
         "events",
         "repeatability",
+        "number",
     )
 
     def __init__(
@@ -92,6 +93,7 @@
         route="",
         events=None,
         repeatability="",
+        number=1,
     ):
         self.backend = backend
         self.version = version
@@ -103,6 +105,7 @@
         self.route = route
         self.events = events
         self.repeatability = repeatability
+        self.number = number
 
 
 class Answer:
--- a/stoatpath/dispatch/window_budgets.py
+++ b/stoatpath/dispatch/window_budgets.py
@@ -60,6 +60,10 @@
         """Count one request."""
         self._window(service).add(1, 0, self._clock.now_ms())
 
+    def request_rate(self, service):
+        """Return the requests per second in the window."""
+        return self._window(service).requests / self._window_ms * 1000
+
     def remaining(self, service):
         """Return how many extra sends are allowed now."""
         window = self._window(service)
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -77,6 +77,8 @@
 # A starting instance contacts others more often than in regular gossip rounds.
 JOIN_ROUNDS_UNTIL_MS = 4_000.0
 JOIN_ROUND_PERIOD_MS = 500.0
+# Time after the start from which the number of known members counts as that of all.
+MEMBERS_KNOWN_AFTER_MS = 8_000.0
 # Changes of members are not urgent: sources are judged by their answers.
 GOSSIP_PERIOD_MS = 2_500.0
 GATEWAY_ROLE = "gateway"
@@ -140,6 +142,7 @@
         "peer_client",
         "gossip",
         "tables",
+        "_members_known_at_ms",
         "_tasks",
     )
 
@@ -220,6 +223,7 @@
         )
         seeds = [seed for seed in boot.peer_seeds if seed != boot.peer_address]
         self.gossip.contacts.add_seed_addresses(seeds)
+        self._members_known_at_ms = self.clock.now_ms() + MEMBERS_KNOWN_AFTER_MS
         join_ms = FIRST_START_JOIN_MS if boot.is_first_start else JOIN_MS
         self.tables = TableRelay(
             {
@@ -241,6 +245,14 @@
         )
         self.tables.set_enabled(names.STATUS_TABLE, False)
         self.releases.reads_store = lambda: self.tables.is_reading_store
+        self.releases.instance_count = self._instance_count
+        self.releases.exposure_slack = boot.exposure_slack
+
+    def _instance_count(self):
+        """Return the number of instances, None until all can be known here."""
+        if self.clock.now_ms() < self._members_known_at_ms:
+            return None
+        return 1 + len(self.members.by_name)
 
     def _build_follower(self, table, on_changes):
         return TableFollower(
@@ -279,6 +291,7 @@
             self._remove_reassigned,
         ]
         self.gate = AdmissionGate(AdmissionQueue(MAX_QUEUED_REQUESTS), self.clock)
+        self.releases.request_rate = self.retry_budget.request_rate
         self.planner = ConfidencePlanner(self.retry_budget)
         self.stages = ConfidenceRunner(self)
         self.pipeline = Pipeline(self)
@@ -353,6 +366,7 @@
             boot.retry_ratio, boot.retry_window_ms, boot.retry_slack
         )
         self.releases.registry.set_exposure(boot.exposure_share)
+        self.releases.exposure_slack = boot.exposure_slack
         self.tables.set_bound(knowledge_bound_ms(boot))
         times_by_table = poll_times_by_table(boot)
         self.operator_rows.set_times(*times_by_table[names.OPERATOR_TABLE])
--- a/stoatpath/rollouts/features/releases.feature
+++ b/stoatpath/rollouts/features/releases.feature
@@ -155,3 +155,38 @@
       | role                            | when     | least | most |
       | reads the store                 | soon     | 0     | 500  |
       | copies the tables from another  | later    | 700   | 1200 |
+
+  # Guards against a slow release of a small service that is completed, as its few
+  # answers in the canary phase are too fast for the floor or too few for the test.
+  Scenario Outline: A release that <regression> is rolled back by <count> instances
+    Given <count> instances that send <rate> requests a second to a plain service
+    When a release that <regression> is rolled out in <seconds> s, with <seeds> seeds
+    Then it is rolled back with all seeds but <missed>
+
+    Examples:
+      | count | rate | seconds | seeds | missed | regression                            |
+      | 7     | 15   | 14      | 20    | 0      | answers half of them 8 times slower   |
+      | 7     | 15   | 14      | 10    | 0      | answers all of them 3 times slower    |
+      | 7     | 15   | 14      | 10    | 0      | fails half of them                    |
+      | 69    | 100  | 24      | 2     | 0      | answers half of them 8 times slower   |
+
+  # Guards against a good release that is rolled back, as only instances that saw bad
+  # answers publish their counts, and requests that fail everywhere are retried.
+  Scenario Outline: A good release of a service with failing requests is completed by <count> instances
+    Given <count> instances that send <rate> requests a second to a plain service
+    When a release that is good is rolled out in <seconds> s, with <seeds> seeds
+    Then it is completed with all seeds but <failed>
+    And the new release got at most its exposure
+
+    Examples:
+      | count | rate | seconds | seeds | failed |
+      | 7     | 15   | 14      | 20    | 1      |
+      | 9     | 17   | 24      | 10    | 1      |
+      | 69    | 100  | 24      | 2     | 0      |
+      | 195   | 200  | 24      | 1     | 0      |
+
+  Scenario: Many streams of which few are crowded are no evidence against a release
+    Given 40 streams of the old release with 20 ms between events
+    When 100 streams of the new release have 20 ms between events
+    And 5 streams of the new release have 55 ms between events
+    Then the new release is not suspected
--- a/stoatpath/rollouts/features/steps/release_steps.py
+++ b/stoatpath/rollouts/features/steps/release_steps.py
@@ -23,11 +23,7 @@
     ReleaseOrder,
     ReleaseStatus,
 )
-from stoatpath.rollouts.release_evidence import (
-    AnswerCounts,
-    ReleaseEvidence,
-    encode_counts,
-)
+from stoatpath.rollouts.release_evidence import AnswerCounts, ReleaseEvidence
 from stoatpath.rollouts.release_keepers import ReleaseKeeper
 from stoatpath.rollouts.releases import ReleaseRegistry
 from stoatpath.standins.deployments import PLAIN_SERVICE, Deployment
@@ -180,15 +176,14 @@
             gateway_evidence.record_answer(
                 result(f"new-{gateway}"), True, latency_class
             )
-        assert gateway_evidence.detect_regression(gateway_evidence.new_by_route) is None
-        context.stored.append(gateway_evidence.new_by_route["chat"].to_json())
+        assert gateway_evidence.detect_regression() is None
+        context.stored.append(gateway_evidence.to_row(7, 0.0))
 
 
 @when("one of them evaluates the counts of all")
 def step_impl(context):
-    merged = context.evidence.new_by_route["chat"] = AnswerCounts()
-    for row in context.stored:
-        merged.add(AnswerCounts.from_json(row))
+    published = [ReleaseEvidence.from_row(7, row) for row in context.stored]
+    context.evidence = ReleaseEvidence.merged(published, 0.0)
 
 
 @when(
@@ -203,7 +198,7 @@
 
 @then("the new release is {verdict}")
 def step_impl(context, verdict):
-    problem = context.evidence.detect_regression(context.evidence.new_by_route)
+    problem = context.evidence.detect_regression()
     assert (problem is not None) == (verdict == "suspected"), problem
 
 
@@ -322,7 +317,9 @@
     """A store with the counts of other instances; it accepts and counts every write."""
 
     def __init__(self, count):
-        counts = encode_counts(7, {"chat": AnswerCounts(total=1)})
+        evidence = ReleaseEvidence()
+        evidence.new_by_route["chat"] = AnswerCounts(total=1)
+        counts = evidence.to_row(7, 0.0)
         self.rows = [
             StoredRow(f"{SERVICE}/other-{number}", 1, counts) for number in range(count)
         ]
--- a/stoatpath/rollouts/latency_classifiers.py
+++ b/stoatpath/rollouts/latency_classifiers.py
@@ -11,8 +11,12 @@
 # load differs from that of the baseline, hence the larger factor.
 SLOW_FACTOR = 2.0
 SLOW_FACTOR_AFTER_CUTOVER = 4.0
-# A latency up to this is neither slow nor crowded.
+# Answers without events vary more with their content and the network.
+BUFFERED_SLOW_FACTOR = 2.5
+# Time between events up to which a stream is neither slow nor crowded, and time up to
+# which another answer is not slow: timers and the network vary by this much.
 MIN_SLOW_MS = 30.0
+MIN_BUFFERED_SLOW_MS = 8.0
 # A stream is crowded (slowed down by load on its backend server) if its latency is
 # above this multiple of that on an idle one. The canary phase sends a new release so
 # few requests that most of its streams run nearly alone.
@@ -57,17 +61,24 @@
             recent = self._recent_by_kind[kind] = deque(maxlen=MAX_SAMPLES)
         latency_class = UNCLASSIFIED
         if len(recent) >= MIN_SAMPLES:
-            detects_crowding = result.events is not None and not is_after_cutover
-            latency_class = _classify(
-                latency_ms, recent, is_after_cutover, detects_crowding
-            )
+            if result.events is None:
+                latency_class = _classify_buffered(latency_ms, recent, is_after_cutover)
+            else:
+                latency_class = _classify_stream(latency_ms, recent, is_after_cutover)
         if updates_baseline:
             recent.append(latency_ms)
         return latency_class
 
 
-def _classify(latency_ms, recent, is_after_cutover, detects_crowding):
-    """Return the class of a latency; `detects_crowding` allows the class `CROWDED`."""
+def _classify_buffered(latency_ms, recent, is_after_cutover):
+    """Return the class of the time that an answer without events took."""
+    factor = SLOW_FACTOR_AFTER_CUTOVER if is_after_cutover else BUFFERED_SLOW_FACTOR
+    is_slow = latency_ms > max(MIN_BUFFERED_SLOW_MS, factor * median(recent))
+    return SLOW if is_slow else USUAL
+
+
+def _classify_stream(latency_ms, recent, is_after_cutover):
+    """Return the class of the time between the events of a stream."""
     factor = SLOW_FACTOR_AFTER_CUTOVER if is_after_cutover else SLOW_FACTOR
     median_ms = median(recent)
     if latency_ms > max(MIN_SLOW_MS, factor * median_ms):
@@ -76,7 +87,7 @@
     crowded_ms = max(
         MIN_SLOW_MS, CROWDED_FACTOR * idle_ms, CROWDED_FACTOR_MEDIAN * median_ms
     )
-    if detects_crowding and latency_ms > crowded_ms:
+    if not is_after_cutover and latency_ms > crowded_ms:
         return CROWDED
     return USUAL
 
--- a/stoatpath/rollouts/release_keepers.py
+++ b/stoatpath/rollouts/release_keepers.py
@@ -16,10 +16,8 @@
 )
 from stoatpath.rollouts.release_evidence import (
     EVIDENCE_TABLE,
-    AnswerCounts,
     ReleaseEvidence,
-    decode_counts,
-    encode_counts,
+    UsualAnswers,
 )
 from stoatpath.rollouts.releases import COMPLETION_FRACTION
 from stoatpath.sessions.shared_releases import SharedSessions
@@ -45,6 +43,10 @@
     """Assigns releases to requests and drives the roll-outs of all services.
 
     `reads_store` tells whether this instance reads the store for others.
+    `instance_count` returns the number of instances, or None while it is uncertain;
+    `request_rate` returns the requests per second of a service at this instance.
+    `exposure_slack` is the number of requests that a bad release may serve besides its
+    share, at all instances together.
 
     `book` holds orders and statuses, `sessions` the releases that sessions ran on,
     `directory` the backend servers. `codec` encodes statuses and names their rows.
@@ -54,6 +56,9 @@
         "registry",
         "shared_sessions",
         "reads_store",
+        "instance_count",
+        "request_rate",
+        "exposure_slack",
         "status_versions_by_service",
         "_instance",
         "_store",
@@ -64,6 +69,8 @@
         "_clock",
         "_random",
         "_latencies",
+        "_usual_answers",
+        "_services_with_sessions",
         "_evidence_by_order",
         "_publication_by_order",
         "_evidence_versions_by_key",
@@ -85,6 +92,9 @@
         self.registry = book
         self.shared_sessions = SharedSessions()
         self.reads_store = lambda: True
+        self.instance_count = lambda: None
+        self.request_rate = lambda service: 0.0
+        self.exposure_slack = 0.0
         self.status_versions_by_service = {}
         self._instance = instance
         self._store = store
@@ -95,6 +105,8 @@
         self._clock = clock
         self._random = random
         self._latencies = LatencyClassifier()
+        self._usual_answers = UsualAnswers()
+        self._services_with_sessions = set()
         self._evidence_by_order = {}
         self._publication_by_order = {}
         self._evidence_versions_by_key = {}
@@ -106,6 +118,7 @@
         now_ms = self._clock.now_ms()
         earlier = None
         if request.session:
+            self._services_with_sessions.add(service)
             earlier = self._sessions.get_release(service, request.session, now_ms)
             if earlier is None:
                 earlier = self._told_release(service, request.session)
@@ -151,6 +164,7 @@
         """Apply an operator's order unless a newer one is known."""
         if self.registry.apply_order(order):
             self._drop_earlier_orders(order)
+            self._set_extra_requests(order)
             self._update_open_orders()
             now_ms = self._clock.now_ms()
             for session in self._sessions.sessions_off_release(
@@ -167,6 +181,14 @@
                 },
             )
 
+    def _set_extra_requests(self, order):
+        """Give this instance its part of the exposure beyond the allowed share."""
+        instances = self.instance_count()
+        expected = self.request_rate(order.service) * order.duration_ms / 1000
+        if instances is not None and expected > 0.0:
+            extra = self.exposure_slack / instances
+            self.registry.set_extra_requests(order.service, extra, expected)
+
     def apply_status(self, status):
         """Apply a status that the store holds, unless a newer one is known."""
         if self.registry.apply_status(status):
@@ -198,11 +220,29 @@
         latency_class = self._latencies.classify(
             backend.service, result, not is_new, is_after_cutover
         )
+        if result.number > 1:
+            # Requests that fail everywhere would count several times.
+            return
+        if not is_new:
+            self._usual_answers.record_answer(backend.service, result, latency_class)
         if not is_running:
             return
         evidence = self._evidence(order)
-        if evidence.record_answer(result, is_new, latency_class) and is_new:
-            self._suspect(order, evidence.detect_regression(evidence.new_by_route))
+        new_share = 1.0 if is_after_cutover else self._canary_share(order.service)
+        evidence.record_request(result.route, new_share)
+        if is_new and evidence.record_answer(result, is_new, latency_class):
+            self._suspect(order, evidence.detect_regression())
+
+    def _canary_share(self, service):
+        is_session = service in self._services_with_sessions
+        return self.registry.canary_share(service, is_session)
+
+    def _elapsed_ms(self, order):
+        """Return the time since a roll-out started, 0 while the store is unknown."""
+        store_ms = self._reachability.store_ms(self._clock.now_ms())
+        if store_ms is None:
+            return 0.0
+        return self.registry.progress(order, store_ms) * order.duration_ms
 
     def _is_after_cutover(self, order):
         """Return whether all work may have moved to the new release by now."""
@@ -290,12 +330,9 @@
         """Store the counts of the new release and evaluate those of all instances.
 
         This only happens once this instance has counted more bad or crowded answers.
-        The counts are compared with this instance's own counts of the old release.
         """
         evidence = self._evidence(order)
-        suspicious_answers = sum(
-            counts.suspicious_answers for counts in evidence.new_by_route.values()
-        )
+        suspicious_answers = evidence.suspicious_answers
         key = (order.service, order.version)
         published_answers, due_ms = self._publication_by_order.get(key, (0, 0.0))
         now_ms = self._clock.now_ms()
@@ -307,7 +344,7 @@
         )
         row_key = f"{order.service}/{self._instance}"
         version = self._evidence_versions_by_key.get(row_key, 0)
-        value = encode_counts(order.version, evidence.new_by_route)
+        value = evidence.to_row(order.version, self._elapsed_ms(order))
         write = RowWrite(EVIDENCE_TABLE, row_key, value, version)
         result = await self._store.write([write])
         if isinstance(result, Committed):
@@ -319,10 +356,10 @@
         period_factor = max(1.0, len(page.rows) / PUBLISHERS_PER_PERIOD)
         due_ms = now_ms + period_factor * PUBLISH_PERIOD_MS
         self._publication_by_order[key] = (published_answers, due_ms)
-        self._evaluate_all_counts(order, evidence, page.rows)
+        self._evaluate_all_counts(order, page.rows)
 
-    def _evaluate_all_counts(self, order, evidence, rows):
-        merged = {}
+    def _evaluate_all_counts(self, order, rows):
+        published = []
         for row in rows:
             service, _, instance = row.key.rpartition("/")
             if service != order.service:
@@ -330,9 +367,13 @@
             if instance == self._instance:
                 # After a restart the row of the previous process is overwritten.
                 self._evidence_versions_by_key[row.key] = row.version
-            for route, counts in decode_counts(order.version, row.value).items():
-                merged.setdefault(route, AnswerCounts()).add(counts)
-        self._suspect(order, evidence.detect_regression(merged))
+            evidence = ReleaseEvidence.from_row(order.version, row.value)
+            if evidence is not None:
+                published.append(evidence)
+        if published:
+            instances = self.instance_count() or len(published)
+            merged = ReleaseEvidence.merged(published, self._elapsed_ms(order))
+            self._suspect(order, merged.detect_regression(instances))
 
     def _suspect(self, order, problem):
         if problem is None or order.service in self.registry.suspicions_by_service:
@@ -362,5 +403,6 @@
         key = (order.service, order.version)
         evidence = self._evidence_by_order.get(key)
         if evidence is None:
-            evidence = self._evidence_by_order[key] = ReleaseEvidence()
+            usual_by_route = self._usual_answers.of_service(order.service)
+            evidence = self._evidence_by_order[key] = ReleaseEvidence(usual_by_route)
         return evidence
--- a/stoatpath/rollouts/releases.py
+++ b/stoatpath/rollouts/releases.py
@@ -18,6 +18,11 @@
 CANARY_EXPOSURE_FRACTION = 0.45
 # Fraction of the allowed exposure that is planned for the whole roll-out.
 TOTAL_EXPOSURE_FRACTION = 0.97
+# Fraction of the number of requests that a bad release may serve besides that share.
+# It is spent on requests without a session, of which a small service has few; chance
+# makes the number vary.
+SLACK_FRACTION = 0.25
+MAX_CANARY_SHARE = 0.35
 # New sessions stay on the old release for this time after a roll-out has started, until
 # all instances know which sessions are older.
 SESSIONS_KNOWN_AFTER_MS = 1_500.0
@@ -64,12 +69,14 @@
         "suspicions_by_service",
         "cutover_fraction",
         "_canary_share",
+        "_extra_shares_by_service",
     )
 
     def __init__(self, exposure_share):
         self.orders_by_service = {}
         self.statuses_by_service = {}
         self.suspicions_by_service = {}
+        self._extra_shares_by_service = {}
         self.set_exposure(exposure_share)
 
     def set_exposure(self, exposure_share):
@@ -91,8 +98,18 @@
             return False
         self.orders_by_service[order.service] = order
         self.suspicions_by_service.pop(order.service, None)
+        self._extra_shares_by_service.pop(order.service, None)
         return True
 
+    def set_extra_requests(self, service, extra_requests, expected_requests):
+        """Set how many more requests this instance may send to the new release.
+
+        `expected_requests` is the number that it will send to the service while the
+        roll-out lasts.
+        """
+        extra_share = SLACK_FRACTION * extra_requests / max(1.0, expected_requests)
+        self._extra_shares_by_service[service] = extra_share
+
     def apply_status(self, status):
         """Apply a status; return whether it is newer than the known one."""
         known = self.statuses_by_service.get(status.service)
@@ -147,12 +164,24 @@
             return ReleaseChoice(order.release, earlier_release == order.release)
         elapsed_ms = self.progress(order, store_ms) * order.duration_ms
         is_early = is_session and elapsed_ms < SESSIONS_KNOWN_AFTER_MS
-        is_canary = self.is_canary(order, key) and not is_early
+        is_canary = self.is_canary(order, key, is_session) and not is_early
         return ReleaseChoice(order.release, prefers_new=is_canary)
 
-    def is_canary(self, order, key):
+    def is_canary(self, order, key, is_session=True):
         """Return whether a new session or request is in the canary share."""
-        return key_fraction(order, key) < self._canary_share
+        return key_fraction(order, key) < self.canary_share(order.service, is_session)
+
+    def canary_share(self, service, is_session):
+        """Return the share of new sessions, or of requests without one.
+
+        It is the same at all instances for sessions, which may move between them.
+        """
+        if is_session:
+            return self._canary_share
+        extra_share = self._extra_shares_by_service.get(service, 0.0)
+        return max(
+            self._canary_share, min(MAX_CANARY_SHARE, self._canary_share + extra_share)
+        )
 
 
 def key_fraction(order, key):
