Roll-outs: what a release should have answered follows from each request's session

The change before estimated the answers of instances that had not published from the canary share of all requests. Each answer now carries the chance that its request had of the new release: none or one for a known session, the canary share for a new one. Slow answers are compared out of those that have a latency class, as a stream of one event has none.

--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -239,6 +239,7 @@
             None if state.relay is None else attempt.events,
             self._policy.repeatability_label(request),
             attempt.number,
+            self._policy.new_release_share(request),
         )
         for observer in self.observers:
             observer(result)
--- a/stoatpath/dispatch/engine_policies.py
+++ b/stoatpath/dispatch/engine_policies.py
@@ -67,6 +67,10 @@
         """Return the label of the request's repeatability for statistics."""
         return "repeatable" if request.is_repeatable else "at-most-once"
 
+    def new_release_share(self, request):
+        """Return 0: a roll-out of a version counts ratings, not answers."""
+        return 0.0
+
     def first_byte_deadline_ms(self, request, backend):
         """Return the time by which the first byte must arrive."""
         limit_ms = self._router.settings.first_byte_timeout_ms
--- a/stoatpath/dispatch/messages.py
+++ b/stoatpath/dispatch/messages.py
@@ -64,7 +64,8 @@
     low confidence. `first_byte_ms` and `ended_ms` are clock readings;
     `first_byte_ms` is None when no byte arrived. `route` labels the request,
     `repeatability` how often it may run. `events` is `Attempt.events` for a stream,
-    None for a buffered answer. `number` is that of the attempt.
+    None for a buffered answer. `number` is that of the attempt. `new_share` is the
+    chance that such a request goes to the new release of a roll-out.
     """
 
     __slots__ = (
@@ -79,6 +80,7 @@
         "events",
         "repeatability",
         "number",
+        "new_share",
     )
 
     def __init__(
@@ -94,6 +96,7 @@
         events=None,
         repeatability="",
         number=1,
+        new_share=0.0,
     ):
         self.backend = backend
         self.version = version
@@ -106,6 +109,7 @@
         self.events = events
         self.repeatability = repeatability
         self.number = number
+        self.new_share = new_share
 
 
 class Answer:
--- a/stoatpath/dispatch/relay_policies.py
+++ b/stoatpath/dispatch/relay_policies.py
@@ -67,6 +67,10 @@
         """Return the label of the request's repeatability for statistics."""
         return request.route.repeats.name
 
+    def new_release_share(self, request):
+        """Return the chance that the request goes to the new release of a roll-out."""
+        return request.releases.new_share
+
     def first_byte_deadline_ms(self, request, backend):
         """Return the time by which the first byte must arrive."""
         if not request.is_stream:
--- a/stoatpath/measure/release_models.py
+++ b/stoatpath/measure/release_models.py
@@ -276,14 +276,16 @@
         fails = thing < kind.failing_share * kind.things
         tried = set()
         for number in range(1, MAX_ATTEMPTS + 1):
-            backends = keeper.choose(request).select(self._directory.of_service(""))
+            choice = keeper.choose(request)
+            backends = choice.select(self._directory.of_service(""))
             backends = [each for each in backends if each.name not in tried]
             backend = self._random.choice(backends)
             tried.add(backend.name)
-            if not await self._attempt(keeper, kind, backend, number, fails):
+            new_share = choice.new_share
+            if not await self._attempt(keeper, kind, backend, number, new_share, fails):
                 return
 
-    async def _attempt(self, keeper, kind, backend, number, fails):
+    async def _attempt(self, keeper, kind, backend, number, new_share, fails):
         """Send one attempt; return whether it failed."""
         started_ms = self._clock.now_ms()
         is_new = backend.release == NEW_RELEASE
@@ -314,6 +316,7 @@
                 kind.route,
                 None,
                 number=number,
+                new_share=new_share,
             )
         )
         return fails
--- a/stoatpath/rollouts/release_evidence.py
+++ b/stoatpath/rollouts/release_evidence.py
@@ -26,6 +26,8 @@
 MIN_CROWDED_RATE = 0.35
 # Probability of a false alarm in one comparison. A roll-out makes hundreds of them.
 SIGNIFICANCE_LEVEL = 0.0001
+# What is compared, and out of which answers: only some have a latency class.
+COMPARED = (("bad", "total"), ("failed", "total"), ("slow", "paced"))
 # Answers of the old release that are remembered for each route. Beyond it, counts are
 # halved, so that they follow changes.
 MAX_REMEMBERED_ANSWERS = 600
@@ -304,21 +306,21 @@
     """Return a description if more new answers are bad, failed or slow, or None."""
     if len(new.affected_backends) < MIN_AFFECTED_BACKENDS:
         return None
-    for adjective in ("bad", "failed", "slow"):
+    for adjective, total_name in COMPARED:
         count, old_count = getattr(new, adjective), getattr(old, adjective)
-        total = round(new.total * scale)
         if count < MIN_BAD_ANSWERS:
             continue
-        chance = _binomial_tail(total, count, MIN_BAD_RATE)
-        if 2 * new.streams > new.total:
-            rate = (old_count + 1) / (old.total + PRIOR_STREAMS)
-            chance = max(chance, _binomial_tail(total, count, rate))
-        else:
-            chance = max(chance, _fisher_tail(total, count, old.total, old_count))
+        total = round(getattr(new, total_name) * scale)
+        old_total = getattr(old, total_name)
+        chance = _fisher_tail(total, count, old_total, old_count)
+        if adjective == "bad" and 2 * new.streams > new.total:
+            rate = (old_count + 1) / (old_total + PRIOR_STREAMS)
+            chance = _binomial_tail(total, count, rate)
+        chance = max(chance, _binomial_tail(total, count, MIN_BAD_RATE))
         if chance <= SIGNIFICANCE_LEVEL:
             return (
                 f"{count} of {total} answers are {adjective}, "
-                f"{old_count} of {old.total} before"
+                f"{old_count} of {old_total} before"
             )
     return None
 
--- a/stoatpath/rollouts/release_keepers.py
+++ b/stoatpath/rollouts/release_keepers.py
@@ -70,7 +70,6 @@
         "_random",
         "_latencies",
         "_usual_answers",
-        "_services_with_sessions",
         "_evidence_by_order",
         "_publication_by_order",
         "_evidence_versions_by_key",
@@ -106,7 +105,6 @@
         self._random = random
         self._latencies = LatencyClassifier()
         self._usual_answers = UsualAnswers()
-        self._services_with_sessions = set()
         self._evidence_by_order = {}
         self._publication_by_order = {}
         self._evidence_versions_by_key = {}
@@ -118,7 +116,6 @@
         now_ms = self._clock.now_ms()
         earlier = None
         if request.session:
-            self._services_with_sessions.add(service)
             earlier = self._sessions.get_release(service, request.session, now_ms)
             if earlier is None:
                 earlier = self._told_release(service, request.session)
@@ -228,15 +225,10 @@
         if not is_running:
             return
         evidence = self._evidence(order)
-        new_share = 1.0 if is_after_cutover else self._canary_share(order.service)
-        evidence.record_request(result.route, new_share)
+        evidence.record_request(result.route, result.new_share)
         if is_new and evidence.record_answer(result, is_new, latency_class):
             self._suspect(order, evidence.detect_regression())
 
-    def _canary_share(self, service):
-        is_session = service in self._services_with_sessions
-        return self.registry.canary_share(service, is_session)
-
     def _elapsed_ms(self, order):
         """Return the time since a roll-out started, 0 while the store is unknown."""
         store_ms = self._reachability.store_ms(self._clock.now_ms())
--- a/stoatpath/rollouts/releases.py
+++ b/stoatpath/rollouts/releases.py
@@ -35,13 +35,15 @@
 
     `release` is the new release of a roll-out, or None if any release will do.
     `prefers_new` prefers it, otherwise any other release is preferred;
-    `excludes_new` rules it out.
+    `excludes_new` rules it out. `new_share` is the chance that such a request prefers
+    the new release.
     """
 
-    __slots__ = ("release", "prefers_new", "excludes_new")
+    __slots__ = ("release", "prefers_new", "excludes_new", "new_share")
 
-    def __init__(self, release, prefers_new=False, excludes_new=False):
+    def __init__(self, release, prefers_new=False, excludes_new=False, new_share=None):
         self.release = release
+        self.new_share = float(prefers_new) if new_share is None else new_share
         self.prefers_new = prefers_new
         self.excludes_new = excludes_new
 
@@ -164,8 +166,13 @@
             return ReleaseChoice(order.release, earlier_release == order.release)
         elapsed_ms = self.progress(order, store_ms) * order.duration_ms
         is_early = is_session and elapsed_ms < SESSIONS_KNOWN_AFTER_MS
-        is_canary = self.is_canary(order, key, is_session) and not is_early
-        return ReleaseChoice(order.release, prefers_new=is_canary)
+        if is_early:
+            return ReleaseChoice(order.release)
+        return ReleaseChoice(
+            order.release,
+            prefers_new=self.is_canary(order, key, is_session),
+            new_share=self.canary_share(service, is_session),
+        )
 
     def is_canary(self, order, key, is_session=True):
         """Return whether a new session or request is in the canary share."""
