--- a/stoatpath/commands/features/steps/store_view_steps.py
+++ b/stoatpath/commands/features/steps/store_view_steps.py
@@ -11,7 +11,7 @@
 from stoatpath.rollouts.release_evidence import (
     EVIDENCE_TABLE,
     AnswerCounts,
-    encode_counts,
+    ReleaseEvidence,
 )
 from stoatpath.standins.deployments import (
     CALLER_KEY,
@@ -30,7 +30,9 @@
         await deployment.store.put("op", f"rollout/{PLAIN_SERVICE}", ORDER)
         version = deployment.store.version("op", f"rollout/{PLAIN_SERVICE}")
         counts = AnswerCounts(total=9, bad=4, affected_backends=["p0", "p1"])
-        row = decode_json(encode_counts(version, {"look": counts}))
+        evidence = ReleaseEvidence()
+        evidence.new_by_route["look"] = counts
+        row = decode_json(evidence.to_row(version, 0.0))
         await deployment.store.put(EVIDENCE_TABLE, f"{PLAIN_SERVICE}/gateway-0", row)
         status = {
             "service": PLAIN_SERVICE,
--- a/stoatpath/commands/store_views.py
+++ b/stoatpath/commands/store_views.py
@@ -6,7 +6,7 @@
 from stoatpath.outcomes import BAD_REQUEST, Failure, is_failure
 from stoatpath.platform import documents, names
 from stoatpath.platform.row_stores import RowPage
-from stoatpath.rollouts.release_evidence import EVIDENCE_TABLE, decode_counts
+from stoatpath.rollouts.release_evidence import EVIDENCE_TABLE, ReleaseEvidence
 
 USAGE = "usage: stoatpathctl --store=IP:PORT store routes|backends|rollouts [SERVICE]"
 # Appended to the last key of a page, it gives the start of the next page.
@@ -146,14 +146,13 @@
     counts_by_instance = {}
     for key, evidence_row in evidence.items():
         name, _, instance = key.rpartition("/")
-        counts = (
-            decode_counts(order.version, evidence_row.value)
-            if name == order.service
-            else {}
-        )
-        if counts:
+        if name != order.service:
+            continue
+        counted = ReleaseEvidence.from_row(order.version, evidence_row.value)
+        if counted is not None:
             counts_by_instance[instance] = {
-                route: each.to_json() for route, each in counts.items()
+                route: counts.to_json()
+                for route, counts in counted.new_by_route.items()
             }
     return {
         "service": order.service,
