Backend servers that leave or ask for a pause in an answer get no more requests

New contracts: Server-Leaving: 1 in any answer, and Retry-After in an answer 503. Both were passed on to callers unread, so a backend server got requests until its entry in the table told the same, and one that had turned a request away got the next.

Change: both are read with the limit from the head of every answer, that of a dropped, failed or refused one too, and kept in one place (backpressure/gates.py), which every attempt passes: first ones, retries, later stages, resumed streams and hedges. Leaving belongs to the process: an entry that lapses and returns doesn't end it, another `born` under the same name does. A pause is kept as a deadline on the clock that counts suspension, up to 300 s; texts that can't be read count as 1 s and are logged once. At its end one request goes first, by the half-open circuit, and ends differ by up to a tenth. If all backend servers of a service want none, requests are refused at once with the earliest return. The stand-in of backend servers speaks both.

--- a/features/platform/backpressure.feature
+++ b/features/platform/backpressure.feature
@@ -15,3 +15,38 @@
     When callers send 20 look requests a second through all gateways for 2 s
     Then some requests are refused with 503 and a time to return of 0.1 s to 10 s
     And none of the refused requests ran
+
+  # Guards against requests to a backend server that leaves but is still listed as ready.
+  Scenario Outline: A backend server that says in <answer> that it is leaving gets no more requests
+    Given 1 gateways that know each other, and 2 backend servers of a service
+    And backend server p0 says in <answer> that it is leaving
+    When <before> look requests are sent, and p0 has got one of them
+    Then of 20 more look requests p0 gets none
+    And after its entry was removed and listed again, of 20 more look requests p0 gets none
+
+    Examples:
+      | answer                | before |
+      | its answers           | 20     |
+      | answers that it fails | 20     |
+
+  # Guards against requests to a backend server that asked for a pause.
+  Scenario: A backend server that turns requests away for some time gets none until its end
+    Given 2 gateways that know each other, and 2 backend servers of a service
+    And backend server p0 turns requests away for 30 s
+    When callers send 40 look requests a second through all gateways for 2 s
+    Then p0 got at most 1 request from each gateway
+    And all requests are answered with 200
+
+  Scenario: Requests are refused at once while all backend servers want none
+    Given 1 gateways that know each other, and 2 backend servers of a service
+    And all backend servers turn requests away for 3 s
+    When callers send 10 look requests a second through all gateways for 1 s
+    Then some requests are refused with 503 and a time to return of 1.5 s to 5 s
+    And each backend server got at most 1 request
+
+  Scenario: A backend server whose pause is over gets one request first
+    Given 1 gateways that know each other, and 2 backend servers of a service
+    And backend server p0 turns requests away for 0.3 s
+    When callers send 40 look requests a second through all gateways for 1 s
+    And p0 takes requests again, each for 800 ms
+    Then p0 gets 1 of 20 book requests meanwhile, and more when it has answered
--- a/features/platform/steps/backpressure_steps.py
+++ b/features/platform/steps/backpressure_steps.py
@@ -6,6 +6,7 @@
 from callers import request_headers, send_request, wait_until
 
 from stoatpath.standins.deployments import Deployment
+from stoatpath.standins.faults import Fault
 
 ALLOWED_FACTOR = 1.5
 ALLOWED_EXTRA = 5
@@ -165,3 +166,102 @@
     replicas = context.fleet.deployment.replicas_by_name.values()
     ran = {run.request_id for replica in replicas for run in replica.runs}
     assert not refused & ran, refused & ran
+
+
+@given("backend server {name} says in {answer} that it is leaving")
+def step_impl(context, name, answer):
+    replica = context.fleet.replica(name)
+    replica.is_leaving = True
+    if answer == "answers that it fails":
+        replica.faults.add(Fault("serve", "error", None))
+
+
+def send_in_turn(context, count):
+    """Send requests one after the other; return how many p0 got."""
+    fleet = context.fleet
+    replica = fleet.replica("p0")
+    before = replica.received_count
+
+    async def work():
+        for number in range(count):
+            await fleet.send(fleet.gateways[0], f"{before}-{number}")
+
+    fleet.run(work())
+    return replica.received_count - before
+
+
+@when("{count:d} look requests are sent, and p0 has got one of them")
+def step_impl(context, count):
+    assert send_in_turn(context, count) == 1
+
+
+@then("of {count:d} more look requests p0 gets none")
+def step_impl(context, count):
+    assert send_in_turn(context, count) == 0
+
+
+@then(
+    "after its entry was removed and listed again, of {count:d} more look requests "
+    "p0 gets none"
+)
+def step_impl(context, count):
+    fleet = context.fleet
+    store = fleet.deployment.store
+    backends = fleet.gateways[0].backends
+    fleet.run(store.remove("servers", "p0"))
+    assert fleet.run(wait_until(lambda: "p0" not in backends.by_name))
+    fleet.run(store.put("servers", "p0", fleet.replica("p0").server_row()))
+    assert fleet.run(wait_until(lambda: "p0" in backends.by_name))
+    assert send_in_turn(context, count) == 0
+
+
+@given("backend server {name} turns requests away for {seconds:g} s")
+def step_impl(context, name, seconds):
+    context.fleet.replica(name).hold_off_s = f"{seconds:g}"
+
+
+@given("all backend servers turn requests away for {seconds:g} s")
+def step_impl(context, seconds):
+    for replica in context.fleet.deployment.replicas_by_name.values():
+        replica.hold_off_s = f"{seconds:g}"
+
+
+@then("{name} got at most {count:d} request from each gateway")
+def step_impl(context, name, count):
+    senders = [
+        request_id.split("/")[0]
+        for _, request_id in context.fleet.replica(name).arrivals
+    ]
+    assert senders
+    assert all(senders.count(sender) <= count for sender in senders), senders
+
+
+@then("each backend server got at most {count:d} request")
+def step_impl(context, count):
+    for replica in context.fleet.deployment.replicas_by_name.values():
+        assert replica.received_count <= count, replica.received_count
+
+
+@when("p0 takes requests again, each for {delay:d} ms")
+def step_impl(context, delay):
+    replica = context.fleet.replica("p0")
+    replica.hold_off_s = None
+    replica.delay_ms = float(delay)
+    replica.arrivals.clear()
+
+
+@then("p0 gets 1 of {count:d} book requests meanwhile, and more when it has answered")
+def step_impl(context, count):
+    fleet = context.fleet
+    replica = fleet.replica("p0")
+
+    async def work():
+        await fleet.send_steadily(40, count / 40, "book")
+        meanwhile = len(replica.arrivals)
+        replica.delay_ms = 0.0
+        await fleet.send_steadily(40, 1.0, "book")
+        return meanwhile, len(replica.arrivals)
+
+    meanwhile, total = fleet.run(work())
+    assert meanwhile == 1, meanwhile
+    assert total > 2, total
--- a/stoatpath/backpressure/features/limits.feature
+++ b/stoatpath/backpressure/features/limits.feature
@@ -38,6 +38,28 @@
       | Fri, 04 Dec 2026    | none    | yes      |
       | missing             | none    | no       |
 
+  Scenario Outline: A head with status <status> and Retry-After <text> holds off <reading>
+    Given the head of an answer with status <status> and Retry-After <text>
+    Then it holds the backend server off for <reading>
+    And the text is reported as unreadable: <reported>
+
+    Examples:
+      | status | text                          | reading   | reported |
+      | 503    | 2                             | 2000 ms   | no       |
+      | 503    | 0.25                          | 250 ms    | no       |
+      | 503    | 0                             | 0 ms      | no       |
+      | 503    | 1000000000                    | 300000 ms | no       |
+      | 503    | -3                            | 1000 ms   | yes      |
+      | 503    | nan                           | 1000 ms   | yes      |
+      | 503    | soon                          | 1000 ms   | yes      |
+      | 503    | Fri, 04 Dec 2026 10:00:00 GMT | 1000 ms   | yes      |
+      | 503    | missing                       | no time   | no       |
+      | 200    | 2                             | no time   | no       |
+
+  Scenario: A hold-off ends no sooner than asked, and is never shortened
+    Given any answers that ask for hold-offs at any times
+    Then the hold-off ends after each of the times asked for, at most 1 s later than the last
+
   Scenario: An unreadable limit leaves the one before in force, and is logged once
     Given a limit of 2 and then 3 answers whose limit is unreadable
     Then the limit in force is 2
--- a/stoatpath/backpressure/features/steps/limit_steps.py
+++ b/stoatpath/backpressure/features/steps/limit_steps.py
@@ -1,12 +1,14 @@
 """Steps on the limits that backend servers name in their answers."""
 
 import logging
+import random
 from types import SimpleNamespace
 
 from behave import given, then
 from hypothesis import given as forall, settings, strategies as st
 from multidict import CIMultiDict
 
+from stoatpath.backpressure.hold_offs import HoldOffs
 from stoatpath.backpressure.limits import LimitTable
 from stoatpath.backpressure.messages import BackendSignals
 from stoatpath.platform.backend_calls import decode_head
@@ -103,6 +105,49 @@
     assert all(sent_ms >= heard_ms for _, _, sent_ms, heard_ms in rises)
 
 
+@given("the head of an answer with status {status:d} and Retry-After {text}")
+def step_impl(context, status, text):
+    headers = CIMultiDict({} if text == "missing" else {"Retry-After": text})
+    head = decode_head(SimpleNamespace(status=status, headers=headers))
+    context.signals = head.signals
+
+
+@then("it holds the backend server off for {reading}")
+def step_impl(context, reading):
+    expected = None if reading == "no time" else float(reading.split()[0])
+    assert context.signals.hold_off_ms == expected, context.signals.hold_off_ms
+
+
+@given("any answers that ask for hold-offs at any times")
+def step_impl(context):
+    context.results = []
+    answers = st.tuples(st.integers(0, 5_000), st.integers(0, 60_000))
+
+    @TRIALS
+    @forall(st.lists(answers, min_size=1, max_size=10), st.integers())
+    def collect(answers, seed):
+        hold_offs = HoldOffs(random.Random(seed))
+        now_ms = 0.0
+        asked_ms = []
+        for pause_ms, hold_off_ms in answers:
+            now_ms += pause_ms
+            signals = BackendSignals(hold_off_ms=float(hold_off_ms))
+            hold_offs.observe(NAME, signals, now_ms)
+            asked_ms.append(now_ms + hold_off_ms)
+        context.results.append((max(asked_ms), hold_offs.until_ms(NAME)))
+
+    collect()
+
+
+@then(
+    "the hold-off ends after each of the times asked for, "
+    "at most {seconds:d} s later than the last"
+)
+def step_impl(context, seconds):
+    for asked_ms, until_ms in context.results:
+        assert asked_ms <= until_ms <= asked_ms + seconds * 1000
+
+
 @given("the head of an answer with the header Server-Limit {text}")
 def step_impl(context, text):
     headers = CIMultiDict({} if text == "missing" else {"Server-Limit": text})
--- /dev/null
+++ b/stoatpath/backpressure/gates.py
@@ -0,0 +1,107 @@
+"""Decides whether a backend server may get a request, by what its answers asked for."""
+
+LIMIT_REACHED = "limit reached"
+HELD_OFF = "held off"
+
+
+class SendGate:
+    """What backend servers ask of this instance: limits, hold-offs and leaving.
+
+    `withheld_by_reason` counts the selections of a backend server that left one out.
+    `on_leaving` is called with the name of a backend server that leaves,
+    `on_hold_off` with the name of one that is held off, and until when.
+    """
+
+    __slots__ = (
+        "limits",
+        "permits",
+        "hold_offs",
+        "withheld_by_reason",
+        "on_leaving",
+        "on_hold_off",
+        "_clock",
+    )
+
+    def __init__(self, limits, permits, hold_offs, clock):
+        self.limits = limits
+        self.permits = permits
+        self.hold_offs = hold_offs
+        self.withheld_by_reason = {LIMIT_REACHED: 0, HELD_OFF: 0}
+        self.on_leaving = lambda name: None
+        self.on_hold_off = lambda name, until_ms: None
+        self._clock = clock
+
+    def observe(self, name, signals, sent_ms):
+        """Record the signals of an answer to a request sent at `sent_ms`."""
+        now_ms = self._clock.now_ms()
+        self.limits.observe(name, signals, sent_ms, now_ms)
+        if self.hold_offs.observe(name, signals, now_ms):
+            self.on_hold_off(name, self.hold_offs.until_ms(name))
+        if signals.is_leaving:
+            self.on_leaving(name)
+
+    def split_withheld(self, backends, only_permitted):
+        """Return the backend servers that may get a request now, and the others.
+
+        The latter are pairs of a backend server and the reason. With `only_permitted`,
+        one with a limit needs a permit at hand.
+        """
+        if not self.limits.by_name and not self.hold_offs.has_any():
+            return backends, []
+        open_backends, withheld = [], []
+        for backend in backends:
+            reason = self._check(backend.name, only_permitted)
+            if reason is None:
+                open_backends.append(backend)
+            else:
+                withheld.append((backend, reason))
+                self.withheld_by_reason[reason] += 1
+        return open_backends, withheld
+
+    def retry_at_ms(self, name):
+        """Return when a backend server may take a request again."""
+        return max(
+            self._clock.now_ms(),
+            self.hold_offs.until_ms(name),
+            self.permits.retry_at_ms(name),
+        )
+
+    async def acquire(self, name):
+        """Return whether a request may be sent now; ask for a permit if necessary."""
+        is_granted = await self.permits.acquire(name)
+        return is_granted and not self._is_held_off(name)
+
+    def try_acquire(self, name):
+        """Take a permit that is at hand; return whether a request may be sent now."""
+        return not self._is_held_off(name) and self.permits.try_acquire(name)
+
+    def record_send(self, name):
+        """Count a request to a backend server."""
+        self.limits.record_send(name)
+
+    def limit_per_s(self, name):
+        """Return the limit that a backend server names, or None."""
+        return self.limits.limit_per_s(name)
+
+    def retain_backends(self, names):
+        """Drop the state of all backend servers but the named ones."""
+        self.limits.retain_backends(names)
+        self.permits.retain_backends(names)
+        self.hold_offs.retain_backends(names)
+
+    async def close(self):
+        """Cancel all tasks."""
+        await self.permits.close()
+
+    def _check(self, name, only_permitted):
+        """Return why a backend server gets no request now, or None."""
+        if self._is_held_off(name):
+            return HELD_OFF
+        if only_permitted:
+            is_open = self.permits.has_permit(name)
+        else:
+            is_open = self.permits.retry_at_ms(name) <= self._clock.now_ms()
+        return None if is_open else LIMIT_REACHED
+
+    def _is_held_off(self, name):
+        return self.hold_offs.until_ms(name) > self._clock.now_ms()
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -1,5 +1,6 @@
 """Sends a request to backend servers until one answers or no retry is allowed."""
 
+from stoatpath.backpressure.gates import LIMIT_REACHED
 from stoatpath.dispatch.engine_policies import EnginePolicy
 from stoatpath.dispatch.hedges import Hedge
 from stoatpath.dispatch.messages import Attempt, AttemptResult
@@ -20,7 +21,7 @@
 # trip to another instance.
 MAX_PERMIT_REQUESTS = 3
 MAX_LISTED_WITHHELD = 4
-WITHHELD = "limit reached"
+LEAVING = "leaving"
 CONNECTION_FAULTS = (BROKEN_ANSWER, FOREIGN_ANSWER, SILENT_CONNECTION)
 
 
@@ -93,7 +94,7 @@
         for retries in range(MAX_ATTEMPTS):
             choice = await self._acquire_backend(state)
             if is_failure(choice):
-                return state.worst_failure or choice
+                return _combine_with_choice(state.worst_failure, choice)
             problem = self._check_guard(state)
             if problem is not None:
                 return state.worst_failure or problem
@@ -149,7 +150,7 @@
             return None
         if not self._router.retry_budget.try_spend_on_hedge(state.request.service.name):
             return None
-        self._router.permits.try_acquire(choice.backend.name)
+        self._router.send_gate.try_acquire(choice.backend.name)
         self._record_decision(state.request, "hedge", "slow to begin")
         return self._send(state, self._build_attempt(state, choice.backend))
 
@@ -158,17 +159,21 @@
 
         Return a `Choice` or a failure.
         """
-        permits = self._router.permits
+        gate = self._router.send_gate
         for _ in range(MAX_PERMIT_REQUESTS):
             choice = self._select_backend(state)
-            if is_failure(choice) or await permits.acquire(choice.backend.name):
+            if is_failure(choice):
                 return choice
-            self._record_decision(
-                state.request, "permit", WITHHELD, backend=choice.backend.name
-            )
+            backend = choice.backend
+            is_permitted = await gate.acquire(backend.name)
+            # It may have begun to leave while the permit was on its way.
+            if is_permitted and not backend.is_leaving:
+                return choice
+            reason = LEAVING if backend.is_leaving else LIMIT_REACHED
+            self._record_decision(state.request, "permit", reason, backend=backend.name)
         choice = self._select_backend(state, only_permitted=True)
         if not is_failure(choice):
-            permits.try_acquire(choice.backend.name)
+            gate.try_acquire(choice.backend.name)
         return choice
 
     def _build_attempt(self, state, backend):
@@ -196,7 +201,7 @@
         backend = attempt.backend
         started_ms = self._clock.now_ms()
         self._router.chooser.breakers.record_send(backend.name, started_ms)
-        self._router.limits.record_send(backend.name)
+        self._router.send_gate.record_send(backend.name)
         backend.in_flight += 1
         try:
             answer = await self._router.sender.send(attempt)
@@ -265,17 +270,19 @@
         request = state.request
         query = self._policy.query(request, state.version, state.tried_names)
         backends = self._policy.candidates(request, state.version, state.relay)
-        backends, withheld = self._split_withheld(backends, only_permitted)
+        backends, withheld = self._router.send_gate.split_withheld(
+            backends, only_permitted
+        )
         if withheld and not backends:
-            choice = self._limited_failure(request, withheld)
+            choice = self._withheld_failure(request, withheld)
         else:
             choice = self._router.chooser.choose(query, backends, self._clock.now_ms())
         if is_failure(choice):
             self._record_decision(request, "route", choice.detail)
             return choice
         choice.candidates += [
-            Candidate(backend.name, None, WITHHELD)
-            for backend in withheld[:MAX_LISTED_WITHHELD]
+            Candidate(backend.name, None, reason)
+            for backend, reason in withheld[:MAX_LISTED_WITHHELD]
         ]
         self._record_decision(
             request,
@@ -287,32 +294,27 @@
         )
         return choice
 
-    def _split_withheld(self, backends, only_permitted):
-        """Return the backend servers that may get a request now, and the others."""
-        permits = self._router.permits
-        if not self._router.limits.by_name:
-            return backends, []
-        now_ms = self._clock.now_ms()
-        open_backends, withheld = [], []
-        for backend in backends:
-            if only_permitted:
-                is_open = permits.has_permit(backend.name)
-            else:
-                is_open = permits.retry_at_ms(backend.name) <= now_ms
-            (open_backends if is_open else withheld).append(backend)
-        return open_backends, withheld
-
-    def _limited_failure(self, request, withheld):
-        permits = self._router.permits
-        retry_at_ms = min(permits.retry_at_ms(each.name) for each in withheld)
-        detail = f"all backend servers of {request.service.name} are at their limits"
-        return Failure(
-            BACKENDS_LIMITED, detail, retry_at_ms=max(retry_at_ms, self._clock.now_ms())
-        )
+    def _withheld_failure(self, request, withheld):
+        gate = self._router.send_gate
+        retry_at_ms = min(gate.retry_at_ms(backend.name) for backend, _ in withheld)
+        detail = f"all backend servers of {request.service.name} take no more now"
+        return Failure(BACKENDS_LIMITED, detail, retry_at_ms=retry_at_ms)
 
     def _limit_details(self, name):
-        per_s = self._router.limits.limit_per_s(name)
+        per_s = self._router.send_gate.limit_per_s(name)
         return {} if per_s is None else {"limit_per_s": per_s}
 
     def _record_decision(self, request, step, reason, **details):
         self._router.ring.record_decision(request.request_id, step, reason, **details)
+
+
+def _combine_with_choice(worst_failure, failure):
+    """Return the failure of a request for which no backend server can be selected.
+
+    If it was never run, that all backend servers take no more says when to return.
+    """
+    if worst_failure is None:
+        return failure
+    if failure.reason is BACKENDS_LIMITED:
+        return worst_failure.combined_with(failure)
+    return worst_failure
--- a/stoatpath/dispatch/features/steps/dispatch_rig.py
+++ b/stoatpath/dispatch/features/steps/dispatch_rig.py
@@ -6,6 +6,8 @@
 from types import SimpleNamespace
 
 from stoatpath.backpressure.exchanges import PermitExchange
+from stoatpath.backpressure.gates import SendGate
+from stoatpath.backpressure.hold_offs import HoldOffs
 from stoatpath.backpressure.limits import LimitTable
 from stoatpath.callers.messages import CallerRequest
 from stoatpath.clock import Clock
@@ -62,7 +64,6 @@
         self.results = []
         self.decisions = []
         self._entries = {}
-        limits = LimitTable()
         self.router = SimpleNamespace(
             clock=self.clock,
             settings=SimpleNamespace(
@@ -72,20 +73,20 @@
             chooser=LeastTimeChooser("zone-a", random.Random(1)),
             sender=Sender(self.clock, SHORT_TIMEOUT_MS),
             retry_budget=RetryBudget(),
-            limits=limits,
-            permits=PermitExchange(
-                limits,
-                MemberTable(Member("router-0", "router", "", "zone-a", 1, LIVE)),
-                None,
-                SimpleNamespace(register=lambda topic, handler: None),
-                self.clock,
-            ),
+            send_gate=self._build_send_gate(),
             guard=SimpleNamespace(check_send=lambda request, version: None),
             ring=SimpleNamespace(record_decision=self._record_decision),
         )
         self.attempts = AttemptRunner(self.router, random.Random(1))
         self.attempts.observers.append(self.results.append)
 
+    def _build_send_gate(self):
+        limits = LimitTable()
+        local = Member("router-0", "router", "", "zone-a", 1, LIVE)
+        server = SimpleNamespace(register=lambda topic, handler: None)
+        permits = PermitExchange(limits, MemberTable(local), None, server, self.clock)
+        return SendGate(limits, permits, HoldOffs(random.Random(1)), self.clock)
+
     def _record_decision(self, request_id, step, reason, **details):
         self.decisions.append((step, reason, details))
 
--- a/stoatpath/dispatch/relay_senders.py
+++ b/stoatpath/dispatch/relay_senders.py
@@ -29,17 +29,17 @@
 class RelaySender:
     """Sends attempts over `calls` and checks the identity and integrity of answers.
 
-    `decode_head` converts a response into an `AnswerHead`. `limits` is the
-    `LimitTable`.
+    `decode_head` converts a response into an `AnswerHead`. `gate` is the
+    `SendGate`.
     """
 
-    __slots__ = ("_clock", "_calls", "_decode_head", "_limits")
+    __slots__ = ("_clock", "_calls", "_decode_head", "_gate")
 
-    def __init__(self, clock, calls, decode_head, limits):
+    def __init__(self, clock, calls, decode_head, gate):
         self._clock = clock
         self._calls = calls
         self._decode_head = decode_head
-        self._limits = limits
+        self._gate = gate
 
     async def send(self, attempt):
         """Return an answer, or a failure with the outcome of the execution."""
@@ -96,9 +96,7 @@
         if head.is_misdirected or head.request_id not in (None, request_id):
             return
         head.signals.is_authentic = head.is_sealed and head.request_id == request_id
-        self._limits.observe(
-            attempt.backend.name, head.signals, sent_ms, self._clock.now_ms()
-        )
+        self._gate.observe(attempt.backend.name, head.signals, sent_ms)
 
     async def _relay(self, attempt, head, content, deadlines):
         relay = attempt.relay
--- a/stoatpath/gateway_metrics.py
+++ b/stoatpath/gateway_metrics.py
@@ -144,18 +144,30 @@
     yield Sample.gauge(
         "stoatpath_backend_limits",
         "Backend servers that name a limit of requests per second.",
-        gateway.limits.count_in_force(),
+        gateway.send_gate.limits.count_in_force(),
     )
     yield Sample.counter(
         "stoatpath_limited_sends_total",
         "Requests to backend servers with a limit in force.",
-        gateway.limits.limited_sends,
+        gateway.send_gate.limits.limited_sends,
     )
     yield Sample.counter(
         "stoatpath_permits_refused_total",
         "Times that a request got no permit for a backend server with a limit.",
-        gateway.permits.withheld,
+        gateway.send_gate.permits.withheld,
     )
+    yield Sample.gauge(
+        "stoatpath_backends_held_off",
+        "Backend servers that want no request for some time.",
+        gateway.send_gate.hold_offs.count(gateway.clock.now_ms()),
+    )
+    for reason, count in gateway.send_gate.withheld_by_reason.items():
+        yield Sample.counter(
+            "stoatpath_withheld_total",
+            "Times that a selection left out a backend server, by reason.",
+            count,
+            reason=reason,
+        )
     counts_by_state = {"usable": 0, "leaving": 0}
     for backend in gateway.backends.by_name.values():
         counts_by_state["leaving" if backend.is_leaving else "usable"] += 1
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -7,6 +7,8 @@
 from stoatpath.admission.gates import AdmissionGate
 from stoatpath.admission.queues import AdmissionQueue
 from stoatpath.backpressure.exchanges import PermitExchange
+from stoatpath.backpressure.gates import SendGate
+from stoatpath.backpressure.hold_offs import HoldOffs
 from stoatpath.backpressure.limits import LimitTable
 from stoatpath.callers.bodies import BodyReader
 from stoatpath.callers.connections import ConnectionLimits
@@ -120,8 +122,7 @@
         "retry_budget",
         "chooser",
         "backend_client",
-        "limits",
-        "permits",
+        "send_gate",
         "sender",
         "attempts",
         "attempt_statistics",
@@ -275,12 +276,9 @@
         )
         self.chooser = AffinityChooser(boot.zone, self.random)
         self.backend_client = BackendClient()
-        self.limits = LimitTable()
-        self.permits = PermitExchange(
-            self.limits, self.members, self.peer_client, self.peer_server, self.clock
-        )
+        self.send_gate = self._build_send_gate()
         self.sender = RelaySender(
-            self.clock, self.backend_client, decode_head, self.limits
+            self.clock, self.backend_client, decode_head, self.send_gate
         )
         self.attempts = AttemptRunner(self, self.random, RelayPolicy(self))
         self.attempt_statistics = AttemptStatistics()
@@ -307,6 +305,16 @@
         self.listener = Listener(self, self.pipeline, self.interface, limits)
         self.routes.observers.append(self._apply_route_limits)
 
+    def _build_send_gate(self):
+        limits = LimitTable()
+        permits = PermitExchange(
+            limits, self.members, self.peer_client, self.peer_server, self.clock
+        )
+        gate = SendGate(limits, permits, HoldOffs(self.random), self.clock)
+        gate.on_leaving = self.backends.record_leaving
+        gate.on_hold_off = self.chooser.breakers.hold_open
+        return gate
+
     async def start(self, metrics_address=None):
         """Start all tasks and listen."""
         await self.backend_client.start()
@@ -347,7 +355,7 @@
         await self.listener.stop()
         await self.ready_server.stop()
         await self.metrics.stop()
-        await self.permits.close()
+        await self.send_gate.close()
         await self.backend_client.close()
         await self.peer_server.stop()
         await self.peer_client.close()
@@ -461,8 +469,7 @@
             self.loop_lag.add(max(0.0, self.clock.now_ms() - due_ms))
             self.backends.expire_lapsed(self.clock.now_ms())
             self.chooser.retain_backends(self.backends.by_name)
-            self.limits.retain_backends(self.backends.by_name)
-            self.permits.retain_backends(self.backends.by_name)
+            self.send_gate.retain_backends(self.backends.by_name)
             self._update_capacities()
             self._update_status_polling()
 
--- a/stoatpath/measure/limit_models.py
+++ b/stoatpath/measure/limit_models.py
@@ -8,6 +8,8 @@
 import random
 
 from stoatpath.backpressure.exchanges import PermitExchange
+from stoatpath.backpressure.gates import SendGate
+from stoatpath.backpressure.hold_offs import HoldOffs
 from stoatpath.backpressure.limits import LimitTable
 from stoatpath.backpressure.messages import BackendSignals
 from stoatpath.callers.relay_messages import RelayedAnswer, RelayedRequest
@@ -159,13 +161,13 @@
 class ModelSender:
     """Sends attempts to the servers of the fleet."""
 
-    __slots__ = ("_fleet", "_name", "_clock", "_limits")
+    __slots__ = ("_fleet", "_name", "_clock", "_gate")
 
-    def __init__(self, fleet, name, clock, limits):
+    def __init__(self, fleet, name, clock, gate):
         self._fleet = fleet
         self._name = name
         self._clock = clock
-        self._limits = limits
+        self._gate = gate
 
     async def send(self, attempt):
         """Return an answer."""
@@ -174,7 +176,7 @@
         await asyncio.sleep(SERVER_DELAY_MS / 1000)
         signals = server.receive(self._name, self._fleet.now_ms())
         await asyncio.sleep((SERVICE_TIME_MS + SERVER_DELAY_MS) / 1000)
-        self._limits.observe(server.name, signals, sent_ms, self._clock.now_ms())
+        self._gate.observe(server.name, signals, sent_ms)
         if signals.limit_per_s is not None:
             server.tell(self._name, self._fleet.now_ms())
         return RelayedAnswer(None, b"")
@@ -187,8 +189,7 @@
         "name",
         "clock",
         "members",
-        "limits",
-        "permits",
+        "send_gate",
         "chooser",
         "sender",
         "guard",
@@ -201,16 +202,17 @@
         self.name = name
         self.clock = VirtualClock(fleet.loop, rng.uniform(0.0, CLOCK_SPREAD_MS))
         self.members = MemberTable(_member(name, zone))
-        self.limits = LimitTable()
-        self.permits = build_permits(
-            self.limits,
+        limits = LimitTable()
+        permits = build_permits(
+            limits,
             self.members,
             ModelPeerClient(fleet, name),
             fleet.register_instance(name),
             self.clock,
         )
+        self.send_gate = SendGate(limits, permits, HoldOffs(rng), self.clock)
         self.chooser = AffinityChooser(zone, rng)
-        self.sender = ModelSender(fleet, name, self.clock, self.limits)
+        self.sender = ModelSender(fleet, name, self.clock, self.send_gate)
         self.guard = self
         self.ring = self
         self.retry_budget = WindowBudget(0.9, 10_000.0, 54.0, self.clock)
@@ -350,7 +352,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         for gateway in self.gateways_by_name.values():
-            await gateway.permits.close()
+            await gateway.send_gate.close()
 
     def some_names(self, count):
         """Return random instances that were never disturbed."""
--- a/stoatpath/membership/directories.py
+++ b/stoatpath/membership/directories.py
@@ -1,6 +1,7 @@
 """The directory of backend servers, from their own entries in the platform's store."""
 
 import logging
+from collections import OrderedDict
 
 from stoatpath.membership.backends import SERVICE, BackendServer
 from stoatpath.outcomes import is_failure
@@ -12,6 +13,10 @@
 # grace is a little shorter, so that a missing one is removed within these 2 s.
 LAPSE_GRACE_MS = 1_900.0
 MIN_LAPSE_OUTAGE_MS = 500.0
+MAX_LEAVING_ENTRIES = 10_000
+# Reasons in logs.
+ANSWERED = "it says so in an answer"
+LISTED = "its entry says so"
 
 
 class BackendDirectory:
@@ -20,13 +25,20 @@
     `decode` converts the key and value of a row to a `ListedBackend` or a failure.
     """
 
-    __slots__ = ("by_name", "_decode", "_reachability", "_lapsed_until_ms_by_name")
+    __slots__ = (
+        "by_name",
+        "_decode",
+        "_reachability",
+        "_lapsed_until_ms_by_name",
+        "_leaving_entries_by_name",
+    )
 
     def __init__(self, decode, reachability):
         self.by_name = {}
         self._decode = decode
         self._reachability = reachability
         self._lapsed_until_ms_by_name = {}
+        self._leaving_entries_by_name = OrderedDict()
 
     def apply(self, changes, now_ms):
         """Apply changed rows of the table."""
@@ -58,6 +70,21 @@
             if backend.service == service and not backend.is_leaving
         ]
 
+    def record_leaving(self, name):
+        """Record that a backend server says in an answer that it leaves.
+
+        Its row may tell so later, or lapse and return; the process keeps leaving.
+        """
+        backend = self.by_name.get(name)
+        if backend is None or name in self._leaving_entries_by_name:
+            return
+        self._leaving_entries_by_name[name] = backend.entry
+        if len(self._leaving_entries_by_name) > MAX_LEAVING_ENTRIES:
+            self._leaving_entries_by_name.popitem(last=False)
+        if not backend.is_leaving:
+            backend.is_leaving = True
+            logger.info("backends.leaving", extra={"backend": name, "why": ANSWERED})
+
     def remove_reassigned(self, name):
         """Remove a backend server whose address now belongs to another one."""
         self._drop(name, "its address belongs to another backend server")
@@ -80,8 +107,15 @@
         known.entry = entry
         known.slots = entry.slots
         if entry.is_leaving and not known.is_leaving:
-            logger.info("backends.leaving", extra={"backend": entry.name})
-        known.is_leaving = entry.is_leaving
+            logger.info(
+                "backends.leaving", extra={"backend": entry.name, "why": LISTED}
+            )
+        known.is_leaving = entry.is_leaving or self._said_leaving(entry)
+
+    def _said_leaving(self, entry):
+        """Return whether the process of an entry said that it leaves."""
+        leaving_entry = self._leaving_entries_by_name.get(entry.name)
+        return leaving_entry is not None and leaving_entry.is_same_process(entry)
 
     def _handle_removal(self, name, now_ms):
         """Remove a backend server whose row was deleted.
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -27,6 +27,9 @@
 # an answer can tell that its limit has ended.
 MIN_LIMIT_PER_S = 0.05
 MAX_LIMIT_PER_S = 1e6
+# Longest hold-off, and the one for a text that can't be read.
+MAX_HOLD_OFF_MS = 300_000.0
+UNREADABLE_HOLD_OFF_MS = 1_000.0
 MAX_LOGGED_CHARS = 40
 SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 # Not forwarded: the router sets these itself for each request, or consumes them.
@@ -118,7 +121,7 @@
         "Content-Encoding" in headers,
         headers.get("Content-Type", "").startswith(EVENT_STREAM),
         _decode_confidence(headers.get(names.CONFIDENCE)),
-        _decode_signals(headers),
+        _decode_signals(response.status, headers),
         [
             (name, value)
             for name, value in headers.items()
@@ -161,14 +164,35 @@
     return {name.strip().lower() for name in text.split(",")}
 
 
-def _decode_signals(headers):
+def _decode_signals(status, headers):
     """Return the `BackendSignals` of a head."""
+    unreadable = []
     limit_text = headers.get(names.SERVER_LIMIT)
     limit_per_s = _decode_limit(limit_text)
-    unreadable = []
     if limit_text is not None and limit_per_s is None:
         unreadable.append(f"{names.SERVER_LIMIT}: {limit_text[:MAX_LOGGED_CHARS]}")
-    return BackendSignals(limit_per_s, unreadable)
+    hold_off_ms = None
+    hold_off_text = headers.get(names.RETRY_AFTER)
+    if status == names.TURNED_AWAY_STATUS and hold_off_text is not None:
+        hold_off_ms = _decode_hold_off(hold_off_text)
+        if hold_off_ms is None:
+            hold_off_ms = UNREADABLE_HOLD_OFF_MS
+            unreadable.append(
+                f"{names.RETRY_AFTER}: {hold_off_text[:MAX_LOGGED_CHARS]}"
+            )
+    is_leaving = headers.get(names.SERVER_LEAVING, "").strip() == "1"
+    return BackendSignals(limit_per_s, hold_off_ms, is_leaving, unreadable)
+
+
+def _decode_hold_off(text):
+    """Return a bounded hold-off, or None if the text is not a number of seconds."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    if not math.isfinite(seconds) or seconds < 0.0:
+        return None
+    return min(MAX_HOLD_OFF_MS, seconds * 1000)
 
 
 def _decode_limit(text):
--- a/stoatpath/platform/names.py
+++ b/stoatpath/platform/names.py
@@ -46,6 +46,11 @@
 CONFIDENCE = "X-Stoatpath-Confidence"
 # Requests per second that a replica takes from all machines together.
 SERVER_LIMIT = "Server-Limit"
+# "1" in the answers of a replica that leaves.
+SERVER_LEAVING = "Server-Leaving"
+# Seconds for which a replica that answers 503 wants nothing from this machine.
+RETRY_AFTER = "Retry-After"
+TURNED_AWAY_STATUS = 503
 # Misdirected Request: another replica than the expected one has the address.
 MISDIRECTED_STATUS = 421
 
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -9,6 +9,8 @@
 from stoatpath.admission.queues import AdmissionQueue
 from stoatpath.admission.rates import RateLimits
 from stoatpath.backpressure.exchanges import PermitExchange
+from stoatpath.backpressure.gates import SendGate
+from stoatpath.backpressure.hold_offs import HoldOffs
 from stoatpath.backpressure.limits import LimitTable
 from stoatpath.billing.holders import MirrorHolder
 from stoatpath.billing.ledgers import LedgerWriter
@@ -87,8 +89,7 @@
         "attempts",
         "sender",
         "retry_budget",
-        "limits",
-        "permits",
+        "send_gate",
         "pipeline",
         "listener",
         "metrics",
@@ -143,14 +144,7 @@
             clock, settings.between_bytes_timeout_ms, self.node.tls.backends
         )
         self.retry_budget = RetryBudget()
-        self.limits = LimitTable()
-        self.permits = PermitExchange(
-            self.limits,
-            self.node.members,
-            self.node.peer_client,
-            self.node.peer_server,
-            clock,
-        )
+        self.send_gate = self._build_send_gate(rng)
         self.attempts = AttemptRunner(self, rng)
         self.attempts.observers.append(self.chooser.breakers.observe)
         self.stages = StageRunner(self)
@@ -235,7 +229,7 @@
         await cancel_and_wait(self._tasks)
         await self.sampling.sampler.stop()
         await self.rollouts.broadcaster.stop()
-        await self.permits.close()
+        await self.send_gate.close()
         await self.sender.close()
         await self.rater.close()
         await self.ratings.connection.close()
@@ -254,12 +248,19 @@
             await self.clock.sleep_until(self.clock.now_ms() + CLEANUP_PERIOD_MS)
             await self.sender.close_unused()
             self.chooser.breakers.retain_backends(self.backends.by_name)
-            self.limits.retain_backends(self.backends.by_name)
-            self.permits.retain_backends(self.backends.by_name)
+            self.send_gate.retain_backends(self.backends.by_name)
             snapshot = self.follower.snapshot
             known = {*snapshot.versions_by_name, *snapshot.services_by_name}
             self.estimates.retain_only(known)
 
+    def _build_send_gate(self, rng):
+        limits = LimitTable()
+        node = self.node
+        permits = PermitExchange(
+            limits, node.members, node.peer_client, node.peer_server, self.clock
+        )
+        return SendGate(limits, permits, HoldOffs(rng), self.clock)
+
     def _build_outbox(self):
         node = self.node
         source = Source(self.settings.name, node.incarnation)
--- a/stoatpath/routing/breakers.py
+++ b/stoatpath/routing/breakers.py
@@ -80,6 +80,13 @@
             return False
         return now_ms < max(breaker.open_until_ms, breaker.probe_until_ms)
 
+    def hold_open(self, name, until_ms):
+        """Open a circuit until a clock reading; one probe is allowed after it."""
+        breaker = self._by_backend.setdefault(name, _Breaker())
+        breaker.trips = max(1, breaker.trips)
+        breaker.open_until_ms = max(breaker.open_until_ms, until_ms)
+        breaker.probe_until_ms = float("-inf")
+
     def record_send(self, name, now_ms):
         """Record a sent request; on an open circuit it becomes the only probe."""
         breaker = self._by_backend.get(name)
--- a/stoatpath/standins/replicas.py
+++ b/stoatpath/standins/replicas.py
@@ -45,6 +45,8 @@
     counts all requests, including those that did not run, and `arrivals` holds the
     clock reading and the identifier of each. `limit_per_s` is the limit that it names
     in its answers, or None.
+    `is_leaving` makes it say so in its answers. It turns requests away for `hold_off_s`
+    seconds, if that is not None, with 503 and `Retry-After`.
     """
 
     __slots__ = (
@@ -58,6 +60,8 @@
         "received_count",
         "arrivals",
         "limit_per_s",
+        "is_leaving",
+        "hold_off_s",
         "confidence_by_model",
         "events",
         "event_ms",
@@ -76,6 +80,8 @@
         self.received_count = 0
         self.arrivals = []
         self.limit_per_s = None
+        self.is_leaving = False
+        self.hold_off_s = None
         self.confidence_by_model = {}
         self.events = 5
         self.event_ms = 1.0
@@ -124,8 +130,13 @@
         echo = {ATTEMPT_ID_HEADER: request.headers.get(ATTEMPT_ID_HEADER, "")}
         if self.limit_per_s is not None:
             echo["Server-Limit"] = f"{self.limit_per_s:g}"
+        if self.is_leaving:
+            echo["Server-Leaving"] = "1"
         if request.headers.get("X-Stoatpath-Expect-Replica") != self.name:
             return web.Response(status=421, headers=echo)
+        if self.hold_off_s is not None:
+            headers = {"X-Stoatpath-Not-Executed": "1", "Retry-After": self.hold_off_s}
+            return web.Response(status=503, headers=echo | headers)
         if kind == "shed":
             headers = echo | {"X-Stoatpath-Not-Executed": "1"}
             return web.Response(status=503, headers=headers)
