Gateways follow the store into a new era, and write lost states of roll-outs again

New contract: the store may come back from a copy some seconds old; versions are given out again and Store-Era rises. Copies never took an older version, so after such a return a gateway ignored every read until the store's versions had passed the old ones: routes were no longer confirmed and keyed requests were refused. A version that had been given out again could hide a change or satisfy a condition of the era before.

Change: the client of the store puts the era above the number of a version, so that all comparisons of copies, relays, statuses and conditions hold across eras. Orders of roll-outs are identified by number within an era and by content across eras; an ended roll-out stays ended, and the reader writes its status again where it was lost. Leaving is sticky for a process. The stand-in of the store tells its era and restores a copy.

--- a/stoatpath/feeds/copies.py
+++ b/stoatpath/feeds/copies.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from stoatpath.platform.row_stores import StoredRow
+from stoatpath.platform.row_stores import StoredRow, era_of
 
 NEVER_MS = float("-inf")
 # Removals kept for instances that follow this copy; older copies are sent whole.
@@ -67,6 +67,9 @@
             changes.append(self._remove(key, version))
         if not self.is_known:
             self._oldest_base_version = version
+        if era_of(version) > era_of(self.version):
+            # The store's clock may have started anew, too.
+            self.confirmed_store_ms = NEVER_MS
         self.version = version
         self._confirm(as_of_ms, as_of_store_ms)
         return changes
--- a/stoatpath/feeds/reachability.py
+++ b/stoatpath/feeds/reachability.py
@@ -9,6 +9,8 @@
 # A bound is used for up to two periods, in which a clock drift of some 50 ppm adds an
 # error of 3 ms.
 BOUND_PERIOD_MS = 30_000.0
+# What was lost by an era change counts like entries that expired in such an outage.
+ERA_CHANGE_OUTAGE_MS = 1_000.0
 
 
 class Reachability:
@@ -52,6 +54,15 @@
             "store.regained", extra={"absent_ms": round(self.outage_duration_ms)}
         )
 
+    def record_era_change(self, now_ms):
+        """Record that the store came back from an older copy, as after an outage.
+
+        Its clock may have started anew, and entries that it lost are written again.
+        """
+        self._clock_bound = ClockBound()
+        self.outage_end_ms = now_ms
+        self.outage_duration_ms = max(self.outage_duration_ms, ERA_CHANGE_OUTAGE_MS)
+
     def record_failure(self, failure, now_ms):
         """Record a failed call."""
         if self.outage_start_ms is None:
--- a/stoatpath/feeds/relays.py
+++ b/stoatpath/feeds/relays.py
@@ -13,6 +13,7 @@
 from stoatpath.feeds.messages import TablesAnswer, TablesRequest, TableUpdate
 from stoatpath.membership.messages import LEAVING
 from stoatpath.outcomes import CONNECT_FAILED, Failure, is_failure
+from stoatpath.platform.row_stores import era_of
 
 logger = logging.getLogger(__name__)
 
@@ -54,7 +55,8 @@
     the time within which each change must be known. `sessions` are `SharedSessions`,
     which travel with the tables in both directions. Until `first_read_ms`, a clock
     reading, the store is not read, so that instances which start together find each
-    other.
+    other. `on_era_change` is called when another instance tells of a later era of the
+    store, before its rows are applied.
     """
 
     __slots__ = (
@@ -79,6 +81,7 @@
         "_asked_name",
         "_asks_any",
         "_news",
+        "on_era_change",
     )
 
     def __init__(
@@ -117,6 +120,7 @@
         self._asked_name = None
         self._asks_any = False
         self._news = asyncio.Event()
+        self.on_era_change = lambda era: None
         server.register(TABLES_TOPIC, self._handle_request)
         for follower in followers_by_table.values():
             follower.is_enabled.clear()
@@ -267,6 +271,7 @@
         """Apply an answer; return whether it confirms the tables more recently."""
         self.relayed_answers += 1
         before_store_ms = self._lead.copy.confirmed_store_ms
+        self._detect_era_change(answer)
         self._reachability.record_relayed_answer(sent_ms, answer)
         for table, follower in self._followers_by_table.items():
             update = answer.updates_by_table.get(table)
@@ -282,6 +287,14 @@
             self._notify_followers()
         return is_newer
 
+    def _detect_era_change(self, answer):
+        update = answer.updates_by_table.get(self._lead_table)
+        if update is None or not self._lead.copy.is_known:
+            return
+        era = era_of(update.version)
+        if era > era_of(self._lead.copy.version):
+            self.on_era_change(era)
+
     async def _watch_age(self):
         """Read the store whenever the copies are not confirmed in time."""
         while True:
--- a/stoatpath/gateway_metrics.py
+++ b/stoatpath/gateway_metrics.py
@@ -115,6 +115,11 @@
         "Other instances that are not known to have failed.",
         len(gateway.members.peers()),
     )
+    yield Sample.gauge(
+        "stoatpath_store_era",
+        "Era of the store as its last answer told, 0 before or without one.",
+        gateway.store.era or 0,
+    )
     followers = {
         "operator": gateway.operator_rows,
         "servers": gateway.server_rows,
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -112,6 +112,7 @@
         "random",
         "ring",
         "store",
+        "store_era",
         "reachability",
         "routes",
         "backends",
@@ -153,6 +154,7 @@
         self.random = rng
         self.ring = RequestLog(clock)
         self.store = RowStore.from_address(boot.store_address)
+        self.store_era = 0
         self.reachability = Reachability()
         self.routes = RouteKeeper(documents.decode_route_table)
         self.backends = BackendDirectory(documents.decode_backend, self.reachability)
@@ -245,10 +247,23 @@
             self.releases.shared_sessions,
         )
         self.tables.set_enabled(names.STATUS_TABLE, False)
+        self.store.on_era_change = self._handle_era_change
+        self.tables.on_era_change = self._handle_era_change
         self.releases.reads_store = lambda: self.tables.is_reading_store
         self.releases.instance_count = self._instance_count
         self.releases.exposure_slack = boot.exposure_slack
 
+    def _handle_era_change(self, era):
+        """Prepare for rows of a store that came back from an older copy."""
+        if era <= self.store_era:
+            return
+        self.store_era = era
+        self.reachability.record_era_change(self.clock.now_ms())
+        services = self.releases.restore_statuses()
+        logger.warning(
+            "tables.era-changed", extra={"era": era, "statuses": sorted(services)}
+        )
+
     def _instance_count(self):
         """Return the number of instances, None until all can be known here."""
         if self.clock.now_ms() < self._members_known_at_ms:
@@ -426,7 +441,10 @@
     def _apply_status_rows(self, changes):
         for change in changes:
             service = documents.parse_rollout_key(change.key)
-            if service is None or change.row is None:
+            if service is None:
+                continue
+            if change.row is None:
+                self.releases.status_versions_by_service.pop(service, None)
                 continue
             self.releases.status_versions_by_service[service] = change.row.version
             status = documents.decode_status(change.row)
--- a/stoatpath/membership/directories.py
+++ b/stoatpath/membership/directories.py
@@ -110,7 +110,10 @@
             logger.info(
                 "backends.leaving", extra={"backend": entry.name, "why": LISTED}
             )
-        known.is_leaving = entry.is_leaving or self._said_leaving(entry)
+        # A process that leaves goes on to leave, also if the store has lost its entry.
+        known.is_leaving = (
+            known.is_leaving or entry.is_leaving or self._said_leaving(entry)
+        )
 
     def _said_leaving(self, entry):
         """Return whether the process of an entry said that it leaves."""
--- a/stoatpath/platform/documents.py
+++ b/stoatpath/platform/documents.py
@@ -13,6 +13,7 @@
 from stoatpath.membership.messages import ListedBackend
 from stoatpath.outcomes import BAD_REQUEST, Failure
 from stoatpath.platform.names import ROLLOUT_PREFIX, STATUS_TABLE
+from stoatpath.platform.row_stores import era_of, number_of
 from stoatpath.rollouts.messages import (
     COMPLETED,
     ROLLED_BACK,
@@ -189,7 +190,8 @@
         _require_text(data["service"]),
         _require_text(data["to"]),
         float(data["duration_s"]) * 1_000,
-        row.version,
+        number_of(row.version),
+        era_of(row.version),
     )
 
 
--- a/stoatpath/platform/row_stores.py
+++ b/stoatpath/platform/row_stores.py
@@ -3,12 +3,15 @@
 import asyncio
 import base64
 import binascii
+import logging
 
 import aiohttp
 
 from stoatpath.outcomes import PLATFORM_UNAVAILABLE, Failure, Outcome
 from stoatpath.utils import decode_json, encode_json
 
+logger = logging.getLogger(__name__)
+
 # A response normally takes 4 ms, and up to sixty times as long from a slow store.
 CALL_TIMEOUT_MS = 1_000
 CONNECT_TIMEOUT_MS = 500
@@ -17,10 +20,29 @@
 CONFLICT_STATUS = 412
 # 503: the store did not run the call. 429: the call exceeded the rate limit.
 REFUSED_STATUSES = (429, 503)
+# The era of the store rises when it comes back from an older copy; versions are then
+# given out again. With the era above the bits of a version, versions of a later era
+# are newer than all before.
+ERA_HEADER = "Store-Era"
+VERSION_BITS = 48
+
+
+def era_of(version):
+    """Return the era of a version."""
+    return version >> VERSION_BITS
+
+
+def number_of(version):
+    """Return the number that the store knows a version by."""
+    return version & ((1 << VERSION_BITS) - 1)
+
+
+def _join_version(era, number):
+    return (era << VERSION_BITS) + number
 
 
 class StoredRow:
-    """A row as read; `version` grows with every change.
+    """A row as read; `version` grows with every change and every era of the store.
 
     `value` is the bytes, or None if the row is deleted or is not valid base64.
     """
@@ -34,11 +56,12 @@
         self.is_deleted = is_deleted
 
     @classmethod
-    def from_json(cls, data):
+    def from_json(cls, data, era):
         """Build a row from its JSON representation."""
         is_deleted = bool(data.get("tombstone"))
         value = None if is_deleted else _decode_value(data.get("value"))
-        return cls(str(data["key"]), int(data["ver"]), value, is_deleted)
+        version = _join_version(era, int(data["ver"]))
+        return cls(str(data["key"]), version, value, is_deleted)
 
 
 class RowPage:
@@ -57,11 +80,12 @@
         self.is_last = is_last
 
     @classmethod
-    def from_json(cls, data):
+    def from_json(cls, data, era):
         """Build a page from its JSON representation."""
-        rows = [StoredRow.from_json(row) for row in data["rows"]]
+        rows = [StoredRow.from_json(row, era) for row in data["rows"]]
         is_last = not data.get("truncated", False)
-        return cls(rows, int(data["ver"]), float(data["now_ms"]), is_last)
+        version = _join_version(era, int(data["ver"]))
+        return cls(rows, version, float(data["now_ms"]), is_last)
 
 
 class RowWrite:
@@ -99,11 +123,17 @@
 
 
 class RowStore:
-    """Reads, watches and writes rows. Each result is a value or a failure."""
+    """Reads, watches and writes rows. Each result is a value or a failure.
 
-    __slots__ = ("_base", "_session", "calls", "failures")
+    `era` is the latest era of the store that an answer told, or None. `on_era_change`
+    is called with it whenever it rises.
+    """
+
+    __slots__ = ("_base", "_session", "calls", "failures", "era", "on_era_change")
 
     def __init__(self, base):
+        self.era = None
+        self.on_era_change = lambda era: None
         self._base = base
         self._session = None
         self.calls = 0
@@ -124,19 +154,33 @@
     async def wait_for_changes(self, table, version, wait_ms):
         """Return a `RowPage` of changes since a version, `HistoryGone` or a failure.
 
-        The page is empty if nothing changes within `wait_ms`.
+        The page is empty if nothing changes within `wait_ms`. The changes since a
+        version of an earlier era are not known: its number may stand for others now.
         """
-        query = {"table": table, "after": version, "wait_ms": wait_ms}
+        if era_of(version) < (self.era or 0):
+            return HistoryGone()
+        query = {"table": table, "after": number_of(version), "wait_ms": wait_ms}
         timeout_ms = wait_ms + CALL_TIMEOUT_MS
-        return await self._call(
+        page = await self._call(
             "GET", "/-/rows-feed", RowPage.from_json, query, timeout_ms=timeout_ms
         )
+        if isinstance(page, RowPage) and era_of(page.version) != era_of(version):
+            return HistoryGone()
+        return page
 
     async def write(self, writes):
-        """Apply all writes or none; return `Committed`, `Conflict` or a failure."""
+        """Apply all writes or none; return `Committed`, `Conflict` or a failure.
+
+        A condition on a version of an earlier era can't be met.
+        """
+        if any(
+            write.expected_version and era_of(write.expected_version) < (self.era or 0)
+            for write in writes
+        ):
+            return Conflict()
         message = {
             "expected_revision": [
-                _encode_row_key(write) | {"ver": write.expected_version}
+                _encode_row_key(write) | {"ver": number_of(write.expected_version)}
                 for write in writes
             ],
             "writes": [
@@ -178,15 +222,43 @@
                 headers=headers,
                 timeout=timeout,
             ) as response:
-                return _decode_response(
-                    path, response.status, await response.read(), decode
-                )
+                body = await response.read()
+                return self._decode_response(path, response, body, decode)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Failure(PLATFORM_UNAVAILABLE, f"{path}: {type(error).__name__}")
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             detail = f"{path}: {type(error).__name__}"
             return Failure(PLATFORM_UNAVAILABLE, detail, Outcome.UNKNOWN)
 
+    def _decode_response(self, path, response, body, decode):
+        status = response.status
+        try:
+            era = _decode_era(response.headers.get(ERA_HEADER), self.era or 0)
+        except ValueError as error:
+            return Failure(PLATFORM_UNAVAILABLE, f"{path}: {error}", Outcome.UNKNOWN)
+        if era < (self.era or 0):
+            detail = f"{path}: an answer of the earlier era {era}"
+            return Failure(PLATFORM_UNAVAILABLE, detail, Outcome.UNKNOWN)
+        self._update_era(era)
+        if status == NO_HISTORY_STATUS:
+            return HistoryGone()
+        if status == CONFLICT_STATUS:
+            return Conflict()
+        if status in REFUSED_STATUSES:
+            return Failure(PLATFORM_UNAVAILABLE, f"{path}: status {status}")
+        answer = decode_json(body) if status == 200 else None
+        try:
+            return decode(answer, era)
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            detail = f"{path}: status {status}, unreadable answer ({error!r})"
+            return Failure(PLATFORM_UNAVAILABLE, detail, Outcome.UNKNOWN)
+
+    def _update_era(self, era):
+        before, self.era = self.era, era
+        if before is not None and era > before:
+            logger.warning("store.era-changed", extra={"era": era, "before": before})
+            self.on_era_change(era)
+
     def _open_session(self):
         if self._session is None:
             self._session = aiohttp.ClientSession(
@@ -200,23 +272,17 @@
         return self._session
 
 
-def _decode_response(path, status, body, decode):
-    if status == NO_HISTORY_STATUS:
-        return HistoryGone()
-    if status == CONFLICT_STATUS:
-        return Conflict()
-    if status in REFUSED_STATUSES:
-        return Failure(PLATFORM_UNAVAILABLE, f"{path}: status {status}")
-    answer = decode_json(body) if status == 200 else None
-    try:
-        return decode(answer)
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        detail = f"{path}: status {status}, unreadable answer ({error!r})"
-        return Failure(PLATFORM_UNAVAILABLE, detail, Outcome.UNKNOWN)
+def _decode_commit(answer, era):
+    version = _join_version(era, int(answer["ver"]))
+    return Committed(version, float(answer["now_ms"]))
 
 
-def _decode_commit(answer):
-    return Committed(int(answer["ver"]), float(answer["now_ms"]))
+def _decode_era(text, default):
+    """Return the era in a header, or the default; raise ValueError if unreadable."""
+    era = default if text is None else int(text)
+    if era < 0:
+        raise ValueError(f"no era: {text!r}")
+    return era
 
 
 def _encode_row_key(write):
--- a/stoatpath/rollouts/messages.py
+++ b/stoatpath/rollouts/messages.py
@@ -210,17 +210,23 @@
 class ReleaseOrder:
     """An operator's order to move a service to a release within a given time.
 
-    `version` is the version of its row in the store and identifies the order.
+    `version` is the number of its row's version in the store and identifies the order
+    within one `era` of the store.
     """
 
-    __slots__ = ("service", "release", "duration_ms", "version")
+    __slots__ = ("service", "release", "duration_ms", "version", "era")
 
-    def __init__(self, service, release, duration_ms, version):
+    def __init__(self, service, release, duration_ms, version, era=0):
+        self.era = era
         self.service = service
         self.release = release
         self.duration_ms = duration_ms
         self.version = version
 
+    def has_same_content(self, other):
+        """Return whether another order asks for the same."""
+        return (self.release, self.duration_ms) == (other.release, other.duration_ms)
+
 
 class ReleaseStatus:
     """The state of an order: running, completed or rolled back.
--- a/stoatpath/rollouts/release_keepers.py
+++ b/stoatpath/rollouts/release_keepers.py
@@ -74,6 +74,7 @@
         "_publication_by_order",
         "_evidence_versions_by_key",
         "_write_due_ms_by_order",
+        "_unconfirmed_services",
     )
 
     def __init__(
@@ -109,6 +110,24 @@
         self._publication_by_order = {}
         self._evidence_versions_by_key = {}
         self._write_due_ms_by_order = {}
+        self._unconfirmed_services = set()
+
+    def restore_statuses(self):
+        """Write the known states again where a store of a new era has lost them.
+
+        Return the services concerned. The reader of the store does so, as all
+        instances have the same statuses.
+        """
+        self._unconfirmed_services = {
+            service
+            for service, status in self.registry.statuses_by_service.items()
+            if status.order_version == self._order_version(service)
+        }
+        return self._unconfirmed_services
+
+    def _order_version(self, service):
+        order = self.registry.orders_by_service.get(service)
+        return None if order is None else order.version
 
     def choose(self, request):
         """Return the `ReleaseChoice` of a request."""
@@ -247,9 +266,37 @@
         """Drive all roll-outs until cancelled."""
         while True:
             await self._clock.sleep_until(self._clock.now_ms() + CHECK_PERIOD_MS)
+            if self._unconfirmed_services and self.reads_store():
+                await self._confirm_statuses()
             for order in self.registry.open_orders():
                 await self._advance_rollout(order)
 
+    async def _confirm_statuses(self):
+        """Compare the store's statuses with the known ones; write those that differ."""
+        page = await self._store.read(self._codec.status_table)
+        if is_failure(page):
+            return
+        rows_by_key = {row.key: row for row in page.rows}
+        for service in list(self._unconfirmed_services):
+            status = self.registry.statuses_by_service[service]
+            key = self._codec.status_key(service)
+            row = rows_by_key.get(key)
+            value = self._codec.encode_status(status)
+            version = 0 if row is None else row.version
+            if row is None or row.value != value:
+                write = RowWrite(self._codec.status_table, key, value, version)
+                result = await self._store.write([write])
+                if not isinstance(result, Committed):
+                    continue
+                version = result.version
+                logger.warning(
+                    "release.restored",
+                    extra={"service": service, "state": status.state},
+                )
+            status.version = max(status.version, version)
+            self.status_versions_by_service[service] = version
+            self._unconfirmed_services.discard(service)
+
     async def _advance_rollout(self, order):
         service = order.service
         if self.registry.state(order) is None:
@@ -352,6 +399,10 @@
 
     def _evaluate_all_counts(self, order, rows):
         published = []
+        own_key = f"{order.service}/{self._instance}"
+        if all(row.key != own_key for row in rows):
+            # A store that came back from an older copy may not have it.
+            self._evidence_versions_by_key.pop(own_key, None)
         for row in rows:
             service, _, instance = row.key.rpartition("/")
             if service != order.service:
--- a/stoatpath/rollouts/releases.py
+++ b/stoatpath/rollouts/releases.py
@@ -96,13 +96,31 @@
     def apply_order(self, order):
         """Apply an order; return whether it is new. It clears an earlier suspicion."""
         known = self.orders_by_service.get(order.service)
-        if known is not None and known.version >= order.version:
+        if known is not None and not self._is_new_order(known, order):
             return False
         self.orders_by_service[order.service] = order
         self.suspicions_by_service.pop(order.service, None)
         self._extra_shares_by_service.pop(order.service, None)
         return True
 
+    def _is_new_order(self, known, order):
+        """Return whether an order replaces a known one of the same service.
+
+        In a later era of the store, an order that asks for the same is the known one:
+        the operator has written it again, or its row has kept its number.
+        """
+        if order.era == known.era:
+            return order.version > known.version
+        if order.era < known.era:
+            return False
+        if not order.has_same_content(known):
+            return True
+        status = self.statuses_by_service.get(order.service)
+        if status is not None and status.order_version == known.version:
+            status.order_version = order.version
+        known.version, known.era = order.version, order.era
+        return False
+
     def set_extra_requests(self, service, extra_requests, expected_requests):
         """Set how many more requests this instance may send to the new release.
 
@@ -113,13 +131,25 @@
         self._extra_shares_by_service[service] = extra_share
 
     def apply_status(self, status):
-        """Apply a status; return whether it is newer than the known one."""
+        """Apply a status; return whether it is newer than the known one.
+
+        An order that has ended stays so, whatever an older copy of the store says.
+        """
         known = self.statuses_by_service.get(status.service)
         if known is not None and known.version >= status.version:
             return False
+        if known is not None and self._has_ended_otherwise(known, status):
+            return False
         self.statuses_by_service[status.service] = status
         return True
 
+    def _has_ended_otherwise(self, known, status):
+        order = self.orders_by_service.get(status.service)
+        is_known = order is not None and known.order_version == order.version
+        has_ended = is_known and known.state in (COMPLETED, ROLLED_BACK)
+        is_older = status.order_version <= known.order_version
+        return has_ended and is_older and status.state is not known.state
+
     def suspect(self, service, reason):
         """Stop this instance from sending work to the new release of a service."""
         self.suspicions_by_service.setdefault(service, reason)
--- a/stoatpath/standins/row_stores.py
+++ b/stoatpath/standins/row_stores.py
@@ -47,7 +47,8 @@
 
     `calls` lists the operations that were served. `wait_ms_by_table` holds the wait
     time that the last feed request of a table gave. While `withholds_changes` is set,
-    feeds return no changes.
+    feeds return no changes. `era` is told in all answers; `restore` raises it and goes
+    back to a copy that `copy_rows` made.
     """
 
     __slots__ = (
@@ -55,6 +56,7 @@
         "calls",
         "wait_ms_by_table",
         "withholds_changes",
+        "era",
         "_rows",
         "_changes",
         "_version",
@@ -68,6 +70,7 @@
         self.calls = []
         self.wait_ms_by_table = {}
         self.withholds_changes = False
+        self.era = 1
         self._rows = {}
         self._changes = []
         self._version = 0
@@ -78,7 +81,8 @@
                 web.get("/-/rows-get", self._get),
                 web.get("/-/rows-feed", self._feed),
                 web.post("/-/rows-tx", self._transact),
-            ]
+            ],
+            self._add_era,
         )
 
     async def start(self):
@@ -110,11 +114,28 @@
         row = self._rows.get((table, key))
         return 0 if row is None else row.version
 
+    def copy_rows(self):
+        """Return a copy of all rows for `restore`."""
+        return dict(self._rows), self._version
+
+    async def restore(self, copy):
+        """Come back from a copy: later writes are lost, versions given out again."""
+        rows, self._version = copy
+        self._rows = dict(rows)
+        self._changes = list(self._rows.values())
+        self._oldest_version = 0
+        self.era += 1
+        async with self._change_condition:
+            self._change_condition.notify_all()
+
     def discard_history(self):
         """Drop past changes: feeds that start before now get the status 410."""
         self._changes.clear()
         self._oldest_version = self._version
 
+    async def _add_era(self, request, response):
+        response.headers["Store-Era"] = str(self.era)
+
     async def _apply(self, changes):
         self._version += 1
         for table, key, value in changes:
@@ -149,7 +170,7 @@
         self.calls.append("feed")
         table = request.query["table"]
         after = int(request.query["after"])
-        if after < self._oldest_version:
+        if not self._oldest_version <= after <= self._version:
             return web.Response(status=410)
         self.wait_ms_by_table[table] = int(request.query["wait_ms"])
         wait_s = self.wait_ms_by_table[table] / 1000
--- a/stoatpath/standins/servers.py
+++ b/stoatpath/standins/servers.py
@@ -6,12 +6,17 @@
 
 
 class StandinServer:
-    """Serves the routes of one stand-in on a loopback port."""
+    """Serves the routes of one stand-in on a loopback port.
+
+    `on_prepare` is a coroutine function that may add headers to each response.
+    """
 
     __slots__ = ("_app", "_runner", "address")
 
-    def __init__(self, routes):
+    def __init__(self, routes, on_prepare=None):
         self._app = web.Application(client_max_size=MAX_BODY_BYTES)
+        if on_prepare is not None:
+            self._app.on_response_prepare.append(on_prepare)
         self._app.add_routes(routes)
         self._runner = None
         self.address = ""
