--- a/stoatpath/measure/limit_models.py
+++ b/stoatpath/measure/limit_models.py
@@ -17,10 +17,11 @@
 from stoatpath.dispatch.attempts import AttemptRunner
 from stoatpath.dispatch.relay_policies import RelayPolicy
 from stoatpath.dispatch.window_budgets import WindowBudget
+from stoatpath.measure.relay_models import Handlers, model_member
 from stoatpath.measure.virtual_loops import VirtualClock
 from stoatpath.membership.directories import DirectoryBackend
 from stoatpath.membership.members import MemberTable
-from stoatpath.membership.messages import LIVE, ListedBackend, Member
+from stoatpath.membership.messages import ListedBackend, Member
 from stoatpath.outcomes import (
     CONNECT_FAILED,
     CONNECTION_REFUSED,
@@ -31,7 +32,6 @@
 from stoatpath.utils import decode_json, encode_json
 
 SERVICE = "desk"
-ROLE = "gateway"
 ZONES = 3
 PEER_DELAY_MS = 2.0
 SERVER_DELAY_MS = 1.0
@@ -201,7 +201,7 @@
     def __init__(self, fleet, name, zone, build_permits, rng):
         self.name = name
         self.clock = VirtualClock(fleet.loop, rng.uniform(0.0, CLOCK_SPREAD_MS))
-        self.members = MemberTable(_member(name, zone))
+        self.members = MemberTable(model_member(name, zone))
         limits = LimitTable()
         permits = build_permits(
             limits,
@@ -334,7 +334,7 @@
 
     def register_instance(self, name):
         """Return an object with which an instance registers its handlers."""
-        return _Handlers(self.handlers_by_name.setdefault(name, {}))
+        return Handlers(self.handlers_by_name.setdefault(name, {}))
 
     def is_connected(self, one, other):
         """Return whether two instances reach each other."""
@@ -465,19 +465,3 @@
     def name(self):
         """Return the name of the service: requests refer to the fleet as theirs."""
         return SERVICE
-
-
-class _Handlers:
-    """Has the method `register` of a `PeerServer`."""
-
-    __slots__ = ("_by_topic",)
-
-    def __init__(self, by_topic):
-        self._by_topic = by_topic
-
-    def register(self, topic, handler):
-        self._by_topic[topic] = handler
-
-
-def _member(name, zone):
-    return Member(name, ROLE, name, zone, 1, LIVE)
--- a/stoatpath/measure/relay_models.py
+++ b/stoatpath/measure/relay_models.py
@@ -143,7 +143,7 @@
         self.name = name
         self.zone = zone
         self.clock = VirtualClock(fleet.loop, rng.uniform(0.0, CLOCK_SPREAD_MS))
-        self.members = MemberTable(_member(name, zone))
+        self.members = MemberTable(model_member(name, zone))
         reachability = Reachability()
         store = ModelStoreClient(fleet.store, name)
         waits_ms = {LEAD: POLL_SHARE * bound_ms, "servers": SERVERS_WAIT_MS}
@@ -254,14 +254,15 @@
                 self, name, zone, bound_ms, rng
             )
         records = [
-            _member(each.name, each.zone) for each in self.instances_by_name.values()
+            model_member(each.name, each.zone)
+            for each in self.instances_by_name.values()
         ]
         for instance in self.instances_by_name.values():
             instance.members.merge(records, instance.clock.now_ms())
 
     def handlers(self, name):
         """Return an object with which an instance registers its handlers."""
-        return _Handlers(self.handlers_by_name.setdefault(name, {}))
+        return Handlers(self.handlers_by_name.setdefault(name, {}))
 
     def start(self):
         """Start all instances."""
@@ -303,7 +304,7 @@
         return (self.loop.time() - started_s) * 1000
 
 
-class _Handlers:
+class Handlers:
     """Has the method `register` of a `PeerServer`."""
 
     __slots__ = ("_by_topic",)
@@ -312,8 +313,10 @@
         self._by_topic = by_topic
 
     def register(self, topic, handler):
+        """Register the handler of a topic."""
         self._by_topic[topic] = handler
 
 
-def _member(name, zone):
+def model_member(name, zone):
+    """Return the record of a live instance, whose address is its name."""
     return Member(name, "gateway", name, zone, 1, LIVE)
