Permits: a failed report of a limit is logged; plainer names

A report that did not reach the issuer left no line. The number of permits to request has a name that says so, and the strategies to compare with need no abstract method. Only a log line is new; no check changed.

--- a/stoatpath/backpressure/exchanges.py
+++ b/stoatpath/backpressure/exchanges.py
@@ -156,7 +156,7 @@
         await cancel_and_wait([*self._checks_by_name.values(), *self._reports])
 
     async def _ask(self, backend, holding):
-        wanted = self._wanted(holding)
+        wanted = self._permits_to_request(holding)
         issuer = self._select_issuer(backend)
         sent_ms = self._clock.now_ms()
         if issuer is None:
@@ -263,12 +263,18 @@
         """Tell the issuer what this instance has just heard of a limit."""
         issuer = self._select_issuer(backend)
         if issuer is not None:
-            task = asyncio.get_running_loop().create_task(
-                self._exchange(issuer, backend, 0)
-            )
+            task = asyncio.get_running_loop().create_task(self._report(issuer, backend))
             self._reports.add(task)
             task.add_done_callback(self._reports.discard)
 
+    async def _report(self, issuer, backend):
+        answer = await self._exchange(issuer, backend, 0)
+        if is_failure(answer):
+            logger.info(
+                "permits.report-failed",
+                extra={"issuer": issuer.name, "why": answer.detail},
+            )
+
     def _start_check(self, issuer, backend):
         """Ask the member that ranks before this instance whether it answers."""
         if issuer.name in self._checks_by_name:
@@ -296,7 +302,7 @@
         for name in [name for name in excluded if excluded[name] <= now_ms]:
             del excluded[name]
 
-    def _wanted(self, holding):
+    def _permits_to_request(self, holding):
         """Return how many permits to request: what is used in their lifetime."""
         now_ms = self._clock.now_ms()
         since_ms = now_ms - holding.uses_since_ms
--- a/stoatpath/measure/limit_strategies.py
+++ b/stoatpath/measure/limit_strategies.py
@@ -8,7 +8,10 @@
 
 
 class LocalShares:
-    """Token buckets of one instance; `_rate_per_s` gives its part of a limit."""
+    """Token buckets of one instance.
+
+    Subclasses define `_rate_per_s`, its part of the limit of a backend server.
+    """
 
     __slots__ = ("_limits", "_members", "_clock", "_buckets_by_backend")
 
@@ -50,9 +53,6 @@
     async def close(self):
         """Do nothing."""
 
-    def _rate_per_s(self, backend, limit_per_s):
-        raise NotImplementedError
-
     def _refill(self, backend, rate_per_s, now_ms):
         """Return the tokens, at most one; a new bucket has none."""
         bucket = self._buckets_by_backend.setdefault(backend, [0.0, now_ms])
