Logs: shared prompt parts of a request, progress of failed attempts

The hypotheses of the incident could not be told apart: a failed attempt that was the first to begin looked like one that waited beside it. The read step lists the parts that other requests may share, a failed attempt says when its answer began and how many events had come.

--- a/stoatpath/callers/relay_messages.py
+++ b/stoatpath/callers/relay_messages.py
@@ -35,6 +35,11 @@
         """Return the name of the longest shared prefix, or ""."""
         return self.parts[-2].name if len(self.parts) > 1 else ""
 
+    @property
+    def shared_part_names(self):
+        """Return the names of the parts that other requests may share."""
+        return tuple(part.name for part in self.parts[:-1])
+
     @property
     def shared_tokens(self):
         """Return the size of the parts that other requests may share, in tokens."""
--- a/stoatpath/callers/relays.py
+++ b/stoatpath/callers/relays.py
@@ -175,6 +175,7 @@
             organisation="" if organisation is None else organisation.name,
             timeout_ms=round(timeout_ms),
             tokens=prompt.tokens,
+            shared_parts=prompt.shared_part_names,
             revision=routes.table.revision,
             confirmed_ms_ago=round(routes.age_ms(self._router.clock.now_ms())),
             confirmed_by=self._router.tables.confirmed_by,
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -224,6 +224,8 @@
                 backend=attempt.backend.name,
                 outcome=failure.outcome.value,
                 detail=failure.detail,
+                began_after_ms=_elapsed_ms(started_ms, first_byte_ms),
+                events=attempt.events,
             )
             if failure.reason is SUPERSEDED:
                 return
@@ -308,6 +310,10 @@
         self._router.ring.record_decision(request.request_id, step, reason, **details)
 
 
+def _elapsed_ms(started_ms, ended_ms):
+    return None if ended_ms is None else round(ended_ms - started_ms, 1)
+
+
 def _combine_with_choice(worst_failure, failure):
     """Return the failure of a request for which no backend server can be selected.
 
