Reproduce: a prompt part ends one backend server after another (failing)

Three gateways, eight replicas that end when an answer to the part begins. More than three requests with the part reach replicas later than 3 s after the fifth crash. The replica stand-in and the deployment speak the crash.

--- a/features/platform/steps/backpressure_steps.py
+++ b/features/platform/steps/backpressure_steps.py
@@ -21,12 +21,12 @@
     Request identifiers begin with the name of the gateway that got the request.
     """
 
-    def __init__(self, gateways, plain):
+    def __init__(self, gateways, plain, models=0):
         self.loop = asyncio.new_event_loop()
         self.deployment = Deployment()
         self.responses = []
         self.told_ms_by_gateway = {}
-        self.run(self._start(gateways, plain))
+        self.run(self._start(gateways, plain, models))
 
     def run(self, work):
         return self.loop.run_until_complete(work)
@@ -42,8 +42,8 @@
         self.run(self.deployment.stop())
         self.loop.close()
 
-    async def _start(self, gateways, plain):
-        await self.deployment.start(models=0, plain=plain, gateways=1)
+    async def _start(self, gateways, plain, models):
+        await self.deployment.start(models=models, plain=plain, gateways=1)
         seed = self.gateways[0].peer_server.address
         for index in range(1, gateways):
             await self.deployment.add_gateway(f"gateway-{index}", seeds=[seed])
--- /dev/null
+++ b/features/platform/steps/quarantine_steps.py
@@ -0,0 +1,177 @@
+"""Steps on prompt parts that end backend servers, before several gateways."""
+
+import asyncio
+import logging
+import random
+
+from backpressure_steps import FleetFixture
+from behave import given, then, when
+from callers import ATTEMPT_ID, request_headers, send_request
+
+from stoatpath.clock import Clock
+
+SEED = 7
+BEGINNINGS = 3
+SUBJECTS = 20
+CRASHES = 5
+DEADLY = "deadly"
+SOUND = "sound"
+REQUEST_LOGGER = "stoatpath.explanations.request_logs"
+
+
+class SentRequest:
+    """A request with the clock reading at which it was sent, and its response."""
+
+    def __init__(self, kind, number, sent_ms, response):
+        self.kind = kind
+        self.number = number
+        self.sent_ms = sent_ms
+        self.response = response
+
+
+class PromptTraffic:
+    """Sends chat requests whose prompts share parts; deadly ones have `part` too."""
+
+    def __init__(self, fleet, part):
+        self.fleet = fleet
+        self.part = part
+        self.sent = []
+        self._random = random.Random(SEED)
+
+    async def run(self, rates_by_kind, seconds):
+        """Send requests of each kind steadily; wait for all answers."""
+        senders = [
+            self._send_steadily(kind, rate, seconds)
+            for kind, rate in rates_by_kind.items()
+        ]
+        await asyncio.gather(*senders)
+
+    async def _send_steadily(self, kind, rate, seconds):
+        tasks = []
+        for number in range(int(rate * seconds)):
+            tasks.append(asyncio.create_task(self._send(kind, number)))
+            await asyncio.sleep(1 / rate)
+        await asyncio.gather(*tasks)
+
+    async def _send(self, kind, number):
+        gateways = self.fleet.gateways
+        headers = request_headers("chat", number)
+        headers[ATTEMPT_ID] = f"{kind}-{number}"
+        headers["X-Stoatpath-Prompt-Prefix"] = self._prompt(kind, number)
+        headers["Session"] = f"{kind}-{number}"
+        sent_ms = Clock().now_ms()
+        gateway = gateways[number % len(gateways)]
+        response = await send_request(gateway, "chat", headers=headers)
+        self.sent.append(SentRequest(kind, number, sent_ms, response))
+
+    def _prompt(self, kind, number):
+        beginning = f"b{self._random.randrange(BEGINNINGS)}:20"
+        subject = f"a{self._random.randrange(SUBJECTS)}:20"
+        shared = [beginning, subject] + [f"{self.part}:10"] * (kind == DEADLY)
+        return ",".join([*shared, f"e{kind}{number}:40"])
+
+    def of_kind(self, kind):
+        return [each for each in self.sent if each.kind == kind]
+
+
+@given(
+    "{gateways:d} gateways and {models:d} model replicas "
+    'that end when an answer to the part "{part}" begins'
+)
+def step_impl(context, gateways, models, part):
+    context.fleet = FleetFixture(gateways, plain=0, models=models)
+    context.add_cleanup(context.fleet.close)
+    context.fleet.deployment.crash_on(part)
+    context.traffic = PromptTraffic(context.fleet, part)
+
+
+@when(
+    "callers send {sound:d} sound and {deadly:d} deadly chat requests a second "
+    "through all gateways for {seconds:d} s"
+)
+def step_impl(context, sound, deadly, seconds):
+    context.fleet.run(context.traffic.run({SOUND: sound, DEADLY: deadly}, seconds))
+
+
+@then("at least {count:d} replicas have ended")
+def step_impl(context, count):
+    assert len(context.fleet.deployment.crashes_ms) >= count
+
+
+@then(
+    "at most {count:d} deadly requests reach replicas "
+    "later than {seconds:d} s after the fifth crash"
+)
+def step_impl(context, count, seconds):
+    crashes_ms = context.fleet.deployment.crashes_ms
+    if len(crashes_ms) < CRASHES:
+        return
+    from_ms = crashes_ms[CRASHES - 1] + 1000 * seconds
+    late = [
+        request_id
+        for arrived_ms, request_id in context.fleet.deployment.all_arrivals()
+        if request_id.startswith(DEADLY) and arrived_ms > from_ms
+    ]
+    assert len(late) <= count, (late, len(crashes_ms))
+
+
+@then("the refused deadly requests are answered with {status:d} and a time to return")
+def step_impl(context, status):
+    refused = [
+        each.response
+        for each in context.traffic.of_kind(DEADLY)
+        if each.response.status in (429, 503)
+    ]
+    assert refused
+    for response in refused:
+        assert response.status == status
+        assert float(response.headers["Retry-After"]) > 0.0
+
+
+@then(
+    "at least {least:d} in {total:d} of the sound requests sent in the last {seconds:d} s "
+    "are answered with {status:d}"
+)
+def step_impl(context, least, total, seconds, status):
+    sound = context.traffic.of_kind(SOUND)
+    from_ms = max(each.sent_ms for each in sound) - 1000 * seconds
+    last = [each.response.status for each in sound if each.sent_ms >= from_ms]
+    served = sum(each == status for each in last)
+    assert served * total >= least * len(last), (served, len(last))
+
+
+class RecordList(logging.Handler):
+    """Collects the log records of requests."""
+
+    def __init__(self):
+        super().__init__()
+        self.records = []
+
+    def emit(self, record):
+        self.records.append(record)
+
+
+@when("a deadly chat request is sent")
+def step_impl(context):
+    logger = logging.getLogger(REQUEST_LOGGER)
+    context.request_log = RecordList()
+    before_level = logger.level
+    logger.addHandler(context.request_log)
+    logger.setLevel(logging.INFO)
+    context.fleet.run(context.traffic.run({DEADLY: 1}, 1))
+    logger.removeHandler(context.request_log)
+    logger.setLevel(before_level)
+
+
+@then(
+    'its log line names the part "{part}" '
+    "and a failed attempt that began and had no events"
+)
+def step_impl(context, part):
+    (record,) = context.request_log.records
+    by_step = {}
+    for decision in record.decisions:
+        by_step.setdefault(decision["step"], []).append(decision)
+    assert part in by_step["read"][0]["shared_parts"]
+    began = [each for each in by_step["attempt"] if each["began_after_ms"] is not None]
+    assert began and all(each["events"] == 0 for each in began), by_step["attempt"]
--- a/stoatpath/standins/deployments.py
+++ b/stoatpath/standins/deployments.py
@@ -3,11 +3,13 @@
 import asyncio
 import random
 
+from stoatpath.clock import Clock
 from stoatpath.gateways import Gateway
 from stoatpath.outcomes import is_failure
 from stoatpath.platform.boot_files import BootFile
 from stoatpath.standins.replicas import ReplicaStandin
 from stoatpath.standins.row_stores import RowStoreStandin
+from stoatpath.utils import cancel_and_wait
 
 HOST = "desk.example"
 CALLER_KEY = "key-of-harbour"
@@ -15,6 +17,7 @@
 LLM_SERVICE = "desk-assist"
 PLAIN_SERVICE = "booking-desk"
 READY_TIMEOUT_S = 10
+RESTART_S = 1.0
 # A short grace period, and a retry budget that suffices for a single caller.
 BOUNDS = {"grace_s": 2, "retry_budget_ratio": 2, "budget_slack": 300}
 
@@ -27,7 +30,16 @@
     `/look/` (idempotent) and `/open/` (the same, without an API key).
     """
 
-    __slots__ = ("store", "replicas_by_name", "gateways", "config", "store_address")
+    __slots__ = (
+        "store",
+        "replicas_by_name",
+        "gateways",
+        "config",
+        "store_address",
+        "crashes_ms",
+        "_past_arrivals",
+        "_restarts",
+    )
 
     def __init__(self):
         self.store = RowStoreStandin()
@@ -35,6 +47,9 @@
         self.gateways = []
         self.config = sample_config()
         self.store_address = ""
+        self.crashes_ms = []
+        self._past_arrivals = []
+        self._restarts = set()
 
     async def start(self, models=2, plain=2, gateways=1):
         """Start the store, replicas and gateways.
@@ -59,6 +74,40 @@
         await self.store.put("servers", name, replica.server_row())
         return replica
 
+    def crash_on(self, part):
+        """Let a prompt part end each replica; it is back under another name.
+
+        `crashes_ms` holds the clock readings of the crashes.
+        """
+        for replica in self.replicas_by_name.values():
+            replica.deadly_part = part
+            replica.on_crash = self._handle_crash
+
+    def all_arrivals(self):
+        """Return what all replicas received, those that ended included."""
+        current = self.replicas_by_name.values()
+        return self._past_arrivals + [
+            arrival for replica in current for arrival in replica.arrivals
+        ]
+
+    def _handle_crash(self, replica):
+        if self.replicas_by_name.pop(replica.name, None) is None:
+            return
+        self.crashes_ms.append(Clock().now_ms())
+        self._past_arrivals += replica.arrivals
+        restart = asyncio.get_running_loop().create_task(self._restart(replica))
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
+    async def _restart(self, replica):
+        await replica.crash()
+        await asyncio.sleep(RESTART_S)
+        await self.store.remove("servers", replica.name)
+        name = f"{replica.name}-{len(self.crashes_ms)}"
+        successor = await self.add_replica(name, replica.service, replica.release)
+        successor.deadly_part = replica.deadly_part
+        successor.on_crash = self._handle_crash
+
     async def add_gateway(self, name, zone="zone-a", seeds=(), **bounds):
         """Start a gateway; `seeds` are peer addresses of others."""
         mapping = boot_mapping(name, self.store_address, bounds)
@@ -87,6 +136,7 @@
 
     async def stop(self):
         """Stop all components, without draining."""
+        await cancel_and_wait(list(self._restarts))
         for gateway in self.gateways:
             await gateway.kill()
         for replica in self.replicas_by_name.values():
--- a/stoatpath/standins/replicas.py
+++ b/stoatpath/standins/replicas.py
@@ -20,6 +20,8 @@
 SILENCE_S = 30.0
 CUT_AFTER_EVENTS = 3
 ATTEMPT_ID_HEADER = "X-Stoatpath-Attempt-Id"
+PROMPT_HEADER = "X-Stoatpath-Prompt-Prefix"
+CRASH_AFTER_HEAD_S = 0.02
 SEAL_HEADER = "X-Stoatpath-Replica-Seal"
 
 
@@ -45,6 +47,8 @@
     counts all requests, including those that did not run, and `arrivals` holds the
     clock reading and the identifier of each. `limit_per_s` is the limit that it names
     in its answers, or None.
+    A stream whose prompt has the part `deadly_part` ends the replica as it begins: all
+    connections are dropped, and `on_crash` is called with the replica.
     `is_leaving` makes it say so in its answers. It turns requests away for `hold_off_s`
     seconds, if that is not None, with 503 and `Retry-After`.
     """
@@ -62,11 +66,14 @@
         "limit_per_s",
         "is_leaving",
         "hold_off_s",
+        "deadly_part",
+        "on_crash",
         "confidence_by_model",
         "events",
         "event_ms",
         "delay_ms",
         "_server",
+        "_transports",
     )
 
     def __init__(self, name, service, release="v1", zone="zone-a"):
@@ -82,11 +89,14 @@
         self.limit_per_s = None
         self.is_leaving = False
         self.hold_off_s = None
+        self.deadly_part = None
+        self.on_crash = lambda replica: None
         self.confidence_by_model = {}
         self.events = 5
         self.event_ms = 1.0
         self.delay_ms = 0.0
         self._server = StandinServer([web.route("*", "/{path:.*}", self._serve)])
+        self._transports = set()
 
     async def start(self):
         """Listen and return the address as `host:port`."""
@@ -101,6 +111,13 @@
         """Stop listening and drop all connections."""
         await self._server.stop()
 
+    async def crash(self):
+        """Drop all connections and stop listening."""
+        for transport in self._transports:
+            transport.abort()
+        self._transports.clear()
+        await self._server.stop()
+
     def server_row(self, state="ready", **changes):
         """Return the row of the replica in the table `servers`."""
         return {
@@ -116,6 +133,7 @@
         }
 
     async def _serve(self, request):
+        self._transports.add(request.transport)
         self.received_count += 1
         self.arrivals.append(
             (Clock().now_ms(), request.headers.get(ATTEMPT_ID_HEADER, ""))
@@ -183,6 +201,11 @@
         response = web.StreamResponse(headers=headers)
         response.enable_chunked_encoding()
         await response.prepare(request)
+        if self._is_deadly(request):
+            await asyncio.sleep(CRASH_AFTER_HEAD_S)
+            self.on_crash(self)
+            drop_connection(request)
+            return response
         for number in range(start + 1, self.events + 1):
             if number > start + CUT_AFTER_EVENTS and kind == "cut":
                 await response.write(f"id: {number}\nda".encode())
@@ -197,6 +220,11 @@
         await response.write_eof()
         return response
 
+    def _is_deadly(self, request):
+        prompt = request.headers.get(PROMPT_HEADER, "")
+        names = [part.partition(":")[0] for part in prompt.split(",")]
+        return self.deadly_part in names[:-1]
+
 
 async def _write_raw(request, kind, headers, body):
     """Write a response to the transport, malformed or misframed as `kind` requires."""
