Prompt parts on which backend servers end are put into quarantine

Cause: nothing remembered the content of a request under which a backend server ended. Each request with the part was new to every instance, and retries and later stages sent it on to up to three backend servers. Class: poison requests, whose failure is spread by retries. Ruled out: load (20 lost attempts had a head and no event, 19 of them with the part, at any number of requests in flight).

Change: an attempt that loses its connection before its first event is reported to two keepers of the service, if the backend server accepts no connections and another does. A keeper that finds a part in crashes under two requests, not sound anywhere since, puts it into quarantine at all instances; an event of an answer lifts it. A request under which two backend servers ended as they began isn't sent to a third.

Instances that lose all their peers learn from their own crashes only: listed.

--- a/stoatpath/callers/messages.py
+++ b/stoatpath/callers/messages.py
@@ -7,7 +7,8 @@
     `deadline_ms` and `arrived_ms` are clock readings. `session` is the session token
     or identifier that the caller sent, or "". `body` is the decoded JSON of a chat
     completion or the raw bytes of a call of a plain service. `was_sent` is true if a
-    backend server may have received the request.
+    backend server may have received the request. `lost_beginnings` counts the streams
+    whose connection was lost between the head of the answer and its first event.
     """
 
     __slots__ = (
@@ -27,6 +28,7 @@
         "content_type",
         "body",
         "was_sent",
+        "lost_beginnings",
     )
 
     def __init__(
@@ -63,6 +65,7 @@
         self.content_type = content_type
         self.body = body
         self.was_sent = False
+        self.lost_beginnings = 0
 
 
 class ServedResult:
--- a/stoatpath/callers/relay_messages.py
+++ b/stoatpath/callers/relay_messages.py
@@ -55,8 +55,9 @@
     `headers` are the end-to-end headers of the caller as pairs, without those that
     the router sets. `arrived_ms` and `deadline_ms` are clock readings. `key` is the
     API key of the caller, or "". `run_count` counts the runs that took place or may
-    have. `releases` selects the releases of the service that the request may run on;
-    `release` is the one that it last ran on.
+    have, `lost_beginnings` the streams among them whose connection was lost between the
+    head of the answer and its first event. `releases` selects the releases of the
+    service that the request may run on; `release` is the one that it last ran on.
     """
 
     __slots__ = (
@@ -76,6 +77,7 @@
         "last_event_id",
         "was_sent",
         "run_count",
+        "lost_beginnings",
         "releases",
         "release",
     )
@@ -113,6 +115,7 @@
         self.last_event_id = last_event_id
         self.was_sent = False
         self.run_count = 0
+        self.lost_beginnings = 0
         self.releases = ANY_RELEASE
         self.release = None
 
@@ -121,6 +124,11 @@
         """Return "": the route determines whether the request may be repeated."""
         return ""
 
+    @property
+    def may_run_again(self):
+        """Return whether the route allows another run."""
+        return self.run_count < self.route.max_attempts
+
     @property
     def is_repeatable(self):
         """Return whether the request may run more than once."""
--- a/stoatpath/cascades/confidence.py
+++ b/stoatpath/cascades/confidence.py
@@ -127,6 +127,10 @@
         """Return `RelayedResult` or a failure."""
         router = self._router
         router.retry_budget.record_request(request.service.name)
+        problem = router.quarantine.check(request)
+        if problem is not None:
+            self._record_decision(request, "quarantine", problem.detail)
+            return problem
         request.releases = router.releases.choose(request)
         if not router.backends.of_service(request.service.name):
             return self._no_backend_failure(request)
@@ -191,7 +195,7 @@
         """Return whether the smallest model may run after the larger one failed."""
         return (
             (stream is None or not stream.has_begun)
-            and request.run_count < request.route.max_attempts
+            and request.may_run_again
             and self._clock.now_ms() < request.deadline_ms
         )
 
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -13,6 +13,7 @@
     SUPERSEDED,
     UNSURE_ANSWER,
     Failure,
+    Outcome,
     is_failure,
 )
 from stoatpath.routing.messages import Candidate
@@ -22,6 +23,9 @@
 MAX_PERMIT_REQUESTS = 3
 MAX_LISTED_WITHHELD = 4
 LEAVING = "leaving"
+# Backend servers that may end as they begin to answer a request. One may have had
+# another cause.
+MAX_LOST_BEGINNINGS = 2
 CONNECTION_FAULTS = (BROKEN_ANSWER, FOREIGN_ANSWER, SILENT_CONNECTION)
 
 
@@ -59,6 +63,9 @@
         if attempt.was_pooled and failure.reason in CONNECTION_FAULTS:
             self.fresh_retry_names.add(name)
             self.tried_names.discard(name)
+        is_beginning = attempt.has_begun and not attempt.events
+        if is_beginning and self.relay is not None:
+            self.request.lost_beginnings += failure.reason in CONNECTION_FAULTS
         self.worst_failure = (
             failure
             if self.worst_failure is None
@@ -91,6 +98,9 @@
         """
         relay = self._policy.open_relay(request, stream)
         state = _RequestState(request, version, relay, min_confidence)
+        if request.lost_beginnings >= MAX_LOST_BEGINNINGS:
+            detail = "earlier backend servers ended as they began to answer"
+            return Failure(BROKEN_ANSWER, detail, Outcome.UNKNOWN)
         for retries in range(MAX_ATTEMPTS):
             choice = await self._acquire_backend(state)
             if is_failure(choice):
@@ -108,7 +118,7 @@
         return state.worst_failure
 
     def _check_guard(self, state):
-        problem = self._router.guard.check_send(state.request, state.version)
+        problem = self._policy.check_send(state.request, state.version)
         if problem is not None:
             self._record_decision(state.request, "guard", problem.detail)
         return problem
@@ -120,6 +130,10 @@
             return False
         if not self._policy.may_run_again(request):
             return False
+        if request.lost_beginnings >= MAX_LOST_BEGINNINGS:
+            reason = "backend servers ended as they began to answer"
+            self._record_decision(request, "retry", reason)
+            return False
         if not self._router.retry_budget.try_spend(request.service.name):
             self._record_decision(request, "retry", "the retry budget is spent")
             return False
@@ -247,6 +261,7 @@
             self._policy.repeatability_label(request),
             attempt.number,
             self._policy.new_release_share(request),
+            request,
         )
         for observer in self.observers:
             observer(result)
--- a/stoatpath/dispatch/engine_policies.py
+++ b/stoatpath/dispatch/engine_policies.py
@@ -40,6 +40,10 @@
             tried_names,
         )
 
+    def check_send(self, request, version):
+        """Return the failure of an attempt that must not be sent, or None."""
+        return self._router.guard.check_send(request, version)
+
     def candidates(self, request, version, relay):
         """Return the backend servers that can run an attempt."""
         backends = self._router.backends
--- a/stoatpath/dispatch/messages.py
+++ b/stoatpath/dispatch/messages.py
@@ -11,8 +11,8 @@
     (`CompletionRelay`) or the identifier of the last one (`EventRelay`).
     `needs_fresh_connection` asks for a new connection; `was_pooled` says that a
     possibly idle one was used. `min_confidence` is the confidence that the head of an
-    answer must state, or None. `events` is the number of relayed events with an
-    identifier; only `RelaySender` counts them.
+    answer must state, or None. `events` is the number of events of a relayed stream
+    that arrived; `RelaySender` counts those with an identifier.
     """
 
     __slots__ = (
@@ -46,6 +46,11 @@
         self.min_confidence = None
         self.events = 0
 
+    @property
+    def has_begun(self):
+        """Return whether the head of an answer has arrived."""
+        return self.deadlines is not None and self.deadlines.first_byte_ms is not None
+
     @property
     def attempt_id(self):
         """Return the identifier of this attempt."""
@@ -65,7 +70,8 @@
     `first_byte_ms` is None when no byte arrived. `route` labels the request,
     `repeatability` how often it may run. `events` is `Attempt.events` for a stream,
     None for a buffered answer. `number` is that of the attempt. `new_share` is the
-    chance that such a request goes to the new release of a roll-out.
+    chance that such a request goes to the new release of a roll-out, `request` is the
+    request itself.
     """
 
     __slots__ = (
@@ -81,6 +87,7 @@
         "repeatability",
         "number",
         "new_share",
+        "request",
     )
 
     def __init__(
@@ -97,6 +104,7 @@
         repeatability="",
         number=1,
         new_share=0.0,
+        request=None,
     ):
         self.backend = backend
         self.version = version
@@ -110,6 +118,7 @@
         self.repeatability = repeatability
         self.number = number
         self.new_share = new_share
+        self.request = request
 
 
 class Answer:
--- a/stoatpath/dispatch/relay_policies.py
+++ b/stoatpath/dispatch/relay_policies.py
@@ -41,6 +41,11 @@
             version.prompt_work(request.prompt),
         )
 
+    def check_send(self, request, version):
+        """Return the failure of an attempt that must not be sent, or None."""
+        problem = self._router.guard.check_send(request, version)
+        return problem or self._router.quarantine.check(request)
+
     def candidates(self, request, version, relay):
         """Return the backend servers with a release that may run the request.
 
@@ -57,7 +62,7 @@
 
     def may_run_again(self, request):
         """Return whether the route allows another run."""
-        return request.run_count < request.route.max_attempts
+        return request.may_run_again
 
     def route_name(self, request):
         """Return the label by which answers are counted."""
--- a/stoatpath/dispatch/relay_senders.py
+++ b/stoatpath/dispatch/relay_senders.py
@@ -30,16 +30,18 @@
     """Sends attempts over `calls` and checks the identity and integrity of answers.
 
     `decode_head` converts a response into an `AnswerHead`. `gate` is the
-    `SendGate`.
+    `SendGate`. `on_sound` is called with a request when the first event of its answer,
+    or all of it, has arrived.
     """
 
-    __slots__ = ("_clock", "_calls", "_decode_head", "_gate")
+    __slots__ = ("_clock", "_calls", "_decode_head", "_gate", "_on_sound")
 
-    def __init__(self, clock, calls, decode_head, gate):
+    def __init__(self, clock, calls, decode_head, gate, on_sound):
         self._clock = clock
         self._calls = calls
         self._decode_head = decode_head
         self._gate = gate
+        self._on_sound = on_sound
 
     async def send(self, attempt):
         """Return an answer, or a failure with the outcome of the execution."""
@@ -84,6 +86,7 @@
             if head.is_event_stream and attempt.relay is not None:
                 return await self._relay(attempt, head, response.content, deadlines)
             body = await read_body(response.content, deadlines)
+            self._on_sound(request)
             answer = RelayedAnswer(head, body)
             if head.status >= 500:
                 detail = f"status {head.status}"
@@ -109,6 +112,8 @@
             deadlines.record_bytes()
             events = splitter.feed(chunk)
             if events:
+                if not attempt.events:
+                    self._on_sound(attempt.request)
                 attempt.events = splitter.events
                 caller_failure = await relay.write(events, splitter.last_event_id)
                 if caller_failure is not None:
--- a/stoatpath/dispatch/streams.py
+++ b/stoatpath/dispatch/streams.py
@@ -173,6 +173,7 @@
             return False
 
     def _handle_event(self, data):
+        self._attempt.events += 1
         usage = data.get("usage")
         if usage is not None:
             self._tokens = usage["total_tokens"]
--- a/stoatpath/gateway_metrics.py
+++ b/stoatpath/gateway_metrics.py
@@ -173,6 +173,21 @@
             count,
             reason=reason,
         )
+    yield Sample.counter(
+        "stoatpath_backend_crashes_total",
+        "Backend servers that ended under a request before its answer had begun.",
+        gateway.crash_reporter.crashes,
+    )
+    yield Sample.gauge(
+        "stoatpath_quarantined_parts",
+        "Prompt parts that no request may have, since backend servers end on them.",
+        gateway.quarantine.count_in_force(),
+    )
+    yield Sample.counter(
+        "stoatpath_quarantine_refused_total",
+        "Times that a request was not sent for a part in quarantine.",
+        gateway.quarantine.refused,
+    )
     counts_by_state = {"usable": 0, "leaving": 0}
     for backend in gateway.backends.by_name.values():
         counts_by_state["leaving" if backend.is_leaving else "usable"] += 1
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -43,6 +43,9 @@
 from stoatpath.platform.backend_calls import BackendClient, decode_head
 from stoatpath.platform.caller_heads import CallerHeaderDecoder
 from stoatpath.platform.row_stores import RowStore
+from stoatpath.quarantine.exchanges import QuarantineExchange
+from stoatpath.quarantine.quarantines import QuarantineTable
+from stoatpath.quarantine.reporters import CrashReporter
 from stoatpath.readiness import ReadyServer
 from stoatpath.rollouts.release_keepers import ReleaseKeeper
 from stoatpath.rollouts.releases import ReleaseRegistry
@@ -124,6 +127,9 @@
         "chooser",
         "backend_client",
         "send_gate",
+        "quarantine",
+        "quarantine_exchange",
+        "crash_reporter",
         "sender",
         "attempts",
         "attempt_statistics",
@@ -292,8 +298,13 @@
         self.chooser = AffinityChooser(boot.zone, self.random)
         self.backend_client = BackendClient()
         self.send_gate = self._build_send_gate()
+        self._build_quarantine()
         self.sender = RelaySender(
-            self.clock, self.backend_client, decode_head, self.send_gate
+            self.clock,
+            self.backend_client,
+            decode_head,
+            self.send_gate,
+            self.quarantine_exchange.record_sound,
         )
         self.attempts = AttemptRunner(self, self.random, RelayPolicy(self))
         self.attempt_statistics = AttemptStatistics()
@@ -302,6 +313,7 @@
             self.chooser.observe,
             self.releases.observe,
             self._remove_reassigned,
+            self.crash_reporter.observe,
         ]
         self.gate = AdmissionGate(AdmissionQueue(MAX_QUEUED_REQUESTS), self.clock)
         self.releases.request_rate = self.retry_budget.request_rate
@@ -320,6 +332,26 @@
         self.listener = Listener(self, self.pipeline, self.interface, limits)
         self.routes.observers.append(self._apply_route_limits)
 
+    def _build_quarantine(self):
+        """Build what keeps requests with harmful content from backend servers."""
+        self.quarantine = QuarantineTable(self.clock)
+        self.quarantine_exchange = QuarantineExchange(
+            self.quarantine,
+            self.members,
+            self.peer_client,
+            self.peer_server,
+            self.clock,
+            self.random,
+        )
+        self.gossip.add_topic(self.quarantine_exchange)
+        self.crash_reporter = CrashReporter(
+            self.backends,
+            self.backend_client.is_reachable,
+            self.quarantine_exchange.report,
+            self.clock,
+            self.random,
+        )
+
     def _build_send_gate(self):
         limits = LimitTable()
         permits = PermitExchange(
@@ -371,6 +403,8 @@
         await self.ready_server.stop()
         await self.metrics.stop()
         await self.send_gate.close()
+        await self.crash_reporter.close()
+        await self.quarantine_exchange.close()
         await self.backend_client.close()
         await self.peer_server.stop()
         await self.peer_client.close()
--- a/stoatpath/measure/limit_models.py
+++ b/stoatpath/measure/limit_models.py
@@ -153,6 +153,10 @@
         """Return all backend servers."""
         return self._backends
 
+    def check_send(self, request, version):
+        """Return None: any request may be sent."""
+        return None
+
     def hedge_delay_ms(self, request, sent_count):
         """Return None: no hedges."""
         return None
@@ -192,7 +196,6 @@
         "send_gate",
         "chooser",
         "sender",
-        "guard",
         "retry_budget",
         "ring",
         "attempts",
@@ -213,7 +216,6 @@
         self.send_gate = SendGate(limits, permits, HoldOffs(rng), self.clock)
         self.chooser = AffinityChooser(zone, rng)
         self.sender = ModelSender(fleet, name, self.clock, self.send_gate)
-        self.guard = self
         self.ring = self
         self.retry_budget = WindowBudget(0.9, 10_000.0, 54.0, self.clock)
         now_ms = self.clock.now_ms()
@@ -234,10 +236,6 @@
         ]
         self.attempts = AttemptRunner(self, rng, ModelPolicy(self, backends))
 
-    def check_send(self, request, version):
-        """Return None: any request may be sent."""
-        return None
-
     def record_decision(self, request_id, step, reason, **details):
         """Record nothing."""
 
--- /dev/null
+++ b/stoatpath/measure/quarantine_models.py
@@ -0,0 +1,365 @@
+"""A model of instances before backend servers that end on a prompt part.
+
+The instances run the quarantine code of gateways in virtual time; the network, the
+backend servers and the attempts are simulated.
+"""
+
+import asyncio
+import random
+from types import SimpleNamespace
+
+from stoatpath.callers.relay_messages import Prompt, PromptPart
+from stoatpath.dispatch.messages import AttemptResult
+from stoatpath.measure.limit_models import CLOCK_SPREAD_MS, ModelPeerClient
+from stoatpath.measure.relay_models import Handlers, model_member
+from stoatpath.measure.virtual_loops import VirtualClock
+from stoatpath.membership.members import MemberTable
+from stoatpath.membership.messages import Member
+from stoatpath.outcomes import BROKEN_ANSWER, Outcome
+from stoatpath.quarantine.exchanges import QuarantineExchange
+from stoatpath.quarantine.quarantines import QuarantineTable
+from stoatpath.quarantine.reporters import CrashReporter
+
+SERVICE = "desk-assist"
+DEADLY_PART = "deadly"
+BEGINNINGS = 3
+SUBJECTS = 100
+MAX_ATTEMPTS = 3
+RESTART_S = 3.0
+CONNECT_S = 0.002
+# Time to the head of an answer, from there to its first event, and to its end.
+MAX_WAITING_S = 0.6
+FIRST_EVENT_S = 0.04
+STREAM_S = 1.5
+JOIN_S = 2.0
+# As in `stoatpath.gateways`: an instance that has just started gossips more often.
+GOSSIP_PERIOD_S = 2.5
+JOIN_GOSSIP_PERIOD_S = 0.5
+JOIN_GOSSIP_S = 4.0
+# Time after its start for which an instance may not know what others do.
+SETTLED_AFTER_MS = 3_000.0
+
+
+class ModelBackend:
+    """A backend server; a crash ends all of its attempts, and it is back later."""
+
+    __slots__ = ("name", "address", "is_up", "lives", "lost")
+
+    def __init__(self, name):
+        self.name = name
+        self.address = name
+        self.is_up = True
+        self.lives = 0
+        self.lost = asyncio.Event()
+
+    async def crash(self):
+        """End, and start again under another name."""
+        if not self.is_up:
+            return
+        self.is_up = False
+        self.lost.set()
+        await asyncio.sleep(RESTART_S)
+        self.lost = asyncio.Event()
+        self.lives += 1
+        self.name = f"{self.address}.{self.lives}"
+        self.is_up = True
+
+
+class ModelInstance:
+    """The quarantine of one instance."""
+
+    __slots__ = (
+        "name",
+        "settled_ms",
+        "clock",
+        "members",
+        "table",
+        "exchange",
+        "reporter",
+    )
+
+    def __init__(self, fleet, name, rng):
+        self.name = name
+        self.settled_ms = fleet.now_ms() + SETTLED_AFTER_MS
+        self.clock = VirtualClock(fleet.loop, rng.uniform(0.0, CLOCK_SPREAD_MS))
+        self.members = MemberTable(model_member(name, "zone-0"))
+        self.table = QuarantineTable(self.clock)
+        handlers = Handlers(fleet.handlers_by_name.setdefault(name, {}))
+        client = ModelPeerClient(fleet, name)
+        self.exchange = QuarantineExchange(
+            self.table, self.members, client, handlers, self.clock, rng
+        )
+        self.reporter = CrashReporter(
+            fleet, fleet.is_reachable, self.exchange.report, self.clock, rng
+        )
+
+    async def close(self):
+        """Cancel all tasks."""
+        await self.reporter.close()
+        await self.exchange.close()
+
+
+class QuarantineFleet:
+    """Instances, backend servers and callers.
+
+    `deadly_ratio` is the share of requests with the deadly part, which ends backend
+    servers while `is_deadly`. `crashes_ms` holds the times of crashes, `deadly_ms`
+    those at which requests with the part reached a backend server from instances that
+    had not just started, `served_ms` those
+    at which such requests were answered. `results` holds the time and the success of
+    the first attempt of each other request. The names in `killed`, `frozen` and
+    `isolated` are those of instances that refuse connections or reach no other.
+    """
+
+    __slots__ = (
+        "loop",
+        "backends",
+        "instances_by_name",
+        "handlers_by_name",
+        "killed",
+        "frozen",
+        "isolated",
+        "messages",
+        "bytes_sent",
+        "deadly_ratio",
+        "is_deadly",
+        "crashes_ms",
+        "deadly_ms",
+        "served_ms",
+        "results",
+        "_rate_per_s",
+        "_random",
+        "_tasks",
+        "_count",
+    )
+
+    def __init__(self, loop, instances, servers, rate_per_s, seed):
+        self.loop = loop
+        self.backends = [ModelBackend(f"server-{index}") for index in range(servers)]
+        self.instances_by_name = {}
+        self.handlers_by_name = {}
+        self.killed = set()
+        self.frozen = set()
+        self.isolated = set()
+        self.messages = 0
+        self.bytes_sent = 0
+        self.deadly_ratio = 0.0
+        self.is_deadly = True
+        self.crashes_ms = []
+        self.deadly_ms = []
+        self.served_ms = []
+        self.results = []
+        self._rate_per_s = rate_per_s
+        self._random = random.Random(seed)
+        self._tasks = set()
+        self._count = 0
+        for index in range(instances):
+            self._add(f"instance-{seed}-{index}")
+        self._introduce(list(self.instances_by_name))
+
+    @property
+    def by_name(self):
+        """Backend servers that are up, as a directory has them."""
+        return {each.name: each for each in self.backends if each.is_up}
+
+    def of_service(self, service):
+        """Return the backend servers that an instance knows."""
+        return self.backends
+
+    def now_ms(self):
+        """Return virtual time."""
+        return self.loop.time() * 1000
+
+    def is_connected(self, one, other):
+        """Return whether two instances reach each other."""
+        return not {one, other} & (self.frozen | self.isolated)
+
+    async def is_reachable(self, address):
+        """Return whether a backend server accepts connections."""
+        await asyncio.sleep(CONNECT_S)
+        return any(each.is_up for each in self.backends if each.address == address)
+
+    def innocent_parts(self):
+        """Return the parts in quarantine at any instance but the deadly one."""
+        return {
+            decision.part
+            for instance in self.instances_by_name.values()
+            for decision in instance.table.remembered()
+            if instance.table.until_ms(SERVICE, decision.part) > instance.clock.now_ms()
+            and decision.part != DEADLY_PART
+        }
+
+    def start(self):
+        """Start the callers."""
+        self._start(self._run_callers())
+
+    async def stop(self):
+        """End everything."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for instance in self.instances_by_name.values():
+            await instance.close()
+
+    async def crash_some(self, count):
+        """Let backend servers end at the same moment."""
+        up = [each for each in self.backends if each.is_up]
+        for backend in self._random.sample(up, min(count, len(up))):
+            self._crash(backend)
+        await asyncio.sleep(0)
+
+    async def disturb(self, count, fault):
+        """Let instances join, restart, leave or lose their peers."""
+        names = self._random.sample(sorted(self.instances_by_name), count)
+        if fault == "join":
+            names = [f"joined-{index}" for index in range(count)]
+            for name in names:
+                self._add(name)
+            await asyncio.sleep(JOIN_S)
+            self._introduce(names)
+        elif fault == "restart":
+            self.killed.update(names)
+            await asyncio.sleep(JOIN_S)
+            self.killed.difference_update(names)
+            for name in names:
+                await self.instances_by_name[name].close()
+                self._add(name)
+            self._introduce(names)
+        elif fault == "leave":
+            for name in names:
+                self.instances_by_name[name].members.leave()
+            self._introduce(names)
+        else:
+            self.isolated.update(names)
+            await asyncio.sleep(4 * JOIN_S)
+            self.isolated.difference_update(names)
+
+    def _add(self, name):
+        rng = random.Random(self._random.random())
+        instance = self.instances_by_name[name] = ModelInstance(self, name, rng)
+        self._start(self._run_gossip(instance))
+
+    def _introduce(self, names):
+        """Make instances and all others known to each other."""
+        for name in names:
+            instance = self.instances_by_name[name]
+            for other in self.instances_by_name.values():
+                if other is not instance:
+                    _tell(instance, other)
+                    _tell(other, instance)
+
+    async def _run_gossip(self, instance):
+        """Exchange decisions with random instances."""
+        started_s = self.loop.time()
+        while self.instances_by_name.get(instance.name) is instance:
+            is_new = self.loop.time() < started_s + JOIN_GOSSIP_S
+            await asyncio.sleep(JOIN_GOSSIP_PERIOD_S if is_new else GOSSIP_PERIOD_S)
+            other = self._random.choice(list(self.instances_by_name.values()))
+            if not self.is_connected(instance.name, other.name):
+                continue
+            for sender, recipient in ((instance, other), (other, instance)):
+                data = sender.exchange.collect()
+                if data is not None:
+                    recipient.exchange.merge(sender.name, data)
+
+    async def _run_callers(self):
+        while True:
+            await asyncio.sleep(self._random.expovariate(self._rate_per_s))
+            names = sorted(set(self.instances_by_name) - self.killed)
+            instance = self.instances_by_name[self._random.choice(names)]
+            self._start(self._send(instance, self._build_request()))
+
+    def _build_request(self):
+        self._count += 1
+        names = [
+            f"beginning-{self._random.randrange(BEGINNINGS)}",
+            f"subject-{min(self._random.randrange(SUBJECTS) for _ in range(2))}",
+        ]
+        if self._random.random() < self.deadly_ratio:
+            names.append(DEADLY_PART)
+        parts = [PromptPart(name, 100) for name in (*names, f"own-{self._count}")]
+        return SimpleNamespace(
+            request_id=str(self._count),
+            service=SimpleNamespace(name=SERVICE),
+            prompt=Prompt("m", 300, 50, 50, parts),
+        )
+
+    async def _send(self, instance, request):
+        """Send a request to backend servers in turn; record the first attempt."""
+        is_deadly = DEADLY_PART in request.prompt.shared_part_names
+        lost_beginnings = 0
+        for number in range(MAX_ATTEMPTS):
+            if instance.table.check(request) is not None:
+                is_answered = has_begun = False
+            else:
+                backend = self._random.choice(
+                    [each for each in self.backends if each.is_up] or self.backends
+                )
+                is_answered, has_begun = await self._attempt(instance, request, backend)
+            if number == 0 and not is_deadly:
+                self.results.append((self.now_ms(), is_answered))
+            if is_answered and is_deadly:
+                self.served_ms.append(self.now_ms())
+            lost_beginnings += has_begun and not is_answered
+            if is_answered or lost_beginnings == 2:
+                return
+
+    async def _attempt(self, instance, request, backend):
+        """Return whether an attempt had its first event, and whether it began."""
+        is_deadly = DEADLY_PART in request.prompt.shared_part_names
+        await asyncio.sleep(CONNECT_S)
+        if not backend.is_up:
+            return False, False
+        if is_deadly and self.now_ms() >= instance.settled_ms:
+            self.deadly_ms.append(self.now_ms())
+        name, lost = backend.name, backend.lost
+        started_ms = instance.clock.now_ms()
+        begun_ms = None
+        is_lost = await _is_set(lost, self._random.uniform(0.05, MAX_WAITING_S))
+        if not is_lost:
+            begun_ms = instance.clock.now_ms()
+            is_lost = await _is_set(lost, FIRST_EVENT_S)
+            if not is_lost and is_deadly and self.is_deadly:
+                self._crash(backend)
+                is_lost = True
+        if is_lost:
+            result = AttemptResult(
+                name,
+                "m",
+                BROKEN_ANSWER,
+                Outcome.UNKNOWN,
+                started_ms,
+                begun_ms,
+                instance.clock.now_ms(),
+                events=0,
+                request=request,
+            )
+            instance.reporter.observe(result)
+            return False, begun_ms is not None
+        instance.exchange.record_sound(request)
+        await _is_set(lost, STREAM_S)
+        return True, True
+
+    def _crash(self, backend):
+        if backend.is_up:
+            self.crashes_ms.append(self.now_ms())
+            self._start(backend.crash())
+
+    def _start(self, coroutine):
+        task = self.loop.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _tell(instance, other):
+    record = Member.from_json(other.members.local.to_json())
+    instance.members.merge([record], instance.clock.now_ms())
+
+
+async def _is_set(event, seconds):
+    """Return whether an event is set before some time has passed."""
+    try:
+        await asyncio.wait_for(event.wait(), seconds)
+    except TimeoutError:
+        return False
+    return True
--- /dev/null
+++ b/stoatpath/quarantine/messages.py
@@ -0,0 +1,112 @@
+"""What instances tell each other about content that ends backend servers."""
+
+MAX_NAME_CHARS = 200
+MAX_PARTS = 64
+MAX_TIME_LEFT_MS = 86_400_000.0
+
+
+class LostAttempt:
+    """An attempt whose backend server ended before the first event of its answer.
+
+    `parts` are the names of the prompt parts that other requests may share.
+    `has_begun` says that the head of an answer had arrived. `lost_ms` is a clock
+    reading; as JSON it is an age, since the clocks of instances differ.
+    """
+
+    __slots__ = ("backend", "request_id", "parts", "has_begun", "lost_ms")
+
+    def __init__(self, backend, request_id, parts, has_begun, lost_ms):
+        self.backend = backend
+        self.request_id = request_id
+        self.parts = parts
+        self.has_begun = has_begun
+        self.lost_ms = lost_ms
+
+    def to_json(self, now_ms):
+        """Return the JSON form."""
+        return {
+            "backend": self.backend,
+            "request": self.request_id,
+            "parts": list(self.parts),
+            "begun": self.has_begun,
+            "age_ms": now_ms - self.lost_ms,
+        }
+
+    @classmethod
+    def from_json(cls, data, now_ms):
+        """Build an attempt; raise KeyError, TypeError or ValueError if malformed."""
+        return cls(
+            decode_name(data["backend"]),
+            decode_name(data["request"]),
+            tuple(decode_name(part) for part in list(data["parts"])[:MAX_PARTS]),
+            data["begun"] is True,
+            now_ms - decode_duration_ms(data["age_ms"]),
+        )
+
+
+class Quarantine:
+    """A decision to send no request with a prompt part to a service, or to end that.
+
+    Of two decisions about a part, the one with the higher `version` holds. `until_ms`
+    is a clock reading; as JSON it is the time left. `repeats` counts the quarantines of
+    the part before this one, without it having been sound.
+    """
+
+    __slots__ = ("service", "part", "version", "until_ms", "repeats", "is_lifted")
+
+    def __init__(self, service, part, version, until_ms, repeats=0, is_lifted=False):
+        self.service = service
+        self.part = part
+        self.version = version
+        self.until_ms = until_ms
+        self.repeats = repeats
+        self.is_lifted = is_lifted
+
+    def to_json(self, now_ms):
+        """Return the JSON form."""
+        return {
+            "service": self.service,
+            "part": self.part,
+            "version": self.version,
+            "left_ms": self.until_ms - now_ms,
+            "repeats": self.repeats,
+            "lifted": self.is_lifted,
+        }
+
+    @classmethod
+    def from_json(cls, data, now_ms):
+        """Build a decision; raise KeyError, TypeError or ValueError if malformed."""
+        version, repeats = data["version"], data["repeats"]
+        if not isinstance(version, int) or not isinstance(repeats, int):
+            raise TypeError("a version or a count is not an integer")
+        return cls(
+            decode_name(data["service"]),
+            decode_name(data["part"]),
+            version,
+            now_ms + decode_time_left_ms(data["left_ms"]),
+            max(0, repeats),
+            data["lifted"] is True,
+        )
+
+
+def decode_name(value):
+    """Return a name; raise TypeError if it is not a text."""
+    if not isinstance(value, str):
+        raise TypeError("a name is not a text")
+    return value[:MAX_NAME_CHARS]
+
+
+def decode_time_left_ms(value):
+    """Return a finite time that may have passed; raise ValueError for other values."""
+    left_ms = float(value)
+    if not abs(left_ms) < MAX_TIME_LEFT_MS:
+        raise ValueError("a time is out of bounds")
+    return left_ms
+
+
+def decode_duration_ms(value):
+    """Return a finite, non-negative duration; raise ValueError for any other value."""
+    duration_ms = float(value)
+    if not 0.0 <= duration_ms < float("inf"):
+        raise ValueError("a duration is negative or not finite")
+    return duration_ms
--- /dev/null
+++ b/stoatpath/quarantine/reporters.py
@@ -0,0 +1,112 @@
+"""Reports attempts that were lost because their backend server ended."""
+
+import asyncio
+import logging
+
+from stoatpath.outcomes import BROKEN_ANSWER, SILENT_CONNECTION
+from stoatpath.quarantine.messages import LostAttempt
+from stoatpath.utils import cancel_and_wait
+
+logger = logging.getLogger(__name__)
+
+LOST_REASONS = (BROKEN_ANSWER, SILENT_CONNECTION)
+# All connections of a backend server that ends are lost within this time.
+COLLECT_MS = 20.0
+# Other backend servers that are contacted, to rule out that this instance is cut off.
+COMPARED_BACKENDS = 3
+MAX_REPORTED_ATTEMPTS = 64
+
+
+class CrashReporter:
+    """Finds out whether a lost attempt means that its backend server has ended.
+
+    `is_reachable` is a coroutine function that returns whether an address accepts
+    connections. `report` is a coroutine function that gets a service and the
+    `LostAttempt`s of one crash.
+    """
+
+    __slots__ = (
+        "crashes",
+        "_backends",
+        "_is_reachable",
+        "_report",
+        "_clock",
+        "_random",
+        "_attempts_by_backend",
+        "_tasks",
+    )
+
+    def __init__(self, backends, is_reachable, report, clock, random):
+        self.crashes = 0
+        self._backends = backends
+        self._is_reachable = is_reachable
+        self._report = report
+        self._clock = clock
+        self._random = random
+        self._attempts_by_backend = {}
+        self._tasks = set()
+
+    def observe(self, result):
+        """Look at the `AttemptResult` of an attempt."""
+        if result.reason not in LOST_REASONS or result.events:
+            return
+        parts = result.request.prompt.shared_part_names
+        if not parts:
+            return
+        attempt = LostAttempt(
+            result.backend,
+            result.request.request_id,
+            parts,
+            result.first_byte_ms is not None,
+            result.ended_ms,
+        )
+        attempts = self._attempts_by_backend.get(result.backend)
+        if attempts is not None:
+            attempts.append(attempt)
+            return
+        self._attempts_by_backend[result.backend] = [attempt]
+        check = self._check(result.backend, result.request.service.name)
+        task = asyncio.get_running_loop().create_task(check)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self):
+        """Cancel all tasks."""
+        await cancel_and_wait(list(self._tasks))
+
+    async def _check(self, name, service):
+        await self._clock.sleep_until(self._clock.now_ms() + COLLECT_MS)
+        try:
+            has_ended = await self._has_ended(name, service)
+        finally:
+            attempts = self._attempts_by_backend.pop(name)
+        if not has_ended:
+            return
+        self.crashes += 1
+        logger.info(
+            "backends.crashed",
+            extra={
+                "backend": name,
+                "lost": len(attempts),
+                "begun": [each.request_id for each in attempts if each.has_begun],
+            },
+        )
+        # Attempts that had begun first: they are the stronger evidence.
+        attempts.sort(key=lambda each: not each.has_begun)
+        await self._report(service, attempts[:MAX_REPORTED_ATTEMPTS])
+
+    async def _has_ended(self, name, service):
+        """Return whether a backend server is unreachable while others are not."""
+        backend = self._backends.by_name.get(name)
+        if backend is None:
+            return True
+        if await self._is_reachable(backend.address):
+            return False
+        others = [
+            each for each in self._backends.of_service(service) if each is not backend
+        ]
+        compared = self._random.sample(others, min(COMPARED_BACKENDS, len(others)))
+        answers = await asyncio.gather(
+            *(self._is_reachable(each.address) for each in compared)
+        )
+        return any(answers) or not others
