Logs and metrics: an instance knows that it reaches no backend server

An attempt that can't connect starts a look at four backend servers of its service; if none accepts a connection, backends.unreachable is logged and a gauge counts the service, until one does.

--- a/stoatpath/gateway_metrics.py
+++ b/stoatpath/gateway_metrics.py
@@ -173,6 +173,11 @@
             count,
             reason=reason,
         )
+    yield Sample.gauge(
+        "stoatpath_unreachable_services",
+        "Services of which no backend server accepts connections from here.",
+        len(gateway.partitions.cut_off_services()),
+    )
     yield Sample.counter(
         "stoatpath_backend_crashes_total",
         "Backend servers that ended under a request before its answer had begun.",
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -31,6 +31,7 @@
 from stoatpath.feeds.reachability import Reachability
 from stoatpath.feeds.relays import POLL_SHARE, TableRelay
 from stoatpath.feeds.sources import SourceSelector
+from stoatpath.forwarding.partitions import PartitionDetector
 from stoatpath.gateway_metrics import gateway_samples
 from stoatpath.membership.directories import BackendDirectory
 from stoatpath.membership.gossip import Gossip
@@ -130,6 +131,7 @@
         "quarantine",
         "quarantine_exchange",
         "crash_reporter",
+        "partitions",
         "sender",
         "attempts",
         "attempt_statistics",
@@ -299,6 +301,12 @@
         self.backend_client = BackendClient()
         self.send_gate = self._build_send_gate()
         self._build_quarantine()
+        self.partitions = PartitionDetector(
+            self.backends,
+            self.backend_client.is_reachable,
+            self.clock,
+            self.random,
+        )
         self.sender = RelaySender(
             self.clock,
             self.backend_client,
@@ -314,6 +322,7 @@
             self.releases.observe,
             self._remove_reassigned,
             self.crash_reporter.observe,
+            self.partitions.observe,
         ]
         self.gate = AdmissionGate(AdmissionQueue(MAX_QUEUED_REQUESTS), self.clock)
         self.releases.request_rate = self.retry_budget.request_rate
@@ -403,6 +412,7 @@
         await self.ready_server.stop()
         await self.metrics.stop()
         await self.send_gate.close()
+        await self.partitions.close()
         await self.crash_reporter.close()
         await self.quarantine_exchange.close()
         await self.backend_client.close()
