--- /dev/null
+++ b/features/platform/forwarding.feature
@@ -0,0 +1,36 @@
+Feature: Callers of a gateway that reaches no backend server are served through others
+
+  # Guards against callers that are refused by gateways cut off from all backend servers.
+  Scenario Outline: Requests to gateways that are cut off are answered; connections <fail>
+    Given 3 gateways that know each other, 2 model and 2 plain replicas
+    And 2 gateways are cut off from all replicas, whose connections <fail>
+    When callers send <route> requests to these, 10 a second for 5 s
+    Then of those sent later than 3 s after the cut at least 9 in 10 are answered with 200
+    And each request ran at most <runs> times
+    And whole answers reached the callers
+
+    Examples:
+      | fail        | route | runs |
+      | are refused | look  | 2    |
+      | are refused | book  | 1    |
+      | are refused | chat  | 3    |
+      | hang        | look  | 2    |
+      | hang        | book  | 1    |
+      | hang        | chat  | 3    |
+
+  Scenario: A gateway that is cut off isn't ready until it reaches replicas again
+    Given 3 gateways that know each other, 2 model and 2 plain replicas
+    And 1 gateways are cut off from all replicas, whose connections are refused
+    When callers send look requests to these, 10 a second for 1 s
+    And callers send chat requests to these, 10 a second for 1 s
+    Then these are not ready, and the others are
+    When the cut heals
+    Then all gateways are ready within 2 s
+
+  # Guards against requests that gateways forward to each other in circles.
+  Scenario: No request is forwarded where no gateway reaches replicas
+    Given 3 gateways that know each other, 2 model and 2 plain replicas
+    And 3 gateways are cut off from all replicas, whose connections are refused
+    When callers send look requests to these, 10 a second for 2 s
+    Then all are answered with 503 within 1 s each
+    And all gateways are ready within 2 s
--- a/features/platform/steps/backpressure_steps.py
+++ b/features/platform/steps/backpressure_steps.py
@@ -65,6 +65,7 @@
         if "Server-Limit" in response.headers:
             now_ms = gateway.clock.now_ms()
             self.told_ms_by_gateway.setdefault(name, now_ms)
+        return response
 
     async def send_steadily(self, rate_per_s, seconds, route="look"):
         """Send requests through all gateways in turn, without waiting for answers."""
--- /dev/null
+++ b/features/platform/steps/forwarding_steps.py
@@ -0,0 +1,171 @@
+"""Steps on gateways that reach no replica while others do."""
+
+import asyncio
+from unittest import mock
+
+import aiohttp
+from backpressure_steps import FleetFixture
+from behave import given, then, when
+from callers import wait_until
+
+from stoatpath.clock import Clock
+from stoatpath.platform.backend_calls import CONNECT_TIMEOUT_MS, BackendClient
+
+HANG_S = CONNECT_TIMEOUT_MS / 1000
+
+
+class Cut:
+    """Lets the calls of some clients fail as if a network partition did."""
+
+    def __init__(self, clients, fail):
+        self.clients = clients
+        self.hangs = fail == "hang"
+        self.began_ms = Clock().now_ms()
+        self._patches = [
+            mock.patch.object(BackendClient, "open", self._open(BackendClient.open)),
+            mock.patch.object(
+                BackendClient,
+                "is_reachable",
+                self._is_reachable(BackendClient.is_reachable),
+            ),
+        ]
+        for patch in self._patches:
+            patch.start()
+
+    def end(self):
+        self.clients = []
+
+    def close(self):
+        for patch in self._patches:
+            patch.stop()
+
+    def _open(self, open_really):
+        def open_unless_cut(client, attempt, remaining_ms):
+            if client in self.clients:
+                return _FailedCall(self.hangs)
+            return open_really(client, attempt, remaining_ms)
+
+        return open_unless_cut
+
+    def _is_reachable(self, look_really):
+        async def look_unless_cut(client, address):
+            if client not in self.clients:
+                return await look_really(client, address)
+            await asyncio.sleep(HANG_S if self.hangs else 0)
+            return False
+
+        return look_unless_cut
+
+
+class _FailedCall:
+    def __init__(self, hangs):
+        self.hangs = hangs
+
+    async def __aenter__(self):
+        if self.hangs:
+            await asyncio.sleep(HANG_S)
+            raise aiohttp.ConnectionTimeoutError("cut")
+        raise aiohttp.ClientConnectorError(mock.Mock(ssl=None), OSError("cut"))
+
+    async def __aexit__(self, *error):
+        return False
+
+
+@given(
+    "{gateways:d} gateways that know each other, "
+    "{models:d} model and {plain:d} plain replicas"
+)
+def step_impl(context, gateways, models, plain):
+    context.fleet = FleetFixture(gateways, plain, models)
+    context.add_cleanup(context.fleet.close)
+
+
+@given("{count:d} gateways are cut off from all replicas, whose connections {fail}")
+def step_impl(context, count, fail):
+    context.cut_gateways = context.fleet.gateways[-count:]
+    clients = [gateway.backend_client for gateway in context.cut_gateways]
+    context.cut = Cut(clients, fail)
+    context.add_cleanup(context.cut.close)
+    context.sent = []
+
+
+@when("callers send {route} requests to these, {rate:d} a second for {seconds:d} s")
+def step_impl(context, route, rate, seconds):
+    fleet = context.fleet
+
+    async def send(number):
+        gateway = context.cut_gateways[number % len(context.cut_gateways)]
+        sent_ms = Clock().now_ms()
+        response = await fleet.send(gateway, f"{route}{number}", route)
+        context.sent.append((sent_ms, Clock().now_ms() - sent_ms, response))
+
+    async def send_all():
+        tasks = []
+        for number in range(rate * seconds):
+            tasks.append(asyncio.create_task(send(number)))
+            await asyncio.sleep(1 / rate)
+        await asyncio.gather(*tasks)
+
+    fleet.run(send_all())
+
+
+@then(
+    "of those sent later than {seconds:d} s after the cut "
+    "at least {least:d} in {total:d} are answered with {status:d}"
+)
+def step_impl(context, seconds, least, total, status):
+    from_ms = context.cut.began_ms + 1000 * seconds
+    later = [response for sent_ms, _, response in context.sent if sent_ms > from_ms]
+    served = sum(response.status == status for response in later)
+    assert later and served * total >= least * len(later), (served, len(later))
+
+
+@then("each request ran at most {runs:d} times")
+def step_impl(context, runs):
+    counts = {}
+    for replica in context.fleet.deployment.replicas_by_name.values():
+        for run in replica.runs:
+            counts[run.request_id] = counts.get(run.request_id, 0) + 1
+    assert counts and max(counts.values()) <= runs, counts
+
+
+@then("whole answers reached the callers")
+def step_impl(context):
+    for _, _, response in context.sent:
+        if response.status != 200:
+            continue
+        assert "X-Stoatpath-Replica-Seal" in response.headers
+        if response.headers["Content-Type"].startswith("text/event-stream"):
+            ids = [
+                int(line[3:])
+                for line in response.body.decode().splitlines()
+                if line.startswith("id:")
+            ]
+            assert ids == [1, 2, 3, 4, 5], response.body
+        else:
+            assert response.request_id in response.body.decode(), response.body
+
+
+@then("these are not ready, and the others are")
+def step_impl(context):
+    expected = [each not in context.cut_gateways for each in context.fleet.gateways]
+    assert [each.is_ready() for each in context.fleet.gateways] == expected
+
+
+@when("the cut heals")
+def step_impl(context):
+    context.cut.end()
+
+
+@then("all gateways are ready within {seconds:d} s")
+def step_impl(context, seconds):
+    gateways = context.fleet.gateways
+    are_ready = wait_until(lambda: all(each.is_ready() for each in gateways), seconds)
+    assert context.fleet.run(are_ready)
+
+
+@then("all are answered with {status:d} within {seconds:d} s each")
+def step_impl(context, status, seconds):
+    for _, took_ms, response in context.sent:
+        assert response.status == status, response.status
+        assert took_ms <= 1000 * seconds, took_ms
