Gateways that reach no backend server forward requests to instances that do

Cause: readiness ignored what an instance reaches, and a request that arrived had no other way than the backend servers. Class: a partial partition, in which an instance is healthy by every check that does not use the failed path. Ruled out: late detection (known 0.1 to 1.6 s after the cut, since the belief is logged).

Change: while no backend server of a service accepts connections from here and a peer reaches it, new requests go to that peer as their callers sent them; so do requests that failed here, if they have not run or may run again. A broken stream goes on after its last event. An instance that reaches no service isn't ready while peers do. Forwarded requests aren't forwarded again; runs so far count against the route's attempts.

The test of three gateways failed before for every route and kind of cut.

The check of one probe for a silent stream counted connections of the gateway, to which others have been added; it now counts the probes themselves.

--- a/features/platform/steps/forwarding_steps.py
+++ b/features/platform/steps/forwarding_steps.py
@@ -17,10 +17,10 @@
 class Cut:
     """Lets the calls of some clients fail as if a network partition did."""
 
-    def __init__(self, clients, fail):
-        self.clients = clients
-        self.hangs = fail == "hang"
-        self.began_ms = Clock().now_ms()
+    def __init__(self):
+        self.clients = []
+        self.hangs = False
+        self.began_ms = 0.0
         self._patches = [
             mock.patch.object(BackendClient, "open", self._open(BackendClient.open)),
             mock.patch.object(
@@ -32,6 +32,11 @@
         for patch in self._patches:
             patch.start()
 
+    def begin(self, clients, hangs):
+        self.clients = clients
+        self.hangs = hangs
+        self.began_ms = Clock().now_ms()
+
     def end(self):
         self.clients = []
 
@@ -76,6 +81,9 @@
     "{models:d} model and {plain:d} plain replicas"
 )
 def step_impl(context, gateways, models, plain):
+    # Before the gateways are built, since these keep bound methods of their clients.
+    context.cut = Cut()
+    context.add_cleanup(context.cut.close)
     context.fleet = FleetFixture(gateways, plain, models)
     context.add_cleanup(context.fleet.close)
 
@@ -84,8 +92,7 @@
 def step_impl(context, count, fail):
     context.cut_gateways = context.fleet.gateways[-count:]
     clients = [gateway.backend_client for gateway in context.cut_gateways]
-    context.cut = Cut(clients, fail)
-    context.add_cleanup(context.cut.close)
+    context.cut.begin(clients, hangs=fail == "hang")
     context.sent = []
 
 
--- a/features/platform/steps/relaying_steps.py
+++ b/features/platform/steps/relaying_steps.py
@@ -1,6 +1,7 @@
 """Steps about requests that a gateway relays to backend servers."""
 
 import asyncio
+from unittest import mock
 
 from behave import given, then, when
 from callers import (
@@ -12,6 +13,7 @@
     wait_until,
 )
 
+from stoatpath.dispatch.liveness import LivenessWatch
 from stoatpath.standins.deployments import CALLER_KEY, HOST, Deployment
 from stoatpath.standins.faults import Fault, FaultTable
 
@@ -160,6 +162,12 @@
 @when("its backend server stops accepting connections")
 def step_impl(context):
     fixture = context.fixture
+    probe = LivenessWatch._probe
+    probes = mock.patch.object(
+        LivenessWatch, "_probe", autospec=True, side_effect=probe
+    )
+    context.probe = probes.start()
+    context.add_cleanup(probes.stop)
 
     async def work():
         request = asyncio.create_task(send_request(fixture.gateway, "chat"))
@@ -178,7 +186,7 @@
 def step_impl(context):
     sends = sum(replica.received_count for replica in context.fixture.replicas())
     assert sends == 2, sends
-    assert context.fixture.gateway.backend_client.calls == sends + 1
+    assert context.probe.call_count == 1, context.probe.call_count
 
 
 @when("the gateway stops while a connection is idle")
--- a/stoatpath/callers/relay_messages.py
+++ b/stoatpath/callers/relay_messages.py
@@ -54,10 +54,11 @@
 
     `headers` are the end-to-end headers of the caller as pairs, without those that
     the router sets. `arrived_ms` and `deadline_ms` are clock readings. `key` is the
-    API key of the caller, or "". `run_count` counts the runs that took place or may
-    have, `lost_beginnings` the streams among them whose connection was lost between the
-    head of the answer and its first event. `releases` selects the releases of the
-    service that the request may run on; `release` is the one that it last ran on.
+    API key of the caller, or "". `is_forwarded` says that another instance sent the
+    request on, after `forwarded_runs` runs. `run_count` counts the runs that took place
+    or may have, `lost_beginnings` the streams among them whose connection was lost
+    between the head of the answer and its first event. `releases` selects the releases
+    of the service that the request may run on; `release` is where it last ran.
     """
 
     __slots__ = (
@@ -76,6 +77,7 @@
         "prompt",
         "last_event_id",
         "was_sent",
+        "is_forwarded",
         "run_count",
         "lost_beginnings",
         "releases",
@@ -98,6 +100,7 @@
         body,
         prompt=NO_PROMPT,
         last_event_id="",
+        forwarded_runs=None,
     ):
         self.request_id = request_id
         self.organisation = organisation
@@ -114,7 +117,8 @@
         self.prompt = prompt
         self.last_event_id = last_event_id
         self.was_sent = False
-        self.run_count = 0
+        self.is_forwarded = forwarded_runs is not None
+        self.run_count = forwarded_runs or 0
         self.lost_beginnings = 0
         self.releases = ANY_RELEASE
         self.release = None
--- a/stoatpath/callers/relays.py
+++ b/stoatpath/callers/relays.py
@@ -158,6 +158,7 @@
             b"",
             prompt,
             self._header_decoder.last_event_id(request.headers),
+            self._header_decoder.forwarded_runs(request.headers),
         )
 
     def _record_read(
@@ -201,15 +202,18 @@
     """Writes the events of one streamed answer to its caller.
 
     `begun_ms` is the clock reading at which the response head was sent, or None.
+    `last_event_id` identifies the last complete event that was sent, "" before the
+    first.
     """
 
-    __slots__ = ("_request", "_clock", "response", "begun_ms")
+    __slots__ = ("_request", "_clock", "response", "begun_ms", "last_event_id")
 
     def __init__(self, request, clock):
         self._request = request
         self._clock = clock
         self.response = None
         self.begun_ms = None
+        self.last_event_id = ""
 
     @property
     def has_begun(self):
--- a/stoatpath/cascades/confidence.py
+++ b/stoatpath/cascades/confidence.py
@@ -96,7 +96,10 @@
         smallest, largest = models[0], models[-1]
         if request.last_event_id:
             return Plan([Stage(largest, None)], "resumes an answer")
-        if request.route.max_attempts < 2 or not request.is_repeatable:
+        if (
+            request.route.max_attempts - request.run_count < 2
+            or not request.is_repeatable
+        ):
             return Plan([Stage(largest, None)], "only one attempt is allowed")
         late_share = self.lateness.late_share(request.service.name, now_ms)
         if self._budget.remaining(request.service.name) < BUDGET_RESERVE_SENDS:
@@ -127,6 +130,10 @@
         """Return `RelayedResult` or a failure."""
         router = self._router
         router.retry_budget.record_request(request.service.name)
+        if router.forwarder.may_forward(request):
+            forwarded = await router.forwarder.run(request, stream)
+            if forwarded is not None:
+                return _with_actual_outcome(request, forwarded)
         problem = router.quarantine.check(request)
         if problem is not None:
             self._record_decision(request, "quarantine", problem.detail)
@@ -145,8 +152,21 @@
         finally:
             router.gate.release(grant)
             router.releases.record_run(request)
+        result = await self._forward_failed(request, result, stream)
         return _with_actual_outcome(request, result)
 
+    async def _forward_failed(self, request, result, stream):
+        """Return the result of another instance if this one can't serve a request."""
+        forwarder = self._router.forwarder
+        if not is_failure(result):
+            return result
+        if not forwarder.may_forward_after(request, result):
+            return result
+        forwarded = await forwarder.run(request, stream)
+        if forwarded is None:
+            return result
+        return result.combined_with(forwarded) if is_failure(forwarded) else forwarded
+
     async def _run_stages(self, request, stream):
         plan = self._router.planner.plan(request, self._clock.now_ms())
         names = [stage.version.name for stage in plan.stages]
--- a/stoatpath/cascades/features/steps/confidence_steps.py
+++ b/stoatpath/cascades/features/steps/confidence_steps.py
@@ -25,6 +25,7 @@
     return SimpleNamespace(
         service=SimpleNamespace(name=SERVICE, cost_by_model=COSTS),
         route=SimpleNamespace(models=models, max_attempts=runs),
+        run_count=0,
         prompt=Prompt(model, 100, 50, 50, ()),
         last_event_id=last_event_id,
         is_repeatable=is_repeatable,
--- a/stoatpath/dispatch/event_relays.py
+++ b/stoatpath/dispatch/event_relays.py
@@ -1,5 +1,6 @@
 """Relays the events of a streamed answer without parsing them, over all attempts."""
 
+from stoatpath.callers.relay_messages import RelayedAnswer
 from stoatpath.dispatch.checks import broken_answer
 from stoatpath.outcomes import CALLER_GONE, Failure, Outcome
 
@@ -12,17 +13,14 @@
 class EventRelay:
     """Writes one streamed answer of unparsed events to the caller, over all attempts.
 
-    `last_event_id` identifies the last complete event that was written, "" before
-    the first; a later attempt resumes after it. The head (status and headers) is the
-    first attempt's. `on_claimed` is part of the interface for hedges and unused, since
-    these streams are not hedged.
+    The head (status and headers) is the first attempt's. `on_claimed` is part of the
+    interface for hedges and unused, since these streams are not hedged.
     """
 
-    __slots__ = ("_stream", "last_event_id", "on_claimed")
+    __slots__ = ("_stream", "on_claimed")
 
     def __init__(self, stream):
         self._stream = stream
-        self.last_event_id = ""
         self.on_claimed = None
 
     @property
@@ -30,6 +28,11 @@
         """Return whether a part of the answer has reached the caller."""
         return self._stream.has_begun
 
+    @property
+    def last_event_id(self):
+        """Return the identifier of the last event written, "" before the first."""
+        return self._stream.last_event_id
+
     @property
     def resume_from(self):
         """Return the identifier of the event after which to resume."""
@@ -43,10 +46,38 @@
 
     async def write(self, events, last_event_id):
         """Write complete events; return a failure if the caller disconnected."""
-        self.last_event_id = last_event_id
+        self._stream.last_event_id = last_event_id
         return await _write_to_caller(self._stream.write(events))
 
 
+async def relay_events(attempt, head, content, deadlines, on_first_event=None):
+    """Relay the events of one attempt; return a `RelayedAnswer` or a failure.
+
+    `on_first_event` is called with the request when its first event has arrived.
+    """
+    relay = attempt.relay
+    start = relay.last_event_id or attempt.request.last_event_id
+    splitter = EventSplitter(start)
+    caller_failure = await relay.begin(head)
+    if caller_failure is not None:
+        return caller_failure
+    while chunk := await content.readany():
+        deadlines.record_bytes()
+        events = splitter.feed(chunk)
+        if events:
+            if not attempt.events and on_first_event is not None:
+                on_first_event(attempt.request)
+            attempt.events = splitter.events
+            caller_failure = await relay.write(events, splitter.last_event_id)
+            if caller_failure is not None:
+                return caller_failure
+        if splitter.problem is not None:
+            return splitter.problem
+    if splitter.has_partial_event:
+        return broken_answer("the stream ended within an event")
+    return RelayedAnswer(head, None)
+
+
 class EventSplitter:
     """Splits the bytes of one attempt into events and checks their sequence.
 
--- a/stoatpath/dispatch/relay_senders.py
+++ b/stoatpath/dispatch/relay_senders.py
@@ -3,7 +3,7 @@
 from stoatpath.callers.relay_messages import RelayedAnswer
 from stoatpath.dispatch.checks import broken_answer, foreign_answer
 from stoatpath.dispatch.deadlines import ExchangeDeadlines
-from stoatpath.dispatch.event_relays import EventSplitter
+from stoatpath.dispatch.event_relays import relay_events
 from stoatpath.dispatch.exchanges import read_body, run_exchange
 from stoatpath.dispatch.liveness import LivenessWatch
 from stoatpath.outcomes import (
@@ -84,7 +84,10 @@
                 response.close()
                 return problem
             if head.is_event_stream and attempt.relay is not None:
-                return await self._relay(attempt, head, response.content, deadlines)
+                content = response.content
+                return await relay_events(
+                    attempt, head, content, deadlines, self._on_sound
+                )
             body = await read_body(response.content, deadlines)
             self._on_sound(request)
             answer = RelayedAnswer(head, body)
@@ -101,29 +104,6 @@
         head.signals.is_authentic = head.is_sealed and head.request_id == request_id
         self._gate.observe(attempt.backend.name, head.signals, sent_ms)
 
-    async def _relay(self, attempt, head, content, deadlines):
-        relay = attempt.relay
-        start = relay.last_event_id or attempt.request.last_event_id
-        splitter = EventSplitter(start)
-        caller_failure = await relay.begin(head)
-        if caller_failure is not None:
-            return caller_failure
-        while chunk := await content.readany():
-            deadlines.record_bytes()
-            events = splitter.feed(chunk)
-            if events:
-                if not attempt.events:
-                    self._on_sound(attempt.request)
-                attempt.events = splitter.events
-                caller_failure = await relay.write(events, splitter.last_event_id)
-                if caller_failure is not None:
-                    return caller_failure
-            if splitter.problem is not None:
-                return splitter.problem
-        if splitter.has_partial_event:
-            return broken_answer("the stream ended within an event")
-        return RelayedAnswer(head, None)
-
 
 class _PendingWork:
     """Adds an attempt to the pending prompt work until its answer begins."""
--- a/stoatpath/forwarding/features/partitions.feature
+++ b/stoatpath/forwarding/features/partitions.feature
@@ -19,3 +19,22 @@
     And all backend servers accept connections 5 s later
     Then within 1 s the service counts as reachable
     And the changes of the belief were told: unreachable, reachable
+
+  Scenario Outline: <cut> of <count> instances are cut off: each finds others that are not
+    Given <count> instances that know each other, of which <cut> reach no backend server
+    When these have asked for <seconds> s
+    Then each of these knows peers that reach backend servers, and no others
+    And no more than 23 KB a second were sent for each
+
+    Examples:
+      | count | cut | seconds |
+      | 7     | 1   | 1       |
+      | 7     | 6   | 1       |
+      | 69    | 41  | 1       |
+      | 195   | 117 | 1       |
+      | 544   | 435 | 2       |
+
+  Scenario: Where no instance reaches backend servers, none is found
+    Given 7 instances that know each other, of which 7 reach no backend server
+    When these have asked for 2 s
+    Then none of these knows a peer
--- /dev/null
+++ b/stoatpath/forwarding/forwarders.py
@@ -0,0 +1,143 @@
+"""Forwards requests to another instance, as its callers would send them."""
+
+from stoatpath.callers.relay_messages import RelayedAnswer, RelayedResult
+from stoatpath.dispatch.checks import broken_answer, foreign_answer
+from stoatpath.dispatch.deadlines import ExchangeDeadlines
+from stoatpath.dispatch.event_relays import EventRelay, relay_events
+from stoatpath.dispatch.exchanges import read_body, run_exchange
+from stoatpath.dispatch.messages import Attempt
+from stoatpath.dispatch.relay_senders import NO_TIMEOUT_MS, STREAM_SILENCE_MS
+from stoatpath.outcomes import (
+    BACKEND_ERROR,
+    BROKEN_ANSWER,
+    CONNECT_FAILED,
+    FOREIGN_ANSWER,
+    REFUSED_BY_BACKEND,
+    SILENT_CONNECTION,
+    AnsweredFailure,
+    Failure,
+    Outcome,
+    is_failure,
+)
+
+MAX_FORWARDS = 3
+# Failures after which another instance may be tried.
+LOST_REASONS = (BROKEN_ANSWER, FOREIGN_ANSWER, SILENT_CONNECTION)
+
+
+class Forwarder:
+    """Sends requests through peers that reach what this instance can't.
+
+    `router` is the gateway, `peers` the `PeerFinder`, `calls` the client of backend
+    servers and `decode_head` converts a response into an `AnswerHead`. `forwarded`
+    counts the requests.
+    """
+
+    __slots__ = ("forwarded", "_router", "_peers", "_calls", "_decode_head", "_clock")
+
+    def __init__(self, router, peers, calls, decode_head):
+        self.forwarded = 0
+        self._router = router
+        self._peers = peers
+        self._calls = calls
+        self._decode_head = decode_head
+        self._clock = router.clock
+
+    def may_forward(self, request):
+        """Return whether a new request is to be forwarded at once."""
+        is_new = not request.is_forwarded and not request.run_count
+        return is_new and self._peers.can_forward(request.service.name)
+
+    def may_forward_after(self, request, failure):
+        """Return whether a request that failed here may be forwarded."""
+        if request.is_forwarded or not self._peers.can_forward(request.service.name):
+            return False
+        if self._clock.now_ms() >= request.deadline_ms:
+            return False
+        if failure.outcome is Outcome.NOT_RUN and not request.run_count:
+            return True
+        return self._may_repeat(request, failure)
+
+    async def run(self, request, stream):
+        """Return a `RelayedResult` or a failure, None if no peer was at hand."""
+        relay = None if stream is None else EventRelay(stream)
+        worst = None
+        for number in range(1, MAX_FORWARDS + 1):
+            peers = self._peers.find(request.service.name)
+            if not peers:
+                break
+            answer = await self._send(request, relay, peers[0], number)
+            if not is_failure(answer):
+                return RelayedResult(answer, "", ["forwarded"], 0.0)
+            worst = answer if worst is None else worst.combined_with(answer)
+            is_not_run = answer.outcome is Outcome.NOT_RUN
+            if not is_not_run and not self._may_repeat(request, answer):
+                break
+        return worst
+
+    def _may_repeat(self, request, failure):
+        """Return whether a request that may have run can run again; spend on it."""
+        if failure.reason not in LOST_REASONS or not request.is_repeatable:
+            return False
+        if not request.may_run_again:
+            return False
+        return self._router.retry_budget.try_spend(request.service.name)
+
+    async def _send(self, request, relay, peer, number):
+        self.forwarded += 1
+        attempt = Attempt(request, None, peer, number, request.deadline_ms, relay)
+        silence_ms = STREAM_SILENCE_MS if request.is_stream else NO_TIMEOUT_MS
+        deadlines = ExchangeDeadlines(
+            self._clock, request.deadline_ms, request.deadline_ms, silence_ms
+        )
+        attempt.deadlines = deadlines
+        answer = await run_exchange(self._exchange(attempt, deadlines), deadlines)
+        details = {"peer": peer.name}
+        if is_failure(answer):
+            details |= {"outcome": answer.outcome.value, "detail": answer.detail}
+            if answer.reason is CONNECT_FAILED:
+                self._peers.exclude(peer)
+        if not is_failure(answer) or answer.outcome is not Outcome.NOT_RUN:
+            request.run_count += 1
+        reason = answer.reason.name if is_failure(answer) else "whole"
+        self._router.ring.record_decision(
+            request.request_id, "forward", reason, **details
+        )
+        return answer
+
+    async def _exchange(self, attempt, deadlines):
+        remaining_ms = attempt.request.deadline_ms - self._clock.now_ms()
+        attempt.request.was_sent = True
+        async with self._calls.forward(attempt, remaining_ms) as response:
+            deadlines.record_bytes()
+            head = self._decode_head(response)
+            problem = self._check_head(attempt, head)
+            if problem is not None:
+                response.close()
+                return problem
+            if head.is_event_stream and attempt.relay is not None:
+                return await relay_events(attempt, head, response.content, deadlines)
+            body = await read_body(response.content, deadlines)
+            answer = RelayedAnswer(head, body)
+            if head.status >= 500:
+                detail = f"status {head.status}"
+                return AnsweredFailure(BACKEND_ERROR, detail, Outcome.UNKNOWN, answer)
+            return answer
+
+    def _check_head(self, attempt, head):
+        """Return the failure of an answer that must not be passed on, or None."""
+        request_id = attempt.request.request_id
+        if head.is_sealed:
+            if head.request_id != request_id:
+                return foreign_answer({"id": head.request_id})
+            return None
+        if head.status < 500 or head.status == 503:
+            # An instance gives these only to requests that have not run.
+            detail = f"the peer answered {head.status}"
+            return Failure(REFUSED_BY_BACKEND, detail, retry_at_ms=self._retry_at(head))
+        return broken_answer(f"the peer answered {head.status} without a seal")
+
+    def _retry_at(self, head):
+        if head.signals.hold_off_ms is None:
+            return None
+        return self._clock.now_ms() + head.signals.hold_off_ms
--- a/stoatpath/gateway_metrics.py
+++ b/stoatpath/gateway_metrics.py
@@ -178,6 +178,11 @@
         "Services of which no backend server accepts connections from here.",
         len(gateway.partitions.cut_off_services()),
     )
+    yield Sample.counter(
+        "stoatpath_forwarded_total",
+        "Attempts sent through another instance.",
+        gateway.forwarder.forwarded,
+    )
     yield Sample.counter(
         "stoatpath_backend_crashes_total",
         "Backend servers that ended under a request before its answer had begun.",
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -31,7 +31,9 @@
 from stoatpath.feeds.reachability import Reachability
 from stoatpath.feeds.relays import POLL_SHARE, TableRelay
 from stoatpath.feeds.sources import SourceSelector
+from stoatpath.forwarding.forwarders import Forwarder
 from stoatpath.forwarding.partitions import PartitionDetector
+from stoatpath.forwarding.peers import PeerFinder
 from stoatpath.gateway_metrics import gateway_samples
 from stoatpath.membership.directories import BackendDirectory
 from stoatpath.membership.gossip import Gossip
@@ -132,6 +134,8 @@
         "quarantine_exchange",
         "crash_reporter",
         "partitions",
+        "peer_finder",
+        "forwarder",
         "sender",
         "attempts",
         "attempt_statistics",
@@ -301,12 +305,7 @@
         self.backend_client = BackendClient()
         self.send_gate = self._build_send_gate()
         self._build_quarantine()
-        self.partitions = PartitionDetector(
-            self.backends,
-            self.backend_client.is_reachable,
-            self.clock,
-            self.random,
-        )
+        self._build_forwarding()
         self.sender = RelaySender(
             self.clock,
             self.backend_client,
@@ -341,6 +340,27 @@
         self.listener = Listener(self, self.pipeline, self.interface, limits)
         self.routes.observers.append(self._apply_route_limits)
 
+    def _build_forwarding(self):
+        """Build what sends requests through others if no backend server is reached."""
+        self.partitions = PartitionDetector(
+            self.backends,
+            self.backend_client.is_reachable,
+            self.clock,
+            self.random,
+        )
+        self.peer_finder = PeerFinder(
+            self.partitions,
+            self.members,
+            self.peer_client,
+            self.peer_server,
+            lambda: "" if self.listener.is_leaving else self.listener.address,
+            self.clock,
+            self.random,
+        )
+        self.forwarder = Forwarder(
+            self, self.peer_finder, self.backend_client, decode_head
+        )
+
     def _build_quarantine(self):
         """Build what keeps requests with harmful content from backend servers."""
         self.quarantine = QuarantineTable(self.clock)
@@ -412,6 +432,7 @@
         await self.ready_server.stop()
         await self.metrics.stop()
         await self.send_gate.close()
+        await self.peer_finder.close()
         await self.partitions.close()
         await self.crash_reporter.close()
         await self.quarantine_exchange.close()
@@ -445,12 +466,19 @@
         """Return whether the platform may send requests.
 
         Backends must be known and the gateway not leaving; routes must be fresh if
-        the settings say `fail_closed`.
+        the settings say `fail_closed`. A gateway that reaches no backend server isn't
+        ready while others are at hand that do.
         """
         has_table = self.routes.table is not None
         is_fresh = self.guard.is_fresh or not self.boot.fails_closed
         is_leaving = self.listener.is_leaving
-        return has_table and is_fresh and bool(self.backends.by_name) and not is_leaving
+        has_backends = bool(self.backends.by_name) and not self._is_cut_off()
+        return has_table and is_fresh and has_backends and not is_leaving
+
+    def _is_cut_off(self):
+        """Return whether peers reach all services, and this instance none."""
+        services = {backend.service for backend in self.backends.by_name.values()}
+        return all(self.peer_finder.can_forward(service) for service in services)
 
     def addresses(self):
         """Return the listening addresses by the kind of client."""
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -40,6 +40,7 @@
         "Content-Length",
         "Expect",
         names.DEADLINE_MS,
+        names.FORWARDED,
         names.LAST_EVENT_ID,
         names.MODEL,
     )
@@ -85,12 +86,19 @@
 
     def open(self, attempt, remaining_ms):
         """Send an attempt; return an async context manager of the aiohttp response."""
+        return self._open(attempt, _build_headers(attempt, remaining_ms))
+
+    def forward(self, attempt, remaining_ms):
+        """Send an attempt to another instance, as the caller would; return the same."""
+        return self._open(attempt, _build_forwarded_headers(attempt, remaining_ms))
+
+    def _open(self, attempt, headers):
         request = attempt.request
         self.calls += 1
         return self._session.request(
             request.method,
             URL(f"http://{attempt.backend.address}{request.path}", encoded=True),
-            headers=_build_headers(attempt, remaining_ms),
+            headers=headers,
             data=request.body or None,
             allow_redirects=False,
         )
@@ -141,8 +149,7 @@
 
 def _build_headers(attempt, remaining_ms):
     request = attempt.request
-    headers = list(request.headers)
-    headers.append((names.DEADLINE_MS, str(max(1, int(remaining_ms)))))
+    headers = _build_common_headers(attempt, remaining_ms)
     headers.append((names.EXPECT_REPLICA, attempt.backend.name))
     if request.organisation is not None:
         headers.append((names.TENANT, request.organisation.name))
@@ -150,6 +157,24 @@
         priority = min(MAX_PRIORITY, max(0, request.priority))
         headers.append((names.REQUEST_PRIORITY, str(priority)))
         headers.append((names.MODEL, attempt.version.name))
+    return headers
+
+
+def _build_forwarded_headers(attempt, remaining_ms):
+    request = attempt.request
+    headers = _build_common_headers(attempt, remaining_ms)
+    headers.append((names.FORWARDED, str(request.run_count)))
+    if request.key:
+        headers.append(("Authorization", f"{names.KEY_SCHEME}{request.key}"))
+    if request.prompt.model:
+        headers.append((names.MODEL, request.prompt.model))
+    return headers
+
+
+def _build_common_headers(attempt, remaining_ms):
+    request = attempt.request
+    headers = list(request.headers)
+    headers.append((names.DEADLINE_MS, str(max(1, int(remaining_ms)))))
     last_event_id = request.last_event_id
     if attempt.relay is not None and attempt.relay.last_event_id:
         last_event_id = attempt.relay.last_event_id
--- a/stoatpath/platform/caller_heads.py
+++ b/stoatpath/platform/caller_heads.py
@@ -84,6 +84,10 @@
         parts = _parse_prompt_parts(headers.get(names.PROMPT_PREFIX, ""))
         return Prompt(model, tokens, max_new_tokens, expected_new_tokens, parts)
 
+    def forwarded_runs(self, headers):
+        """Return the runs of a request that another instance forwards, or None."""
+        return _parse_integer(headers.get(names.FORWARDED))
+
     def forwarded_headers(self, headers):
         """Return the headers of the caller to forward, as pairs."""
         return forwarded_headers(headers)
--- a/stoatpath/platform/names.py
+++ b/stoatpath/platform/names.py
@@ -19,6 +19,9 @@
 LENGTH_HINT = "X-Stoatpath-Length-Hint"
 LAST_EVENT_ID = "Last-Event-Id"
 SESSION = "Session"
+# Set by an instance that forwards a request to another: the number of its runs so far.
+FORWARDED = "Stoatpath-Forwarded"
+KEY_SCHEME = "Bearer "
 ANY_MODEL = "*"
 
 # Headers that are reserved for routers; those of a caller are never forwarded.
--- a/stoatpath/rollouts/features/steps/shared_session_steps.py
+++ b/stoatpath/rollouts/features/steps/shared_session_steps.py
@@ -92,7 +92,10 @@
     instance.start_rollout()
     backends = SimpleNamespace(of_service=lambda service: [OLD, NEW])
     gateway = SimpleNamespace(
-        clock=instance.clock, backends=backends, releases=instance.keeper
+        clock=instance.clock,
+        backends=backends,
+        releases=instance.keeper,
+        forwarder=SimpleNamespace(may_forward=lambda request: False),
     )
     context.policy = RelayPolicy(gateway)
     context.request = build_request("s-1")
