--- a/stoatpath/dispatch/liveness.py
+++ b/stoatpath/dispatch/liveness.py
@@ -5,11 +5,15 @@
 # Silence after which the backend server is probed. A queued or preempted stream may
 # be silent for longer; a backend server that still accepts connections is alive.
 PROBE_AFTER_SILENCE_MS = 800.0
+# A sound backend server may fall silent for a second or so, and accept no connections
+# meanwhile: it counts as unreachable after another probe, which starts no sooner.
+CONFIRM_AFTER_SILENCE_MS = 1_500.0
 
 
 class LivenessWatch:
-    """Probes the backend server while an exchange is silent; aborts it if unreachable.
+    """Probes the backend server while an exchange is silent.
 
+    Aborts the exchange if two probes in a row fail and no bytes arrive meanwhile.
     `is_reachable` is a coroutine function that returns whether an address accepts
     connections.
     """
@@ -47,9 +51,17 @@
             self._task = asyncio.get_running_loop().create_task(self._probe())
 
     async def _probe(self):
-        probe_started_ms = self._clock.now_ms()
-        is_reachable = await self._is_reachable(self._attempt.backend.address)
-        if not is_reachable and self._deadlines.last_received_ms < probe_started_ms:
-            self._deadlines.abort_unreachable()
-            return
+        last_ms = self._deadlines.last_received_ms
+        if not await self._is_answering(last_ms):
+            await self._clock.sleep_until(last_ms + CONFIRM_AFTER_SILENCE_MS)
+            if not await self._is_answering(last_ms):
+                self._deadlines.abort_unreachable()
+                return
         self._schedule_check(PROBE_AFTER_SILENCE_MS)
+
+    async def _is_answering(self, last_ms):
+        """Return whether bytes have arrived since `last_ms`, or a probe succeeds."""
+        if self._deadlines.last_received_ms > last_ms:
+            return True
+        is_reachable = await self._is_reachable(self._attempt.backend.address)
+        return is_reachable or self._deadlines.last_received_ms > last_ms
