Connections to backend servers outlive a silence of three seconds

As on Linux, TCP_USER_TIMEOUT also decides when keep-alive probes give up, whatever their count. At 1.5 s it ended connections whose peer was silent for two seconds, though keep-alive was set to three.

--- a/features/platform/steps/relaying_steps.py
+++ b/features/platform/steps/relaying_steps.py
@@ -1,6 +1,7 @@
 """Steps about requests that a gateway relays to backend servers."""
 
 import asyncio
+import socket
 from unittest import mock
 
 from behave import given, then, when
@@ -14,6 +15,7 @@
 )
 
 from stoatpath.dispatch.liveness import LivenessWatch
+from stoatpath.platform.backend_calls import create_socket
 from stoatpath.standins.deployments import CALLER_KEY, HOST, Deployment
 from stoatpath.standins.faults import Fault, FaultTable
 
@@ -394,3 +396,25 @@
         + CALLER_KEY.encode(),
     }
     return by_name[name]
+
+
+@given("the socket of a connection to a backend server")
+def step_impl(context):
+    family = socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
+    context.socket = create_socket((*family, "", ("127.0.0.1", 0)))
+    context.add_cleanup(context.socket.close)
+
+
+@then("the peer may be silent for {seconds:d} s, by keep-alive and by unacknowledged data")
+def step_impl(context, seconds):
+    idle, interval, count, unacknowledged_ms = (
+        context.socket.getsockopt(socket.IPPROTO_TCP, option)
+        for option in (
+            socket.TCP_KEEPIDLE,
+            socket.TCP_KEEPINTVL,
+            socket.TCP_KEEPCNT,
+            socket.TCP_USER_TIMEOUT,
+        )
+    )
+    assert idle + interval * count == seconds
+    assert unacknowledged_ms == 1000 * seconds
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -21,7 +21,9 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-UNACKNOWLEDGED_TIMEOUT_MS = 1_500
+# Linux applies this timeout to keep-alive probes too, in place of their number. A sound
+# backend server may fall silent for a second or so.
+UNACKNOWLEDGED_TIMEOUT_MS = 3_000
 MAX_PRIORITY = 9
 # A backend server that names no request at all still gets one now and then, since only
 # an answer can tell that its limit has ended.
@@ -63,7 +65,7 @@
     async def start(self):
         """Create the HTTP client."""
         connector = aiohttp.TCPConnector(
-            limit=0, force_close=True, socket_factory=_create_socket
+            limit=0, force_close=True, socket_factory=create_socket
         )
         connector._factory = functools.partial(_ResetAwareHandler, loop=connector._loop)
         self._session = aiohttp.ClientSession(
@@ -238,7 +240,8 @@
         return None
 
 
-def _create_socket(address):
+def create_socket(address):
+    """Return the socket of a new connection, with its timeouts; for aiohttp."""
     family, kind, protocol, _, _ = address
     new_socket = socket.socket(family, kind, protocol)
     new_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
