Answers of backend servers without end are left

Tried first against aiohttp alone: it ends endless heads, lines, status lines, noise and trailers by itself, after some 4 MB were sent.

Both interfaces use the same connections and the same reader.

--- a/features/platform/relaying.feature
+++ b/features/platform/relaying.feature
@@ -192,3 +192,23 @@
   Scenario: Connections to backend servers outlive a silence of a second or so
     Given the socket of a connection to a backend server
     Then the peer may be silent for 3 s, by keep-alive and by unacknowledged data
+
+  # Guards against answers without end that take an instance's memory or time.
+  Scenario Outline: Bytes without end are left: <fault> in answer to a <route> request
+    Given a deployment
+    And the next execution has fault <fault>
+    When a caller sends a <route> request
+    Then the caller gets <status>
+    And the request ran at most <runs> times
+    And at most 15 MB without end were read
+
+    Examples:
+      | fault           | route | status | runs |
+      | endless-body    | look  | 200    | 2    |
+      | endless-body    | book  | 502    | 1    |
+      | endless-head    | look  | 200    | 2    |
+      | endless-interim | look  | 200    | 2    |
+      | endless-interim | book  | 502    | 1    |
+      | endless-chunk   | look  | 200    | 2    |
+      | endless-chunk   | book  | 502    | 1    |
+      | endless-event   | chat  | 200    | 3    |
--- a/features/platform/steps/relaying_steps.py
+++ b/features/platform/steps/relaying_steps.py
@@ -418,3 +418,10 @@
     )
     assert idle + interval * count == seconds
     assert unacknowledged_ms == 1000 * seconds
+
+
+@then("at most {limit:d} MB without end were read")
+def step_impl(context, limit):
+    replicas = context.fixture.replicas()
+    sent = [each.endless_bytes for each in replicas]
+    assert 0 < sum(sent) <= limit * 1_000_000, sent
--- a/stoatpath/dispatch/connections.py
+++ b/stoatpath/dispatch/connections.py
@@ -4,6 +4,8 @@
 
 import aiohttp
 
+from stoatpath.dispatch.response_handlers import use_checked_handler
+
 logger = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_MS = 500
@@ -114,6 +116,7 @@
         {"force_close": True} if is_fresh else {"keepalive_timeout": IDLE_TIMEOUT_S}
     )
     connector = aiohttp.TCPConnector(limit=0, ssl=tls or True, **connection_options)
+    use_checked_handler(connector)
     session = aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
--- a/stoatpath/dispatch/exchanges.py
+++ b/stoatpath/dispatch/exchanges.py
@@ -12,6 +12,8 @@
     Outcome,
 )
 
+MAX_BODY_BYTES = 8 * 1024 * 1024
+
 
 async def run_exchange(exchange, deadlines):
     """Return the result of a coroutine, or the failure that ended it.
@@ -30,10 +32,14 @@
 
 
 async def read_body(content, deadlines):
-    """Return the complete body."""
+    """Return the complete body; raise `ClientPayloadError` if it is too large."""
     chunks = []
+    size = 0
     while chunk := await content.readany():
         deadlines.record_bytes()
+        size += len(chunk)
+        if size > MAX_BODY_BYTES:
+            raise aiohttp.ClientPayloadError(f"a body beyond {MAX_BODY_BYTES} bytes")
         chunks.append(chunk)
     return b"".join(chunks)
 
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -1,16 +1,15 @@
 """Sends requests to backend servers and decodes the heads of their answers."""
 
 import asyncio
-import functools
 import math
 import socket
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
 from stoatpath.backpressure.messages import BackendSignals
 from stoatpath.callers.relay_messages import AnswerHead
+from stoatpath.dispatch.response_handlers import use_checked_handler
 from stoatpath.platform import names
 
 EVENT_STREAM = "text/event-stream"
@@ -67,7 +66,7 @@
         connector = aiohttp.TCPConnector(
             limit=0, force_close=True, socket_factory=create_socket
         )
-        connector._factory = functools.partial(_ResetAwareHandler, loop=connector._loop)
+        use_checked_handler(connector)
         self._session = aiohttp.ClientSession(
             connector=connector,
             cookie_jar=aiohttp.DummyCookieJar(),
@@ -254,20 +253,3 @@
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
     )
     return new_socket
-
-
-class _ResetAwareHandler(ResponseHandler):
-    """Fails a body of unknown length if its connection was reset.
-
-    aiohttp treats the end of such a connection as the end of the body, even after a
-    reset.
-    """
-
-    def connection_lost(self, exc):
-        """Set an exception on the open body unless the connection closed cleanly."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            # Before aiohttp feeds the end of the body: a waiting reader gets only the
-            # first of the two.
-            payload.set_exception(aiohttp.ClientPayloadError("connection reset"))
-        super().connection_lost(exc)
--- a/stoatpath/standins/replicas.py
+++ b/stoatpath/standins/replicas.py
@@ -3,8 +3,10 @@
 Faults of `serve` before the request runs: `shed`, `reset-before`, `silent` (a delay
 of 30 s). Of its answer: `error`, `reset-after`, `half`, `unframed`, `unframed-reset`,
 `garbage`, `wrong-id`, `no-seal` (without the header that vouches for an answer),
-`encoded`, `extra`, `slow`. Of a stream: `cut` (disconnected within an event, after
-some whole ones), `skip` (an event is missing), `stall`.
+`encoded`, `extra`, `slow`, and bytes without end: `endless-body`, `endless-head`,
+`endless-interim` (1xx answers), `endless-chunk` (the extension of a chunk). Of a
+stream: `cut` (disconnected within an event, after some whole ones), `skip` (an event is
+missing), `stall`, `endless-event`.
 """
 
 import asyncio
@@ -22,6 +24,9 @@
 ATTEMPT_ID_HEADER = "X-Stoatpath-Attempt-Id"
 PROMPT_HEADER = "X-Stoatpath-Prompt-Prefix"
 CRASH_AFTER_HEAD_S = 0.02
+ENDLESS_BLOCK_BYTES = 65_536
+ENDLESS_KINDS = ("endless-body", "endless-head", "endless-interim", "endless-chunk")
+ENDLESS_EVENT = b"3e8\r\n" + 1000 * b"d" + b"\r\n"
 SEAL_HEADER = "X-Stoatpath-Replica-Seal"
 
 
@@ -45,12 +50,12 @@
     `confidence_by_model` sets the confidence header of its answers; `events` is the
     number of events of a stream, `event_ms` the delay after each. `received_count`
     counts all requests, including those that did not run, and `arrivals` holds the
-    clock reading and the identifier of each. `limit_per_s` is the limit that it names
-    in its answers, or None.
-    A stream whose prompt has the part `deadly_part` ends the replica as it begins: all
+    clock reading and the identifier of each. `endless_bytes` counts the bytes of
+    answers without end. `limit_per_s` is the limit that it names in its answers, or
+    None. `is_leaving` makes it say so in its answers. It turns requests away for
+    `hold_off_s` seconds, if that is not None, with 503 and `Retry-After`. A stream
+    whose prompt has the part `deadly_part` ends the replica as it begins: all
     connections are dropped, and `on_crash` is called with the replica.
-    `is_leaving` makes it say so in its answers. It turns requests away for `hold_off_s`
-    seconds, if that is not None, with 503 and `Retry-After`.
     """
 
     __slots__ = (
@@ -68,6 +73,7 @@
         "hold_off_s",
         "deadly_part",
         "on_crash",
+        "endless_bytes",
         "confidence_by_model",
         "events",
         "event_ms",
@@ -91,6 +97,7 @@
         self.hold_off_s = None
         self.deadly_part = None
         self.on_crash = lambda replica: None
+        self.endless_bytes = 0
         self.confidence_by_model = {}
         self.events = 5
         self.event_ms = 1.0
@@ -188,6 +195,8 @@
             del headers[SEAL_HEADER]
         if kind == "encoded":
             headers["Content-Encoding"] = "gzip"
+        if kind in ENDLESS_KINDS:
+            return await self._write_endlessly(request, *_endless_parts(kind, headers))
         if "text/event-stream" in request.headers.get("Accept", ""):
             return await self._stream(request, kind, headers)
         body = f"{self.name} answers {run.request_id}".encode()
@@ -206,6 +215,8 @@
             self.on_crash(self)
             drop_connection(request)
             return response
+        if kind == "endless-event":
+            return await self._write_endlessly(request, b"", ENDLESS_EVENT)
         for number in range(start + 1, self.events + 1):
             if number > start + CUT_AFTER_EVENTS and kind == "cut":
                 await response.write(f"id: {number}\nda".encode())
@@ -220,12 +231,37 @@
         await response.write_eof()
         return response
 
+    async def _write_endlessly(self, request, start, part):
+        """Write `start`, then `part` until the other side closes the connection."""
+        transport = request.transport
+        transport.write(start)
+        block = part * (ENDLESS_BLOCK_BYTES // len(part))
+        while not transport.is_closing():
+            if transport.get_write_buffer_size() < ENDLESS_BLOCK_BYTES:
+                transport.write(block)
+                self.endless_bytes += len(block)
+            await asyncio.sleep(0.001)
+        return web.Response()
+
     def _is_deadly(self, request):
         prompt = request.headers.get(PROMPT_HEADER, "")
         names = [part.partition(":")[0] for part in prompt.split(",")]
         return self.deadly_part in names[:-1]
 
 
+def _endless_parts(kind, headers):
+    """Return the start of an answer without end, and what it repeats."""
+    lines = [f"{name}: {value}\r\n" for name, value in headers.items()]
+    head = "".join(["HTTP/1.1 200 OK\r\n", *lines]).encode()
+    if kind == "endless-body":
+        return head + b"\r\n", b"x"
+    if kind == "endless-head":
+        return head, b"X-More: more\r\n"
+    if kind == "endless-chunk":
+        return head + b"Transfer-Encoding: chunked\r\n\r\n5;", b"x"
+    return b"", b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
 async def _write_raw(request, kind, headers, body):
     """Write a response to the transport, malformed or misframed as `kind` requires."""
     if kind == "garbage":
