--- a/features/platform/relaying.feature
+++ b/features/platform/relaying.feature
@@ -47,6 +47,8 @@
       | chat  | cut          | 200    | 2    |
       | chat  | skip         | 200    | 2    |
       | chat  | reset-before | 200    | 1    |
+      | chat  | unframed     | 200    | 1    |
+      | chat  | unframed-cut | 200    | 2    |
 
     Examples: a stream that can't be resumed runs once
       | route | fault        | status | runs |
@@ -55,6 +57,8 @@
       | tell  | error        | 500    | 1    |
       | tell  | reset-after  | 502    | 1    |
       | tell  | cut          | 0      | 1    |
+      | tell  | unframed     | 200    | 1    |
+      | tell  | unframed-cut | 0      | 1    |
 
     Examples: buffered model responses
       | route | fault        | status | runs |
--- a/stoatpath/standins/replicas.py
+++ b/stoatpath/standins/replicas.py
@@ -6,7 +6,8 @@
 `encoded`, `extra`, `slow`, and bytes without end: `endless-body`, `endless-head`,
 `endless-interim` (1xx answers), `endless-chunk` (the extension of a chunk). Of a
 stream: `cut` (disconnected within an event, after some whole ones), `skip` (an event is
-missing), `stall`, `endless-event`.
+missing), `stall`, `endless-event`, `unframed` (it ends with its connection) and
+`unframed-cut` (the same, within an event).
 """
 
 import asyncio
@@ -207,6 +208,8 @@
     async def _stream(self, request, kind, headers):
         start = int(request.headers.get("Last-Event-Id", 0))
         headers |= {"Content-Type": "text/event-stream"}
+        if kind.startswith("unframed"):
+            return await self._stream_unframed(request, kind, headers, start)
         response = web.StreamResponse(headers=headers)
         response.enable_chunked_encoding()
         await response.prepare(request)
@@ -231,6 +234,20 @@
         await response.write_eof()
         return response
 
+    async def _stream_unframed(self, request, kind, headers, start):
+        """Write events without length or chunks, then close the connection."""
+        transport = request.transport
+        lines = [f"{name}: {value}\r\n" for name, value in headers.items()]
+        transport.write("".join(["HTTP/1.1 200 OK\r\n", *lines, "\r\n"]).encode())
+        for number in range(start + 1, self.events + 1):
+            if number > start + CUT_AFTER_EVENTS and kind == "unframed-cut":
+                transport.write(f"id: {number}\nda".encode())
+                break
+            transport.write(f"id: {number}\ndata: {number}\n\n".encode())
+            await asyncio.sleep(self.event_ms / 1000)
+        transport.close()
+        return web.Response()
+
     async def _write_endlessly(self, request, start, part):
         """Write `start`, then `part` until the other side closes the connection."""
         transport = request.transport
