Brittle backend servers are not overrun by all gateways together

Server-Brittle was read by nobody.

Cause: each gateway admits as many requests as a service has slots, so the fleet has many times the slots in flight when load is high. Class: a resource that all instances share, and each counts alone. While a service says that it is brittle, each instance keeps to a share of the slots of each backend server, by rendezvous rank over the live members, and leaves one that rejected a request alone for 1 to 1.5 s.

--- a/features/platform/backpressure.feature
+++ b/features/platform/backpressure.feature
@@ -50,3 +50,11 @@
     When callers send 40 look requests a second through all gateways for 1 s
     And p0 takes requests again, each for 800 ms
     Then p0 gets 1 of 20 book requests meanwhile, and more when it has answered
+
+  # Guards against backend servers that fall over from the requests they have to reject.
+  Scenario: Brittle backend servers are not overrun by all gateways together
+    Given 5 gateways that know each other, and 2 backend servers of a service
+    And all backend servers run 8 requests of 200 ms at once, and end beyond 5 rejections a second
+    When callers send 120 look requests a second through all gateways for 6 s
+    Then at most 2 times a backend server fell from 3 s after they first said so
+    And at least 200 requests are answered with 200
--- a/features/platform/steps/backpressure_steps.py
+++ b/features/platform/steps/backpressure_steps.py
@@ -266,3 +266,36 @@
     meanwhile, total = fleet.run(work())
     assert meanwhile == 1, meanwhile
     assert total > 2, total
+
+
+@given(
+    "all backend servers run {room:d} requests of {delay:d} ms at once, "
+    "and end beyond {count:d} rejections a second"
+)
+def step_impl(context, room, delay, count):
+    for replica in context.fleet.deployment.replicas_by_name.values():
+        replica.room = room
+        replica.delay_ms = delay
+        replica.max_rejections_per_s = count
+
+
+@then(
+    "at most {count:d} times a backend server fell "
+    "from {seconds:d} s after they first said so"
+)
+def step_impl(context, count, seconds):
+    replicas = context.fleet.deployment.replicas_by_name.values()
+    first_ms = min(at_ms for replica in replicas for at_ms, _ in replica.arrivals)
+    falls = [
+        at_ms - first_ms
+        for replica in replicas
+        for at_ms in replica.falls_ms
+        if at_ms >= first_ms + 1000 * seconds
+    ]
+    assert len(falls) <= count, falls
+
+
+@then("at least {count:d} requests are answered with {status:d}")
+def step_impl(context, count, status):
+    served = sum(each.status == status for each in context.fleet.responses)
+    assert served >= count, served
--- a/stoatpath/backpressure/gates.py
+++ b/stoatpath/backpressure/gates.py
@@ -1,11 +1,12 @@
 """Decides whether a backend server may get a request, by what its answers asked for."""
 
 LIMIT_REACHED = "limit reached"
+SLOTS_TAKEN = "slots taken"
 HELD_OFF = "held off"
 
 
 class SendGate:
-    """What backend servers ask of this instance: limits, hold-offs and leaving.
+    """What backend servers ask of this instance: limits, hold-offs, leaving, shares.
 
     `withheld_by_reason` counts the selections of a backend server that left one out.
     `on_leaving` is called with the name of a backend server that leaves,
@@ -16,17 +17,19 @@
         "limits",
         "permits",
         "hold_offs",
+        "shares",
         "withheld_by_reason",
         "on_leaving",
         "on_hold_off",
         "_clock",
     )
 
-    def __init__(self, limits, permits, hold_offs, clock):
+    def __init__(self, limits, permits, hold_offs, shares, clock):
         self.limits = limits
         self.permits = permits
         self.hold_offs = hold_offs
-        self.withheld_by_reason = {LIMIT_REACHED: 0, HELD_OFF: 0}
+        self.shares = shares
+        self.withheld_by_reason = {LIMIT_REACHED: 0, HELD_OFF: 0, SLOTS_TAKEN: 0}
         self.on_leaving = lambda name: None
         self.on_hold_off = lambda name, until_ms: None
         self._clock = clock
@@ -40,17 +43,34 @@
         if signals.is_leaving:
             self.on_leaving(name)
 
+    def observe_service(self, service, signals, sent_ms):
+        """Record what an answer tells about all backend servers of its service."""
+        self.shares.observe(service, signals, sent_ms, self._clock.now_ms())
+
+    def record_rejection(self, backend):
+        """Record that a backend server turned a request away for want of room."""
+        if not self.shares.is_brittle(backend.service):
+            return
+        until_ms = self.hold_offs.extend(
+            backend.name, self._clock.now_ms() + self.shares.pause_ms()
+        )
+        self.on_hold_off(backend.name, until_ms)
+
     def split_withheld(self, backends, only_permitted):
         """Return the backend servers that may get a request now, and the others.
 
         The latter are pairs of a backend server and the reason. With `only_permitted`,
         one with a limit needs a permit at hand.
         """
-        if not self.limits.by_name and not self.hold_offs.has_any():
+        has_limits = self.limits.by_name or self.hold_offs.has_any()
+        if not has_limits and not self.shares.has_any():
             return backends, []
         open_backends, withheld = [], []
+        allowed = self.allowed_in_flight(backends)
         for backend in backends:
             reason = self._check(backend.name, only_permitted)
+            if reason is None and backend.in_flight >= allowed[backend.name]:
+                reason = SLOTS_TAKEN
             if reason is None:
                 open_backends.append(backend)
             else:
@@ -58,6 +78,15 @@
                 self.withheld_by_reason[reason] += 1
         return open_backends, withheld
 
+    def allowed_in_flight(self, backends):
+        """Return how many requests may be in flight from here, by backend server."""
+        allowed = {backend.name: float("inf") for backend in backends}
+        for service in {backend.service for backend in backends}:
+            if self.shares.is_brittle(service):
+                of_service = [each for each in backends if each.service == service]
+                allowed |= self.shares.allowed(of_service)
+        return allowed
+
     def retry_at_ms(self, name):
         """Return when a backend server may take a request again."""
         return max(
--- a/stoatpath/backpressure/hold_offs.py
+++ b/stoatpath/backpressure/hold_offs.py
@@ -33,6 +33,12 @@
         )
         return True
 
+    def extend(self, name, until_ms):
+        """Hold a backend server off until a clock reading; return the end in force."""
+        until_ms = max(until_ms, self.until_ms(name))
+        self._until_ms_by_name[name] = until_ms
+        return until_ms
+
     def until_ms(self, name):
         """Return the end of the last hold-off of a backend server, -inf for none."""
         return self._until_ms_by_name.get(name, float("-inf"))
--- a/stoatpath/backpressure/messages.py
+++ b/stoatpath/backpressure/messages.py
@@ -7,9 +7,10 @@
     `limit_per_s` is the number of requests per second that the backend server takes
     from all instances together, or None if the head names none. `hold_off_ms` is the
     time for which it wants no request from this instance, or None. `is_leaving` says
-    that it will stop. `unreadable` lists the texts of signals that can't be decoded.
-    `is_authentic` is false if the head may not be that of the backend server, so that a
-    missing signal means nothing.
+    that it will stop. `max_rejections_per_s` is the number of rejections a second
+    beyond which it ends, None unless it says that it is brittle. `unreadable` lists the
+    texts of signals that can't be decoded. `is_authentic` is false if the head may not
+    be that of the backend server, so that a missing signal means nothing.
     """
 
     __slots__ = (
@@ -18,6 +19,7 @@
         "is_leaving",
         "unreadable",
         "is_authentic",
+        "max_rejections_per_s",
     )
 
     def __init__(
@@ -27,9 +29,11 @@
         is_leaving=False,
         unreadable=(),
         is_authentic=True,
+        max_rejections_per_s=None,
     ):
         self.limit_per_s = limit_per_s
         self.hold_off_ms = hold_off_ms
         self.is_leaving = is_leaving
         self.unreadable = unreadable
         self.is_authentic = is_authentic
+        self.max_rejections_per_s = max_rejections_per_s
--- a/stoatpath/dispatch/features/steps/dispatch_rig.py
+++ b/stoatpath/dispatch/features/steps/dispatch_rig.py
@@ -9,6 +9,7 @@
 from stoatpath.backpressure.gates import SendGate
 from stoatpath.backpressure.hold_offs import HoldOffs
 from stoatpath.backpressure.limits import LimitTable
+from stoatpath.backpressure.shares import SlotShares
 from stoatpath.callers.messages import CallerRequest
 from stoatpath.clock import Clock
 from stoatpath.configuration.documents import (
@@ -84,8 +85,11 @@
         limits = LimitTable()
         local = Member("router-0", "router", "", "zone-a", 1, LIVE)
         server = SimpleNamespace(register=lambda topic, handler: None)
-        permits = PermitExchange(limits, MemberTable(local), None, server, self.clock)
-        return SendGate(limits, permits, HoldOffs(random.Random(1)), self.clock)
+        members = MemberTable(local)
+        permits = PermitExchange(limits, members, None, server, self.clock)
+        rng = random.Random(1)
+        shares = SlotShares(members, rng)
+        return SendGate(limits, permits, HoldOffs(rng), shares, self.clock)
 
     def _record_decision(self, request_id, step, reason, **details):
         self.decisions.append((step, reason, details))
--- a/stoatpath/dispatch/relay_senders.py
+++ b/stoatpath/dispatch/relay_senders.py
@@ -103,6 +103,9 @@
             return
         head.signals.is_authentic = head.is_sealed and head.request_id == request_id
         self._gate.observe(attempt.backend.name, head.signals, sent_ms)
+        self._gate.observe_service(attempt.backend.service, head.signals, sent_ms)
+        if head.is_not_executed:
+            self._gate.record_rejection(attempt.backend)
 
 
 class _PendingWork:
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -10,6 +10,7 @@
 from stoatpath.backpressure.gates import SendGate
 from stoatpath.backpressure.hold_offs import HoldOffs
 from stoatpath.backpressure.limits import LimitTable
+from stoatpath.backpressure.shares import SlotShares
 from stoatpath.callers.bodies import BodyReader
 from stoatpath.callers.connections import ConnectionLimits
 from stoatpath.callers.listeners import Listener
@@ -386,7 +387,8 @@
         permits = PermitExchange(
             limits, self.members, self.peer_client, self.peer_server, self.clock
         )
-        gate = SendGate(limits, permits, HoldOffs(self.random), self.clock)
+        shares = SlotShares(self.members, self.random)
+        gate = SendGate(limits, permits, HoldOffs(self.random), shares, self.clock)
         gate.on_leaving = self.backends.record_leaving
         gate.on_hold_off = self.chooser.breakers.hold_open
         return gate
@@ -564,11 +566,17 @@
             self._update_status_polling()
 
     def _update_capacities(self):
+        backends = [
+            backend
+            for backend in self.backends.by_name.values()
+            if not backend.is_leaving
+        ]
+        allowed = self.send_gate.allowed_in_flight(backends)
         slots_by_service = {}
-        for backend in self.backends.by_name.values():
-            if not backend.is_leaving:
-                slots = slots_by_service.get(backend.service, 0)
-                slots_by_service[backend.service] = slots + backend.slots
+        for backend in backends:
+            slots = slots_by_service.get(backend.service, 0)
+            slots += min(backend.slots, allowed[backend.name])
+            slots_by_service[backend.service] = slots
         self.gate.set_capacities(slots_by_service)
 
 
--- a/stoatpath/measure/limit_models.py
+++ b/stoatpath/measure/limit_models.py
@@ -12,6 +12,7 @@
 from stoatpath.backpressure.hold_offs import HoldOffs
 from stoatpath.backpressure.limits import LimitTable
 from stoatpath.backpressure.messages import BackendSignals
+from stoatpath.backpressure.shares import SlotShares
 from stoatpath.callers.relay_messages import RelayedAnswer, RelayedRequest
 from stoatpath.configuration.routes import IDEMPOTENT
 from stoatpath.dispatch.attempts import AttemptRunner
@@ -213,7 +214,9 @@
             fleet.register_instance(name),
             self.clock,
         )
-        self.send_gate = SendGate(limits, permits, HoldOffs(rng), self.clock)
+        self.send_gate = SendGate(
+            limits, permits, HoldOffs(rng), SlotShares(self.members, rng), self.clock
+        )
         self.chooser = AffinityChooser(zone, rng)
         self.sender = ModelSender(fleet, name, self.clock, self.send_gate)
         self.ring = self
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -207,7 +207,24 @@
                 f"{names.RETRY_AFTER}: {hold_off_text[:MAX_LOGGED_CHARS]}"
             )
     is_leaving = headers.get(names.SERVER_LEAVING, "").strip() == "1"
-    return BackendSignals(limit_per_s, hold_off_ms, is_leaving, unreadable)
+    return BackendSignals(
+        limit_per_s,
+        hold_off_ms,
+        is_leaving,
+        unreadable,
+        max_rejections_per_s=_decode_rejections(headers.get(names.SERVER_BRITTLE)),
+    )
+
+
+def _decode_rejections(text):
+    """Return a number of rejections; 0, the most cautious, if the text is not one."""
+    if text is None:
+        return None
+    try:
+        per_s = float(text)
+    except ValueError:
+        return 0.0
+    return per_s if math.isfinite(per_s) and per_s >= 0.0 else 0.0
 
 
 def _decode_hold_off(text):
--- a/stoatpath/platform/names.py
+++ b/stoatpath/platform/names.py
@@ -51,6 +51,9 @@
 SERVER_LIMIT = "Server-Limit"
 # "1" in the answers of a replica that leaves.
 SERVER_LEAVING = "Server-Leaving"
+# Rejections a second beyond which a replica falls over, in all its answers while it is
+# brittle.
+SERVER_BRITTLE = "Server-Brittle"
 # Seconds for which a replica that answers 503 wants nothing from this machine.
 RETRY_AFTER = "Retry-After"
 TURNED_AWAY_STATUS = 503
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -12,6 +12,7 @@
 from stoatpath.backpressure.gates import SendGate
 from stoatpath.backpressure.hold_offs import HoldOffs
 from stoatpath.backpressure.limits import LimitTable
+from stoatpath.backpressure.shares import SlotShares
 from stoatpath.billing.holders import MirrorHolder
 from stoatpath.billing.ledgers import LedgerWriter
 from stoatpath.billing.messages import Source
@@ -259,7 +260,9 @@
         permits = PermitExchange(
             limits, node.members, node.peer_client, node.peer_server, self.clock
         )
-        return SendGate(limits, permits, HoldOffs(rng), self.clock)
+        return SendGate(
+            limits, permits, HoldOffs(rng), SlotShares(node.members, rng), self.clock
+        )
 
     def _build_outbox(self):
         node = self.node
--- a/stoatpath/standins/replicas.py
+++ b/stoatpath/standins/replicas.py
@@ -56,7 +56,9 @@
     None. `is_leaving` makes it say so in its answers. It turns requests away for
     `hold_off_s` seconds, if that is not None, with 503 and `Retry-After`. A stream
     whose prompt has the part `deadly_part` ends the replica as it begins: all
-    connections are dropped, and `on_crash` is called with the replica.
+    connections are dropped, and `on_crash` is called with the replica. It runs `room`
+    requests at once and rejects others. With `max_rejections_per_s` it says that it is
+    brittle, and `falls_ms` are the times at which more rejections would have ended it.
     """
 
     __slots__ = (
@@ -74,6 +76,11 @@
         "hold_off_s",
         "deadly_part",
         "on_crash",
+        "room",
+        "max_rejections_per_s",
+        "rejections_ms",
+        "falls_ms",
+        "_running",
         "endless_bytes",
         "confidence_by_model",
         "events",
@@ -98,6 +105,11 @@
         self.hold_off_s = None
         self.deadly_part = None
         self.on_crash = lambda replica: None
+        self.room = float("inf")
+        self.max_rejections_per_s = None
+        self.rejections_ms = []
+        self.falls_ms = []
+        self._running = 0
         self.endless_bytes = 0
         self.confidence_by_model = {}
         self.events = 5
@@ -158,6 +170,8 @@
             echo["Server-Limit"] = f"{self.limit_per_s:g}"
         if self.is_leaving:
             echo["Server-Leaving"] = "1"
+        if self.max_rejections_per_s is not None:
+            echo["Server-Brittle"] = f"{self.max_rejections_per_s:g}"
         if request.headers.get("X-Stoatpath-Expect-Replica") != self.name:
             return web.Response(status=421, headers=echo)
         if self.hold_off_s is not None:
@@ -166,8 +180,30 @@
         if kind == "shed":
             headers = echo | {"X-Stoatpath-Not-Executed": "1"}
             return web.Response(status=503, headers=headers)
-        run = Run(request, await request.read())
-        self.runs.append(run)
+        if self._running >= self.room:
+            self._record_rejection()
+            headers = echo | {"X-Stoatpath-Not-Executed": "1"}
+            return web.Response(status=503, headers=headers)
+        self._running += 1
+        try:
+            run = Run(request, await request.read())
+            self.runs.append(run)
+            return await self._run(request, run, kind, echo)
+        finally:
+            self._running -= 1
+
+    def _record_rejection(self):
+        """Record a rejection, and a fall after too many of them in a second."""
+        now_ms = Clock().now_ms()
+        self.rejections_ms.append(now_ms)
+        if self.max_rejections_per_s is None:
+            return
+        recent = [each for each in self.rejections_ms if each > now_ms - 1_000.0]
+        if len(recent) > self.max_rejections_per_s:
+            self.falls_ms.append(now_ms)
+            self.rejections_ms.clear()
+
+    async def _run(self, request, run, kind, echo):
         try:
             await asyncio.sleep((self.delay_ms if kind != "slow" else 400) / 1000)
             return await self._answer(
