Connections that are accepted as a listener closes are closed too

Cause: aiohttp closes the connections that it has when it stops and forgets them all at the end; one that was accepted meanwhile, from the backlog, is closed by nobody and read by nobody. Shown by a test that accepts such a connection: no end within 5 s before, closed at once now. The scenario failed in none of 16 runs before the change, so its rate is not known.

--- a/stoatpath/callers/connections.py
+++ b/stoatpath/callers/connections.py
@@ -94,7 +94,11 @@
         return not self._waiter.done()
 
     def connection_made(self, transport):
-        """Accept a connection, unless there are too many."""
+        """Accept a connection, unless there are too many or the server stopped."""
+        if self._server.is_stopped:
+            # It was taken from the backlog as the listener closed: nobody will serve it.
+            transport.abort()
+            return
         super().connection_made(transport)
         limits = self._server.limits
         if len(self._server.connections) > limits.max_connections:
@@ -182,6 +186,12 @@
         super().__init__(handler, handler_cancellation=True)
         self.limits = limits
         self.is_leaving = False
+        self.is_stopped = False
+
+    async def shutdown(self, timeout=None):
+        """Close all connections, and those that are still to be accepted."""
+        self.is_stopped = True
+        await super().shutdown(timeout)
 
     def close_idle(self):
         """Close the connections without an unanswered request."""
--- a/stoatpath/callers/features/bad_requests.feature
+++ b/stoatpath/callers/features/bad_requests.feature
@@ -103,3 +103,9 @@
     Given a listener with small limits
     When a request with a large body arrives as soon as the connection is made
     Then the request is answered 200
+
+  # Guards against callers that wait for an instance which has stopped.
+  Scenario: A connection that is accepted as the listener closes is closed too
+    Given a listener that has stopped
+    When a connection from its backlog is accepted, with a request
+    Then the connection is closed without an answer
