--- a/features/platform/backpressure.feature
+++ b/features/platform/backpressure.feature
@@ -52,7 +52,7 @@
     Then p0 gets 1 of 20 book requests meanwhile, and more when it has answered
 
   # Guards against backend servers that fall over from the requests they have to reject.
-  Scenario: Brittle backend servers are not overrun by all gateways together
+  Scenario: Backend servers that limit rejections are not overrun by all gateways together
     Given 5 gateways that know each other, and 2 backend servers of a service
     And all backend servers run 8 requests of 200 ms at once, and end beyond 5 rejections a second
     When callers send 120 look requests a second through all gateways for 6 s
--- a/features/platform/quarantine.feature
+++ b/features/platform/quarantine.feature
@@ -3,14 +3,14 @@
   # Guards against requests with one prompt part that end one backend server after another.
   Scenario: A prompt part that ends backend servers gets to few of them
     Given 3 gateways and 8 model replicas that end when an answer to the part "dd" begins
-    When callers send 12 sound and 3 deadly chat requests a second through all gateways for 7 s
+    When callers send 12 other and 3 poison chat requests a second through all gateways for 7 s
     Then at least 3 replicas have ended
-    And at most 3 deadly requests reach replicas later than 3 s after the fifth crash
-    And the refused deadly requests are answered with 503 and a time to return
-    And at least 9 in 10 of the sound requests sent in the last 2 s are answered with 200
+    And at most 3 poison requests reach replicas later than 3 s after the fifth crash
+    And the refused poison requests are answered with 503 and a time to return
+    And at least 9 in 10 of the other requests sent in the last 2 s are answered with 200
 
   # Guards against logs that don't tell under which content a backend server ended.
   Scenario: The log of a request tells its shared parts and how far a failed attempt came
     Given 1 gateways and 2 model replicas that end when an answer to the part "dd" begins
-    When a deadly chat request is sent
+    When a poison chat request is sent
     Then its log line names the part "dd" and a failed attempt that began and had no events
--- a/features/platform/relaying.feature
+++ b/features/platform/relaying.feature
@@ -192,7 +192,7 @@
     When the gateway waits for a stream while it stops, and new requests arrive
     Then each of them got a complete response, the last ones 503
 
-  # Guards against a timeout that ends connections to sound backend servers which pause.
+  # Guards against a timeout that ends connections to healthy backend servers which pause.
   Scenario: Connections to backend servers outlive a silence of a second or so
     Given the socket of a connection to a backend server
     Then the peer may be silent for 3 s, by keep-alive and by unacknowledged data
--- a/features/platform/steps/quarantine_steps.py
+++ b/features/platform/steps/quarantine_steps.py
@@ -14,8 +14,8 @@
 BEGINNINGS = 3
 SUBJECTS = 20
 CRASHES = 5
-DEADLY = "deadly"
-SOUND = "sound"
+POISON = "poison"
+OTHER = "other"
 REQUEST_LOGGER = "stoatpath.explanations.request_logs"
 
 
@@ -30,7 +30,7 @@
 
 
 class PromptTraffic:
-    """Sends chat requests whose prompts share parts; deadly ones have `part` too."""
+    """Sends chat requests whose prompts share parts; poison ones have `part` too."""
 
     def __init__(self, fleet, part):
         self.fleet = fleet
@@ -67,7 +67,7 @@
     def _prompt(self, kind, number):
         beginning = f"b{self._random.randrange(BEGINNINGS)}:20"
         subject = f"a{self._random.randrange(SUBJECTS)}:20"
-        shared = [beginning, subject] + [f"{self.part}:10"] * (kind == DEADLY)
+        shared = [beginning, subject] + [f"{self.part}:10"] * (kind == POISON)
         return ",".join([*shared, f"e{kind}{number}:40"])
 
     def of_kind(self, kind):
@@ -86,11 +86,11 @@
 
 
 @when(
-    "callers send {sound:d} sound and {deadly:d} deadly chat requests a second "
+    "callers send {other:d} other and {poison:d} poison chat requests a second "
     "through all gateways for {seconds:d} s"
 )
-def step_impl(context, sound, deadly, seconds):
-    context.fleet.run(context.traffic.run({SOUND: sound, DEADLY: deadly}, seconds))
+def step_impl(context, other, poison, seconds):
+    context.fleet.run(context.traffic.run({OTHER: other, POISON: poison}, seconds))
 
 
 @then("at least {count:d} replicas have ended")
@@ -99,7 +99,7 @@
 
 
 @then(
-    "at most {count:d} deadly requests reach replicas "
+    "at most {count:d} poison requests reach replicas "
     "later than {seconds:d} s after the fifth crash"
 )
 def step_impl(context, count, seconds):
@@ -110,16 +110,16 @@
     late = [
         request_id
         for arrived_ms, request_id in context.fleet.deployment.all_arrivals()
-        if request_id.startswith(DEADLY) and arrived_ms > from_ms
+        if request_id.startswith(POISON) and arrived_ms > from_ms
     ]
     assert len(late) <= count, (late, len(crashes_ms))
 
 
-@then("the refused deadly requests are answered with {status:d} and a time to return")
+@then("the refused poison requests are answered with {status:d} and a time to return")
 def step_impl(context, status):
     refused = [
         each.response
-        for each in context.traffic.of_kind(DEADLY)
+        for each in context.traffic.of_kind(POISON)
         if each.response.status in (429, 503)
     ]
     assert refused
@@ -129,13 +129,13 @@
 
 
 @then(
-    "at least {least:d} in {total:d} of the sound requests sent in the last {seconds:d} s "
+    "at least {least:d} in {total:d} of the other requests sent in the last {seconds:d} s "
     "are answered with {status:d}"
 )
 def step_impl(context, least, total, seconds, status):
-    sound = context.traffic.of_kind(SOUND)
-    from_ms = max(each.sent_ms for each in sound) - 1000 * seconds
-    last = [each.response.status for each in sound if each.sent_ms >= from_ms]
+    others = context.traffic.of_kind(OTHER)
+    from_ms = max(each.sent_ms for each in others) - 1000 * seconds
+    last = [each.response.status for each in others if each.sent_ms >= from_ms]
     served = sum(each == status for each in last)
     assert served * total >= least * len(last), (served, len(last))
 
@@ -151,14 +151,14 @@
         self.records.append(record)
 
 
-@when("a deadly chat request is sent")
+@when("a poison chat request is sent")
 def step_impl(context):
     logger = logging.getLogger(REQUEST_LOGGER)
     context.request_log = RecordList()
     before_level = logger.level
     logger.addHandler(context.request_log)
     logger.setLevel(logging.INFO)
-    context.fleet.run(context.traffic.run({DEADLY: 1}, 1))
+    context.fleet.run(context.traffic.run({POISON: 1}, 1))
     logger.removeHandler(context.request_log)
     logger.setLevel(before_level)
 
--- a/stoatpath/backpressure/features/shares.feature
+++ b/stoatpath/backpressure/features/shares.feature
@@ -1,4 +1,4 @@
-Feature: Instances split the slots of brittle backend servers
+Feature: Instances split the slots of backend servers that limit rejections
 
   Scenario Outline: <count> instances before <servers> backend servers of <slots> slots
     Given <count> instances and <servers> backend servers of <slots> slots each
@@ -24,9 +24,9 @@
     Then the service counts as <belief>
 
     Examples:
-      | case                       | values | sent  | read  | belief  |
-      | none says so               | -,-    | 0,10  | 5,15  | sturdy  |
-      | one says so                | 5,5    | 0,10  | 5,15  | brittle |
-      | it no longer says so       | 5,-    | 0,10  | 5,15  | sturdy  |
-      | an answer from before that | 5,-    | 0,2   | 5,15  | brittle |
-      | the value can't be read    | x      | 0     | 5     | brittle |
+      | case                       | values | sent  | read  | belief    |
+      | none says so               | -,-    | 0,10  | 5,15  | unlimited |
+      | one says so                | 5,5    | 0,10  | 5,15  | limited |
+      | it no longer says so       | 5,-    | 0,10  | 5,15  | unlimited |
+      | an answer from before that | 5,-    | 0,2   | 5,15  | limited |
+      | the value can't be read    | x      | 0     | 5     | limited |
--- a/stoatpath/backpressure/features/steps/share_steps.py
+++ b/stoatpath/backpressure/features/steps/share_steps.py
@@ -71,4 +71,4 @@
 
 @then("the service counts as {belief}")
 def step_impl(context, belief):
-    assert context.shares.is_brittle(SERVICE) == (belief == "brittle")
+    assert context.shares.limits_rejections(SERVICE) == (belief == "limited")
--- a/stoatpath/backpressure/gates.py
+++ b/stoatpath/backpressure/gates.py
@@ -49,7 +49,7 @@
 
     def record_rejection(self, backend):
         """Record that a backend server turned a request away for want of room."""
-        if not self.shares.is_brittle(backend.service):
+        if not self.shares.limits_rejections(backend.service):
             return
         until_ms = self.hold_offs.extend(
             backend.name, self._clock.now_ms() + self.shares.pause_ms()
@@ -82,7 +82,7 @@
         """Return how many requests may be in flight from here, by backend server."""
         allowed = {backend.name: float("inf") for backend in backends}
         for service in {backend.service for backend in backends}:
-            if self.shares.is_brittle(service):
+            if self.shares.limits_rejections(service):
                 of_service = [each for each in backends if each.service == service]
                 allowed |= self.shares.allowed(of_service)
         return allowed
--- a/stoatpath/backpressure/messages.py
+++ b/stoatpath/backpressure/messages.py
@@ -8,7 +8,7 @@
     from all instances together, or None if the head names none. `hold_off_ms` is the
     time for which it wants no request from this instance, or None. `is_leaving` says
     that it will stop. `max_rejections_per_s` is the number of rejections a second
-    beyond which it ends, None unless it says that it is brittle. `unreadable` lists the
+    beyond which it ends, or None. `unreadable` lists the
     texts of signals that can't be decoded. `is_authentic` is false if the head may not
     be that of the backend server, so that a missing signal means nothing.
     """
--- a/stoatpath/backpressure/shares.py
+++ b/stoatpath/backpressure/shares.py
@@ -11,12 +11,12 @@
 
 
 class SlotShares:
-    """Splits the slots of brittle backend servers among the instances.
+    """Splits slots among the instances, for backend servers that limit rejections.
 
-    A brittle backend server ends if it has to reject too many requests in a second.
-    While one of a service says that it is brittle, all of the service count as such,
-    and the instances together send each no more requests at a time than it has slots.
-    Each computes the same split from the members that it knows.
+    Such a backend server ends if it has to reject too many requests in a second. While
+    one of a service says so, all of the service count as such, and the instances
+    together send each no more requests at a time than it has slots. Each computes the
+    same split from the members that it knows.
     """
 
     __slots__ = (
@@ -40,17 +40,17 @@
         if signals.max_rejections_per_s is not None:
             self._heard_ms_by_service[service] = now_ms
             if heard_ms is None:
-                self._log_change(service, True, signals.max_rejections_per_s)
+                self._log_change(service, signals.max_rejections_per_s)
         elif heard_ms is not None and sent_ms > heard_ms and signals.is_authentic:
             del self._heard_ms_by_service[service]
-            self._log_change(service, False, None)
+            self._log_change(service, None)
 
     def has_any(self):
-        """Return whether any service is brittle."""
+        """Return whether any service limits rejections."""
         return bool(self._heard_ms_by_service)
 
-    def is_brittle(self, service):
-        """Return whether a service is brittle."""
+    def limits_rejections(self, service):
+        """Return whether a service limits rejections."""
         return service in self._heard_ms_by_service
 
     def allowed(self, backends):
@@ -89,12 +89,11 @@
         return self._rank_by_backend[backend]
 
     @staticmethod
-    def _log_change(service, is_brittle, max_rejections_per_s):
+    def _log_change(service, max_rejections_per_s):
         logger.warning(
-            "backends.brittle",
+            "backends.rejection-limit",
             extra={
                 "service": service,
-                "is_brittle": is_brittle,
                 "max_rejections_per_s": max_rejections_per_s,
             },
         )
--- a/stoatpath/callers/connections.py
+++ b/stoatpath/callers/connections.py
@@ -96,7 +96,7 @@
     def connection_made(self, transport):
         """Accept a connection, unless there are too many or the server stopped."""
         if self._server.is_stopped:
-            # It was taken from the backlog as the listener closed: nobody will serve it.
+            # It was taken from the backlog as the listener closed: nobody serves it.
             transport.abort()
             return
         super().connection_made(transport)
--- a/stoatpath/cascades/confidence.py
+++ b/stoatpath/cascades/confidence.py
@@ -130,7 +130,7 @@
         """Return `RelayedResult` or a failure."""
         router = self._router
         router.retry_budget.record_request(request.service.name)
-        if router.forwarder.can_serve(request):
+        if router.forwarder.is_needed(request):
             forwarded = await router.forwarder.run(request, stream)
             if forwarded is not None:
                 return _with_actual_outcome(request, forwarded)
--- a/stoatpath/dispatch/features/liveness.feature
+++ b/stoatpath/dispatch/features/liveness.feature
@@ -1,6 +1,6 @@
 Feature: A silent exchange ends early only if its backend server is unreachable
 
-  # Guards against streams that are sent elsewhere while a sound backend server pauses.
+  # Guards against streams that are sent elsewhere while a healthy backend server pauses.
   Scenario Outline: <case>: the exchange <result>
     Given a backend server that sends nothing from 0 ms to <until> ms
     And that <accepts> connections meanwhile, after <delay> ms
--- a/stoatpath/dispatch/liveness.py
+++ b/stoatpath/dispatch/liveness.py
@@ -5,7 +5,7 @@
 # Silence after which the backend server is probed. A queued or preempted stream may
 # be silent for longer; a backend server that still accepts connections is alive.
 PROBE_AFTER_SILENCE_MS = 800.0
-# A sound backend server may fall silent for a second or so, and accept no connections
+# A healthy backend server may fall silent for a second or so, and accept no connections
 # meanwhile: it counts as unreachable after another probe, which starts no sooner.
 CONFIRM_AFTER_SILENCE_MS = 1_500.0
 
--- a/stoatpath/dispatch/relay_policies.py
+++ b/stoatpath/dispatch/relay_policies.py
@@ -52,7 +52,7 @@
         The roll-out may have gone on since the request arrived, so a retry or a resumed
         stream chooses anew: a completed roll-out stops the servers of the old release.
         """
-        if self._router.forwarder.can_serve(request):
+        if self._router.forwarder.is_needed(request):
             return []
         request.releases = self._router.releases.choose(request)
         backends = self._router.backends.of_service(request.service.name)
--- a/stoatpath/dispatch/relay_senders.py
+++ b/stoatpath/dispatch/relay_senders.py
@@ -29,19 +29,19 @@
 class RelaySender:
     """Sends attempts over `calls` and checks the identity and integrity of answers.
 
-    `decode_head` converts a response into an `AnswerHead`. `gate` is the
-    `SendGate`. `on_sound` is called with a request when the first event of its answer,
-    or all of it, has arrived.
+    `decode_head` converts a response into an `AnswerHead`. `gate` is the `SendGate`.
+    `on_answered` is called with a request when the first event of its answer, or all of
+    it, has arrived.
     """
 
-    __slots__ = ("_clock", "_calls", "_decode_head", "_gate", "_on_sound")
+    __slots__ = ("_clock", "_calls", "_decode_head", "_gate", "_on_answered")
 
-    def __init__(self, clock, calls, decode_head, gate, on_sound):
+    def __init__(self, clock, calls, decode_head, gate, on_answered):
         self._clock = clock
         self._calls = calls
         self._decode_head = decode_head
         self._gate = gate
-        self._on_sound = on_sound
+        self._on_answered = on_answered
 
     async def send(self, attempt):
         """Return an answer, or a failure with the outcome of the execution."""
@@ -86,10 +86,10 @@
             if head.is_event_stream and attempt.relay is not None:
                 content = response.content
                 return await relay_events(
-                    attempt, head, content, deadlines, self._on_sound
+                    attempt, head, content, deadlines, self._on_answered
                 )
             body = await read_body(response.content, deadlines)
-            self._on_sound(request)
+            self._on_answered(request)
             answer = RelayedAnswer(head, body)
             if head.status >= 500:
                 detail = f"status {head.status}"
--- a/stoatpath/forwarding/features/steps/partition_steps.py
+++ b/stoatpath/forwarding/features/steps/partition_steps.py
@@ -51,7 +51,7 @@
 
 
 def belief(context):
-    return "unreachable" if context.detector.is_cut_off(SERVICE) else "reachable"
+    return "unreachable" if context.detector.is_unreachable(SERVICE) else "reachable"
 
 
 @when("an attempt at one of them ends as {reason}")
--- a/stoatpath/forwarding/features/steps/peer_steps.py
+++ b/stoatpath/forwarding/features/steps/peer_steps.py
@@ -42,8 +42,8 @@
         members.merge([Member.from_json(each) for each in records], 0.0)
         partitions = SimpleNamespace(
             observers=[],
-            cut_off_services=lambda: [SERVICE] * (name in self.cut_names),
-            is_cut_off=lambda service: name in self.cut_names,
+            unreachable_services=lambda: [SERVICE] * (name in self.cut_names),
+            is_unreachable=lambda service: name in self.cut_names,
         )
         finder = PeerFinder(
             partitions,
--- a/stoatpath/forwarding/forwarders.py
+++ b/stoatpath/forwarding/forwarders.py
@@ -22,7 +22,7 @@
 )
 
 MAX_FORWARDS = 3
-# Failures after which another instance may be tried.
+# Failures after which a request that may run again is sent to another instance.
 LOST_REASONS = (BROKEN_ANSWER, FOREIGN_ANSWER, SILENT_CONNECTION)
 
 
@@ -44,7 +44,7 @@
         self._decode_head = decode_head
         self._clock = router.clock
 
-    def can_serve(self, request):
+    def is_needed(self, request):
         """Return whether only peers reach the service of a request.
 
         False for a request that a peer has forwarded to this instance.
@@ -54,7 +54,7 @@
 
     def may_forward_after(self, request, failure):
         """Return whether a request that failed here may be forwarded."""
-        if not self.can_serve(request):
+        if not self.is_needed(request):
             return False
         if self._clock.now_ms() >= request.deadline_ms:
             return False
@@ -79,9 +79,8 @@
 
     def _may_repeat(self, request, failure):
         """Return whether a request that may have run can run again; spend on it."""
-        if failure.reason not in LOST_REASONS or not request.is_repeatable:
-            return False
-        if not request.may_run_again:
+        is_lost = failure.outcome is Outcome.NOT_RUN or failure.reason in LOST_REASONS
+        if not is_lost or not request.is_repeatable or not request.may_run_again:
             return False
         return self._router.retry_budget.try_spend(request.service.name)
 
--- a/stoatpath/forwarding/partitions.py
+++ b/stoatpath/forwarding/partitions.py
@@ -60,11 +60,11 @@
         self._checks_by_service[service] = task
         task.add_done_callback(lambda _: self._checks_by_service.pop(service, None))
 
-    def is_cut_off(self, service):
+    def is_unreachable(self, service):
         """Return whether no backend server of a service can be reached."""
         return service in self._since_ms_by_service
 
-    def cut_off_services(self):
+    def unreachable_services(self):
         """Return the names of all such services."""
         return list(self._since_ms_by_service)
 
--- a/stoatpath/forwarding/peers.py
+++ b/stoatpath/forwarding/peers.py
@@ -21,17 +21,17 @@
 class ForwardingPeer:
     """An instance to forward requests to.
 
-    `name` and `address` are those of its listener for callers. `cut_off_services` are
-    the services of which it reaches no backend server, until `valid_until_ms`.
+    `address` is that of its listener for callers. `unreachable_services` are the
+    services of which it reaches no backend server, as known until `valid_until_ms`.
     """
 
-    __slots__ = ("name", "address", "zone", "cut_off_services", "valid_until_ms")
+    __slots__ = ("name", "address", "zone", "unreachable_services", "valid_until_ms")
 
-    def __init__(self, name, address, zone, cut_off_services, valid_until_ms):
+    def __init__(self, name, address, zone, unreachable_services, valid_until_ms):
         self.name = name
         self.address = address
         self.zone = zone
-        self.cut_off_services = cut_off_services
+        self.unreachable_services = unreachable_services
         self.valid_until_ms = valid_until_ms
 
 
@@ -73,7 +73,7 @@
         peers = [
             peer
             for peer in self._peers_by_name.values()
-            if now_ms < peer.valid_until_ms and service not in peer.cut_off_services
+            if now_ms < peer.valid_until_ms and service not in peer.unreachable_services
         ]
         self._random.shuffle(peers)
         local_zone = self._members.local.zone
@@ -81,7 +81,7 @@
 
     def can_forward(self, service):
         """Return whether a service is reached by peers, and not from here."""
-        return self._partitions.is_cut_off(service) and bool(self.find(service))
+        return self._partitions.is_unreachable(service) and bool(self.find(service))
 
     def exclude(self, peer):
         """Use a peer that failed no more until it answers again."""
@@ -99,7 +99,7 @@
     async def _refresh(self):
         """Ask peers again and again while a service can't be reached from here."""
         period_ms = FIRST_PERIOD_MS
-        while services := self._partitions.cut_off_services():
+        while services := self._partitions.unreachable_services():
             due_ms = self._clock.now_ms() + period_ms
             await self._ask_some(services)
             await self._clock.sleep_until(due_ms)
@@ -110,7 +110,7 @@
         usable = [
             name
             for name, peer in self._peers_by_name.items()
-            if not peer.cut_off_services.issuperset(services)
+            if not peer.unreachable_services.issuperset(services)
         ]
         local = self._members.local
         others = [
@@ -132,7 +132,7 @@
             if is_failure(answer):
                 raise ValueError(answer.detail)
             address = str(answer["address"])
-            cut_off = frozenset(str(each) for each in answer["cut_off"])
+            unreachable = frozenset(str(each) for each in answer["unreachable"])
             if not address:
                 raise ValueError("it takes no requests")
         except (KeyError, TypeError, ValueError) as error:
@@ -142,11 +142,11 @@
             return
         valid_until_ms = self._clock.now_ms() + LIFETIME_MS
         self._peers_by_name[name] = ForwardingPeer(
-            name, address, member.zone, cut_off, valid_until_ms
+            name, address, member.zone, unreachable, valid_until_ms
         )
 
     async def _handle_question(self, message):
         return {
             "address": self._local_address(),
-            "cut_off": self._partitions.cut_off_services(),
+            "unreachable": self._partitions.unreachable_services(),
         }
--- a/stoatpath/gateway_metrics.py
+++ b/stoatpath/gateway_metrics.py
@@ -176,7 +176,7 @@
     yield Sample.gauge(
         "stoatpath_unreachable_services",
         "Services of which no backend server accepts connections from here.",
-        len(gateway.partitions.cut_off_services()),
+        len(gateway.partitions.unreachable_services()),
     )
     yield Sample.counter(
         "stoatpath_forwarded_total",
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -312,7 +312,7 @@
             self.backend_client,
             decode_head,
             self.send_gate,
-            self.quarantine_exchange.record_sound,
+            self.quarantine_exchange.record_answered,
         )
         self.attempts = AttemptRunner(self, self.random, RelayPolicy(self))
         self.attempt_statistics = AttemptStatistics()
@@ -474,10 +474,10 @@
         has_table = self.routes.table is not None
         is_fresh = self.guard.is_fresh or not self.boot.fails_closed
         is_leaving = self.listener.is_leaving
-        has_backends = bool(self.backends.by_name) and not self._is_cut_off()
+        has_backends = bool(self.backends.by_name) and not self._is_partitioned()
         return has_table and is_fresh and has_backends and not is_leaving
 
-    def _is_cut_off(self):
+    def _is_partitioned(self):
         """Return whether peers reach all services, and this instance none."""
         services = {backend.service for backend in self.backends.by_name.values()}
         return all(self.peer_finder.can_forward(service) for service in services)
--- a/stoatpath/measure/quarantine_models.py
+++ b/stoatpath/measure/quarantine_models.py
@@ -21,7 +21,7 @@
 from stoatpath.quarantine.reporters import CrashReporter
 
 SERVICE = "desk-assist"
-DEADLY_PART = "deadly"
+POISON_PART = "poison"
 BEGINNINGS = 3
 SUBJECTS = 100
 MAX_ATTEMPTS = 3
@@ -102,8 +102,8 @@
 class QuarantineFleet:
     """Instances, backend servers and callers.
 
-    `deadly_ratio` is the share of requests with the deadly part, which ends backend
-    servers while `is_deadly`. `crashes_ms` holds the times of crashes, `deadly_ms`
+    `poison_ratio` is the share of requests with the poison part, which ends backend
+    servers while `is_poison`. `crashes_ms` holds the times of crashes, `poison_ms`
     those at which requests with the part reached a backend server from instances that
     had not just started, `served_ms` those
     at which such requests were answered. `results` holds the time and the success of
@@ -121,10 +121,10 @@
         "isolated",
         "messages",
         "bytes_sent",
-        "deadly_ratio",
-        "is_deadly",
+        "poison_ratio",
+        "is_poison",
         "crashes_ms",
-        "deadly_ms",
+        "poison_ms",
         "served_ms",
         "results",
         "_rate_per_s",
@@ -143,10 +143,10 @@
         self.isolated = set()
         self.messages = 0
         self.bytes_sent = 0
-        self.deadly_ratio = 0.0
-        self.is_deadly = True
+        self.poison_ratio = 0.0
+        self.is_poison = True
         self.crashes_ms = []
-        self.deadly_ms = []
+        self.poison_ms = []
         self.served_ms = []
         self.results = []
         self._rate_per_s = rate_per_s
@@ -180,13 +180,13 @@
         return any(each.is_up for each in self.backends if each.address == address)
 
     def innocent_parts(self):
-        """Return the parts in quarantine at any instance but the deadly one."""
+        """Return the parts in quarantine at any instance but the poison one."""
         return {
             decision.part
             for instance in self.instances_by_name.values()
             for decision in instance.table.remembered()
             if instance.table.until_ms(SERVICE, decision.part) > instance.clock.now_ms()
-            and decision.part != DEADLY_PART
+            and decision.part != POISON_PART
         }
 
     def start(self):
@@ -275,8 +275,8 @@
             f"beginning-{self._random.randrange(BEGINNINGS)}",
             f"subject-{min(self._random.randrange(SUBJECTS) for _ in range(2))}",
         ]
-        if self._random.random() < self.deadly_ratio:
-            names.append(DEADLY_PART)
+        if self._random.random() < self.poison_ratio:
+            names.append(POISON_PART)
         parts = [PromptPart(name, 100) for name in (*names, f"own-{self._count}")]
         return SimpleNamespace(
             request_id=str(self._count),
@@ -286,7 +286,7 @@
 
     async def _send(self, instance, request):
         """Send a request to backend servers in turn; record the first attempt."""
-        is_deadly = DEADLY_PART in request.prompt.shared_part_names
+        is_poison = POISON_PART in request.prompt.shared_part_names
         lost_beginnings = 0
         for number in range(MAX_ATTEMPTS):
             if instance.table.check(request) is not None:
@@ -296,9 +296,9 @@
                     [each for each in self.backends if each.is_up] or self.backends
                 )
                 is_answered, has_begun = await self._attempt(instance, request, backend)
-            if number == 0 and not is_deadly:
+            if number == 0 and not is_poison:
                 self.results.append((self.now_ms(), is_answered))
-            if is_answered and is_deadly:
+            if is_answered and is_poison:
                 self.served_ms.append(self.now_ms())
             lost_beginnings += has_begun and not is_answered
             if is_answered or lost_beginnings == 2:
@@ -306,12 +306,12 @@
 
     async def _attempt(self, instance, request, backend):
         """Return whether an attempt had its first event, and whether it began."""
-        is_deadly = DEADLY_PART in request.prompt.shared_part_names
+        is_poison = POISON_PART in request.prompt.shared_part_names
         await asyncio.sleep(CONNECT_S)
         if not backend.is_up:
             return False, False
-        if is_deadly and self.now_ms() >= instance.settled_ms:
-            self.deadly_ms.append(self.now_ms())
+        if is_poison and self.now_ms() >= instance.settled_ms:
+            self.poison_ms.append(self.now_ms())
         name, lost = backend.name, backend.lost
         started_ms = instance.clock.now_ms()
         begun_ms = None
@@ -319,7 +319,7 @@
         if not is_lost:
             begun_ms = instance.clock.now_ms()
             is_lost = await _is_set(lost, FIRST_EVENT_S)
-            if not is_lost and is_deadly and self.is_deadly:
+            if not is_lost and is_poison and self.is_poison:
                 self._crash(backend)
                 is_lost = True
         if is_lost:
@@ -336,7 +336,7 @@
             )
             instance.reporter.observe(result)
             return False, begun_ms is not None
-        instance.exchange.record_sound(request)
+        instance.exchange.record_answered(request)
         await _is_set(lost, STREAM_S)
         return True, True
 
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -20,8 +20,8 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-# Linux applies this timeout to keep-alive probes too, in place of their number. A sound
-# backend server may fall silent for a second or so.
+# Linux applies this timeout to keep-alive probes too, in place of their number. A
+# healthy backend server may fall silent for a second or so.
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
 MAX_PRIORITY = 9
 # A backend server that names no request at all still gets one now and then, since only
--- a/stoatpath/quarantine/exchanges.py
+++ b/stoatpath/quarantine/exchanges.py
@@ -2,7 +2,8 @@
 
 Lost attempts of a service are sent to `KEEPERS` of the instances, the first by
 rendezvous hashing over the members that each instance knows. A keeper that suspects a
-part asks all instances whether they have seen it sound since, decides, and tells all.
+part asks all instances whether any answer to it has begun since, decides, and tells
+all.
 Nobody is elected: several may decide, and the decision with the highest version holds.
 Gossip carries decisions to instances that were not reached or joined later.
 """
@@ -39,7 +40,7 @@
 # the first of them shows whether the part still ends backend servers.
 TRIAL_MS = 10_000.0
 ASK_TIMEOUT_MS = 300.0
-# Instances asked first: a part in frequent use was sound at one of them.
+# Instances asked first: one of them has answered a part in frequent use.
 SAMPLED_MEMBERS = 16
 CONCURRENT_CALLS = 32
 MAX_GOSSIPED = 16
@@ -81,7 +82,7 @@
         server.register(HISTORY_TOPIC, self._handle_history)
         server.register(DECISION_TOPIC, self._handle_decision)
 
-    def record_sound(self, request):
+    def record_answered(self, request):
         """Record that an answer to a request has come as far as its first event.
 
         That proves that none of its parts ends backend servers, so a quarantine of one
@@ -90,7 +91,7 @@
         service = request.service.name
         now_ms = self._clock.now_ms()
         for part in request.prompt.shared_part_names:
-            self.history.record_sound(service, part, now_ms)
+            self.history.record_answered(service, part, now_ms)
             if self.table.is_known(service, part):
                 self._start(self._lift(service, part))
 
@@ -171,21 +172,21 @@
         return suspicions
 
     async def _ask_histories(self, service, table, names):
-        """Find out when the suspected parts were last sound at some instances."""
+        """Find out when some instances last answered the suspected parts."""
         suspicions = self._find(service)
         parts = [suspicion.part for suspicion in suspicions][:MAX_PARTS]
         for part in parts:
-            sound_ms = self.history.sound_ms(service, part)
-            if sound_ms is not None:
-                table.record_sound(part, sound_ms)
+            answered_ms = self.history.answered_ms(service, part)
+            if answered_ms is not None:
+                table.record_answered(part, answered_ms)
         asked_ms = self._clock.now_ms()
         message = {"service": service, "parts": parts}
         for answer in await self._ask_all(names, HISTORY_TOPIC, message):
             try:
                 for part, age_ms in zip(parts, answer["ages_ms"]):
                     if age_ms is not None:
-                        sound_ms = asked_ms - decode_duration_ms(age_ms)
-                        table.record_sound(part, sound_ms)
+                        answered_ms = asked_ms - decode_duration_ms(age_ms)
+                        table.record_answered(part, answered_ms)
             except (KeyError, TypeError, ValueError) as error:
                 logger.warning("quarantine.unreadable", extra={"why": repr(error)})
 
@@ -257,11 +258,11 @@
     async def _handle_history(self, message):
         now_ms = self._clock.now_ms()
         service = decode_name(message["service"])
-        sound = [
-            self.history.sound_ms(service, decode_name(part))
+        answered = [
+            self.history.answered_ms(service, decode_name(part))
             for part in message["parts"][:MAX_PARTS]
         ]
-        ages_ms = [None if each is None else now_ms - each for each in sound]
+        ages_ms = [None if each is None else now_ms - each for each in answered]
         return {"ages_ms": ages_ms}
 
     async def _handle_decision(self, message):
--- a/stoatpath/quarantine/features/quarantine.feature
+++ b/stoatpath/quarantine/features/quarantine.feature
@@ -2,24 +2,24 @@
 
   Scenario Outline: Lost attempts lead to a suspicion: <case>
     Given attempts with their request, backend server, time, stage and parts: <attempts>
-    And parts that were sound at these times: <sound>
+    And parts that were answered at these times: <answered>
     Then the parts under suspicion are <suspected>
 
     Examples:
-      | case                                 | attempts                                        | sound        | suspected |
+      | case                                 | attempts                                        | answered     | suspected |
       | one crash                            | r1 s1 0 begun a,x                               | none         | none      |
       | two crashes under one request        | r1 s1 0 begun a,x; r1 s2 900 begun a,x          | none         | none      |
       | two crashes under two requests       | r1 s1 0 begun a,x; r2 s2 900 begun b,x          | none         | x         |
       | both attempts lost in one crash      | r1 s1 0 begun a,x; r2 s1 1 begun b,x            | none         | none      |
       | backend servers end at one time      | r1 s1 0 begun a,x; r2 s2 50 begun b,x           | none         | none      |
       | attempts that waited, in two crashes | r1 s1 0 waiting a,x; r2 s2 900 waiting b,x      | none         | none      |
-      | a part was sound after the first     | r1 s1 0 begun a,x; r2 s2 900 begun b,x          | x 500        | none      |
-      | a part was sound before the first    | r1 s1 10 begun a,x; r2 s2 900 begun b,x         | x 5          | x         |
+      | a part was answered after the first  | r1 s1 0 begun a,x; r2 s2 900 begun b,x          | x 500        | none      |
+      | a part was answered before the first | r1 s1 10 begun a,x; r2 s2 900 begun b,x         | x 5          | x         |
       | a part that is in use is shared too  | r1 s1 10 begun a,x; r2 s2 900 begun a,x         | a 500        | x         |
-      | equal evidence, one was sound before | r1 s1 10 begun a,x; r2 s2 900 begun a,x         | a 5          | x,a       |
+      | equal evidence, one answered before  | r1 s1 10 begun a,x; r2 s2 900 begun a,x         | a 5          | x,a       |
       | the first crash is forgotten         | r1 s1 0 begun a,x; r2 s2 61000 begun b,x        | none         | none      |
 
-  # Guards against requests that are refused since they were lost beside a deadly one.
+  # Guards against requests that are refused since they were lost beside a poison one.
   Scenario: A crash that a quarantined part explains counts against no other part
     Given attempts with their request, backend server, time, stage and parts: r1 s1 0 begun a,x; r3 s1 1 begun a,y; r2 s2 900 begun a,x; r4 s2 901 begun c,y
     When part x is dismissed
@@ -41,9 +41,9 @@
       | the answer had begun            | accepts nothing | accept          | after the first event     | is not reported |
       | this instance is cut off        | accepts nothing | accept nothing  | before the first event    | is not reported |
 
-  Scenario Outline: At <count> instances, few requests with a deadly part reach backend servers
+  Scenario Outline: At <count> instances, few requests with a poison part reach backend servers
     Given <count> instances before <servers> backend servers, <rate> requests a second
-    When 1 in <ratio> requests has a deadly part for 20 s
+    When 1 in <ratio> requests has a poison part for 20 s
     Then at most 3 of these reach backend servers later than 3 s after the fifth crash
     And from 6 s after it at least 95 in 100 of the other requests are served at once
     And no part of the other requests is in quarantine at the end
@@ -60,7 +60,7 @@
 
   Scenario Outline: The same while <faults> of <count> instances <fault>
     Given <count> instances before <servers> backend servers, <rate> requests a second
-    When 1 in 20 requests has a deadly part for 20 s, while <faults> instances <fault>
+    When 1 in 20 requests has a poison part for 20 s, while <faults> instances <fault>
     Then at most 3 of these reach backend servers later than 3 s after the fifth crash
     And no part of the other requests is in quarantine at the end
 
@@ -85,14 +85,14 @@
       | 69    | 40      | 80   |
 
   # Guards against a quarantine for ever, and against one that ends for all at once.
-  Scenario: When a quarantine ends, few requests show that the part is still deadly
+  Scenario: When a quarantine ends, few requests show that the part is still harmful
     Given 7 instances before 9 backend servers, 20 requests a second
-    When 1 in 20 requests has a deadly part for 150 s
+    When 1 in 20 requests has a poison part for 150 s
     Then at most 12 backend servers end
 
-  Scenario: A part that is deadly no more is served again
+  Scenario: A part that is harmless again is served again
     Given 7 instances before 9 backend servers, 20 requests a second
-    When 1 in 20 requests has a deadly part for 20 s, and then it is deadly no more
+    When 1 in 20 requests has a poison part for 20 s, and then it is harmless again
     Then within 80 s requests with the part are served
 
   Scenario Outline: A malformed <message> about parts changes nothing
--- a/stoatpath/quarantine/features/steps/quarantine_steps.py
+++ b/stoatpath/quarantine/features/steps/quarantine_steps.py
@@ -54,11 +54,11 @@
     context.suspicion_table.record_lost(lost)
 
 
-@given("parts that were sound at these times: {sound}")
-def step_impl(context, sound):
-    for text in sound.split(";") if sound != "none" else ():
-        part, sound_ms = text.split()
-        context.suspicion_table.record_sound(part, float(sound_ms))
+@given("parts that were answered at these times: {answered}")
+def step_impl(context, answered):
+    for text in answered.split(";") if answered != "none" else ():
+        part, answered_ms = text.split()
+        context.suspicion_table.record_answered(part, float(answered_ms))
 
 
 @when("part {part} is dismissed")
@@ -160,39 +160,39 @@
     run_virtually(main)
 
 
-@when("1 in {ratio:d} requests has a deadly part for {seconds:d} s")
+@when("1 in {ratio:d} requests has a poison part for {seconds:d} s")
 def step_impl(context, ratio, seconds):
     async def scenario(fleet):
-        fleet.deadly_ratio = 1 / ratio
+        fleet.poison_ratio = 1 / ratio
         await asyncio.sleep(seconds)
-        fleet.deadly_ratio = 0.0
+        fleet.poison_ratio = 0.0
 
     play(context, scenario)
 
 
 @when(
-    "1 in {ratio:d} requests has a deadly part for {seconds:d} s, "
+    "1 in {ratio:d} requests has a poison part for {seconds:d} s, "
     "while {faults:d} instances {fault}"
 )
 def step_impl(context, ratio, seconds, faults, fault):
     async def scenario(fleet):
-        fleet.deadly_ratio = 1 / ratio
+        fleet.poison_ratio = 1 / ratio
         await asyncio.sleep(FAULT_AFTER_S)
         await asyncio.gather(fleet.disturb(faults, fault), asyncio.sleep(seconds))
-        fleet.deadly_ratio = 0.0
+        fleet.poison_ratio = 0.0
 
     play(context, scenario)
 
 
 @when(
-    "1 in {ratio:d} requests has a deadly part for {seconds:d} s, "
-    "and then it is deadly no more"
+    "1 in {ratio:d} requests has a poison part for {seconds:d} s, "
+    "and then it is harmless again"
 )
 def step_impl(context, ratio, seconds):
     async def scenario(fleet):
-        fleet.deadly_ratio = 1 / ratio
+        fleet.poison_ratio = 1 / ratio
         await asyncio.sleep(seconds)
-        fleet.is_deadly = False
+        fleet.is_poison = False
         fleet.served_ms.clear()
         context.sound_from_ms = fleet.now_ms()
         await asyncio.sleep(100)
@@ -228,7 +228,7 @@
     if len(fleet.crashes_ms) < CRASHES:
         return
     from_ms = fleet.crashes_ms[CRASHES - 1] + 1000 * seconds
-    late = [at_ms for at_ms in fleet.deadly_ms if at_ms > from_ms]
+    late = [at_ms for at_ms in fleet.poison_ms if at_ms > from_ms]
     assert len(late) <= count, (len(late), len(fleet.crashes_ms))
 
 
--- a/stoatpath/quarantine/messages.py
+++ b/stoatpath/quarantine/messages.py
@@ -49,7 +49,7 @@
 
     Of two decisions about a part, the one with the higher `version` holds. `until_ms`
     is a clock reading; as JSON it is the time left. `repeats` counts the quarantines of
-    the part before this one, without it having been sound.
+    the part before this one, without an answer to it in between.
     """
 
     __slots__ = ("service", "part", "version", "until_ms", "repeats", "is_lifted")
--- a/stoatpath/quarantine/quarantines.py
+++ b/stoatpath/quarantine/quarantines.py
@@ -53,7 +53,7 @@
         return quarantine.until_ms
 
     def is_known(self, service, part):
-        """Return whether a part is or was in quarantine and was not sound since."""
+        """Return whether a part is or was in quarantine and was not answered since."""
         quarantine = self._by_key.get((service, part))
         return quarantine is not None and not quarantine.is_lifted
 
--- a/stoatpath/quarantine/suspicions.py
+++ b/stoatpath/quarantine/suspicions.py
@@ -9,7 +9,7 @@
 MIN_SCORE = 2.0
 # A single request may have met several ordinary crashes.
 MIN_REQUESTS = 2
-# The same for a part that was in quarantine before and has not been sound since.
+# The same for a part that was in quarantine before and was not answered since.
 MIN_SCORE_AGAIN = 1.0
 MIN_REQUESTS_AGAIN = 1
 # Crashes closer together may have one cause outside of the backend servers.
@@ -23,51 +23,51 @@
     """A part that may end backend servers.
 
     `since_ms` is when the first of the crashes took place that count against it,
-    `sound_ms` when it was last sound, as far as is known.
+    `answered_ms` when an answer to it last began, as far as is known.
     """
 
-    __slots__ = ("part", "score", "since_ms", "sound_ms")
+    __slots__ = ("part", "score", "since_ms", "answered_ms")
 
-    def __init__(self, part, score, since_ms, sound_ms):
+    def __init__(self, part, score, since_ms, answered_ms):
         self.part = part
         self.score = score
         self.since_ms = since_ms
-        self.sound_ms = sound_ms
+        self.answered_ms = answered_ms
 
 
 class SuspicionTable:
-    """The lost attempts of one service, and when its parts were last sound.
+    """The lost attempts of one service, and when its parts were last answered.
 
-    A part is sound when an answer to a request with it has come as far as its first
+    A part is answered when an answer to a request with it comes as far as its first
     event: crashes before that don't count against it.
     """
 
-    __slots__ = ("_attempts", "_sound_ms_by_part")
+    __slots__ = ("_attempts", "_answered_ms_by_part")
 
     def __init__(self):
         self._attempts = deque(maxlen=MAX_ATTEMPTS)
-        self._sound_ms_by_part = {}
+        self._answered_ms_by_part = {}
 
     def record_lost(self, attempts):
         """Add lost attempts."""
         self._attempts.extend(attempts)
 
-    def record_sound(self, part, sound_ms):
-        """Record when a part was sound."""
-        known_ms = self._sound_ms_by_part.get(part, NEVER_MS)
-        self._sound_ms_by_part[part] = max(known_ms, sound_ms)
+    def record_answered(self, part, answered_ms):
+        """Record when a part was answered."""
+        known_ms = self._answered_ms_by_part.get(part, NEVER_MS)
+        self._answered_ms_by_part[part] = max(known_ms, answered_ms)
 
     def find(self, now_ms, is_known):
         """Return a `Suspicion` for each part with enough evidence, strongest first.
 
         `is_known(part)` tells whether a part was in quarantine before. Of parts with
-        equal evidence, the one that was not sound for longest comes first.
+        equal evidence, the one that was not answered for longest comes first.
         """
         self._expire(now_ms)
         attempts_by_part = {}
         for attempt in self._attempts:
             for part in attempt.parts:
-                if attempt.lost_ms > self._sound_ms_by_part.get(part, NEVER_MS):
+                if attempt.lost_ms > self._answered_ms_by_part.get(part, NEVER_MS):
                     attempts_by_part.setdefault(part, []).append(attempt)
         found = []
         for part, attempts in attempts_by_part.items():
@@ -80,11 +80,11 @@
             requests = {attempt.request_id for attempt in attempts}
             if score >= min_score and len(requests) >= min_requests:
                 since_ms = min(attempt.lost_ms for attempt in attempts)
-                sound_ms = self._sound_ms_by_part.get(part, NEVER_MS)
-                found.append(Suspicion(part, score, since_ms, sound_ms))
+                answered_ms = self._answered_ms_by_part.get(part, NEVER_MS)
+                found.append(Suspicion(part, score, since_ms, answered_ms))
         return sorted(
             found,
-            key=lambda each: (not is_known(each.part), -each.score, each.sound_ms),
+            key=lambda each: (not is_known(each.part), -each.score, each.answered_ms),
         )
 
     def dismiss(self, part):
@@ -99,7 +99,7 @@
         while self._attempts and self._attempts[0].lost_ms < now_ms - WINDOW_MS:
             self._attempts.popleft()
         if not self._attempts:
-            self._sound_ms_by_part.clear()
+            self._answered_ms_by_part.clear()
 
 
 def _score(attempts):
--- a/stoatpath/rollouts/features/steps/shared_session_steps.py
+++ b/stoatpath/rollouts/features/steps/shared_session_steps.py
@@ -95,7 +95,7 @@
         clock=instance.clock,
         backends=backends,
         releases=instance.keeper,
-        forwarder=SimpleNamespace(can_serve=lambda request: False),
+        forwarder=SimpleNamespace(is_needed=lambda request: False),
     )
     context.policy = RelayPolicy(gateway)
     context.request = build_request("s-1")
--- a/stoatpath/standins/deployments.py
+++ b/stoatpath/standins/deployments.py
@@ -80,7 +80,7 @@
         `crashes_ms` holds the clock readings of the crashes.
         """
         for replica in self.replicas_by_name.values():
-            replica.deadly_part = part
+            replica.poison_part = part
             replica.on_crash = self._handle_crash
 
     def all_arrivals(self):
@@ -105,7 +105,7 @@
         await self.store.remove("servers", replica.name)
         name = f"{replica.name}-{len(self.crashes_ms)}"
         successor = await self.add_replica(name, replica.service, replica.release)
-        successor.deadly_part = replica.deadly_part
+        successor.poison_part = replica.poison_part
         successor.on_crash = self._handle_crash
 
     async def add_gateway(self, name, zone="zone-a", seeds=(), **bounds):
--- a/stoatpath/standins/replicas.py
+++ b/stoatpath/standins/replicas.py
@@ -55,7 +55,7 @@
     answers without end. `limit_per_s` is the limit that it names in its answers, or
     None. `is_leaving` makes it say so in its answers. It turns requests away for
     `hold_off_s` seconds, if that is not None, with 503 and `Retry-After`. A stream
-    whose prompt has the part `deadly_part` ends the replica as it begins: all
+    whose prompt has the part `poison_part` ends the replica as it begins: all
     connections are dropped, and `on_crash` is called with the replica. It runs `room`
     requests at once and rejects others. With `max_rejections_per_s` it says that it is
     brittle, and `falls_ms` are the times at which more rejections would have ended it.
@@ -74,7 +74,7 @@
         "limit_per_s",
         "is_leaving",
         "hold_off_s",
-        "deadly_part",
+        "poison_part",
         "on_crash",
         "room",
         "max_rejections_per_s",
@@ -103,7 +103,7 @@
         self.limit_per_s = None
         self.is_leaving = False
         self.hold_off_s = None
-        self.deadly_part = None
+        self.poison_part = None
         self.on_crash = lambda replica: None
         self.room = float("inf")
         self.max_rejections_per_s = None
@@ -249,7 +249,7 @@
         response = web.StreamResponse(headers=headers)
         response.enable_chunked_encoding()
         await response.prepare(request)
-        if self._is_deadly(request):
+        if self._is_poison(request):
             await asyncio.sleep(CRASH_AFTER_HEAD_S)
             self.on_crash(self)
             drop_connection(request)
@@ -296,10 +296,10 @@
             await asyncio.sleep(0.001)
         return web.Response()
 
-    def _is_deadly(self, request):
+    def _is_poison(self, request):
         prompt = request.headers.get(PROMPT_HEADER, "")
         names = [part.partition(":")[0] for part in prompt.split(",")]
-        return self.deadly_part in names[:-1]
+        return self.poison_part in names[:-1]
 
 
 def _endless_parts(kind, headers):
