--- a/stoatpath/backpressure/shares.py
+++ b/stoatpath/backpressure/shares.py
@@ -6,7 +6,7 @@
 
 logger = logging.getLogger(__name__)
 
-# For this time after a rejection nothing more is sent there from here; at random.
+# Shortest and longest pause after a rejection, drawn at random so that instances differ.
 REJECTED_PAUSE_MS = (1_000.0, 1_500.0)
 
 
--- a/stoatpath/forwarding/forwarders.py
+++ b/stoatpath/forwarding/forwarders.py
@@ -60,7 +60,7 @@
             return False
         if failure.outcome is Outcome.NOT_RUN and not request.run_count:
             return True
-        return self._may_repeat(request, failure)
+        return self._try_repeat(request, failure)
 
     async def run(self, request, stream):
         """Return a `RelayedResult` or a failure, None if no peer was at hand."""
@@ -73,12 +73,12 @@
                 return RelayedResult(answer, "", ["forwarded"], 0.0)
             worst = answer if worst is None else worst.combined_with(answer)
             is_not_run = answer.outcome is Outcome.NOT_RUN
-            if not is_not_run and not self._may_repeat(request, answer):
+            if not is_not_run and not self._try_repeat(request, answer):
                 break
         return worst
 
-    def _may_repeat(self, request, failure):
-        """Return whether a request that may have run can run again; spend on it."""
+    def _try_repeat(self, request, failure):
+        """Spend on another run of a request; return whether it is allowed."""
         is_lost = failure.outcome is Outcome.NOT_RUN or failure.reason in LOST_REASONS
         if not is_lost or not request.is_repeatable or not request.may_run_again:
             return False
