--- a/stoatpath/backpressure/shares.py
+++ b/stoatpath/backpressure/shares.py
@@ -6,7 +6,7 @@
 
 logger = logging.getLogger(__name__)
 
-# Shortest and longest pause after a rejection, drawn at random so that instances differ.
+# Shortest and longest pause after a rejection, drawn at random to spread instances.
 REJECTED_PAUSE_MS = (1_000.0, 1_500.0)
 
 
