Logs: a digest of each request's content, lost connections that are no crash

The hypotheses of the incident could not be told apart: nothing showed that two requests with different identifiers have the same content, and an attempt whose loss was not counted as a crash left no line. The step body of a request names its content; backends.connections-lost tells of losses that count as no crash. The replica stand-in ends under any request for one path.

--- a/features/platform/quarantine.feature
+++ b/features/platform/quarantine.feature
@@ -14,3 +14,9 @@
     Given 1 gateways and 2 model replicas that end when an answer to the part "dd" begins
     When a poison chat request is sent
     Then its log line names the part "dd" and a failed attempt that began and had no events
+
+  # Guards against logs that don't tell which failed requests were the same.
+  Scenario: The log tells which requests have the same content
+    Given 2 gateways and 2 plain replicas that end when they run the path "/look/dd"
+    When a poison lookup is sent through each gateway, and another one
+    Then the log lines of the poison lookups name the same content, that of the other another
--- a/features/platform/steps/quarantine_steps.py
+++ b/features/platform/steps/quarantine_steps.py
@@ -29,14 +29,12 @@
         self.response = response
 
 
-class PromptTraffic:
-    """Sends chat requests whose prompts share parts; poison ones have `part` too."""
+class Traffic:
+    """Sends requests through all gateways in turn, and keeps what became of them."""
 
-    def __init__(self, fleet, part):
+    def __init__(self, fleet):
         self.fleet = fleet
-        self.part = part
         self.sent = []
-        self._random = random.Random(SEED)
 
     async def run(self, rates_by_kind, seconds):
         """Send requests of each kind steadily; wait for all answers."""
@@ -55,14 +53,43 @@
 
     async def _send(self, kind, number):
         gateways = self.fleet.gateways
+        gateway = gateways[number % len(gateways)]
+        sent_ms = Clock().now_ms()
+        response = await self._exchange(gateway, kind, number)
+        self.sent.append(SentRequest(kind, number, sent_ms, response))
+
+    def of_kind(self, kind):
+        return [each for each in self.sent if each.kind == kind]
+
+
+class LookupTraffic(Traffic):
+    """Sends lookups; poison ones all have the same path, others each their own."""
+
+    def __init__(self, fleet, path):
+        super().__init__(fleet)
+        self.path = path
+
+    async def _exchange(self, gateway, kind, number):
+        headers = request_headers("look", number)
+        headers[ATTEMPT_ID] = f"{kind}-{number}"
+        name = self.path.rpartition("/")[2] if kind == POISON else f"{number}"
+        return await send_request(gateway, "look", headers=headers, path=name)
+
+
+class PromptTraffic(Traffic):
+    """Sends chat requests whose prompts share parts; poison ones have `part` too."""
+
+    def __init__(self, fleet, part):
+        super().__init__(fleet)
+        self.part = part
+        self._random = random.Random(SEED)
+
+    async def _exchange(self, gateway, kind, number):
         headers = request_headers("chat", number)
         headers[ATTEMPT_ID] = f"{kind}-{number}"
         headers["X-Stoatpath-Prompt-Prefix"] = self._prompt(kind, number)
         headers["Session"] = f"{kind}-{number}"
-        sent_ms = Clock().now_ms()
-        gateway = gateways[number % len(gateways)]
-        response = await send_request(gateway, "chat", headers=headers)
-        self.sent.append(SentRequest(kind, number, sent_ms, response))
+        return await send_request(gateway, "chat", headers=headers)
 
     def _prompt(self, kind, number):
         beginning = f"b{self._random.randrange(BEGINNINGS)}:20"
@@ -70,9 +97,6 @@
         shared = [beginning, subject] + [f"{self.part}:10"] * (kind == POISON)
         return ",".join([*shared, f"e{kind}{number}:40"])
 
-    def of_kind(self, kind):
-        return [each for each in self.sent if each.kind == kind]
-
 
 @given(
     "{gateways:d} gateways and {models:d} model replicas "
@@ -81,10 +105,21 @@
 def step_impl(context, gateways, models, part):
     context.fleet = FleetFixture(gateways, plain=0, models=models)
     context.add_cleanup(context.fleet.close)
-    context.fleet.deployment.crash_on(part)
+    context.fleet.deployment.crash_on(part=part)
     context.traffic = PromptTraffic(context.fleet, part)
 
 
+@given(
+    "{gateways:d} gateways and {plain:d} plain replicas "
+    'that end when they run the path "{path}"'
+)
+def step_impl(context, gateways, plain, path):
+    context.fleet = FleetFixture(gateways, plain=plain)
+    context.add_cleanup(context.fleet.close)
+    context.fleet.deployment.crash_on(path=path)
+    context.traffic = LookupTraffic(context.fleet, path)
+
+
 @when(
     "callers send {other:d} other and {poison:d} poison chat requests a second "
     "through all gateways for {seconds:d} s"
@@ -151,18 +186,41 @@
         self.records.append(record)
 
 
-@when("a poison chat request is sent")
-def step_impl(context):
+def record_request_logs(context, rates_by_kind, seconds):
     logger = logging.getLogger(REQUEST_LOGGER)
     context.request_log = RecordList()
     before_level = logger.level
     logger.addHandler(context.request_log)
     logger.setLevel(logging.INFO)
-    context.fleet.run(context.traffic.run({POISON: 1}, 1))
+    context.fleet.run(context.traffic.run(rates_by_kind, seconds))
     logger.removeHandler(context.request_log)
     logger.setLevel(before_level)
 
 
+@when("a poison chat request is sent")
+def step_impl(context):
+    record_request_logs(context, {POISON: 1}, 1)
+
+
+@when("a poison lookup is sent through each gateway, and another one")
+def step_impl(context):
+    gateways = len(context.fleet.gateways)
+    record_request_logs(context, {POISON: gateways, OTHER: 1}, 1)
+
+
+@then(
+    "the log lines of the poison lookups name the same content, "
+    "that of the other another"
+)
+def step_impl(context):
+    contents_by_kind = {POISON: set(), OTHER: set()}
+    for record in context.request_log.records:
+        (body,) = [each for each in record.decisions if each["step"] == "body"]
+        contents_by_kind[record.request_id.partition("-")[0]].add(body["content"])
+    assert [len(each) for each in contents_by_kind.values()] == [1, 1]
+    assert contents_by_kind[POISON] != contents_by_kind[OTHER]
+
+
 @then(
     'its log line names the part "{part}" '
     "and a failed attempt that began and had no events"
--- a/stoatpath/callers/relay_messages.py
+++ b/stoatpath/callers/relay_messages.py
@@ -1,5 +1,7 @@
 """Messages of requests whose bodies are relayed without being parsed."""
 
+from xxhash import xxh3_128_hexdigest
+
 from stoatpath.rollouts.releases import ANY_RELEASE
 
 
@@ -76,6 +78,7 @@
         "body",
         "prompt",
         "last_event_id",
+        "_content",
         "was_sent",
         "is_forwarded",
         "run_count",
@@ -116,6 +119,7 @@
         self.body = body
         self.prompt = prompt
         self.last_event_id = last_event_id
+        self._content = None
         self.was_sent = False
         self.is_forwarded = forwarded_runs is not None
         self.run_count = forwarded_runs or 0
@@ -123,6 +127,19 @@
         self.releases = ANY_RELEASE
         self.release = None
 
+    @property
+    def content(self):
+        """Return a digest of what makes two requests the same to a backend server.
+
+        That is the organisation, method, path and body, and the parts of the prompt.
+        """
+        if self._content is None:
+            organisation = "" if self.organisation is None else self.organisation.name
+            parts = ",".join(part.name for part in self.prompt.parts)
+            head = "\n".join((organisation, self.method, self.path, parts, ""))
+            self._content = xxh3_128_hexdigest(head.encode() + self.body)
+        return self._content
+
     @property
     def idempotency_key(self):
         """Return "": the route determines whether the request may be repeated."""
--- a/stoatpath/callers/relays.py
+++ b/stoatpath/callers/relays.py
@@ -65,6 +65,9 @@
             body = await self.bodies.read(request)
             if not is_failure(body):
                 parsed.body = body
+                self._router.ring.record_decision(
+                    request_id, "body", "whole", content=parsed.content
+                )
                 return parsed
             parsed = body
         self._router.ring.record_decision(
--- a/stoatpath/quarantine/reporters.py
+++ b/stoatpath/quarantine/reporters.py
@@ -81,6 +81,8 @@
         finally:
             attempts = self._attempts_by_backend.pop(name)
         if not has_ended:
+            extra = {"backend": name, "lost": len(attempts)}
+            logger.info("backends.connections-lost", extra=extra)
             return
         self.crashes += 1
         logger.info(
--- a/stoatpath/standins/deployments.py
+++ b/stoatpath/standins/deployments.py
@@ -74,13 +74,14 @@
         await self.store.put("servers", name, replica.server_row())
         return replica
 
-    def crash_on(self, part):
-        """Let a prompt part end each replica; it is back under another name.
+    def crash_on(self, part=None, path=None):
+        """Let a prompt part or a path end each replica; it is back under another name.
 
         `crashes_ms` holds the clock readings of the crashes.
         """
         for replica in self.replicas_by_name.values():
             replica.poison_part = part
+            replica.poison_path = path
             replica.on_crash = self._handle_crash
 
     def all_arrivals(self):
@@ -106,6 +107,7 @@
         name = f"{replica.name}-{len(self.crashes_ms)}"
         successor = await self.add_replica(name, replica.service, replica.release)
         successor.poison_part = replica.poison_part
+        successor.poison_path = replica.poison_path
         successor.on_crash = self._handle_crash
 
     async def add_gateway(self, name, zone="zone-a", seeds=(), **bounds):
--- a/stoatpath/standins/replicas.py
+++ b/stoatpath/standins/replicas.py
@@ -24,7 +24,7 @@
 CUT_AFTER_EVENTS = 3
 ATTEMPT_ID_HEADER = "X-Stoatpath-Attempt-Id"
 PROMPT_HEADER = "X-Stoatpath-Prompt-Prefix"
-CRASH_AFTER_HEAD_S = 0.02
+CRASH_AFTER_S = 0.02
 ENDLESS_BLOCK_BYTES = 65_536
 ENDLESS_KINDS = ("endless-body", "endless-head", "endless-interim", "endless-chunk")
 ENDLESS_EVENT = b"3e8\r\n" + 1000 * b"d" + b"\r\n"
@@ -56,7 +56,8 @@
     None. `is_leaving` makes it say so in its answers. It turns requests away for
     `hold_off_s` seconds, if that is not None, with 503 and `Retry-After`. A stream
     whose prompt has the part `poison_part` ends the replica as it begins: all
-    connections are dropped, and `on_crash` is called with the replica. It runs `room`
+    connections are dropped, and `on_crash` is called with the replica. So does any
+    request for the path `poison_path`, before the head of its answer. It runs `room`
     requests at once and rejects others. With `max_rejections_per_s` it says that it is
     brittle, and `falls_ms` are the times at which more rejections would have ended it.
     """
@@ -75,6 +76,7 @@
         "is_leaving",
         "hold_off_s",
         "poison_part",
+        "poison_path",
         "on_crash",
         "room",
         "max_rejections_per_s",
@@ -104,6 +106,7 @@
         self.is_leaving = False
         self.hold_off_s = None
         self.poison_part = None
+        self.poison_path = None
         self.on_crash = lambda replica: None
         self.room = float("inf")
         self.max_rejections_per_s = None
@@ -205,6 +208,9 @@
 
     async def _run(self, request, run, kind, echo):
         try:
+            if run.path == self.poison_path:
+                await self._end_under(request)
+                return web.Response()
             await asyncio.sleep((self.delay_ms if kind != "slow" else 400) / 1000)
             return await self._answer(
                 request, run, kind, echo | self._answer_headers(run)
@@ -250,9 +256,7 @@
         response.enable_chunked_encoding()
         await response.prepare(request)
         if self._is_poison(request):
-            await asyncio.sleep(CRASH_AFTER_HEAD_S)
-            self.on_crash(self)
-            drop_connection(request)
+            await self._end_under(request)
             return response
         if kind == "endless-event":
             return await self._write_endlessly(request, b"", ENDLESS_EVENT)
@@ -296,6 +300,12 @@
             await asyncio.sleep(0.001)
         return web.Response()
 
+    async def _end_under(self, request):
+        """End as a crash would, soon after a request began to run."""
+        await asyncio.sleep(CRASH_AFTER_S)
+        self.on_crash(self)
+        drop_connection(request)
+
     def _is_poison(self, request):
         prompt = request.headers.get(PROMPT_HEADER, "")
         names = [part.partition(":")[0] for part in prompt.split(",")]
