Reproduce: one request, sent again and again, ends all backend servers (failing)

Three gateways before four plain replicas that end under one path: 12 runs later than 3 s after the third crash, 3 are allowed.

--- a/features/platform/quarantine.feature
+++ b/features/platform/quarantine.feature
@@ -9,6 +9,15 @@
     And the refused poison requests are answered with 503 and a time to return
     And at least 9 in 10 of the other requests sent in the last 2 s are answered with 200
 
+  # Guards against one request that, sent again and again, ends all backend servers of a service.
+  Scenario: A request that ends backend servers gets to few of them, though it comes again
+    Given 3 gateways and 4 plain replicas that end when they run the path "/look/dd"
+    When callers send 12 other and 6 poison lookups a second through all gateways for 8 s
+    Then at least 3 replicas have ended
+    And at most 3 poison requests reach replicas later than 3 s after the third crash
+    And the refused poison requests are answered with 503 and a time to return
+    And at least 9 in 10 of the other requests sent in the last 2 s are answered with 200
+
   # Guards against logs that don't tell under which content a backend server ended.
   Scenario: The log of a request tells its shared parts and how far a failed attempt came
     Given 1 gateways and 2 model replicas that end when an answer to the part "dd" begins
--- a/features/platform/steps/quarantine_steps.py
+++ b/features/platform/steps/quarantine_steps.py
@@ -13,7 +13,7 @@
 SEED = 7
 BEGINNINGS = 3
 SUBJECTS = 20
-CRASHES = 5
+CRASHES_BY_ORDINAL = {"third": 3, "fifth": 5}
 POISON = "poison"
 OTHER = "other"
 REQUEST_LOGGER = "stoatpath.explanations.request_logs"
@@ -121,10 +121,10 @@
 
 
 @when(
-    "callers send {other:d} other and {poison:d} poison chat requests a second "
+    "callers send {other:d} other and {poison:d} poison {what} a second "
     "through all gateways for {seconds:d} s"
 )
-def step_impl(context, other, poison, seconds):
+def step_impl(context, other, poison, what, seconds):
     context.fleet.run(context.traffic.run({OTHER: other, POISON: poison}, seconds))
 
 
@@ -135,13 +135,14 @@
 
 @then(
     "at most {count:d} poison requests reach replicas "
-    "later than {seconds:d} s after the fifth crash"
+    "later than {seconds:d} s after the {nth} crash"
 )
-def step_impl(context, count, seconds):
+def step_impl(context, count, seconds, nth):
     crashes_ms = context.fleet.deployment.crashes_ms
-    if len(crashes_ms) < CRASHES:
+    crashes = CRASHES_BY_ORDINAL[nth]
+    if len(crashes_ms) < crashes:
         return
-    from_ms = crashes_ms[CRASHES - 1] + 1000 * seconds
+    from_ms = crashes_ms[crashes - 1] + 1000 * seconds
     late = [
         request_id
         for arrived_ms, request_id in context.fleet.deployment.all_arrivals()
--- a/stoatpath/measure/quarantine_models.py
+++ b/stoatpath/measure/quarantine_models.py
@@ -1,4 +1,4 @@
-"""A model of instances before backend servers that end on a prompt part.
+"""A model of instances before backend servers that end on a prompt part or a request.
 
 The instances run the quarantine code of gateways in virtual time; the network, the
 backend servers and the attempts are simulated.
@@ -8,7 +8,7 @@
 import random
 from types import SimpleNamespace
 
-from stoatpath.callers.relay_messages import Prompt, PromptPart
+from stoatpath.callers.relay_messages import NO_PROMPT, Prompt, PromptPart
 from stoatpath.dispatch.messages import AttemptResult
 from stoatpath.measure.limit_models import CLOCK_SPREAD_MS, ModelPeerClient
 from stoatpath.measure.relay_models import Handlers, model_member
@@ -22,15 +22,19 @@
 
 SERVICE = "desk-assist"
 POISON_PART = "poison"
+POISON_CONTENT = "request:poison"
 BEGINNINGS = 3
 SUBJECTS = 100
 MAX_ATTEMPTS = 3
 RESTART_S = 3.0
 CONNECT_S = 0.002
 # Time to the head of an answer, from there to its first event, and to its end.
-MAX_WAITING_S = 0.6
+WAITING_S = (0.05, 0.6)
 FIRST_EVENT_S = 0.04
 STREAM_S = 1.5
+# A plain service sends no head before its whole answer.
+MAX_PLAIN_WAITING_S = 0.02
+PLAIN_RUN_S = 0.03
 JOIN_S = 2.0
 # As in `stoatpath.gateways`: an instance that has just started gossips more often.
 GOSSIP_PERIOD_S = 2.5
@@ -102,10 +106,11 @@
 class QuarantineFleet:
     """Instances, backend servers and callers.
 
-    `poison_ratio` is the share of requests with the poison part, which ends backend
-    servers while `is_poison`. `crashes_ms` holds the times of crashes, `poison_ms`
-    those at which requests with the part reached a backend server from instances that
-    had not just started, `served_ms` those
+    `poison_ratio` is the share of requests with the poison part; these and the poison
+    request end backend servers while `is_poison`. `is_plain` is for a service whose
+    requests have no prompts.
+    `crashes_ms` holds the times of crashes, `poison_ms` those at which poison requests
+    reached a backend server from instances that had not just started, `served_ms` those
     at which such requests were answered. `results` holds the time and the success of
     the first attempt of each other request. The names in `killed`, `frozen` and
     `isolated` are those of instances that refuse connections or reach no other.
@@ -123,12 +128,14 @@
         "bytes_sent",
         "poison_ratio",
         "is_poison",
+        "is_plain",
         "crashes_ms",
         "poison_ms",
         "served_ms",
         "results",
         "_rate_per_s",
         "_random",
+        "_poison_random",
         "_tasks",
         "_count",
     )
@@ -145,12 +152,14 @@
         self.bytes_sent = 0
         self.poison_ratio = 0.0
         self.is_poison = True
+        self.is_plain = False
         self.crashes_ms = []
         self.poison_ms = []
         self.served_ms = []
         self.results = []
         self._rate_per_s = rate_per_s
         self._random = random.Random(seed)
+        self._poison_random = random.Random(-seed)
         self._tasks = set()
         self._count = 0
         for index in range(instances):
@@ -180,19 +189,27 @@
         return any(each.is_up for each in self.backends if each.address == address)
 
     def innocent_parts(self):
-        """Return the parts in quarantine at any instance but the poison one."""
+        """Return the parts and requests in quarantine at any instance but poison."""
         return {
             decision.part
             for instance in self.instances_by_name.values()
             for decision in instance.table.remembered()
             if instance.table.until_ms(SERVICE, decision.part) > instance.clock.now_ms()
-            and decision.part != POISON_PART
+            and decision.part not in (POISON_PART, POISON_CONTENT)
         }
 
     def start(self):
         """Start the callers."""
         self._start(self._run_callers())
 
+    async def repeat_request(self, rate_per_s, seconds):
+        """Send one poison request again and again, through any instance."""
+        end_ms = self.now_ms() + 1000 * seconds
+        while self.now_ms() < end_ms:
+            await asyncio.sleep(self._poison_random.expovariate(rate_per_s))
+            request = self._build_request(POISON_CONTENT)
+            self._start(self._send(self._choose_instance(), request))
+
     async def stop(self):
         """End everything."""
         for task in self._tasks:
@@ -265,28 +282,39 @@
     async def _run_callers(self):
         while True:
             await asyncio.sleep(self._random.expovariate(self._rate_per_s))
-            names = sorted(set(self.instances_by_name) - self.killed)
-            instance = self.instances_by_name[self._random.choice(names)]
-            self._start(self._send(instance, self._build_request()))
+            self._start(self._send(self._choose_instance(), self._build_request()))
+
+    def _choose_instance(self):
+        names = sorted(set(self.instances_by_name) - self.killed)
+        return self.instances_by_name[self._random.choice(names)]
 
-    def _build_request(self):
+    def _build_request(self, content=None):
+        """Return a request; with `content` it is one that comes again and again."""
         self._count += 1
-        names = [
-            f"beginning-{self._random.randrange(BEGINNINGS)}",
-            f"subject-{min(self._random.randrange(SUBJECTS) for _ in range(2))}",
-        ]
-        if self._random.random() < self.poison_ratio:
+        beginning = self._random.randrange(BEGINNINGS)
+        subject = min(self._random.randrange(SUBJECTS) for _ in range(2))
+        if content is not None:
+            beginning, subject = 0, SUBJECTS - 1
+        names = [f"beginning-{beginning}", f"subject-{subject}"]
+        if content is None and self._random.random() < self.poison_ratio:
             names.append(POISON_PART)
-        parts = [PromptPart(name, 100) for name in (*names, f"own-{self._count}")]
+        own = f"own-{self._count}" if content is None else content
+        parts = [PromptPart(name, 100) for name in (*names, own)]
+        prompt = NO_PROMPT if self.is_plain else Prompt("m", 300, 50, 50, parts)
+        content = content or f"request:{own}"
         return SimpleNamespace(
             request_id=str(self._count),
             service=SimpleNamespace(name=SERVICE),
-            prompt=Prompt("m", 300, 50, 50, parts),
+            prompt=prompt,
+            content=content,
+            quarantine_names=(*prompt.shared_part_names, content),
+            crashes=0,
+            lost_runs=0,
         )
 
     async def _send(self, instance, request):
         """Send a request to backend servers in turn; record the first attempt."""
-        is_poison = POISON_PART in request.prompt.shared_part_names
+        is_poison = self._has_poison(request)
         lost_beginnings = 0
         for number in range(MAX_ATTEMPTS):
             if instance.table.check(request) is not None:
@@ -306,7 +334,7 @@
 
     async def _attempt(self, instance, request, backend):
         """Return whether an attempt had its first event, and whether it began."""
-        is_poison = POISON_PART in request.prompt.shared_part_names
+        is_poison = self._has_poison(request)
         await asyncio.sleep(CONNECT_S)
         if not backend.is_up:
             return False, False
@@ -315,10 +343,12 @@
         name, lost = backend.name, backend.lost
         started_ms = instance.clock.now_ms()
         begun_ms = None
-        is_lost = await _is_set(lost, self._random.uniform(0.05, MAX_WAITING_S))
+        min_s, max_s = (0.0, MAX_PLAIN_WAITING_S) if self.is_plain else WAITING_S
+        is_lost = await _is_set(lost, self._random.uniform(min_s, max_s))
         if not is_lost:
-            begun_ms = instance.clock.now_ms()
-            is_lost = await _is_set(lost, FIRST_EVENT_S)
+            begun_ms = None if self.is_plain else instance.clock.now_ms()
+            run_s = PLAIN_RUN_S if self.is_plain else FIRST_EVENT_S
+            is_lost = await _is_set(lost, run_s)
             if not is_lost and is_poison and self.is_poison:
                 self._crash(backend)
                 is_lost = True
@@ -337,9 +367,15 @@
             instance.reporter.observe(result)
             return False, begun_ms is not None
         instance.exchange.record_answered(request)
-        await _is_set(lost, STREAM_S)
+        if not self.is_plain:
+            await _is_set(lost, STREAM_S)
         return True, True
 
+    @staticmethod
+    def _has_poison(request):
+        names = request.quarantine_names
+        return POISON_PART in names or POISON_CONTENT in names
+
     def _crash(self, backend):
         if backend.is_up:
             self.crashes_ms.append(self.now_ms())
--- a/stoatpath/quarantine/features/quarantine.feature
+++ b/stoatpath/quarantine/features/quarantine.feature
@@ -73,6 +73,41 @@
       | 69    | 40      | 80   | 20     | restart          |
       | 69    | 40      | 80   | 5      | leave            |
 
+  # Guards against one request that, sent again and again, ends all backend servers.
+  Scenario Outline: At <count> instances, a <kind> request that comes again reaches few of <servers>
+    Given <count> instances before <servers> backend servers, <rate> requests a second
+    When one <kind> request that ends backend servers comes <repeats> times a second for 30 s
+    Then at most 3 of these reach backend servers later than 3 s after the third crash
+    And from 6 s after it at least 95 in 100 of the other requests are served at once
+    And no part of the other requests is in quarantine at the end
+
+    Examples:
+      | count | servers | rate | kind   | repeats |
+      | 1     | 3       | 20   | plain  | 2       |
+      | 7     | 4       | 15   | plain  | 2       |
+      | 7     | 4       | 15   | plain  | 10      |
+      | 7     | 9       | 40   | stream | 2       |
+      | 7     | 9       | 40   | stream | 10      |
+      | 69    | 12      | 80   | plain  | 5       |
+      | 69    | 40      | 80   | stream | 5       |
+      | 195   | 30      | 200  | plain  | 10      |
+      | 544   | 60      | 400  | plain  | 10      |
+
+  Scenario Outline: The same with a <kind> request while <faults> of <count> instances <fault>
+    Given <count> instances before <servers> backend servers, <rate> requests a second
+    When one <kind> request that ends backend servers comes 4 times a second for 30 s, while <faults> instances <fault>
+    Then at most 3 of these reach backend servers later than 3 s after the third crash
+    And no part of the other requests is in quarantine at the end
+
+    Examples:
+      | count | servers | rate | kind   | faults | fault   |
+      | 7     | 4       | 15   | plain  | 3      | join    |
+      | 7     | 4       | 15   | plain  | 3      | restart |
+      | 7     | 9       | 40   | stream | 3      | restart |
+      | 69    | 12      | 80   | plain  | 20     | join    |
+      | 69    | 12      | 80   | plain  | 20     | restart |
+      | 69    | 12      | 80   | plain  | 20     | leave   |
+
   # Guards against innocent parts in quarantine after ordinary crashes.
   Scenario Outline: Crashes without a cause in the requests lead to no lasting quarantine
     Given <count> instances before <servers> backend servers, <rate> requests a second
--- a/stoatpath/quarantine/features/steps/quarantine_steps.py
+++ b/stoatpath/quarantine/features/steps/quarantine_steps.py
@@ -31,7 +31,7 @@
 SETTLE_S = 4.0
 DRAIN_S = 5.0
 FAULT_AFTER_S = 1.0
-CRASHES = 5
+CRASHES_BY_ORDINAL = {"third": 3, "fifth": 5}
 
 
 @given("attempts with their request, backend server, time, stage and parts: {attempts}")
@@ -142,11 +142,12 @@
     context.size = count, servers, rate
 
 
-def play(context, scenario):
+def play(context, scenario, is_plain=False):
     """Run a scenario against a fleet that has run for some time without trouble."""
 
     async def main(loop):
         fleet = QuarantineFleet(loop, *context.size, SEED)
+        fleet.is_plain = is_plain
         context.fleet = fleet
         fleet.start()
         await asyncio.sleep(SETTLE_S)
@@ -208,6 +209,35 @@
     assert max(quiet_ms) < 15_000, max(quiet_ms)
 
 
+@when(
+    "one {kind} request that ends backend servers comes {rate:d} times a second "
+    "for {seconds:d} s"
+)
+def step_impl(context, kind, rate, seconds):
+    play_request(context, kind, rate, seconds, lambda fleet: asyncio.sleep(0))
+
+
+@when(
+    "one {kind} request that ends backend servers comes {rate:d} times a second "
+    "for {seconds:d} s, while {faults:d} instances {fault}"
+)
+def step_impl(context, kind, rate, seconds, faults, fault):
+    async def disturb(fleet):
+        await asyncio.sleep(FAULT_AFTER_S)
+        await fleet.disturb(faults, fault)
+
+    play_request(context, kind, rate, seconds, disturb)
+
+
+def play_request(context, kind, rate, seconds, disturb):
+    """Let a request that ends backend servers come again beside a disturbance."""
+
+    async def scenario(fleet):
+        await asyncio.gather(disturb(fleet), fleet.repeat_request(rate, seconds))
+
+    play(context, scenario, is_plain=kind == "plain")
+
+
 @when("a tenth of the backend servers end together every {pause:d} s for {seconds:d} s")
 def step_impl(context, pause, seconds):
     async def scenario(fleet):
@@ -220,14 +250,15 @@
 
 @then(
     "at most {count:d} of these reach backend servers "
-    "later than {seconds:d} s after the fifth crash"
+    "later than {seconds:d} s after the {nth} crash"
 )
-def step_impl(context, count, seconds):
+def step_impl(context, count, seconds, nth):
     fleet = context.fleet
+    context.crashes = CRASHES_BY_ORDINAL[nth]
     assert fleet.crashes_ms
-    if len(fleet.crashes_ms) < CRASHES:
+    if len(fleet.crashes_ms) < context.crashes:
         return
-    from_ms = fleet.crashes_ms[CRASHES - 1] + 1000 * seconds
+    from_ms = fleet.crashes_ms[context.crashes - 1] + 1000 * seconds
     late = [at_ms for at_ms in fleet.poison_ms if at_ms > from_ms]
     assert len(late) <= count, (len(late), len(fleet.crashes_ms))
 
@@ -238,7 +269,8 @@
 )
 def step_impl(context, seconds, least, total):
     crashes_ms = context.fleet.crashes_ms
-    from_ms = crashes_ms[min(CRASHES, len(crashes_ms)) - 1] + 1000 * seconds
+    last = min(context.crashes, len(crashes_ms)) - 1
+    from_ms = crashes_ms[last] + 1000 * seconds
     later = [is_served for at_ms, is_served in context.fleet.results if at_ms > from_ms]
     assert sum(later) * total >= least * len(later), (sum(later), len(later))
 
