Requests that come again and end backend servers are put into quarantine as a whole

Cause: the memory of failures by content knew prompt parts alone. An attempt lost without shared parts was dropped unseen, so no crash of booking-desk was ever recorded; a crash of the last server of a service counted as a partition; without a head a lost attempt weighed a third. Class: a poison request whose repeats have new identifiers, so every instance meets it as new. Ruled out: load (one lost attempt in most crashes) and parts.

Change: a digest of organisation, method, path, body and prompt parts names a whole request in the same evidence, keepers, decisions and gossip as a part. A crash counts if any other service is reached. After a quarantine one request at a time is tried. A request lost twice, once surely by a crash, isn't sent again; forwards check the quarantine, and before it was asked only after them.

The test of the platform asked for three ended replicas at least; two end now, so it asks for two, and counts runs from 3 s after the second crash if there is no third: the bound is reached sooner, so no less is checked.

--- a/features/platform/quarantine.feature
+++ b/features/platform/quarantine.feature
@@ -13,7 +13,7 @@
   Scenario: A request that ends backend servers gets to few of them, though it comes again
     Given 3 gateways and 4 plain replicas that end when they run the path "/look/dd"
     When callers send 12 other and 6 poison lookups a second through all gateways for 8 s
-    Then at least 3 replicas have ended
+    Then at least 2 replicas have ended
     And at most 3 poison requests reach replicas later than 3 s after the third crash
     And the refused poison requests are answered with 503 and a time to return
     And at least 9 in 10 of the other requests sent in the last 2 s are answered with 200
--- a/features/platform/steps/quarantine_steps.py
+++ b/features/platform/steps/quarantine_steps.py
@@ -139,10 +139,7 @@
 )
 def step_impl(context, count, seconds, nth):
     crashes_ms = context.fleet.deployment.crashes_ms
-    crashes = CRASHES_BY_ORDINAL[nth]
-    if len(crashes_ms) < crashes:
-        return
-    from_ms = crashes_ms[crashes - 1] + 1000 * seconds
+    from_ms = crashes_ms[: CRASHES_BY_ORDINAL[nth]][-1] + 1000 * seconds
     late = [
         request_id
         for arrived_ms, request_id in context.fleet.deployment.all_arrivals()
--- a/stoatpath/callers/messages.py
+++ b/stoatpath/callers/messages.py
@@ -8,7 +8,9 @@
     or identifier that the caller sent, or "". `body` is the decoded JSON of a chat
     completion or the raw bytes of a call of a plain service. `was_sent` is true if a
     backend server may have received the request. `lost_beginnings` counts the streams
-    whose connection was lost between the head of the answer and its first event.
+    whose connection was lost between the head of the answer and its first event,
+    `lost_runs` all runs whose connection was lost before, and `crashes` those under
+    which the backend server is known to have ended.
     """
 
     __slots__ = (
@@ -29,6 +31,8 @@
         "body",
         "was_sent",
         "lost_beginnings",
+        "lost_runs",
+        "crashes",
     )
 
     def __init__(
@@ -66,6 +70,8 @@
         self.body = body
         self.was_sent = False
         self.lost_beginnings = 0
+        self.lost_runs = 0
+        self.crashes = 0
 
 
 class ServedResult:
--- a/stoatpath/callers/relay_messages.py
+++ b/stoatpath/callers/relay_messages.py
@@ -2,6 +2,7 @@
 
 from xxhash import xxh3_128_hexdigest
 
+from stoatpath.quarantine.messages import whole_request_name
 from stoatpath.rollouts.releases import ANY_RELEASE
 
 
@@ -59,7 +60,9 @@
     API key of the caller, or "". `is_forwarded` says that another instance sent the
     request on, after `forwarded_runs` runs. `run_count` counts the runs that took place
     or may have, `lost_beginnings` the streams among them whose connection was lost
-    between the head of the answer and its first event. `releases` selects the releases
+    between the head of the answer and its first event, `lost_runs` all whose connection
+    was lost before a whole answer or an event, and `crashes` those under which the
+    backend server is known to have ended. `releases` selects the releases
     of the service that the request may run on; `release` is where it last ran.
     """
 
@@ -83,6 +86,8 @@
         "is_forwarded",
         "run_count",
         "lost_beginnings",
+        "lost_runs",
+        "crashes",
         "releases",
         "release",
     )
@@ -124,6 +129,8 @@
         self.is_forwarded = forwarded_runs is not None
         self.run_count = forwarded_runs or 0
         self.lost_beginnings = 0
+        self.lost_runs = 0
+        self.crashes = 0
         self.releases = ANY_RELEASE
         self.release = None
 
@@ -140,6 +147,11 @@
             self._content = xxh3_128_hexdigest(head.encode() + self.body)
         return self._content
 
+    @property
+    def quarantine_names(self):
+        """Return the names by which the request may be kept from backend servers."""
+        return (*self.prompt.shared_part_names, whole_request_name(self.content))
+
     @property
     def idempotency_key(self):
         """Return "": the route determines whether the request may be repeated."""
--- a/stoatpath/cascades/confidence.py
+++ b/stoatpath/cascades/confidence.py
@@ -130,14 +130,14 @@
         """Return `RelayedResult` or a failure."""
         router = self._router
         router.retry_budget.record_request(request.service.name)
-        if router.forwarder.is_needed(request):
-            forwarded = await router.forwarder.run(request, stream)
-            if forwarded is not None:
-                return _with_actual_outcome(request, forwarded)
         problem = router.quarantine.check(request)
         if problem is not None:
             self._record_decision(request, "quarantine", problem.detail)
             return problem
+        if router.forwarder.is_needed(request):
+            forwarded = await router.forwarder.run(request, stream)
+            if forwarded is not None:
+                return _with_actual_outcome(request, forwarded)
         request.releases = router.releases.choose(request)
         if not router.backends.of_service(request.service.name):
             return self._no_backend_failure(request)
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -23,9 +23,8 @@
 MAX_PERMIT_REQUESTS = 3
 MAX_LISTED_WITHHELD = 4
 LEAVING = "leaving"
-# Backend servers that may end as they begin to answer a request. One may have had
-# another cause.
-MAX_LOST_BEGINNINGS = 2
+# Backend servers that may end under a request. One may have had another cause.
+MAX_LOST_RUNS = 2
 CONNECTION_FAULTS = (BROKEN_ANSWER, FOREIGN_ANSWER, SILENT_CONNECTION)
 
 
@@ -63,9 +62,10 @@
         if attempt.was_pooled and failure.reason in CONNECTION_FAULTS:
             self.fresh_retry_names.add(name)
             self.tried_names.discard(name)
-        is_beginning = attempt.has_begun and not attempt.events
-        if is_beginning and self.relay is not None:
-            self.request.lost_beginnings += failure.reason in CONNECTION_FAULTS
+        if failure.reason in CONNECTION_FAULTS and not attempt.events:
+            self.request.lost_runs += failure.outcome is not Outcome.NOT_RUN
+            is_beginning = attempt.has_begun and self.relay is not None
+            self.request.lost_beginnings += is_beginning
         self.worst_failure = (
             failure
             if self.worst_failure is None
@@ -98,8 +98,8 @@
         """
         relay = self._policy.open_relay(request, stream)
         state = _RequestState(request, version, relay, min_confidence)
-        if request.lost_beginnings >= MAX_LOST_BEGINNINGS:
-            detail = "earlier backend servers ended as they began to answer"
+        if _ends_backends(request):
+            detail = "earlier backend servers ended under the request"
             return Failure(BROKEN_ANSWER, detail, Outcome.UNKNOWN)
         for retries in range(MAX_ATTEMPTS):
             choice = await self._acquire_backend(state)
@@ -130,8 +130,8 @@
             return False
         if not self._policy.may_run_again(request):
             return False
-        if request.lost_beginnings >= MAX_LOST_BEGINNINGS:
-            reason = "backend servers ended as they began to answer"
+        if _ends_backends(request):
+            reason = "backend servers ended under the request"
             self._record_decision(request, "retry", reason)
             return False
         if not self._router.retry_budget.try_spend(request.service.name):
@@ -325,6 +325,16 @@
         self._router.ring.record_decision(request.request_id, step, reason, **details)
 
 
+def _ends_backends(request):
+    """Return whether a request is not to be sent again, for those that ended under it.
+
+    That a stream is lost as it begins is evidence by itself. Other losses are common,
+    so one of the backend servers must be known to have ended.
+    """
+    has_crashed = request.crashes > 0 and request.lost_runs >= MAX_LOST_RUNS
+    return has_crashed or request.lost_beginnings >= MAX_LOST_RUNS
+
+
 def _elapsed_ms(started_ms, ended_ms):
     return None if ended_ms is None else round(ended_ms - started_ms, 1)
 
--- a/stoatpath/forwarding/forwarders.py
+++ b/stoatpath/forwarding/forwarders.py
@@ -22,6 +22,8 @@
 )
 
 MAX_FORWARDS = 3
+# Backend servers that may end under a request, here and at the peers.
+MAX_LOST_RUNS = 2
 # Failures after which a request that may run again is sent to another instance.
 LOST_REASONS = (BROKEN_ANSWER, FOREIGN_ANSWER, SILENT_CONNECTION)
 
@@ -68,12 +70,18 @@
         worst = None
         peers = self._peers.find(request.service.name)
         for number, peer in enumerate(peers[:MAX_FORWARDS], start=1):
+            problem = self._router.quarantine.check(request)
+            if problem is not None:
+                return worst or problem
             answer = await self._send(request, relay, peer, number)
             if not is_failure(answer):
                 return RelayedResult(answer, "", ["forwarded"], 0.0)
             worst = answer if worst is None else worst.combined_with(answer)
-            is_not_run = answer.outcome is Outcome.NOT_RUN
-            if not is_not_run and not self._try_repeat(request, answer):
+            if answer.outcome is Outcome.NOT_RUN:
+                continue
+            request.lost_runs += answer.reason in LOST_REASONS
+            is_lost_again = request.lost_runs >= MAX_LOST_RUNS
+            if is_lost_again or not self._try_repeat(request, answer):
                 break
         return worst
 
--- a/stoatpath/gateway_metrics.py
+++ b/stoatpath/gateway_metrics.py
@@ -190,12 +190,12 @@
     )
     yield Sample.gauge(
         "stoatpath_quarantined_parts",
-        "Prompt parts that no request may have, since backend servers end on them.",
+        "Prompt parts and whole requests in quarantine: backend servers end on them.",
         gateway.quarantine.count_in_force(),
     )
     yield Sample.counter(
         "stoatpath_quarantine_refused_total",
-        "Times that a request was not sent for a part in quarantine.",
+        "Times that a request was not sent for what is in quarantine.",
         gateway.quarantine.refused,
     )
     counts_by_state = {"usable": 0, "leaving": 0}
--- a/stoatpath/quarantine/exchanges.py
+++ b/stoatpath/quarantine/exchanges.py
@@ -19,6 +19,7 @@
     Quarantine,
     decode_duration_ms,
     decode_name,
+    is_whole_request,
 )
 from stoatpath.quarantine.suspicions import SuspicionTable
 from stoatpath.utils import cancel_and_wait, rendezvous_rank
@@ -85,12 +86,12 @@
     def record_answered(self, request):
         """Record that an answer to a request has come as far as its first event.
 
-        That proves that none of its parts ends backend servers, so a quarantine of one
-        is lifted.
+        That proves that neither it nor one of its parts ends backend servers, so a
+        quarantine of these is lifted.
         """
         service = request.service.name
         now_ms = self._clock.now_ms()
-        for part in request.prompt.shared_part_names:
+        for part in request.quarantine_names:
             self.history.record_answered(service, part, now_ms)
             if self.table.is_known(service, part):
                 self._start(self._lift(service, part))
@@ -154,9 +155,11 @@
             rest = [name for name in others if name not in sample]
             if rest and self._find(service):
                 await self._ask_histories(service, table, rest)
-            suspicions = self._find(service)
-            if suspicions:
-                await self._quarantine(service, table, suspicions[0])
+            suspicions = _strongest(self._find(service))
+            decisions = [
+                self._quarantine(service, table, suspicion) for suspicion in suspicions
+            ]
+            await asyncio.gather(*(self._tell_all(each) for each in decisions))
 
     def _find(self, service):
         """Return suspicions, without the crashes that quarantined parts explain."""
@@ -190,7 +193,8 @@
             except (KeyError, TypeError, ValueError) as error:
                 logger.warning("quarantine.unreadable", extra={"why": repr(error)})
 
-    async def _quarantine(self, service, table, suspicion):
+    def _quarantine(self, service, table, suspicion):
+        """Decide on one suspicion; return the decision as the others get it."""
         part = suspicion.part
         table.dismiss(part)
         logger.warning(
@@ -207,8 +211,7 @@
         repeats = self.table.next_repeats(service, part)
         end_ms = now_ms + min(MAX_QUARANTINE_MS, QUARANTINE_MS * 2**repeats)
         self.table.merge(Quarantine(service, part, version, end_ms, repeats))
-        decision = Quarantine(service, part, version, end_ms + TRIAL_MS, repeats)
-        await self._tell_all(decision)
+        return Quarantine(service, part, version, end_ms + TRIAL_MS, repeats)
 
     async def _lift(self, service, part):
         if not self.table.is_known(service, part):
@@ -273,3 +276,19 @@
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def _strongest(suspicions):
+    """Return the strongest suspicion, with those that the evidence can't tell from it.
+
+    Requests that were lost in the same crashes can't be told apart; parts can, by when
+    they were last answered.
+    """
+    first = suspicions[:1]
+    if not first or not is_whole_request(first[0].part):
+        return first
+    return [
+        each
+        for each in suspicions
+        if is_whole_request(each.part) and each.crashes == first[0].crashes
+    ]
--- a/stoatpath/quarantine/features/quarantine.feature
+++ b/stoatpath/quarantine/features/quarantine.feature
@@ -25,6 +25,37 @@
     When part x is dismissed
     Then the parts under suspicion are none
 
+  # Guards against a request that ends backend servers, and against refusing those beside it.
+  Scenario Outline: Lost attempts of the same content lead to a suspicion: <case>
+    Given attempts with their request, backend server, time, stage and parts: <attempts>
+    Then the requests under suspicion are <suspected>
+    And the parts under suspicion are none
+
+    Examples:
+      | case                                | attempts                                                             | suspected |
+      | alone in one crash                  | p s1 0 waiting -                                                     | none      |
+      | alone in two crashes                | p s1 0 waiting -; p s2 50 waiting -                                  | p         |
+      | beside others in two crashes        | p s1 0 waiting -; q s1 1 waiting -; p s2 900 waiting -; r s2 901 waiting - | none |
+      | beside others in three crashes      | p s1 0 waiting -; q s1 1 waiting -; p s2 900 waiting -; r s2 901 waiting -; p s3 1800 waiting -; q s3 1801 waiting - | p |
+      | not to be told from another         | p s1 0 waiting -; q s1 0 waiting -; p s2 900 waiting -; q s2 900 waiting -; p s3 1800 waiting -; q s3 1800 waiting - | p,q |
+      | backend servers end at one time     | p s1 0 waiting -; p s2 10 waiting -; p s3 15 waiting -               | none      |
+      | begun, with parts                   | p s1 0 begun a,x; p s2 900 begun a,x                                 | p         |
+      | waited where another had begun      | p s1 0 begun a,x; q s1 0 waiting a,y; p s2 900 begun a,x; q s2 900 waiting a,y | p |
+      | lost in different crashes           | p s1 0 waiting -; q s2 900 waiting -                                 | none      |
+
+  # Guards against parts in quarantine since one request with them ends backend servers.
+  Scenario: The parts of a request that is dismissed stay open
+    Given attempts with their request, backend server, time, stage and parts: p s1 0 begun a,x; q s1 1 waiting a,x; p s2 900 begun a,x; r s2 901 waiting b,x; s s3 1800 waiting a,x
+    When request p is dismissed
+    Then the parts under suspicion are none
+    And the requests under suspicion are none
+
+  # Guards against a poison part that is hidden by a request with it that came more often.
+  Scenario: A part counts beside a request with it that is dismissed
+    Given attempts with their request, backend server, time, stage and parts: p s1 0 begun a,x; p s2 900 begun a,x; q s3 1800 begun b,x
+    When request p is dismissed
+    Then the parts under suspicion are x
+
   Scenario: A part that was in quarantine is suspected at the next crash
     Given attempts with their request, backend server, time, stage and parts: r1 s1 0 begun a,x
     Then with x known from before, the parts under suspicion are x
@@ -40,6 +71,7 @@
       | the answer broke off            | accepts         | accept          | before the first event    | is not reported |
       | the answer had begun            | accepts nothing | accept          | after the first event     | is not reported |
       | this instance is cut off        | accepts nothing | accept nothing  | before the first event    | is not reported |
+      | all of the service ended        | accepts nothing | are of another service | before the first event | is reported  |
 
   Scenario Outline: At <count> instances, few requests with a poison part reach backend servers
     Given <count> instances before <servers> backend servers, <rate> requests a second
--- a/stoatpath/quarantine/messages.py
+++ b/stoatpath/quarantine/messages.py
@@ -3,32 +3,76 @@
 MAX_NAME_CHARS = 200
 MAX_PARTS = 64
 MAX_TIME_LEFT_MS = 86_400_000.0
+# Begins the name of a whole request, which its digest follows; no prompt part has it.
+WHOLE_REQUEST = "request:"
+
+
+def whole_request_name(digest):
+    """Return the name of all requests with the same content."""
+    return f"{WHOLE_REQUEST}{digest}"
+
+
+def is_whole_request(name):
+    """Return whether a name is that of whole requests, not of a prompt part."""
+    return name.startswith(WHOLE_REQUEST)
 
 
 class LostAttempt:
     """An attempt whose backend server ended before the first event of its answer.
 
-    `parts` are the names of the prompt parts that other requests may share.
-    `has_begun` says that the head of an answer had arrived. `lost_ms` is a clock
-    reading; as JSON it is an age, since the clocks of instances differ.
+    `parts` are the names of the prompt parts that other requests may share, `content`
+    is the name of the whole request. `has_begun` says that the head of an answer had
+    arrived. `started_ms` and `lost_ms` are clock readings; as JSON they are ages, since
+    the clocks of instances differ.
     """
 
-    __slots__ = ("backend", "request_id", "parts", "has_begun", "lost_ms")
-
-    def __init__(self, backend, request_id, parts, has_begun, lost_ms):
+    __slots__ = (
+        "backend",
+        "request_id",
+        "parts",
+        "content",
+        "has_begun",
+        "started_ms",
+        "lost_ms",
+    )
+
+    def __init__(
+        self, backend, request_id, parts, content, has_begun, started_ms, lost_ms
+    ):
         self.backend = backend
         self.request_id = request_id
         self.parts = parts
+        self.content = content
         self.has_begun = has_begun
+        self.started_ms = started_ms
         self.lost_ms = lost_ms
 
+    @property
+    def names(self):
+        """Return all names by which such requests may be put into quarantine."""
+        return (*self.parts, self.content) if self.content else self.parts
+
+    def without_content(self):
+        """Return the same attempt as evidence against its parts alone."""
+        return LostAttempt(
+            self.backend,
+            self.request_id,
+            self.parts,
+            "",
+            self.has_begun,
+            self.started_ms,
+            self.lost_ms,
+        )
+
     def to_json(self, now_ms):
         """Return the JSON form."""
         return {
             "backend": self.backend,
             "request": self.request_id,
             "parts": list(self.parts),
+            "content": self.content,
             "begun": self.has_begun,
+            "start_age_ms": now_ms - self.started_ms,
             "age_ms": now_ms - self.lost_ms,
         }
 
@@ -39,7 +83,9 @@
             decode_name(data["backend"]),
             decode_name(data["request"]),
             tuple(decode_name(part) for part in list(data["parts"])[:MAX_PARTS]),
+            decode_name(data["content"]),
             data["begun"] is True,
+            now_ms - decode_duration_ms(data["start_age_ms"]),
             now_ms - decode_duration_ms(data["age_ms"]),
         )
 
@@ -47,9 +93,10 @@
 class Quarantine:
     """A decision to send no request with a prompt part to a service, or to end that.
 
-    Of two decisions about a part, the one with the higher `version` holds. `until_ms`
-    is a clock reading; as JSON it is the time left. `repeats` counts the quarantines of
-    the part before this one, without an answer to it in between.
+    `part` names the prompt part, or whole requests with the same content. Of two
+    decisions about a part, the one with the higher `version` holds. `until_ms` is a
+    clock reading; as JSON it is the time left. `repeats` counts the quarantines of the
+    part before this one, without an answer to it in between.
     """
 
     __slots__ = ("service", "part", "version", "until_ms", "repeats", "is_lifted")
--- a/stoatpath/quarantine/quarantines.py
+++ b/stoatpath/quarantine/quarantines.py
@@ -1,4 +1,4 @@
-"""The prompt parts that no request to a service may have, and until when."""
+"""What no request to a service may have or be, and until when."""
 
 import logging
 
@@ -7,44 +7,74 @@
 logger = logging.getLogger(__name__)
 
 MAX_QUARANTINES = 1_000
+# Pause after a request that shows whether a quarantine that has ended was lifted too
+# early: an attempt, and the decision of the keepers, take less.
+TRIAL_PAUSE_MS = 2_000.0
 # Time for which a decision is remembered after its end.
 REMEMBERED_MS = 600_000.0
 
 
+class _Trial:
+    """A request that was let through after a quarantine; others wait until a time."""
+
+    __slots__ = ("request_id", "until_ms")
+
+    def __init__(self, request_id, until_ms):
+        self.request_id = request_id
+        self.until_ms = until_ms
+
+
 class QuarantineTable:
-    """The newest decision about each part, as all instances share them.
+    """The newest decision about each part or whole request, shared by all instances.
 
     `refused` counts the requests that were not sent because of one.
     """
 
-    __slots__ = ("refused", "_by_key", "_clock")
+    __slots__ = ("refused", "_by_key", "_trials_by_key", "_clock")
 
     def __init__(self, clock):
         self.refused = 0
         self._by_key = {}
+        self._trials_by_key = {}
         self._clock = clock
 
     def check(self, request):
         """Return the failure of a request that must not be sent, or None."""
         if not self._by_key:
             return None
-        until_ms = max(
-            (
-                self.until_ms(request.service.name, part)
-                for part in request.prompt.shared_part_names
-            ),
-            default=float("-inf"),
-        )
+        service = request.service.name
+        names = request.quarantine_names
+        until_ms = max(self.until_ms(service, name) for name in names)
+        if until_ms <= self._clock.now_ms():
+            until_ms = max(self._trial_until_ms(request, name) for name in names)
         if until_ms <= self._clock.now_ms():
             return None
         self.refused += 1
-        detail = "backend servers end on a part of the prompt"
+        detail = "backend servers end on it, or on a part of its prompt"
         return Failure(QUARANTINED, detail, retry_at_ms=until_ms)
 
     def check_send(self, request, version):
         """Return the same for one attempt."""
         return self.check(request)
 
+    def _trial_until_ms(self, request, name):
+        """Return until when a request waits for the trial of another one.
+
+        After a quarantine, requests are let through one at a time until one is
+        answered, and none that has lost a run.
+        """
+        key = (request.service.name, name)
+        if not self.is_known(*key):
+            return float("-inf")
+        now_ms = self._clock.now_ms()
+        trial = self._trials_by_key.get(key)
+        if trial is None or trial.until_ms <= now_ms:
+            until_ms = now_ms + TRIAL_PAUSE_MS
+            trial = self._trials_by_key[key] = _Trial(request.request_id, until_ms)
+            logger.info("quarantine.trial", extra={"service": key[0], "part": name})
+        is_on_trial = trial.request_id == request.request_id and not request.lost_runs
+        return float("-inf") if is_on_trial else trial.until_ms
+
     def until_ms(self, service, part):
         """Return when the quarantine of a part ends, -inf if there is none."""
         quarantine = self._by_key.get((service, part))
@@ -112,3 +142,4 @@
         for key, each in list(self._by_key.items()):
             if each.until_ms + REMEMBERED_MS <= now_ms:
                 del self._by_key[key]
+                self._trials_by_key.pop(key, None)
--- a/stoatpath/quarantine/reporters.py
+++ b/stoatpath/quarantine/reporters.py
@@ -4,7 +4,7 @@
 import logging
 
 from stoatpath.outcomes import BROKEN_ANSWER, SILENT_CONNECTION
-from stoatpath.quarantine.messages import LostAttempt
+from stoatpath.quarantine.messages import LostAttempt, whole_request_name
 from stoatpath.utils import cancel_and_wait
 
 logger = logging.getLogger(__name__)
@@ -32,7 +32,7 @@
         "_report",
         "_clock",
         "_random",
-        "_attempts_by_backend",
+        "_results_by_backend",
         "_tasks",
     )
 
@@ -43,28 +43,18 @@
         self._report = report
         self._clock = clock
         self._random = random
-        self._attempts_by_backend = {}
+        self._results_by_backend = {}
         self._tasks = set()
 
     def observe(self, result):
         """Look at the `AttemptResult` of an attempt."""
         if result.reason not in LOST_REASONS or result.events:
             return
-        parts = result.request.prompt.shared_part_names
-        if not parts:
+        results = self._results_by_backend.get(result.backend)
+        if results is not None:
+            results.append(result)
             return
-        attempt = LostAttempt(
-            result.backend,
-            result.request.request_id,
-            parts,
-            result.first_byte_ms is not None,
-            result.ended_ms,
-        )
-        attempts = self._attempts_by_backend.get(result.backend)
-        if attempts is not None:
-            attempts.append(attempt)
-            return
-        self._attempts_by_backend[result.backend] = [attempt]
+        self._results_by_backend[result.backend] = [result]
         check = self._check(result.backend, result.request.service.name)
         task = asyncio.get_running_loop().create_task(check)
         self._tasks.add(task)
@@ -79,12 +69,15 @@
         try:
             has_ended = await self._has_ended(name, service)
         finally:
-            attempts = self._attempts_by_backend.pop(name)
+            results = self._results_by_backend.pop(name)
+        attempts = [_lost_attempt(result) for result in results]
         if not has_ended:
             extra = {"backend": name, "lost": len(attempts)}
             logger.info("backends.connections-lost", extra=extra)
             return
         self.crashes += 1
+        for result in results:
+            result.request.crashes += 1
         logger.info(
             "backends.crashed",
             extra={
@@ -98,17 +91,44 @@
         await self._report(service, attempts[:MAX_REPORTED_ATTEMPTS])
 
     async def _has_ended(self, name, service):
-        """Return whether a backend server is unreachable while others are not."""
+        """Return whether a backend server is unreachable while others are not.
+
+        All of a service may have ended, so those of other services count too.
+        """
         backend = self._backends.by_name.get(name)
         if backend is None:
             return True
         if await self._is_reachable(backend.address):
             return False
+        of_service = self._backends.of_service(service)
+        peers = [each for each in of_service if each is not backend]
         others = [
-            each for each in self._backends.of_service(service) if each is not backend
+            each
+            for each in self._backends.by_name.values()
+            if each.name != name and each.service != service
         ]
-        compared = self._random.sample(others, min(COMPARED_BACKENDS, len(others)))
+        for group in (peers, others):
+            if await self._is_any_reachable(group):
+                return True
+        return not peers and not others
+
+    async def _is_any_reachable(self, backends):
+        """Return whether one of some backend servers accepts connections."""
+        compared = self._random.sample(backends, min(COMPARED_BACKENDS, len(backends)))
         answers = await asyncio.gather(
             *(self._is_reachable(each.address) for each in compared)
         )
-        return any(answers) or not others
+        return any(answers)
+
+
+def _lost_attempt(result):
+    request = result.request
+    return LostAttempt(
+        result.backend,
+        request.request_id,
+        request.prompt.shared_part_names,
+        whole_request_name(request.content),
+        result.first_byte_ms is not None,
+        result.started_ms,
+        result.ended_ms,
+    )
