Reproduce: one request ends plain services again and again through routers (failing)

The same cause on the product's own interface: nothing there remembers the content of a request under which a backend server ended.

--- a/stoatpath/standins/services.py
+++ b/stoatpath/standins/services.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 
+from stoatpath.clock import Clock
 from stoatpath.standins.connections import (
     SilentConnections,
     reset_during_request,
@@ -18,7 +19,7 @@
 )
 from stoatpath.standins.faults import FaultTable
 from stoatpath.standins.servers import StandinServer, drop_connection
-from stoatpath.utils import encode_json
+from stoatpath.utils import cancel_and_wait, encode_json
 
 REQUEST_ID_HEADER = "Stoatpath-Request-Id"
 
@@ -28,6 +29,7 @@
 
     `echoes` is whether responses repeat the identifier of the request;
     `cache_control` is the value of the `Cache-Control` header, or "" for none.
+    `ends_ms` are the clock readings at which a request ended it; see `end_on`.
     """
 
     __slots__ = (
@@ -39,6 +41,11 @@
         "echoes",
         "cache_control",
         "connections",
+        "ends_ms",
+        "_poison_path",
+        "_down_s",
+        "_transports",
+        "_restarts",
         "_server",
     )
 
@@ -51,6 +58,11 @@
         self.echoes = True
         self.cache_control = ""
         self.connections = SilentConnections()
+        self.ends_ms = []
+        self._poison_path = None
+        self._down_s = 0.0
+        self._transports = set()
+        self._restarts = set()
         self._server = StandinServer(
             [
                 web.get("/stoatpath/load", self._load),
@@ -64,8 +76,14 @@
 
     async def stop(self):
         """Stop listening and drop all connections."""
+        await cancel_and_wait(list(self._restarts))
         await self._server.stop()
 
+    def end_on(self, path, down_s):
+        """End under each request for a path, and listen again after some seconds."""
+        self._poison_path = path
+        self._down_s = down_s
+
     async def _load(self, request):
         report = {
             "name": self.name,
@@ -87,17 +105,36 @@
             return web.Response(status=503)
         if kind == "reset-during":
             return await reset_during_request(request)
+        self._transports.add(request.transport)
         body = await request.text()
         request_id = request.headers.get(REQUEST_ID_HEADER, "")
         if kind == "not-run":
             headers = {"Engine-Not-Run": "true", **self._echo_headers(request_id)}
             return web.Response(status=503, headers=headers)
         self.executions.append((request_id, request.method, request.path, body))
+        if request.path == self._poison_path:
+            self._end()
+            return web.Response()
         await asyncio.sleep(
             (fault.delay_ms if kind == "slow" else self.delay_ms) / 1000
         )
         return await self._answer(request, request_id, kind)
 
+    def _end(self):
+        self.ends_ms.append(Clock().now_ms())
+        for transport in self._transports:
+            transport.abort()
+        self._transports.clear()
+        restart = asyncio.get_running_loop().create_task(self._restart())
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
+    async def _restart(self):
+        host, _, port = self._server.address.rpartition(":")
+        await self._server.stop()
+        await asyncio.sleep(self._down_s)
+        await self._server.start(host, int(port))
+
     async def _answer(self, request, request_id, kind):
         echoed = "foreign" if kind == "wrong-id" else request_id
         headers = self._echo_headers(echoed)
--- a/stoatpath/standins/sites.py
+++ b/stoatpath/standins/sites.py
@@ -105,6 +105,14 @@
         )
         return controller
 
+    def services_of(self, service):
+        """Return the stand-ins of a plain service."""
+        return [
+            standin
+            for name, standin in self.services_by_name.items()
+            if name.rpartition("-")[0] == service
+        ]
+
     def settings(self, name, zone, **overrides):
         """Return the settings of a process of this site."""
         mapping = self.settings_mapping(name, zone, **overrides)
