Routers put requests that end backend servers into quarantine too

Cause: the quarantine was built for gateways alone, with prompt parts in mind; the requests of routers name none. Change: routers have the same table, reporter, keepers and metrics; a request of a caller names its content. A crash is compared with all other backend servers by their own service, so the directory needs no index. The model of instances has a backend server of another service, and keeps crashed ones in its directory as a real one does.

--- a/stoatpath/callers/messages.py
+++ b/stoatpath/callers/messages.py
@@ -1,5 +1,10 @@
 """Messages between the listener and the pipeline that serves requests."""
 
+from xxhash import xxh3_128_hexdigest
+
+from stoatpath.quarantine.messages import whole_request_name
+from stoatpath.utils import encode_json
+
 
 class CallerRequest:
     """One authenticated request of a caller.
@@ -29,6 +34,7 @@
         "path",
         "content_type",
         "body",
+        "_content",
         "was_sent",
         "lost_beginnings",
         "lost_runs",
@@ -68,11 +74,36 @@
         self.path = path
         self.content_type = content_type
         self.body = body
+        self._content = None
         self.was_sent = False
         self.lost_beginnings = 0
         self.lost_runs = 0
         self.crashes = 0
 
+    @property
+    def content(self):
+        """Return a digest of what makes two requests the same to a backend server.
+
+        That is the organisation, method, path and body.
+        """
+        if self._content is None:
+            body = self.body
+            if not isinstance(body, bytes):
+                body = encode_json(body)
+            head = "\n".join((self.organisation.name, self.method, self.path, ""))
+            self._content = xxh3_128_hexdigest(head.encode() + body)
+        return self._content
+
+    @property
+    def shared_part_names(self):
+        """Return (): the parts of prompts are not known here."""
+        return ()
+
+    @property
+    def quarantine_names(self):
+        """Return the names by which the request may be kept from backend servers."""
+        return (whole_request_name(self.content),)
+
 
 class ServedResult:
     """A complete answer for the caller.
--- a/stoatpath/callers/relay_messages.py
+++ b/stoatpath/callers/relay_messages.py
@@ -147,10 +147,15 @@
             self._content = xxh3_128_hexdigest(head.encode() + self.body)
         return self._content
 
+    @property
+    def shared_part_names(self):
+        """Return the names of the prompt parts that other requests may share."""
+        return self.prompt.shared_part_names
+
     @property
     def quarantine_names(self):
         """Return the names by which the request may be kept from backend servers."""
-        return (*self.prompt.shared_part_names, whole_request_name(self.content))
+        return (*self.shared_part_names, whole_request_name(self.content))
 
     @property
     def idempotency_key(self):
--- a/stoatpath/cascades/runners.py
+++ b/stoatpath/cascades/runners.py
@@ -27,6 +27,10 @@
 
     async def run(self, request, stream):
         """Return `ServedResult` or a failure."""
+        problem = self._router.quarantine.check(request)
+        if problem is not None:
+            self._record_decision(request, "quarantine", problem.detail)
+            return problem
         if request.service.kind != MODEL_SERVICE:
             return await self._run_plain_service(request, stream)
         return await self._run_plan(request, stream)
--- a/stoatpath/dispatch/connections.py
+++ b/stoatpath/dispatch/connections.py
@@ -1,5 +1,6 @@
 """Connection pools to backend servers, replaced when a connection goes silent."""
 
+import asyncio
 import logging
 
 import aiohttp
@@ -14,6 +15,18 @@
 OMITTED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding")
 
 
+async def accepts_connections(address, timeout_ms=CONNECT_TIMEOUT_MS):
+    """Return whether an address accepts a connection; no request is sent."""
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except (TimeoutError, OSError):
+        return False
+    writer.close()
+    return True
+
+
 class Cohort:
     """The pool of connections to one backend server, which is dropped as a whole.
 
--- a/stoatpath/dispatch/engine_policies.py
+++ b/stoatpath/dispatch/engine_policies.py
@@ -42,7 +42,8 @@
 
     def check_send(self, request, version):
         """Return the failure of an attempt that must not be sent, or None."""
-        return self._router.guard.check_send(request, version)
+        problem = self._router.guard.check_send(request, version)
+        return problem or self._router.quarantine.check(request)
 
     def candidates(self, request, version, relay):
         """Return the backend servers that can run an attempt."""
--- a/stoatpath/dispatch/features/steps/dispatch_rig.py
+++ b/stoatpath/dispatch/features/steps/dispatch_rig.py
@@ -25,6 +25,7 @@
 from stoatpath.membership.members import MemberTable
 from stoatpath.membership.messages import LIVE, Member
 from stoatpath.outcomes import is_failure
+from stoatpath.quarantine.quarantines import QuarantineTable
 from stoatpath.routing.choosers import LeastTimeChooser
 from stoatpath.services.messages import ListedInstance
 from stoatpath.standins.engines import EngineStandin
@@ -75,6 +76,7 @@
             sender=Sender(self.clock, SHORT_TIMEOUT_MS),
             retry_budget=RetryBudget(),
             send_gate=self._build_send_gate(),
+            quarantine=QuarantineTable(self.clock),
             guard=SimpleNamespace(check_send=lambda request, version: None),
             ring=SimpleNamespace(record_decision=self._record_decision),
         )
--- a/stoatpath/gateway_metrics.py
+++ b/stoatpath/gateway_metrics.py
@@ -1,6 +1,7 @@
 """The metrics of a gateway, read from its components at each scrape."""
 
 from stoatpath.log import dropped_lines
+from stoatpath.metric_sources import quarantine_samples
 from stoatpath.metrics import Sample
 
 
@@ -183,21 +184,7 @@
         "Attempts sent through another instance.",
         gateway.forwarder.forwarded,
     )
-    yield Sample.counter(
-        "stoatpath_backend_crashes_total",
-        "Backend servers that ended under a request before its answer had begun.",
-        gateway.crash_reporter.crashes,
-    )
-    yield Sample.gauge(
-        "stoatpath_quarantined_parts",
-        "Prompt parts and whole requests in quarantine: backend servers end on them.",
-        gateway.quarantine.count_in_force(),
-    )
-    yield Sample.counter(
-        "stoatpath_quarantine_refused_total",
-        "Times that a request was not sent for what is in quarantine.",
-        gateway.quarantine.refused,
-    )
+    yield from quarantine_samples(gateway)
     counts_by_state = {"usable": 0, "leaving": 0}
     for backend in gateway.backends.by_name.values():
         counts_by_state["leaving" if backend.is_leaving else "usable"] += 1
--- a/stoatpath/measure/quarantine_models.py
+++ b/stoatpath/measure/quarantine_models.py
@@ -22,6 +22,7 @@
 from stoatpath.quarantine.reporters import CrashReporter
 
 SERVICE = "desk-assist"
+OTHER_SERVICE = "booking-desk"
 POISON_PART = "poison"
 POISON_CONTENT = "poison"
 BEGINNINGS = 3
@@ -48,11 +49,12 @@
 class ModelBackend:
     """A backend server; a crash ends all of its attempts, and it is back later."""
 
-    __slots__ = ("name", "address", "is_up", "lives", "lost")
+    __slots__ = ("name", "address", "service", "is_up", "lives", "lost")
 
-    def __init__(self, name):
+    def __init__(self, name, service):
         self.name = name
         self.address = name
+        self.service = service
         self.is_up = True
         self.lives = 0
         self.lost = asyncio.Event()
@@ -121,6 +123,7 @@
     __slots__ = (
         "loop",
         "backends",
+        "other_backend",
         "instances_by_name",
         "handlers_by_name",
         "killed",
@@ -145,7 +148,10 @@
 
     def __init__(self, loop, instances, servers, rate_per_s, seed):
         self.loop = loop
-        self.backends = [ModelBackend(f"server-{index}") for index in range(servers)]
+        self.backends = [
+            ModelBackend(f"server-{index}", SERVICE) for index in range(servers)
+        ]
+        self.other_backend = ModelBackend("other", OTHER_SERVICE)
         self.instances_by_name = {}
         self.handlers_by_name = {}
         self.killed = set()
@@ -172,12 +178,8 @@
 
     @property
     def by_name(self):
-        """Backend servers that are up, as a directory has them."""
-        return {each.name: each for each in self.backends if each.is_up}
-
-    def of_service(self, service):
-        """Return the backend servers that an instance knows."""
-        return self.backends
+        """Backend servers as a directory has them, with one of another service."""
+        return {each.name: each for each in (*self.backends, self.other_backend)}
 
     def now_ms(self):
         """Return virtual time."""
@@ -190,7 +192,9 @@
     async def is_reachable(self, address):
         """Return whether a backend server accepts connections."""
         await asyncio.sleep(CONNECT_S)
-        return any(each.is_up for each in self.backends if each.address == address)
+        return any(
+            each.is_up for each in self.by_name.values() if each.address == address
+        )
 
     def innocent_parts(self):
         """Return the parts and requests in quarantine at any instance but poison."""
@@ -310,7 +314,7 @@
         return SimpleNamespace(
             request_id=str(self._count),
             service=SimpleNamespace(name=SERVICE),
-            prompt=prompt,
+            shared_part_names=prompt.shared_part_names,
             content=content,
             quarantine_names=(*prompt.shared_part_names, whole_request_name(content)),
             crashes=0,
--- a/stoatpath/metric_sources.py
+++ b/stoatpath/metric_sources.py
@@ -12,6 +12,7 @@
     samples += _request_samples(router.listener)
     samples += _backend_samples(router.backends)
     samples += _admission_samples(router)
+    samples += quarantine_samples(router)
     samples.append(
         Sample.gauge(
             "stoatpath_billing_outbox_records",
@@ -36,6 +37,28 @@
     return samples
 
 
+def quarantine_samples(router):
+    """Return the samples of the quarantine of a router or a gateway."""
+    return [
+        Sample.counter(
+            "stoatpath_backend_crashes_total",
+            "Backend servers that ended under a request before its answer had begun.",
+            router.crash_reporter.crashes,
+        ),
+        Sample.gauge(
+            "stoatpath_quarantined_parts",
+            "Prompt parts and whole requests in quarantine: backend servers end on "
+            "them.",
+            router.quarantine.count_in_force(),
+        ),
+        Sample.counter(
+            "stoatpath_quarantine_refused_total",
+            "Times that a request was not sent for what is in quarantine.",
+            router.quarantine.refused,
+        ),
+    ]
+
+
 def node_samples(node):
     """Return the samples that routers and controllers share."""
     follower = node.follower
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -1,6 +1,5 @@
 """Sends requests to backend servers and decodes the heads of their answers."""
 
-import asyncio
 import math
 import socket
 
@@ -9,6 +8,7 @@
 
 from stoatpath.backpressure.messages import BackendSignals
 from stoatpath.callers.relay_messages import AnswerHead
+from stoatpath.dispatch.connections import accepts_connections
 from stoatpath.dispatch.response_handlers import use_checked_handler
 from stoatpath.platform import names
 
@@ -106,15 +106,8 @@
 
     async def is_reachable(self, address):
         """Return whether an address accepts a connection; no request is sent."""
-        host, _, port = address.rpartition(":")
         self.calls += 1
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except (TimeoutError, OSError):
-            return False
-        writer.close()
-        return True
+        return await accepts_connections(address, CONNECT_TIMEOUT_MS)
 
 
 def decode_head(response):
--- a/stoatpath/quarantine/exchanges.py
+++ b/stoatpath/quarantine/exchanges.py
@@ -96,6 +96,11 @@
             if self.table.is_known(service, part):
                 self._start(self._lift(service, part))
 
+    def observe(self, result):
+        """Record the `AttemptResult` of an attempt that was answered."""
+        if result.reason is None or result.events:
+            self.record_answered(result.request)
+
     async def report(self, service, attempts):
         """Send the lost attempts of one crash to the keepers."""
         now_ms = self._clock.now_ms()
--- a/stoatpath/quarantine/features/steps/quarantine_steps.py
+++ b/stoatpath/quarantine/features/steps/quarantine_steps.py
@@ -7,7 +7,6 @@
 from behave import given, then, when
 from hypothesis import given as forall, settings, strategies as st
 
-from stoatpath.callers.relay_messages import Prompt, PromptPart
 from stoatpath.clock import ManualClock
 from stoatpath.dispatch.messages import AttemptResult
 from stoatpath.measure.quarantine_models import QuarantineFleet
@@ -117,10 +116,9 @@
 @when("a request with the parts {parts} loses its connection there {stage}")
 def step_impl(context, parts, stage):
     events = 1 if stage.startswith("after") else 0
-    prompt = Prompt("m", 1, 1, 1, [PromptPart(p, 1) for p in (*parts.split(","), "e")])
     request = SimpleNamespace(
         request_id="r1",
-        prompt=prompt,
+        shared_part_names=tuple(parts.split(",")),
         content="c1",
         crashes=0,
         service=SimpleNamespace(name="desk"),
@@ -140,12 +138,7 @@
         SimpleNamespace(name=name, address=name, service=service)
         for name, service in context.services_by_name.items()
     ]
-    directory = SimpleNamespace(
-        by_name={each.name: each for each in backends},
-        of_service=lambda service: [
-            each for each in backends if each.service == service
-        ],
-    )
+    directory = SimpleNamespace(by_name={each.name: each for each in backends})
     context.reports = []
 
     async def is_reachable(address):
--- a/stoatpath/quarantine/reporters.py
+++ b/stoatpath/quarantine/reporters.py
@@ -67,7 +67,7 @@
     async def _check(self, name, service):
         await self._clock.sleep_until(self._clock.now_ms() + COLLECT_MS)
         try:
-            has_ended = await self._has_ended(name, service)
+            has_ended = await self._has_ended(name)
         finally:
             results = self._results_by_backend.pop(name)
         attempts = [_lost_attempt(result) for result in results]
@@ -90,7 +90,7 @@
         attempts.sort(key=lambda each: not each.has_begun)
         await self._report(service, attempts[:MAX_REPORTED_ATTEMPTS])
 
-    async def _has_ended(self, name, service):
+    async def _has_ended(self, name):
         """Return whether a backend server is unreachable while others are not.
 
         All of a service may have ended, so those of other services count too.
@@ -100,17 +100,13 @@
             return True
         if await self._is_reachable(backend.address):
             return False
-        of_service = self._backends.of_service(service)
-        peers = [each for each in of_service if each is not backend]
-        others = [
-            each
-            for each in self._backends.by_name.values()
-            if each.name != name and each.service != service
-        ]
-        for group in (peers, others):
+        others = [each for each in self._backends.by_name.values() if each.name != name]
+        of_service = [each for each in others if each.service == backend.service]
+        of_other_services = [each for each in others if each not in of_service]
+        for group in (of_service, of_other_services):
             if await self._is_any_reachable(group):
                 return True
-        return not peers and not others
+        return not others
 
     async def _is_any_reachable(self, backends):
         """Return whether one of some backend servers accepts connections."""
@@ -126,7 +122,7 @@
     return LostAttempt(
         result.backend,
         request.request_id,
-        request.prompt.shared_part_names,
+        request.shared_part_names,
         whole_request_name(request.content),
         result.first_byte_ms is not None,
         result.started_ms,
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -27,6 +27,7 @@
 from stoatpath.clock import Clock
 from stoatpath.configuration.guards import FreshnessGuard
 from stoatpath.dispatch.attempts import AttemptRunner
+from stoatpath.dispatch.connections import accepts_connections
 from stoatpath.dispatch.retries import RetryBudget
 from stoatpath.dispatch.senders import Sender
 from stoatpath.explanations.finders import ExplanationFinder
@@ -39,6 +40,9 @@
 from stoatpath.metric_sources import router_samples
 from stoatpath.metrics import MetricsServer
 from stoatpath.nodes import Node
+from stoatpath.quarantine.exchanges import QuarantineExchange
+from stoatpath.quarantine.quarantines import QuarantineTable
+from stoatpath.quarantine.reporters import CrashReporter
 from stoatpath.rollouts.assigners import VersionAssigner
 from stoatpath.rollouts.nodes import RolloutNode, RolloutSampling
 from stoatpath.routing.choosers import LeastTimeChooser
@@ -91,6 +95,9 @@
         "sender",
         "retry_budget",
         "send_gate",
+        "quarantine",
+        "quarantine_exchange",
+        "crash_reporter",
         "pipeline",
         "listener",
         "metrics",
@@ -147,7 +154,12 @@
         self.retry_budget = RetryBudget()
         self.send_gate = self._build_send_gate(rng)
         self.attempts = AttemptRunner(self, rng)
-        self.attempts.observers.append(self.chooser.breakers.observe)
+        self._build_quarantine(rng)
+        self.attempts.observers += [
+            self.chooser.breakers.observe,
+            self.quarantine_exchange.observe,
+            self.crash_reporter.observe,
+        ]
         self.stages = StageRunner(self)
         self.pipeline = Pipeline(self)
         self.listener = Listener(self, self.pipeline)
@@ -231,6 +243,8 @@
         await self.sampling.sampler.stop()
         await self.rollouts.broadcaster.stop()
         await self.send_gate.close()
+        await self.crash_reporter.close()
+        await self.quarantine_exchange.close()
         await self.sender.close()
         await self.rater.close()
         await self.ratings.connection.close()
@@ -264,6 +278,27 @@
             limits, permits, HoldOffs(rng), SlotShares(node.members, rng), self.clock
         )
 
+    def _build_quarantine(self, rng):
+        """Build what keeps requests that end backend servers from others."""
+        node = self.node
+        self.quarantine = QuarantineTable(self.clock)
+        self.quarantine_exchange = QuarantineExchange(
+            self.quarantine,
+            node.members,
+            node.peer_client,
+            node.peer_server,
+            self.clock,
+            rng,
+        )
+        node.gossip.add_topic(self.quarantine_exchange)
+        self.crash_reporter = CrashReporter(
+            self.backends,
+            accepts_connections,
+            self.quarantine_exchange.report,
+            self.clock,
+            rng,
+        )
+
     def _build_outbox(self):
         node = self.node
         source = Source(self.settings.name, node.incarnation)
