--- a/features/platform/backpressure.feature
+++ b/features/platform/backpressure.feature
@@ -37,6 +37,20 @@
     Then p0 got at most 1 request from each gateway
     And all requests are answered with 200
 
+  # Guards against a pause that is forgotten as the entry of a backend server comes and goes.
+  Scenario: A pause lasts while the entry of the backend server is away for a moment
+    Given 1 gateways that know each other, and 2 backend servers of a service
+    And backend server p0 turns requests away for 30 s
+    When 20 look requests are sent, and p0 has got one of them
+    Then after its entry was away for 0.7 s, of 20 more look requests p0 gets none
+
+  # Guards against requests to a backend server that said so only after its entry was gone.
+  Scenario: A backend server that says it leaves while its entry is away gets no more requests
+    Given 1 gateways that know each other, and 2 backend servers of a service
+    And backend server p0 says in its answers that it is leaving
+    When p0 answers a look request 0.5 s after its entry was removed
+    Then after its entry was away for 0.7 s, of 20 more look requests p0 gets none
+
   Scenario: Requests are refused at once while all backend servers want none
     Given 1 gateways that know each other, and 2 backend servers of a service
     And all backend servers turn requests away for 3 s
--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -27,6 +27,18 @@
     When the cut heals
     Then all gateways are ready within 2 s
 
+  # Guards against requests to a backend server that leaves, from an instance that passed
+  # on an answer which said so.
+  Scenario: A gateway learns from answers that came through others which replicas leave
+    Given 3 gateways that know each other, 2 model and 2 plain replicas
+    And 1 gateways are cut off from all replicas, whose connections are refused
+    And the replica p0 says in its answers that it is leaving
+    When callers send look requests to these, 10 a second for 3 s
+    Then one of them was told that p0 leaves
+    When the cut heals
+    Then all gateways are ready within 2 s
+    And of 20 more look requests to these p0 gets none, though no other replica is left
+
   # Guards against requests that gateways forward to each other in circles.
   Scenario: No request is forwarded where no gateway reaches replicas
     Given 3 gateways that know each other, 2 model and 2 plain replicas
--- a/features/platform/steps/backpressure_steps.py
+++ b/features/platform/steps/backpressure_steps.py
@@ -216,6 +216,43 @@
     assert send_in_turn(context, count) == 0
 
 
+@then(
+    "after its entry was away for {seconds:g} s, of {count:d} more look requests "
+    "p0 gets none"
+)
+def step_impl(context, seconds, count):
+    fleet = context.fleet
+    store = fleet.deployment.store
+    backends = fleet.gateways[0].backends
+    fleet.run(store.remove("servers", "p0"))
+    assert fleet.run(wait_until(lambda: "p0" not in backends.by_name))
+    fleet.run(asyncio.sleep(seconds))
+    fleet.run(store.put("servers", "p0", fleet.replica("p0").server_row()))
+    assert fleet.run(wait_until(lambda: "p0" in backends.by_name))
+    assert send_in_turn(context, count) == 0
+
+
+@when("p0 answers a look request {seconds:g} s after its entry was removed")
+def step_impl(context, seconds):
+    fleet = context.fleet
+    replica = fleet.replica("p0")
+    backends = fleet.gateways[0].backends
+    replica.delay_ms = 1000 * seconds
+
+    async def work():
+        # The other one is withheld, so that the request goes to p0.
+        backends.by_name["p1"].is_leaving = True
+        answer = asyncio.create_task(fleet.send(fleet.gateways[0], "late"))
+        assert await wait_until(lambda: replica.received_count == 1)
+        await fleet.deployment.store.remove("servers", "p0")
+        assert await wait_until(lambda: "p0" not in backends.by_name)
+        assert (await answer).status == 200
+        backends.by_name["p1"].is_leaving = False
+
+    fleet.run(work())
+    replica.delay_ms = 0.0
+
+
 @given("backend server {name} turns requests away for {seconds:g} s")
 def step_impl(context, name, seconds):
     context.fleet.replica(name).hold_off_s = f"{seconds:g}"
--- a/features/platform/steps/forwarding_steps.py
+++ b/features/platform/steps/forwarding_steps.py
@@ -11,6 +11,8 @@
 from stoatpath.clock import Clock
 from stoatpath.platform.backend_calls import CONNECT_TIMEOUT_MS, BackendClient
 
+# Together longer than a circuit stays open.
+PAUSE_S = 0.1
 HANG_S = CONNECT_TIMEOUT_MS / 1000
 
 
@@ -171,6 +173,45 @@
     assert context.fleet.run(are_ready)
 
 
+@given("the replica {name} says in its answers that it is leaving")
+def step_impl(context, name):
+    context.fleet.replica(name).is_leaving = True
+
+
+@then("one of them was told that {name} leaves")
+def step_impl(context, name):
+    told = [
+        response
+        for _, _, response in context.sent
+        if response.headers.get("Server-Leaving") == "1"
+    ]
+    assert told and all(name in each.body.decode() for each in told), told
+
+
+@then(
+    "of {count:d} more look requests to these {name} gets none, "
+    "though no other replica is left"
+)
+def step_impl(context, count, name):
+    fleet = context.fleet
+    replica = fleet.replica(name)
+    before = replica.received_count
+    for gateway in context.cut_gateways:
+        partitions = gateway.partitions
+        assert fleet.run(wait_until(lambda: not partitions.unreachable_services()))
+        for backend in gateway.backends.of_service(replica.service):
+            backend.is_leaving = backend.is_leaving or backend.name != name
+
+    async def send_all():
+        for number in range(count):
+            gateway = context.cut_gateways[number % len(context.cut_gateways)]
+            await fleet.send(gateway, f"more{number}")
+            await asyncio.sleep(PAUSE_S)
+
+    fleet.run(send_all())
+    assert replica.received_count == before, replica.received_count - before
+
+
 @then("all are answered with {status:d} within {seconds:d} s each")
 def step_impl(context, status, seconds):
     for _, took_ms, response in context.sent:
--- a/stoatpath/dispatch/features/dispatch.feature
+++ b/stoatpath/dispatch/features/dispatch.feature
@@ -120,6 +120,19 @@
     And it ran 0 times
     And 2 attempts were reported to routing
 
+  # Guards against requests to backend servers that asked for a pause, from the own interface.
+  Scenario Outline: Backend servers that ask for a pause get no more <kind> requests
+    Given every request meets "hold-off"
+    When 4 <kind> requests are sent in turn
+    Then the outcome is "not-run" for "backends-limited"
+    And 2 attempts were reported to routing
+
+    Examples:
+      | kind       |
+      | completion |
+      | stream     |
+      | call       |
+
   Scenario Outline: A stream that can't be resumed is aborted after <fault>
     Given engines that do not resume streams
     And the next request meets "<fault>"
--- a/stoatpath/dispatch/features/steps/dispatch_steps.py
+++ b/stoatpath/dispatch/features/steps/dispatch_steps.py
@@ -100,6 +100,21 @@
     context.rig, context.request, context.result, context.caller = asyncio.run(run())
 
 
+@when("{count:d} {kind} requests are sent in turn")
+def step_impl(context, count, kind):
+    async def run():
+        rig = Rig()
+        await rig.start(**context.backends)
+        for fault, fault_count in context.faults:
+            rig.inject_fault(fault, fault_count)
+        for number in range(count):
+            result, _ = await rig.run(rig.request(number, **KINDS[kind]))
+        await rig.stop()
+        return rig, result
+
+    context.rig, context.result = asyncio.run(run())
+
+
 @then('the outcome is "{outcome}" for "{reason}"')
 def step_impl(context, outcome, reason):
     result = context.result
--- a/stoatpath/standins/engines.py
+++ b/stoatpath/standins/engines.py
@@ -4,7 +4,8 @@
 The response to a request that the engine didn't run has the header
 `Engine-Not-Run: true`.
 Faults of `complete`: `reset-before`, `reset-during` (while the request is sent),
-`reset-after`, `not-run`, `slow`, `error-after`, `half-answer`,
+`reset-after`, `not-run`, `hold-off` (not run, and none wanted for 30 s), `slow`,
+`error-after`, `half-answer`,
 `half-answer-unmarked`, `twice`, `wrong-id`, `wrong-version`, `no-finish`,
 `stream-cut`, `stream-ends`, `stream-stall`, `foreign-event`, `other-text`. Faults
 that occur after the request was read may also have a version as their operation.
@@ -28,6 +29,7 @@
 
 NOT_RUN_HEADER = "Engine-Not-Run"
 REQUEST_ID_HEADER = "Stoatpath-Request-Id"
+HOLD_OFF_HEADERS = {"Retry-After": "30"}
 DEFAULT_TOKENS = 16
 STALL_S = 30.0
 VERSION_CAPACITY = 3
@@ -127,8 +129,8 @@
         """Return the identifiers of the attempts that were cancelled."""
         return frozenset(self._cancelled)
 
-    def _reject(self, request, status, detail):
-        headers = {NOT_RUN_HEADER: "true", **_echo_headers(request)}
+    def _reject(self, request, status, detail, **more_headers):
+        headers = {NOT_RUN_HEADER: "true", **_echo_headers(request), **more_headers}
         return web.json_response({"error": detail}, status=status, headers=headers)
 
     async def _complete(self, request):
@@ -145,6 +147,8 @@
         fault = fault or self.faults.next_fault(version)
         if fault is not None and fault.kind == "not-run":
             return self._reject(request, 503, "the engine did not run the request")
+        if fault is not None and fault.kind == "hold-off":
+            return self._reject(request, 503, "a pause", **HOLD_OFF_HEADERS)
         if version not in self.quality_by_version:
             return self._reject(request, 404, f"{version} is not loaded")
         if self.leaving or self.running >= self.slots:
--- a/stoatpath/standins/services.py
+++ b/stoatpath/standins/services.py
@@ -1,7 +1,8 @@
 """Stand-in of a plain service such as a booking application.
 
 Faults of `serve`: `reset-before`, `reset-during` (while the request is sent),
-`reset-after`, `not-run`, `slow`, `error-after`, `half-answer`,
+`reset-after`, `not-run`, `hold-off` (not run, and none wanted for 30 s), `slow`,
+`error-after`, `half-answer`,
 `half-answer-unmarked`, `twice`, `wrong-id`.
 """
 
@@ -21,6 +22,7 @@
 from stoatpath.standins.servers import StandinServer, drop_connection
 from stoatpath.utils import cancel_and_wait, encode_json
 
+HOLD_OFF_HEADERS = {"Retry-After": "30"}
 REQUEST_ID_HEADER = "Stoatpath-Request-Id"
 
 
@@ -108,8 +110,10 @@
         self._transports.add(request.transport)
         body = await request.text()
         request_id = request.headers.get(REQUEST_ID_HEADER, "")
-        if kind == "not-run":
+        if kind in ("not-run", "hold-off"):
             headers = {"Engine-Not-Run": "true", **self._echo_headers(request_id)}
+            if kind == "hold-off":
+                headers |= HOLD_OFF_HEADERS
             return web.Response(status=503, headers=headers)
         self.executions.append((request_id, request.method, request.path, body))
         if request.path == self._poison_path:
