What a backend server said in an answer outlasts its entry, and is learned on all ways

Cause: hold-offs, limits and leaving are said by a process, and were kept with its entry or learned on one way to send only. The gate dropped them for backend servers without an entry; the directory ignored that one leaves if its entry was gone; an answer that came through a peer named no backend server; routers read no Retry-After.

Change: the gate keeps what was said for 300 s without an entry, the length of the longest pause; the directory remembers removed entries; forwarded answers name their backend server in a header that goes no further than the instance that asked; the sender of routers feeds the gate, through the one decoder of Retry-After. A backend server that takes the name of one that left is recorded as leaving on its own.

Not mended: an answer whose caller left before its head.

--- a/stoatpath/backpressure/gates.py
+++ b/stoatpath/backpressure/gates.py
@@ -1,8 +1,12 @@
 """Decides whether a backend server may get a request, by what its answers asked for."""
 
+from stoatpath.backpressure.messages import MAX_HOLD_OFF_MS
+
 LIMIT_REACHED = "limit reached"
 SLOTS_TAKEN = "slots taken"
 HELD_OFF = "held off"
+# As long as the longest hold-off.
+REMEMBERED_MS = MAX_HOLD_OFF_MS
 
 
 class SendGate:
@@ -21,6 +25,7 @@
         "withheld_by_reason",
         "on_leaving",
         "on_hold_off",
+        "_unlisted_since_ms_by_name",
         "_clock",
     )
 
@@ -32,6 +37,7 @@
         self.withheld_by_reason = {LIMIT_REACHED: 0, HELD_OFF: 0, SLOTS_TAKEN: 0}
         self.on_leaving = lambda name: None
         self.on_hold_off = lambda name, until_ms: None
+        self._unlisted_since_ms_by_name = {}
         self._clock = clock
 
     def observe(self, name, signals, sent_ms):
@@ -113,10 +119,25 @@
         return self.limits.limit_per_s(name)
 
     def retain_backends(self, names):
-        """Drop the state of all backend servers but the named ones."""
-        self.limits.retain_backends(names)
-        self.permits.retain_backends(names)
-        self.hold_offs.retain_backends(names)
+        """Drop the state of all backend servers but the named ones.
+
+        An entry may lapse and return while its process runs, so what the process said
+        is kept for `REMEMBERED_MS` without an entry.
+        """
+        now_ms = self._clock.now_ms()
+        unlisted = {*self.limits.by_name, *self.hold_offs.names()} - set(names)
+        self._unlisted_since_ms_by_name = {
+            name: self._unlisted_since_ms_by_name.get(name, now_ms) for name in unlisted
+        }
+        remembered = {
+            name
+            for name, since_ms in self._unlisted_since_ms_by_name.items()
+            if now_ms - since_ms < REMEMBERED_MS
+        }
+        kept = remembered.union(names) if remembered else names
+        self.limits.retain_backends(kept)
+        self.permits.retain_backends(kept)
+        self.hold_offs.retain_backends(kept)
 
     async def close(self):
         """Cancel all tasks."""
--- a/stoatpath/backpressure/hold_offs.py
+++ b/stoatpath/backpressure/hold_offs.py
@@ -43,6 +43,10 @@
         """Return the end of the last hold-off of a backend server, -inf for none."""
         return self._until_ms_by_name.get(name, float("-inf"))
 
+    def names(self):
+        """Return the names of all backend servers that were held off."""
+        return self._until_ms_by_name.keys()
+
     def has_any(self):
         """Return whether any backend server was held off."""
         return bool(self._until_ms_by_name)
--- a/stoatpath/backpressure/messages.py
+++ b/stoatpath/backpressure/messages.py
@@ -1,5 +1,12 @@
 """What the head of an answer tells about the backend server that sent it."""
 
+import math
+
+TURNED_AWAY_STATUS = 503
+# Longest hold-off, and the one for a text that can't be read.
+MAX_HOLD_OFF_MS = 300_000.0
+UNREADABLE_HOLD_OFF_MS = 1_000.0
+
 
 class BackendSignals:
     """The signals in the head of one answer.
@@ -37,3 +44,19 @@
         self.unreadable = unreadable
         self.is_authentic = is_authentic
         self.max_rejections_per_s = max_rejections_per_s
+
+
+def decode_hold_off_ms(status, text):
+    """Return the hold-off that `Retry-After` asks for, and whether it is readable.
+
+    It is None if the answer asks for none, and bounded.
+    """
+    if status != TURNED_AWAY_STATUS or text is None:
+        return None, True
+    try:
+        seconds = float(text)
+    except ValueError:
+        return UNREADABLE_HOLD_OFF_MS, False
+    if not math.isfinite(seconds) or seconds < 0.0:
+        return UNREADABLE_HOLD_OFF_MS, False
+    return min(MAX_HOLD_OFF_MS, seconds * 1000), True
--- a/stoatpath/callers/relay_messages.py
+++ b/stoatpath/callers/relay_messages.py
@@ -193,8 +193,9 @@
     `is_not_executed` if the backend server did not run the request, and
     `is_misdirected` if another process answered at this address. `is_encoded` is true
     if the answer has a `Content-Encoding`. `confidence` is the model's confidence in
-    its answer, from 0 to 100, or None. `signals` are `BackendSignals`. `headers` are
-    the end-to-end headers as pairs.
+    its answer, from 0 to 100, or None. `signals` are `BackendSignals`. `answered_by` is
+    the backend server that another instance names, or "". `headers` are the end-to-end
+    headers as pairs.
     """
 
     __slots__ = (
@@ -207,6 +208,7 @@
         "is_event_stream",
         "confidence",
         "signals",
+        "answered_by",
         "headers",
     )
 
@@ -221,6 +223,7 @@
         is_event_stream,
         confidence,
         signals,
+        answered_by,
         headers,
     ):
         self.status = status
@@ -232,6 +235,7 @@
         self.is_event_stream = is_event_stream
         self.confidence = confidence
         self.signals = signals
+        self.answered_by = answered_by
         self.headers = headers
 
 
--- a/stoatpath/dispatch/features/steps/dispatch_rig.py
+++ b/stoatpath/dispatch/features/steps/dispatch_rig.py
@@ -66,6 +66,7 @@
         self.results = []
         self.decisions = []
         self._entries = {}
+        gate = self._build_send_gate()
         self.router = SimpleNamespace(
             clock=self.clock,
             settings=SimpleNamespace(
@@ -73,9 +74,9 @@
             ),
             backends=BackendServers(),
             chooser=LeastTimeChooser("zone-a", random.Random(1)),
-            sender=Sender(self.clock, SHORT_TIMEOUT_MS),
+            sender=Sender(self.clock, SHORT_TIMEOUT_MS, gate),
             retry_budget=RetryBudget(),
-            send_gate=self._build_send_gate(),
+            send_gate=gate,
             quarantine=QuarantineTable(self.clock),
             guard=SimpleNamespace(check_send=lambda request, version: None),
             ring=SimpleNamespace(record_decision=self._record_decision),
--- a/stoatpath/dispatch/relay_senders.py
+++ b/stoatpath/dispatch/relay_senders.py
@@ -29,17 +29,26 @@
 class RelaySender:
     """Sends attempts over `calls` and checks the identity and integrity of answers.
 
-    `decode_head` converts a response into an `AnswerHead`. `gate` is the `SendGate`.
+    `decode_head` converts a response into an `AnswerHead`, `name_backend` adds the name
+    of the backend server to one for another instance. `gate` is the `SendGate`.
     `on_answered` is called with a request when the first event of its answer, or all of
     it, has arrived.
     """
 
-    __slots__ = ("_clock", "_calls", "_decode_head", "_gate", "_on_answered")
+    __slots__ = (
+        "_clock",
+        "_calls",
+        "_decode_head",
+        "_name_backend",
+        "_gate",
+        "_on_answered",
+    )
 
-    def __init__(self, clock, calls, decode_head, gate, on_answered):
+    def __init__(self, clock, calls, decode_head, name_backend, gate, on_answered):
         self._clock = clock
         self._calls = calls
         self._decode_head = decode_head
+        self._name_backend = name_backend
         self._gate = gate
         self._on_answered = on_answered
 
@@ -83,6 +92,8 @@
             if problem is not None:
                 response.close()
                 return problem
+            if request.is_forwarded:
+                self._name_backend(head, attempt.backend)
             if head.is_event_stream and attempt.relay is not None:
                 content = response.content
                 return await relay_events(
--- a/stoatpath/dispatch/senders.py
+++ b/stoatpath/dispatch/senders.py
@@ -1,5 +1,6 @@
 """Sends attempts to engines and plain services and checks their answers."""
 
+from stoatpath.backpressure.messages import BackendSignals, decode_hold_off_ms
 from stoatpath.configuration.documents import MODEL_SERVICE
 from stoatpath.dispatch.cancellations import Canceller
 from stoatpath.dispatch.checks import (
@@ -28,8 +29,10 @@
 
 NOT_RUN_HEADER = "Engine-Not-Run"
 REQUEST_ID_HEADER = "Stoatpath-Request-Id"
+RETRY_AFTER_HEADER = "Retry-After"
 TIMEOUT_HEADER = "Stoatpath-Timeout-Ms"
 NO_TIMEOUT_MS = float("inf")
+MAX_LOGGED_CHARS = 40
 
 
 class Sender:
@@ -37,14 +40,16 @@
 
     A non-repeatable request gets a new connection, since a stale pooled one would leave
     open whether it ran. So does a plain service that never echoed a request identifier,
-    since a late answer to another request could not be recognised.
+    since a late answer to another request could not be recognised. `gate` is the
+    `SendGate`.
     """
 
-    __slots__ = ("_clock", "_between_bytes_ms", "_tls", "_pools", "_canceller")
+    __slots__ = ("_clock", "_between_bytes_ms", "_gate", "_tls", "_pools", "_canceller")
 
-    def __init__(self, clock, between_bytes_ms, tls=None):
+    def __init__(self, clock, between_bytes_ms, gate, tls=None):
         self._clock = clock
         self._between_bytes_ms = between_bytes_ms
+        self._gate = gate
         self._tls = tls
         self._pools = ConnectionPools(clock, tls)
         self._canceller = Canceller(tls)
@@ -109,6 +114,7 @@
         if request.content_type:
             headers["Content-Type"] = request.content_type
         request.was_sent = True
+        sent_ms = self._clock.now_ms()
         call = cohort.session.request(
             request.method,
             f"{url_scheme(self._tls)}://{attempt.backend.address}{request.path}",
@@ -118,11 +124,25 @@
         )
         async with call as response:
             deadlines.record_bytes()
+            self._observe_hold_off(cohort, attempt, response, sent_ms)
             answer = await self._read_answer(cohort, attempt, response, deadlines)
             if is_failure(answer):
                 response.close()
             return answer
 
+    def _observe_hold_off(self, cohort, attempt, response, sent_ms):
+        """Record that the backend server asks for a pause in its own answer."""
+        echoed = response.headers.get(REQUEST_ID_HEADER)
+        if echoed != attempt.request.request_id and not cohort.is_fresh:
+            return
+        text = response.headers.get(RETRY_AFTER_HEADER)
+        hold_off_ms, is_readable = decode_hold_off_ms(response.status, text)
+        if hold_off_ms is None:
+            return
+        unreadable = () if is_readable else (text[:MAX_LOGGED_CHARS],)
+        signals = BackendSignals(hold_off_ms=hold_off_ms, unreadable=unreadable)
+        self._gate.observe(attempt.backend.name, signals, sent_ms)
+
     async def _read_answer(self, cohort, attempt, response, deadlines):
         request_id = attempt.request.request_id
         echoed = response.headers.get(REQUEST_ID_HEADER)
--- a/stoatpath/forwarding/forwarders.py
+++ b/stoatpath/forwarding/forwarders.py
@@ -127,6 +127,8 @@
             if problem is not None:
                 response.close()
                 return problem
+            if head.signals.is_leaving:
+                self._router.backends.record_leaving(head.answered_by)
             if head.is_event_stream and attempt.relay is not None:
                 return await relay_events(attempt, head, response.content, deadlines)
             body = await read_body(response.content, deadlines)
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -44,7 +44,11 @@
 from stoatpath.metrics import MetricsServer
 from stoatpath.outcomes import WRONG_PROCESS, is_failure
 from stoatpath.platform import documents, names
-from stoatpath.platform.backend_calls import BackendClient, decode_head
+from stoatpath.platform.backend_calls import (
+    BackendClient,
+    decode_head,
+    name_backend,
+)
 from stoatpath.platform.caller_heads import CallerHeaderDecoder
 from stoatpath.platform.row_stores import RowStore
 from stoatpath.quarantine.exchanges import QuarantineExchange
@@ -311,6 +315,7 @@
             self.clock,
             self.backend_client,
             decode_head,
+            name_backend,
             self.send_gate,
             self.quarantine_exchange.record_answered,
         )
--- a/stoatpath/membership/directories.py
+++ b/stoatpath/membership/directories.py
@@ -14,6 +14,7 @@
 LAPSE_GRACE_MS = 1_900.0
 MIN_LAPSE_OUTAGE_MS = 500.0
 MAX_LEAVING_ENTRIES = 10_000
+MAX_REMOVED_ENTRIES = 1_000
 # Reasons in logs.
 ANSWERED = "it says so in an answer"
 LISTED = "its entry says so"
@@ -31,6 +32,7 @@
         "_reachability",
         "_lapsed_until_ms_by_name",
         "_leaving_entries_by_name",
+        "_removed_entries_by_name",
     )
 
     def __init__(self, decode, reachability):
@@ -39,6 +41,7 @@
         self._reachability = reachability
         self._lapsed_until_ms_by_name = {}
         self._leaving_entries_by_name = OrderedDict()
+        self._removed_entries_by_name = OrderedDict()
 
     def apply(self, changes, now_ms):
         """Apply changed rows of the table."""
@@ -73,17 +76,20 @@
     def record_leaving(self, name):
         """Record that a backend server says in an answer that it leaves.
 
-        Its row may tell so later, or lapse and return; the process keeps leaving.
+        Its row may tell so later, or lapse and return; the process keeps leaving. So
+        does one whose row was removed while its answer was on the way.
         """
         backend = self.by_name.get(name)
-        if backend is None or name in self._leaving_entries_by_name:
+        entry = self._removed_entries_by_name.get(name)
+        if backend is not None:
+            entry = backend.entry
+        if entry is None or self._said_leaving(entry):
             return
-        self._leaving_entries_by_name[name] = backend.entry
-        if len(self._leaving_entries_by_name) > MAX_LEAVING_ENTRIES:
-            self._leaving_entries_by_name.popitem(last=False)
-        if not backend.is_leaving:
-            backend.is_leaving = True
+        _remember(self._leaving_entries_by_name, entry, MAX_LEAVING_ENTRIES)
+        if backend is None or not backend.is_leaving:
             logger.info("backends.leaving", extra={"backend": name, "why": ANSWERED})
+        if backend is not None:
+            backend.is_leaving = True
 
     def remove_reassigned(self, name):
         """Remove a backend server whose address now belongs to another one."""
@@ -144,6 +150,7 @@
         if backend is None:
             return
         backend.is_leaving = True
+        _remember(self._removed_entries_by_name, backend.entry, MAX_REMOVED_ENTRIES)
         logger.info("backends.gone", extra={"backend": name, "why": reason})
 
 
@@ -164,3 +171,11 @@
         self.release = entry.release
         self.slots = entry.slots
         self.pending_prompt_work = 0.0
+
+
+def _remember(entries_by_name, entry, most):
+    """Add an entry; drop the oldest beyond `most`."""
+    entries_by_name[entry.name] = entry
+    entries_by_name.move_to_end(entry.name)
+    if len(entries_by_name) > most:
+        entries_by_name.popitem(last=False)
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -6,7 +6,7 @@
 import aiohttp
 from yarl import URL
 
-from stoatpath.backpressure.messages import BackendSignals
+from stoatpath.backpressure.messages import BackendSignals, decode_hold_off_ms
 from stoatpath.callers.relay_messages import AnswerHead
 from stoatpath.dispatch.connections import accepts_connections
 from stoatpath.dispatch.response_handlers import use_checked_handler
@@ -28,10 +28,8 @@
 # an answer can tell that its limit has ended.
 MIN_LIMIT_PER_S = 0.05
 MAX_LIMIT_PER_S = 1e6
-# Longest hold-off, and the one for a text that can't be read.
-MAX_HOLD_OFF_MS = 300_000.0
-UNREADABLE_HOLD_OFF_MS = 1_000.0
 MAX_LOGGED_CHARS = 40
+DROPPED_HEADERS = names.HOP_HEADERS | {names.ANSWERED_BY.lower()}
 SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 # Not forwarded: the router sets these itself for each request, or consumes them.
 REPLACED_HEADERS = frozenset(
@@ -113,7 +111,7 @@
 def decode_head(response):
     """Return the `AnswerHead` of a response."""
     headers = response.headers
-    dropped = _connection_header_names(headers) | names.HOP_HEADERS
+    dropped = _connection_header_names(headers) | DROPPED_HEADERS
     return AnswerHead(
         response.status,
         headers.get(names.ATTEMPT_ID),
@@ -124,6 +122,7 @@
         headers.get("Content-Type", "").startswith(EVENT_STREAM),
         _decode_confidence(headers.get(names.CONFIDENCE)),
         _decode_signals(response.status, headers),
+        headers.get(names.ANSWERED_BY, ""),
         [
             (name, value)
             for name, value in headers.items()
@@ -132,6 +131,11 @@
     )
 
 
+def name_backend(head, backend):
+    """Add the name of the backend server to the head of a forwarded answer."""
+    head.headers.append((names.ANSWERED_BY, backend.name))
+
+
 def forwarded_headers(headers):
     """Return the end-to-end headers of a caller, without those that the router sets."""
     dropped = _connection_header_names(headers) | names.HOP_HEADERS
@@ -190,15 +194,10 @@
     limit_per_s = _decode_limit(limit_text)
     if limit_text is not None and limit_per_s is None:
         unreadable.append(f"{names.SERVER_LIMIT}: {limit_text[:MAX_LOGGED_CHARS]}")
-    hold_off_ms = None
     hold_off_text = headers.get(names.RETRY_AFTER)
-    if status == names.TURNED_AWAY_STATUS and hold_off_text is not None:
-        hold_off_ms = _decode_hold_off(hold_off_text)
-        if hold_off_ms is None:
-            hold_off_ms = UNREADABLE_HOLD_OFF_MS
-            unreadable.append(
-                f"{names.RETRY_AFTER}: {hold_off_text[:MAX_LOGGED_CHARS]}"
-            )
+    hold_off_ms, is_readable = decode_hold_off_ms(status, hold_off_text)
+    if not is_readable:
+        unreadable.append(f"{names.RETRY_AFTER}: {hold_off_text[:MAX_LOGGED_CHARS]}")
     is_leaving = headers.get(names.SERVER_LEAVING, "").strip() == "1"
     return BackendSignals(
         limit_per_s,
@@ -220,17 +219,6 @@
     return per_s if math.isfinite(per_s) and per_s >= 0.0 else 0.0
 
 
-def _decode_hold_off(text):
-    """Return a bounded hold-off, or None if the text is not a number of seconds."""
-    try:
-        seconds = float(text)
-    except ValueError:
-        return None
-    if not math.isfinite(seconds) or seconds < 0.0:
-        return None
-    return min(MAX_HOLD_OFF_MS, seconds * 1000)
-
-
 def _decode_limit(text):
     """Return requests per second within bounds, or None if the text names none."""
     try:
--- a/stoatpath/platform/names.py
+++ b/stoatpath/platform/names.py
@@ -21,6 +21,8 @@
 SESSION = "Session"
 # Set by an instance that forwards a request to another: the number of its runs so far.
 FORWARDED = "Stoatpath-Forwarded"
+# Set in the answer to it: the name of the backend server that gave it.
+ANSWERED_BY = "Stoatpath-Answered-By"
 KEY_SCHEME = "Bearer "
 ANY_MODEL = "*"
 
@@ -56,7 +58,6 @@
 SERVER_BRITTLE = "Server-Brittle"
 # Seconds for which a replica that answers 503 wants nothing from this machine.
 RETRY_AFTER = "Retry-After"
-TURNED_AWAY_STATUS = 503
 # Misdirected Request: another replica than the expected one has the address.
 MISDIRECTED_STATUS = 421
 
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -148,11 +148,14 @@
             self.node, TokenSigner(settings.session_keys), self.archive
         )
         self.explanations = ExplanationFinder(self.node, self.ring)
-        self.sender = Sender(
-            clock, settings.between_bytes_timeout_ms, self.node.tls.backends
-        )
         self.retry_budget = RetryBudget()
         self.send_gate = self._build_send_gate(rng)
+        self.sender = Sender(
+            clock,
+            settings.between_bytes_timeout_ms,
+            self.send_gate,
+            self.node.tls.backends,
+        )
         self.attempts = AttemptRunner(self, rng)
         self._build_quarantine(rng)
         self.attempts.observers += [
@@ -274,9 +277,11 @@
         permits = PermitExchange(
             limits, node.members, node.peer_client, node.peer_server, self.clock
         )
-        return SendGate(
+        gate = SendGate(
             limits, permits, HoldOffs(rng), SlotShares(node.members, rng), self.clock
         )
+        gate.on_hold_off = self.chooser.breakers.hold_open
+        return gate
 
     def _build_quarantine(self, rng):
         """Build what keeps requests that end backend servers from others."""
