--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -39,6 +39,22 @@
     Then all gateways are ready within 2 s
     And of 20 more look requests to these p0 gets none, though no other replica is left
 
+  # Guards against callers that are refused while all gateways that reach replicas drain.
+  Scenario Outline: Callers of a gateway that is cut off are served while the others drain
+    Given 3 gateways that know each other, 2 model and 2 plain replicas
+    And 1 gateways are cut off from all replicas, whose connections <fail>
+    When callers send <route> requests to these, 10 a second for 2 s
+    And the others are told to stop, with a grace period of 8 s
+    And callers send <route> requests to these, 10 a second for 2 s
+    Then of those sent since then at least 9 in 10 are answered with 200
+    And the others stop without cutting a request
+
+    Examples:
+      | fail        | route |
+      | are refused | look  |
+      | hang        | look  |
+      | hang        | chat  |
+
   # Guards against requests that gateways forward to each other in circles.
   Scenario: No request is forwarded where no gateway reaches replicas
     Given 3 gateways that know each other, 2 model and 2 plain replicas
--- a/features/platform/steps/forwarding_steps.py
+++ b/features/platform/steps/forwarding_steps.py
@@ -138,6 +138,31 @@
     assert counts and max(counts.values()) <= runs, counts
 
 
+@when("the others are told to stop, with a grace period of {seconds:d} s")
+def step_impl(context, seconds):
+    gateways = context.fleet.gateways
+    others = [each for each in gateways if each not in context.cut_gateways]
+    for gateway in others:
+        gateway.boot.grace_ms = 1000 * seconds
+    context.stops = [context.fleet.loop.create_task(each.stop()) for each in others]
+    context.stopped_ms = Clock().now_ms()
+
+
+@then(
+    "of those sent since then at least {least:d} in {total:d} are answered with {status:d}"
+)
+def step_impl(context, least, total, status):
+    from_ms = context.stopped_ms
+    later = [response for sent_ms, _, response in context.sent if sent_ms >= from_ms]
+    served = sum(response.status == status for response in later)
+    assert later and served * total >= least * len(later), (served, len(later))
+
+
+@then("the others stop without cutting a request")
+def step_impl(context):
+    assert all(context.fleet.run(asyncio.gather(*context.stops)))
+
+
 @then("whole answers reached the callers")
 def step_impl(context):
     for _, _, response in context.sent:
