Forwarding: instances that drain go on serving their peers, and tell them until when

Cause: an instance that drains answered `reach` with no address, and members that leave were not asked at all, though they take requests of callers for seconds. With the last of the four draining no peer was left.

Change: the answer has the times left for requests and for streams, by the same deadlines that the drain sets for callers; members that leave are asked too; peers that stay come first. drain.began says whether peers depend on the instance that leaves.

--- a/stoatpath/callers/relays.py
+++ b/stoatpath/callers/relays.py
@@ -28,14 +28,14 @@
 
     `router` provides the routes, the clock and the decision ring; `header_decoder`
     decodes request headers, whose names the platform defines. Requests that arrive
-    after the clock reading `accept_until_ms` are refused, and so are requests for
-    streams while `refuses_streams` is set.
+    after the clock reading `accept_until_ms` are refused, and so are those for streams
+    after `accept_streams_until_ms`.
     """
 
     __slots__ = (
         "bodies",
-        "refuses_streams",
         "accept_until_ms",
+        "accept_streams_until_ms",
         "_router",
         "_header_decoder",
     )
@@ -44,8 +44,8 @@
 
     def __init__(self, router, header_decoder, bodies):
         self.bodies = bodies
-        self.refuses_streams = False
         self.accept_until_ms = float("inf")
+        self.accept_streams_until_ms = float("inf")
         self._router = router
         self._header_decoder = header_decoder
 
@@ -133,8 +133,10 @@
                 return self._not_found_or_stale(
                     UNAUTHENTICATED, "the key is not known", "Authorization"
                 )
-        is_too_late = arrived_ms > self.accept_until_ms
-        if is_too_late or (self.refuses_streams and route.is_stream):
+        accept_until_ms = self.accept_until_ms
+        if route.is_stream:
+            accept_until_ms = min(accept_until_ms, self.accept_streams_until_ms)
+        if arrived_ms > accept_until_ms:
             return Failure(SHUTTING_DOWN, "the instance stops before it could end")
         timeout_ms = self._header_decoder.timeout_ms(request.headers, route.timeout_ms)
         fraction = xxh3_64_intdigest(request_id.encode()) / HASH_RANGE
--- a/stoatpath/drains.py
+++ b/stoatpath/drains.py
@@ -19,9 +19,10 @@
 class Drain:
     """The steps of a graceful stop, bounded by one deadline.
 
-    First all requests are served while the platform sends callers elsewhere. Then
-    streams are refused, since they might not end in time, and requests in flight are
-    awaited. Shortly before the deadline, all new requests are refused.
+    First all requests are served while the platform sends callers elsewhere, also those
+    that peers forward. Then streams are refused, since they might not end in time, and
+    requests in flight are awaited. Shortly before the deadline, all new requests are
+    refused.
     """
 
     __slots__ = ("_gateway", "_clock")
@@ -34,13 +35,18 @@
         """Return whether all requests ended before the deadline."""
         began_ms = self._clock.now_ms()
         abort_at_ms = began_ms + self._gateway.boot.grace_ms - EXIT_MARGIN_MS
-        logger.info("drain.began", extra={"open": self._open_request_count()})
+        extra = {
+            "open": self._open_request_count(),
+            "is_asked": self._gateway.peer_finder.is_asked(),
+        }
+        logger.info("drain.began", extra=extra)
         listener = self._gateway.listener
         listener.mark_leaving()
         no_accept_ms = NO_ACCEPT_SHARE * self._gateway.boot.grace_ms
-        self._gateway.interface.accept_until_ms = abort_at_ms - no_accept_ms
+        interface = self._gateway.interface
+        interface.accept_until_ms = abort_at_ms - no_accept_ms
+        interface.accept_streams_until_ms = began_ms + READINESS_LAG_MS
         await self._clock.sleep_until(min(began_ms + READINESS_LAG_MS, abort_at_ms))
-        self._gateway.interface.refuses_streams = True
         listener.close_idle()
         is_clean = await self._await_idle(abort_at_ms)
         if not is_clean:
--- a/stoatpath/forwarding/features/steps/forwarder_steps.py
+++ b/stoatpath/forwarding/features/steps/forwarder_steps.py
@@ -30,6 +30,7 @@
         deadline_ms=1_000.0,
         is_forwarded=repeats == "forwarded",
         is_repeatable=repeats == "repeatable",
+        is_stream=False,
         run_count=runs,
         may_run_again=runs < most,
     )
@@ -37,7 +38,7 @@
         clock=ManualClock(),
         retry_budget=SimpleNamespace(try_spend=lambda service: True),
     )
-    peers = SimpleNamespace(can_forward=lambda service: True)
+    peers = SimpleNamespace(can_forward=lambda service, is_stream: True)
     context.forwarder = Forwarder(router, peers, None, None)
 
 
--- a/stoatpath/forwarding/features/steps/peer_steps.py
+++ b/stoatpath/forwarding/features/steps/peer_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from stoatpath.forwarding.peers import PeerFinder
+from stoatpath.forwarding.peers import Acceptance, PeerFinder
 from stoatpath.measure.limit_models import ModelPeerClient
 from stoatpath.measure.relay_models import Handlers, model_member
 from stoatpath.measure.virtual_loops import VirtualClock, run_virtually
@@ -50,7 +50,7 @@
             members,
             ModelPeerClient(self, name),
             Handlers(self.handlers_by_name.setdefault(name, {})),
-            lambda: name,
+            lambda: Acceptance(name),
             VirtualClock(self.loop),
             random.Random(name),
         )
--- a/stoatpath/forwarding/forwarders.py
+++ b/stoatpath/forwarding/forwarders.py
@@ -52,7 +52,9 @@
         False for a request that a peer has forwarded to this instance.
         """
         service = request.service.name
-        return not request.is_forwarded and self._peers.can_forward(service)
+        if request.is_forwarded:
+            return False
+        return self._peers.can_forward(service, request.is_stream)
 
     def may_forward_after(self, request, failure):
         """Return whether a request that failed here may be forwarded."""
@@ -68,7 +70,7 @@
         """Return a `RelayedResult` or a failure, None if no peer was at hand."""
         relay = None if stream is None else EventRelay(stream)
         worst = None
-        peers = self._peers.find(request.service.name)
+        peers = self._peers.find(request.service.name, request.is_stream)
         for number, peer in enumerate(peers[:MAX_FORWARDS], start=1):
             problem = self._router.quarantine.check(request)
             if problem is not None:
--- a/stoatpath/forwarding/peers.py
+++ b/stoatpath/forwarding/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 
 from stoatpath.outcomes import is_failure
 from stoatpath.utils import cancel_and_wait
@@ -16,72 +17,137 @@
 REFRESH_PERIOD_MS = 500.0
 # Answers of peers count for this time.
 LIFETIME_MS = 1_500.0
+# Time that a request takes to a peer that drains.
+TRAVEL_MS = 100.0
+
+
+class Acceptance:
+    """Until when an instance takes requests, and streams among them.
+
+    `address` is that of its listener for callers. The times are clock readings,
+    infinite unless it drains; as JSON they are times left, null if infinite.
+    """
+
+    __slots__ = ("address", "until_ms", "streams_until_ms")
+
+    def __init__(self, address, until_ms=float("inf"), streams_until_ms=float("inf")):
+        self.address = address
+        self.until_ms = until_ms
+        self.streams_until_ms = streams_until_ms
+
+    @property
+    def is_leaving(self):
+        """Return whether the instance drains."""
+        return self.until_ms < float("inf")
+
+    def to_json(self, now_ms):
+        """Return the JSON form."""
+        return {
+            "address": self.address,
+            "left_ms": _encode_left_ms(self.until_ms, now_ms),
+            "streams_left_ms": _encode_left_ms(self.streams_until_ms, now_ms),
+        }
+
+    @classmethod
+    def from_json(cls, data, now_ms):
+        """Build it; raise KeyError, TypeError or ValueError if malformed."""
+        return cls(
+            str(data["address"]),
+            now_ms + _decode_left_ms(data["left_ms"]),
+            now_ms + _decode_left_ms(data["streams_left_ms"]),
+        )
 
 
 class ForwardingPeer:
     """An instance to forward requests to.
 
-    `address` is that of its listener for callers. `unreachable_services` are the
-    services of which it reaches no backend server, as known until `valid_until_ms`.
+    `acceptance` tells until when it takes them. `unreachable_services` are the services
+    of which it reaches no backend server, as known until `valid_until_ms`.
     """
 
-    __slots__ = ("name", "address", "zone", "unreachable_services", "valid_until_ms")
+    __slots__ = ("name", "acceptance", "zone", "unreachable_services", "valid_until_ms")
 
-    def __init__(self, name, address, zone, unreachable_services, valid_until_ms):
+    def __init__(self, name, acceptance, zone, unreachable_services, valid_until_ms):
         self.name = name
-        self.address = address
+        self.acceptance = acceptance
         self.zone = zone
         self.unreachable_services = unreachable_services
         self.valid_until_ms = valid_until_ms
 
+    @property
+    def address(self):
+        """Return the address to which requests are sent."""
+        return self.acceptance.address
+
+    def accepts_until_ms(self, is_stream):
+        """Return until when it can be sent requests, or requests for streams."""
+        until_ms = self.acceptance.until_ms
+        if is_stream:
+            until_ms = min(until_ms, self.acceptance.streams_until_ms)
+        return min(self.valid_until_ms, until_ms - TRAVEL_MS)
+
 
 class PeerFinder:
     """Asks peers what they reach, while this instance doesn't reach some services.
 
-    `partitions` is the `PartitionDetector`. `local_address` returns the address at
-    which this instance serves callers, "" while it does not take requests.
+    `partitions` is the `PartitionDetector`. `local_acceptance` returns the `Acceptance`
+    of this instance.
     """
 
     __slots__ = (
         "_partitions",
         "_members",
         "_client",
-        "_local_address",
+        "_local_acceptance",
         "_clock",
         "_random",
         "_peers_by_name",
+        "_asked_ms",
         "_task",
     )
 
     def __init__(
-        self, partitions, members, client, server, local_address, clock, random
+        self, partitions, members, client, server, local_acceptance, clock, random
     ):
         self._partitions = partitions
         self._members = members
         self._client = client
-        self._local_address = local_address
+        self._local_acceptance = local_acceptance
         self._clock = clock
         self._random = random
         self._peers_by_name = {}
+        self._asked_ms = float("-inf")
         self._task = None
         partitions.observers.append(self._handle_change)
         server.register(REACH_TOPIC, self._handle_question)
 
-    def find(self, service):
-        """Return the peers that reach a service, those of the same zone first."""
+    def find(self, service, is_stream=False):
+        """Return the peers that reach a service.
+
+        Those that stay come first, and among them those of the same zone.
+        """
         now_ms = self._clock.now_ms()
         peers = [
             peer
             for peer in self._peers_by_name.values()
-            if now_ms < peer.valid_until_ms and service not in peer.unreachable_services
+            if now_ms < peer.accepts_until_ms(is_stream)
+            and service not in peer.unreachable_services
         ]
         self._random.shuffle(peers)
         local_zone = self._members.local.zone
-        return sorted(peers, key=lambda peer: peer.zone != local_zone)
+        return sorted(
+            peers,
+            key=lambda peer: (peer.acceptance.is_leaving, peer.zone != local_zone),
+        )
 
-    def can_forward(self, service):
+    def can_forward(self, service, is_stream=False):
         """Return whether a service is reached by peers, and not from here."""
-        return self._partitions.is_unreachable(service) and bool(self.find(service))
+        is_unreachable = self._partitions.is_unreachable(service)
+        return is_unreachable and bool(self.find(service, is_stream))
+
+    def is_asked(self):
+        """Return whether peers that are cut off have just asked this instance."""
+        return self._clock.now_ms() - self._asked_ms < LIFETIME_MS
 
     def exclude(self, peer):
         """Use a peer that failed no more until it answers again."""
@@ -113,11 +179,9 @@
             if not peer.unreachable_services.issuperset(services)
         ]
         local = self._members.local
-        others = [
-            name
-            for name in self._members.live_names(local.role)
-            if name != local.name and name not in usable
-        ]
+        names = self._members.live_names(local.role)
+        names += self._members.leaving_names(local.role)
+        others = [name for name in names if name != local.name and name not in usable]
         count = max(1, ASKED_PEERS - len(usable))
         chosen = self._random.sample(others, min(count, len(others)))
         await asyncio.gather(*(self._ask(name) for name in (*usable, *chosen)))
@@ -131,22 +195,37 @@
         try:
             if is_failure(answer):
                 raise ValueError(answer.detail)
-            address = str(answer["address"])
+            now_ms = self._clock.now_ms()
+            acceptance = Acceptance.from_json(answer, now_ms)
             unreachable = frozenset(str(each) for each in answer["unreachable"])
-            if not address:
+            if acceptance.until_ms <= now_ms:
                 raise ValueError("it takes no requests")
         except (KeyError, TypeError, ValueError) as error:
             self._peers_by_name.pop(name, None)
             extra = {"peer": name, "why": repr(error)}
             logger.info("forwarding.peer-unusable", extra=extra)
             return
-        valid_until_ms = self._clock.now_ms() + LIFETIME_MS
+        valid_until_ms = now_ms + LIFETIME_MS
         self._peers_by_name[name] = ForwardingPeer(
-            name, address, member.zone, unreachable, valid_until_ms
+            name, acceptance, member.zone, unreachable, valid_until_ms
         )
 
     async def _handle_question(self, message):
+        now_ms = self._clock.now_ms()
+        self._asked_ms = now_ms
         return {
-            "address": self._local_address(),
+            **self._local_acceptance().to_json(now_ms),
             "unreachable": self._partitions.unreachable_services(),
         }
+
+
+def _encode_left_ms(until_ms, now_ms):
+    return None if until_ms == float("inf") else until_ms - now_ms
+
+
+def _decode_left_ms(value):
+    """Return a time left, which may be negative; raise ValueError for other values."""
+    left_ms = float("inf") if value is None else float(value)
+    if math.isnan(left_ms):
+        raise ValueError("a time left is not a number")
+    return left_ms
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -34,7 +34,7 @@
 from stoatpath.feeds.sources import SourceSelector
 from stoatpath.forwarding.forwarders import Forwarder
 from stoatpath.forwarding.partitions import PartitionDetector
-from stoatpath.forwarding.peers import PeerFinder
+from stoatpath.forwarding.peers import Acceptance, PeerFinder
 from stoatpath.gateway_metrics import gateway_samples
 from stoatpath.membership.directories import BackendDirectory
 from stoatpath.membership.gossip import Gossip
@@ -359,7 +359,7 @@
             self.members,
             self.peer_client,
             self.peer_server,
-            lambda: "" if self.listener.is_leaving else self.listener.address,
+            self._acceptance,
             self.clock,
             self.random,
         )
@@ -367,6 +367,14 @@
             self, self.peer_finder, self.backend_client, decode_head
         )
 
+    def _acceptance(self):
+        """Return until when this instance takes requests that others forward."""
+        return Acceptance(
+            self.listener.address,
+            self.interface.accept_until_ms,
+            self.interface.accept_streams_until_ms,
+        )
+
     def _build_quarantine(self):
         """Build what keeps requests with harmful content from backend servers."""
         self.quarantine = QuarantineTable(self.clock)
--- a/stoatpath/membership/members.py
+++ b/stoatpath/membership/members.py
@@ -113,6 +113,14 @@
             names.append(self.local.name)
         return sorted(names)
 
+    def leaving_names(self, role):
+        """Return the names of other members of a role that drain, sorted."""
+        return sorted(
+            member.name
+            for member in self.by_name.values()
+            if member.role == role and member.state == LEAVING
+        )
+
     def address_of(self, name):
         """Return the address of a member, or an empty string."""
         member = self.by_name.get(name)
