Reports and answers of instances of an older release are read; one limit of lost runs

While a fleet is replaced, instances of both releases report to each other: a lost attempt without content counts for its parts, an answer to reach without times counts as without end unless it has no address. The limit of runs under which backend servers end stands once, with the other rules of retries. Tests for both, and for answers that can't be read.

--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -4,7 +4,12 @@
 from stoatpath.dispatch.engine_policies import EnginePolicy
 from stoatpath.dispatch.hedges import Hedge
 from stoatpath.dispatch.messages import Attempt, AttemptResult
-from stoatpath.dispatch.retries import MAX_ATTEMPTS, backoff_ms, may_retry
+from stoatpath.dispatch.retries import (
+    MAX_ATTEMPTS,
+    MAX_LOST_RUNS,
+    backoff_ms,
+    may_retry,
+)
 from stoatpath.outcomes import (
     BACKENDS_LIMITED,
     BROKEN_ANSWER,
@@ -23,8 +28,6 @@
 MAX_PERMIT_REQUESTS = 3
 MAX_LISTED_WITHHELD = 4
 LEAVING = "leaving"
-# Backend servers that may end under a request. One may have had another cause.
-MAX_LOST_RUNS = 2
 CONNECTION_FAULTS = (BROKEN_ANSWER, FOREIGN_ANSWER, SILENT_CONNECTION)
 
 
--- a/stoatpath/dispatch/retries.py
+++ b/stoatpath/dispatch/retries.py
@@ -12,6 +12,8 @@
 )
 
 MAX_ATTEMPTS = 4  # without hedges
+# Backend servers that may end under a request. One may have had another cause.
+MAX_LOST_RUNS = 2
 # The budget is in tokens, each for one extra send; a request adds BUDGET_RATIO tokens.
 BUDGET_RATIO = 0.1
 MAX_BUDGET = 20.0
--- a/stoatpath/forwarding/features/partitions.feature
+++ b/stoatpath/forwarding/features/partitions.feature
@@ -34,6 +34,20 @@
       | 195   | 117 | 1       |
       | 544   | 435 | 2       |
 
+  # Guards against answers that can't be read, and against those of older releases.
+  Scenario Outline: The answer of a peer is <text>: until when it takes <what>
+    Given the answer of a peer: <text>
+    Then it takes requests <requests> and streams <streams>
+
+    Examples:
+      | text                                                      | what    | requests     | streams      |
+      | {"address": "a:1", "left_ms": 500, "streams_left_ms": -5} | both    | for 500 ms   | for -5 ms    |
+      | {"address": "a:1", "left_ms": null, "streams_left_ms": null} | both | without end  | without end  |
+      | {"address": "a:1"}                                        | both    | without end  | without end  |
+      | {"address": ""}                                           | nothing | never        | never        |
+      | {"address": "a:1", "left_ms": "x"}                        | nothing | never        | never        |
+      | {"address": "a:1", "left_ms": NaN}                        | nothing | never        | never        |
+
   Scenario: Where no instance reaches backend servers, none is found
     Given 7 instances that know each other, of which 7 reach no backend server
     When these have asked for 2 s
--- a/stoatpath/forwarding/features/steps/peer_steps.py
+++ b/stoatpath/forwarding/features/steps/peer_steps.py
@@ -1,6 +1,7 @@
 """Steps on peers that reach backend servers, with instances in virtual time."""
 
 import asyncio
+import json
 import random
 from types import SimpleNamespace
 
@@ -16,6 +17,7 @@
 SERVICE = "desk"
 # Heads of a question and of its answer.
 HEAD_BYTES = 600
+NOW_MS = 10_000.0
 
 
 class PeerFleet:
@@ -97,6 +99,30 @@
     assert context.bytes_per_s <= 1000 * limit, context.bytes_per_s
 
 
+@given("the answer of a peer: {text}")
+def step_impl(context, text):
+    try:
+        context.acceptance = Acceptance.from_json(json.loads(text), NOW_MS)
+    except (KeyError, TypeError, ValueError):
+        context.acceptance = None
+
+
+def describe_time(until_ms):
+    if until_ms == float("inf"):
+        return "without end"
+    return f"for {until_ms - NOW_MS:.0f} ms"
+
+
+@then("it takes requests {requests} and streams {streams}")
+def step_impl(context, requests, streams):
+    acceptance = context.acceptance
+    found = ("never", "never")
+    if acceptance is not None:
+        times_ms = (acceptance.until_ms, acceptance.streams_until_ms)
+        found = tuple(describe_time(each) for each in times_ms)
+    assert found == (requests, streams), found
+
+
 @then("none of these knows a peer")
 def step_impl(context):
     assert not any(context.found), context.found
--- a/stoatpath/forwarding/forwarders.py
+++ b/stoatpath/forwarding/forwarders.py
@@ -8,6 +8,7 @@
 from stoatpath.dispatch.messages import Attempt
 from stoatpath.dispatch.relay_policies import first_byte_deadline_ms
 from stoatpath.dispatch.relay_senders import NO_TIMEOUT_MS, STREAM_SILENCE_MS
+from stoatpath.dispatch.retries import MAX_LOST_RUNS
 from stoatpath.outcomes import (
     BACKEND_ERROR,
     BROKEN_ANSWER,
@@ -22,8 +23,6 @@
 )
 
 MAX_FORWARDS = 3
-# Backend servers that may end under a request, here and at the peers.
-MAX_LOST_RUNS = 2
 # Failures after which a request that may run again is sent to another instance.
 LOST_REASONS = (BROKEN_ANSWER, FOREIGN_ANSWER, SILENT_CONNECTION)
 
--- a/stoatpath/forwarding/peers.py
+++ b/stoatpath/forwarding/peers.py
@@ -50,11 +50,17 @@
 
     @classmethod
     def from_json(cls, data, now_ms):
-        """Build it; raise KeyError, TypeError or ValueError if malformed."""
+        """Build it; raise KeyError, TypeError or ValueError if malformed.
+
+        Instances of an older release name no times, and no address while they drain.
+        """
+        address = str(data["address"])
+        if not address:
+            raise ValueError("it takes no requests")
         return cls(
-            str(data["address"]),
-            now_ms + _decode_left_ms(data["left_ms"]),
-            now_ms + _decode_left_ms(data["streams_left_ms"]),
+            address,
+            now_ms + _decode_left_ms(data.get("left_ms")),
+            now_ms + _decode_left_ms(data.get("streams_left_ms")),
         )
 
 
--- a/stoatpath/quarantine/features/quarantine.feature
+++ b/stoatpath/quarantine/features/quarantine.feature
@@ -162,6 +162,11 @@
     When 1 in 20 requests has a poison part for 20 s, and then it is harmless again
     Then within 80 s requests with the part are served
 
+  # Guards against evidence that is lost while instances are replaced by a newer release.
+  Scenario: A lost attempt reported by an instance of an older release counts for its parts
+    Given a lost attempt with the parts a,x as an instance of an older release reports it
+    Then it counts for the parts a,x and for no whole request
+
   Scenario Outline: A malformed <message> about parts changes nothing
     Given any JSON in place of a <message> about parts
     Then no part is in quarantine after it
--- a/stoatpath/quarantine/features/steps/quarantine_steps.py
+++ b/stoatpath/quarantine/features/steps/quarantine_steps.py
@@ -311,6 +311,27 @@
     assert len(context.fleet.crashes_ms) <= count, len(context.fleet.crashes_ms)
 
 
+@given(
+    "a lost attempt with the parts {parts} "
+    "as an instance of an older release reports it"
+)
+def step_impl(context, parts):
+    data = {
+        "backend": "s1",
+        "request": "r1",
+        "parts": parts.split(","),
+        "begun": True,
+        "age_ms": 5.0,
+    }
+    context.attempt = LostAttempt.from_json(data, 1_000.0)
+
+
+@then("it counts for the parts {parts} and for no whole request")
+def step_impl(context, parts):
+    assert context.attempt.names == tuple(parts.split(","))
+    assert context.attempt.started_ms == context.attempt.lost_ms == 995.0
+
+
 json_values = st.recursive(
     st.none() | st.booleans() | st.floats() | st.integers() | st.text(max_size=5),
     lambda children: st.lists(children, max_size=3)
--- a/stoatpath/quarantine/messages.py
+++ b/stoatpath/quarantine/messages.py
@@ -78,15 +78,20 @@
 
     @classmethod
     def from_json(cls, data, now_ms):
-        """Build an attempt; raise KeyError, TypeError or ValueError if malformed."""
+        """Build an attempt; raise KeyError, TypeError or ValueError if malformed.
+
+        Instances of an older release name no content and no start.
+        """
+        age_ms = decode_duration_ms(data["age_ms"])
+        start_age_ms = decode_duration_ms(data.get("start_age_ms", age_ms))
         return cls(
             decode_name(data["backend"]),
             decode_name(data["request"]),
             tuple(decode_name(part) for part in list(data["parts"])[:MAX_PARTS]),
-            decode_name(data["content"]),
+            decode_name(data.get("content", "")),
             data["begun"] is True,
-            now_ms - decode_duration_ms(data["start_age_ms"]),
-            now_ms - decode_duration_ms(data["age_ms"]),
+            now_ms - start_age_ms,
+            now_ms - age_ms,
         )
 
 
