Reproduce: a request whose callers leave ends all backend servers unseen (failing)

The first matter once more: the connection of an attempt is closed as its caller leaves, and the backend server ends a moment later.

--- a/features/platform/quarantine.feature
+++ b/features/platform/quarantine.feature
@@ -18,6 +18,19 @@
     And the refused poison requests are answered with 503 and a time to return
     And at least 9 in 10 of the other requests sent in the last 2 s are answered with 200
 
+  # Guards against crashes that are not seen, since the callers of the request left before.
+  Scenario Outline: A <kind> whose callers leave at once gets to few backend servers
+    Given 3 gateways and 4 <replicas> replicas that end when they run the path "<path>"
+    When callers send 12 other and 6 poison <kind>s a second for 8 s, and those of poison leave after 10 ms
+    Then at least 2 replicas have ended
+    And at most 3 poison requests reach replicas later than 3 s after the third crash
+    And at least 9 in 10 of the other requests sent in the last 2 s are answered with 200
+
+    Examples:
+      | kind   | replicas | path     |
+      | lookup | plain    | /look/dd |
+      | chat   | model    | /chat/dd |
+
   # Guards against logs that don't tell under which content a backend server ended.
   Scenario: The log of a request tells its shared parts and how far a failed attempt came
     Given 1 gateways and 2 model replicas that end when an answer to the part "dd" begins
--- a/features/platform/steps/quarantine_steps.py
+++ b/features/platform/steps/quarantine_steps.py
@@ -6,7 +6,7 @@
 
 from backpressure_steps import FleetFixture
 from behave import given, then, when
-from callers import ATTEMPT_ID, request_headers, send_request
+from callers import ATTEMPT_ID, CallerResponse, request_headers, send_request
 
 from stoatpath.clock import Clock
 
@@ -62,18 +62,28 @@
         return [each for each in self.sent if each.kind == kind]
 
 
-class LookupTraffic(Traffic):
-    """Sends lookups; poison ones all have the same path, others each their own."""
+class PathTraffic(Traffic):
+    """Sends requests; poison ones all have the same path, others each their own.
+
+    The callers of poison ones leave after `leaves_after_s`, if that is not None.
+    """
 
     def __init__(self, fleet, path):
         super().__init__(fleet)
-        self.path = path
+        _, self.route, self.name = path.split("/")
+        self.leaves_after_s = None
 
     async def _exchange(self, gateway, kind, number):
-        headers = request_headers("look", number)
+        headers = request_headers(self.route, number)
         headers[ATTEMPT_ID] = f"{kind}-{number}"
-        name = self.path.rpartition("/")[2] if kind == POISON else f"{number}"
-        return await send_request(gateway, "look", headers=headers, path=name)
+        path = self.name if kind == POISON else f"{number}"
+        request = send_request(gateway, self.route, headers=headers, path=path)
+        if kind != POISON or self.leaves_after_s is None:
+            return await request
+        try:
+            return await asyncio.wait_for(request, self.leaves_after_s)
+        except TimeoutError:
+            return CallerResponse(0, {}, b"")
 
 
 class PromptTraffic(Traffic):
@@ -110,14 +120,15 @@
 
 
 @given(
-    "{gateways:d} gateways and {plain:d} plain replicas "
+    "{gateways:d} gateways and {count:d} {kind} replicas "
     'that end when they run the path "{path}"'
 )
-def step_impl(context, gateways, plain, path):
-    context.fleet = FleetFixture(gateways, plain=plain)
+def step_impl(context, gateways, count, kind, path):
+    plain, models = (count, 0) if kind == "plain" else (0, count)
+    context.fleet = FleetFixture(gateways, plain=plain, models=models)
     context.add_cleanup(context.fleet.close)
     context.fleet.deployment.crash_on(path=path)
-    context.traffic = LookupTraffic(context.fleet, path)
+    context.traffic = PathTraffic(context.fleet, path)
 
 
 @when(
@@ -128,6 +139,15 @@
     context.fleet.run(context.traffic.run({OTHER: other, POISON: poison}, seconds))
 
 
+@when(
+    "callers send {other:d} other and {poison:d} poison {what} a second "
+    "for {seconds:d} s, and those of poison leave after {leave:d} ms"
+)
+def step_impl(context, other, poison, what, seconds, leave):
+    context.traffic.leaves_after_s = leave / 1000
+    context.fleet.run(context.traffic.run({OTHER: other, POISON: poison}, seconds))
+
+
 @then("at least {count:d} replicas have ended")
 def step_impl(context, count):
     assert len(context.fleet.deployment.crashes_ms) >= count
