Attempts are watched for a moment after their callers have left

Cause: an attempt was cancelled with its caller, its connection closed at once. A backend server that ends a moment later ends unseen, and a head that comes then is not read. Where the write of the head failed first, the exchange ended there, too.

Change: the exchange runs on for 200 ms, less than the half second that callers who leave may cost a backend server. Hedges that lose are watched in the same way.

--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -1,6 +1,9 @@
 """Sends a request to backend servers until one answers or no retry is allowed."""
 
+import asyncio
+
 from stoatpath.backpressure.gates import LIMIT_REACHED
+from stoatpath.dispatch.deadlines import ABANDONED_MS
 from stoatpath.dispatch.engine_policies import EnginePolicy
 from stoatpath.dispatch.hedges import Hedge
 from stoatpath.dispatch.messages import Attempt, AttemptResult
@@ -22,6 +25,7 @@
     is_failure,
 )
 from stoatpath.routing.messages import Candidate
+from stoatpath.utils import cancel_and_wait
 
 # Permits that a request may ask for before it is sent elsewhere; each takes a round
 # trip to another instance.
@@ -80,11 +84,20 @@
     """Runs a request: selects backend servers, sends attempts, retries and hedges.
 
     `router` is the router or gateway that owns the other components. `policy` decides
-    on candidates, deadlines, retries and hedges. Each of `observers` is called
-    with the `AttemptResult` of every attempt.
+    on candidates, deadlines, retries and hedges. Each of `observers` is called with the
+    `AttemptResult` of every attempt, each of `abandoned_observers` with that of an
+    attempt that ended soon after its caller had left.
     """
 
-    __slots__ = ("_router", "_clock", "_random", "_policy", "observers")
+    __slots__ = (
+        "_router",
+        "_clock",
+        "_random",
+        "_policy",
+        "observers",
+        "abandoned_observers",
+        "_abandoned",
+    )
 
     def __init__(self, router, random, policy=None):
         self._router = router
@@ -92,6 +105,12 @@
         self._random = random
         self._policy = policy or EnginePolicy(router)
         self.observers = []
+        self.abandoned_observers = []
+        self._abandoned = set()
+
+    async def close(self):
+        """End the attempts whose callers have left."""
+        await cancel_and_wait(list(self._abandoned))
 
     async def run(self, request, version, stream, min_confidence=None):
         """Return an answer, or the worst failure of all attempts.
@@ -101,6 +120,15 @@
         """
         relay = self._policy.open_relay(request, stream)
         state = _RequestState(request, version, relay, min_confidence)
+        try:
+            return await self._run_attempts(state)
+        except asyncio.CancelledError:
+            if relay is not None:
+                relay.abandon()
+            raise
+
+    async def _run_attempts(self, state):
+        request = state.request
         if _ends_backends(request):
             detail = "earlier backend servers ended under the request"
             return Failure(BROKEN_ANSWER, detail, Outcome.UNKNOWN)
@@ -128,6 +156,8 @@
 
     async def _wait_for_retry(self, state, failure, retries):
         request = state.request
+        if state.relay is not None and state.relay.is_abandoned:
+            return False
         may_resume = self._policy.may_resume(request, state.version)
         if not may_retry(request, failure, state.relay, may_resume):
             return False
@@ -220,13 +250,41 @@
         self._router.chooser.breakers.record_send(backend.name, started_ms)
         self._router.send_gate.record_send(backend.name)
         backend.in_flight += 1
+        exchange = asyncio.get_running_loop().create_task(
+            self._router.sender.send(attempt)
+        )
+        # While it runs, it takes a slot there, also after its caller has left.
+        exchange.add_done_callback(lambda _: _end_in_flight(backend))
         try:
-            answer = await self._router.sender.send(attempt)
-        finally:
-            backend.in_flight -= 1
+            answer = await asyncio.shield(exchange)
+        except asyncio.CancelledError:
+            self._abandon(state, attempt, exchange, started_ms)
+            raise
         self._report_result(state, attempt, answer, started_ms)
         return answer
 
+    def _abandon(self, state, attempt, exchange, started_ms):
+        """Keep an exchange for a moment whose caller has left, then end it."""
+        watch = asyncio.get_running_loop().create_task(
+            self._watch_abandoned(state, attempt, exchange, started_ms)
+        )
+        self._abandoned.add(watch)
+        watch.add_done_callback(self._abandoned.discard)
+
+    async def _watch_abandoned(self, state, attempt, exchange, started_ms):
+        try:
+            await asyncio.wait([exchange], timeout=ABANDONED_MS / 1000)
+        finally:
+            if not exchange.done():
+                await cancel_and_wait([exchange])
+        if exchange.cancelled() or exchange.exception() is not None:
+            return
+        answer = exchange.result()
+        failure = answer if is_failure(answer) else None
+        result = self._build_result(state, attempt, failure, started_ms)
+        for observer in self.abandoned_observers:
+            observer(result)
+
     def _report_result(self, state, attempt, answer, started_ms):
         request = state.request
         failure = answer if is_failure(answer) else None
@@ -251,13 +309,19 @@
                 failure = None
         else:
             self._record_answer(state, attempt, started_ms, first_byte_ms)
-        result = AttemptResult(
+        result = self._build_result(state, attempt, failure, started_ms)
+        for observer in self.observers:
+            observer(result)
+
+    def _build_result(self, state, attempt, failure, started_ms):
+        request = state.request
+        return AttemptResult(
             attempt.backend.name,
             state.version.name,
             failure and failure.reason,
             failure and failure.outcome,
             started_ms,
-            first_byte_ms,
+            attempt.deadlines and attempt.deadlines.first_byte_ms,
             self._clock.now_ms(),
             self._policy.route_name(request),
             None if state.relay is None else attempt.events,
@@ -266,8 +330,6 @@
             self._policy.new_release_share(request),
             request,
         )
-        for observer in self.observers:
-            observer(result)
 
     def _record_answer(self, state, attempt, started_ms, first_byte_ms):
         now_ms = self._clock.now_ms()
@@ -328,6 +390,10 @@
         self._router.ring.record_decision(request.request_id, step, reason, **details)
 
 
+def _end_in_flight(backend):
+    backend.in_flight -= 1
+
+
 def _ends_backends(request):
     """Return whether a request is not to be sent again, for those that ended under it.
 
--- a/stoatpath/dispatch/deadlines.py
+++ b/stoatpath/dispatch/deadlines.py
@@ -2,6 +2,10 @@
 
 import asyncio
 
+# Time for which a connection to a backend server stays open after the caller has left,
+# to learn what the backend server says or whether it ends.
+ABANDONED_MS = 200.0
+
 
 class ExchangeDeadlines:
     """An async context manager that raises TimeoutError at the first deadline.
@@ -68,6 +72,14 @@
         self.is_silent = True
         self._expire()
 
+    def end_within(self, duration_ms):
+        """End the exchange after some time, if it has not ended by then."""
+        deadline_ms = self._clock.now_ms() + duration_ms
+        self._total_deadline_ms = min(self._total_deadline_ms, deadline_ms)
+        if self._is_open:
+            self._timer.cancel()
+            self._start_timer(self._clock.now_ms())
+
     def supersede(self):
         """End the exchange because another attempt answers."""
         self.is_superseded = True
--- a/stoatpath/dispatch/event_relays.py
+++ b/stoatpath/dispatch/event_relays.py
@@ -2,6 +2,7 @@
 
 from stoatpath.callers.relay_messages import RelayedAnswer
 from stoatpath.dispatch.checks import broken_answer
+from stoatpath.dispatch.deadlines import ABANDONED_MS
 from stoatpath.outcomes import CALLER_GONE, Failure, Outcome
 
 # Ends of an event with the line endings that backend servers use.
@@ -14,14 +15,16 @@
     """Writes one streamed answer of unparsed events to the caller, over all attempts.
 
     The head (status and headers) is the first attempt's. `on_claimed` is part of the
-    interface for hedges and unused, since these streams are not hedged.
+    interface for hedges and unused, since these streams are not hedged. Once
+    `is_abandoned` is true, nothing more is written.
     """
 
-    __slots__ = ("_stream", "on_claimed")
+    __slots__ = ("_stream", "on_claimed", "is_abandoned")
 
     def __init__(self, stream):
         self._stream = stream
         self.on_claimed = None
+        self.is_abandoned = False
 
     @property
     def has_begun(self):
@@ -38,14 +41,20 @@
         """Return the identifier of the event after which to resume."""
         return self.last_event_id
 
+    def abandon(self):
+        """Write nothing more: the caller has left."""
+        self.is_abandoned = True
+
     async def begin(self, head):
         """Write the head unless an earlier attempt did; return a failure or None."""
-        if self._stream.has_begun:
+        if self._stream.has_begun or self.is_abandoned:
             return None
         return await _write_to_caller(self._stream.begin(head))
 
     async def write(self, events, last_event_id):
         """Write complete events; return a failure if the caller disconnected."""
+        if self.is_abandoned:
+            return Failure(CALLER_GONE, "the caller has left", Outcome.UNKNOWN)
         self._stream.last_event_id = last_event_id
         return await _write_to_caller(self._stream.write(events))
 
@@ -58,9 +67,10 @@
     relay = attempt.relay
     start = relay.last_event_id or attempt.request.last_event_id
     splitter = EventSplitter(start)
-    caller_failure = await relay.begin(head)
-    if caller_failure is not None:
-        return caller_failure
+    if await relay.begin(head) is not None:
+        # Whether the backend server gets as far as an event is still worth knowing.
+        relay.abandon()
+        deadlines.end_within(ABANDONED_MS)
     while chunk := await content.readany():
         deadlines.record_bytes()
         events = splitter.feed(chunk)
--- a/stoatpath/dispatch/streams.py
+++ b/stoatpath/dispatch/streams.py
@@ -54,6 +54,15 @@
         """Return the index of the content event from which to resume."""
         return max(0, len(self.contents) - RESUME_OVERLAP_EVENTS)
 
+    @property
+    def is_abandoned(self):
+        """Return whether the caller has left and nothing more is written."""
+        return self._is_disconnected and not self._outlives_caller
+
+    def abandon(self):
+        """Write nothing more: the caller has left."""
+        self._is_disconnected = True
+
     def claim(self, attempt):
         """Return whether an attempt may write; the first one becomes the owner."""
         if self.owner is None:
@@ -76,7 +85,7 @@
                 await self._stream.write(events)
             except OSError:
                 self._is_disconnected = True
-        if self._is_disconnected and not self._outlives_caller:
+        if self.is_abandoned:
             return Failure(CALLER_GONE, "the caller has left", Outcome.UNKNOWN)
         return None
 
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -320,6 +320,7 @@
             self.quarantine_exchange.record_answered,
         )
         self.attempts = AttemptRunner(self, self.random, RelayPolicy(self))
+        self.attempts.abandoned_observers.append(self.crash_reporter.observe)
         self.attempt_statistics = AttemptStatistics()
         self.attempts.observers += [
             self.attempt_statistics.observe,
@@ -446,6 +447,7 @@
         await self.listener.stop()
         await self.ready_server.stop()
         await self.metrics.stop()
+        await self.attempts.close()
         await self.send_gate.close()
         await self.peer_finder.close()
         await self.partitions.close()
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -163,6 +163,7 @@
             self.quarantine_exchange.observe,
             self.crash_reporter.observe,
         ]
+        self.attempts.abandoned_observers.append(self.crash_reporter.observe)
         self.stages = StageRunner(self)
         self.pipeline = Pipeline(self)
         self.listener = Listener(self, self.pipeline)
@@ -245,6 +246,7 @@
         await cancel_and_wait(self._tasks)
         await self.sampling.sampler.stop()
         await self.rollouts.broadcaster.stop()
+        await self.attempts.close()
         await self.send_gate.close()
         await self.crash_reporter.close()
         await self.quarantine_exchange.close()
