--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -1,6 +1,7 @@
 """Sends a request to backend servers until one answers or no retry is allowed."""
 
 import asyncio
+import logging
 
 from stoatpath.backpressure.gates import LIMIT_REACHED
 from stoatpath.dispatch.deadlines import ABANDONED_MS
@@ -27,6 +28,8 @@
 from stoatpath.routing.messages import Candidate
 from stoatpath.utils import cancel_and_wait
 
+logger = logging.getLogger(__name__)
+
 # Permits that a request may ask for before it is sent elsewhere; each takes a round
 # trip to another instance.
 MAX_PERMIT_REQUESTS = 3
@@ -277,7 +280,11 @@
         finally:
             if not exchange.done():
                 await cancel_and_wait([exchange])
-        if exchange.cancelled() or exchange.exception() is not None:
+        if exchange.cancelled():
+            return
+        if exchange.exception() is not None:
+            why = repr(exchange.exception())
+            logger.warning("attempts.abandoned-failed", extra={"why": why})
             return
         answer = exchange.result()
         failure = answer if is_failure(answer) else None
