Reproduce: a quarantine is unknown to a lone gateway, and after all have ended (failing)

An instance that has lost its peers, not the store, sends requests that all others have put into quarantine, and so does one that starts after all have ended.

Cause: decisions travel between instances only, and last in their memory only.

Evidence: two scenarios with real gateways and a store.

--- a/features/platform/quarantine.feature
+++ b/features/platform/quarantine.feature
@@ -31,6 +31,22 @@
       | lookup | plain    | /look/dd |
       | chat   | model    | /chat/dd |
 
+  # Guards against a quarantine that is unknown to instances which reach no other instance.
+  Scenario: A gateway that reaches no other learns which requests are in quarantine
+    Given 2 gateways and 4 plain replicas that end when they run the path "/look/dd"
+    And another gateway that knows no other
+    When callers send 12 other and 6 poison lookups a second through the first 2 gateways for 4 s
+    And callers send 6 poison lookups a second through the last gateway for 2 s
+    Then no poison request of the last gateway reached a replica
+
+  # Guards against a quarantine that is lost when all instances end at once.
+  Scenario: A quarantine holds after all gateways have ended
+    Given 2 gateways and 4 plain replicas that end when they run the path "/look/dd"
+    When callers send 12 other and 6 poison lookups a second through all gateways for 4 s
+    And all gateways end and 1 other starts
+    And callers send 6 poison lookups a second through the last gateway for 2 s
+    Then no poison request of the last gateway reached a replica
+
   # Guards against logs that don't tell under which content a backend server ended.
   Scenario: The log of a request tells its shared parts and how far a failed attempt came
     Given 1 gateways and 2 model replicas that end when an answer to the part "dd" begins
--- a/features/platform/steps/quarantine_steps.py
+++ b/features/platform/steps/quarantine_steps.py
@@ -34,6 +34,7 @@
 
     def __init__(self, fleet):
         self.fleet = fleet
+        self.gateways = fleet.gateways
         self.sent = []
 
     async def run(self, rates_by_kind, seconds):
@@ -52,8 +53,7 @@
         await asyncio.gather(*tasks)
 
     async def _send(self, kind, number):
-        gateways = self.fleet.gateways
-        gateway = gateways[number % len(gateways)]
+        gateway = self.gateways[number % len(self.gateways)]
         sent_ms = Clock().now_ms()
         response = await self._exchange(gateway, kind, number)
         self.sent.append(SentRequest(kind, number, sent_ms, response))
@@ -148,6 +148,59 @@
     context.fleet.run(context.traffic.run({OTHER: other, POISON: poison}, seconds))
 
 
+@given("another gateway that knows no other")
+def step_impl(context):
+    deployment = context.fleet.deployment
+    context.fleet.run(deployment.add_gateway("alone"))
+    context.fleet.run(deployment.wait_until_in_sync())
+
+
+@when(
+    "callers send {other:d} other and {poison:d} poison lookups a second "
+    "through the first {count:d} gateways for {seconds:d} s"
+)
+def step_impl(context, other, poison, count, seconds):
+    context.traffic.gateways = context.fleet.gateways[:count]
+    context.fleet.run(context.traffic.run({OTHER: other, POISON: poison}, seconds))
+
+
+@when("all gateways end and {count:d} other starts")
+def step_impl(context, count):
+    fleet = context.fleet
+
+    async def restart():
+        for gateway in fleet.gateways:
+            await gateway.kill()
+        fleet.gateways.clear()
+        for number in range(count):
+            await fleet.deployment.add_gateway(f"successor-{number}")
+        await fleet.deployment.wait_until_in_sync()
+
+    fleet.run(restart())
+
+
+@when(
+    "callers send {poison:d} poison lookups a second through the last gateway "
+    "for {seconds:d} s"
+)
+def step_impl(context, poison, seconds):
+    context.traffic.gateways = context.fleet.gateways[-1:]
+    context.last_from_ms = Clock().now_ms()
+    context.fleet.run(context.traffic.run({POISON: poison}, seconds))
+
+
+@then("no poison request of the last gateway reached a replica")
+def step_impl(context):
+    deployment = context.fleet.deployment
+    assert len(deployment.crashes_ms) >= 2, deployment.crashes_ms
+    arrivals = [
+        request_id
+        for arrived_ms, request_id in deployment.all_arrivals()
+        if request_id.startswith(POISON) and arrived_ms >= context.last_from_ms
+    ]
+    assert not arrivals, arrivals
+
+
 @then("at least {count:d} replicas have ended")
 def step_impl(context, count):
     assert len(context.fleet.deployment.crashes_ms) >= count
