Decisions about requests in quarantine are kept in the store

What callers saw: a gateway that had lost its peers, and one that started after all had ended, sent requests that all others refuse, and two more backend servers ended under each. In the model, 9 requests with a poison part came later than 3 s after the fifth crash while 2 of 7 instances had lost their peers; 3 are allowed.

Cause: decisions lived in the memory of instances and travelled between them only. Ruled out: weaker evidence for lone instances, since each would still need crashes of its own, and innocent requests would be refused for one crash.

Change: the instance that decides, or lifts, also writes the decision to the table quarantines of the store, under a condition; the table is followed and copied like the others. Ends are readings of the store's clock. Rows that can't be read, or end later than any quarantine, change nothing and are logged. Rows can be removed now.

The model of the store no longer applies a write of an instance that can't reach it.

--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -54,6 +54,7 @@
 from stoatpath.quarantine.exchanges import QuarantineExchange
 from stoatpath.quarantine.quarantines import QuarantineTable
 from stoatpath.quarantine.reporters import CrashReporter
+from stoatpath.quarantine.storages import QUARANTINE_TABLE, QuarantineStorage
 from stoatpath.readiness import ReadyServer
 from stoatpath.rollouts.release_keepers import ReleaseKeeper
 from stoatpath.rollouts.releases import ReleaseRegistry
@@ -75,6 +76,8 @@
 MIN_WAIT_MS = 50
 # No bound limits the age of the list of backend servers while it does not change.
 SERVERS_WAIT_MS = 4_000
+# Instances tell each other of quarantines; the store is for those who reach no other.
+QUARANTINES_WAIT_MS = 4_000
 # Delay between a change and the next read, so that one read returns several changes:
 # backend servers change in series while a fleet starts or shrinks. For these it is a
 # share of `drain_ms`. The delays of roll-out orders and statuses are short, since these
@@ -82,6 +85,7 @@
 OPERATOR_BATCH_DELAY_MS = 200
 SERVERS_BATCH_DELAY_SHARE = 0.1
 STATUS_BATCH_DELAY_MS = 50
+QUARANTINES_BATCH_DELAY_MS = 200
 MAINTENANCE_PERIOD_MS = 250.0
 # Time that an instance spends on finding others before it reads the store, if all start
 # at the same time, which is long before the first request, and otherwise.
@@ -137,6 +141,7 @@
         "send_gate",
         "quarantine",
         "quarantine_exchange",
+        "quarantine_storage",
         "crash_reporter",
         "partitions",
         "peer_finder",
@@ -156,6 +161,7 @@
         "operator_rows",
         "server_rows",
         "status_rows",
+        "quarantine_rows",
         "members",
         "peer_server",
         "peer_client",
@@ -214,6 +220,13 @@
         self.status_rows = self._build_follower(
             names.STATUS_TABLE, self._apply_status_rows
         )
+        self.quarantine = QuarantineTable(self.clock)
+        self.quarantine_storage = QuarantineStorage(
+            self.quarantine, self.store, self.reachability, self.clock
+        )
+        self.quarantine_rows = self._build_follower(
+            QUARANTINE_TABLE, self.quarantine_storage.apply
+        )
 
     def _build_peers(self):
         """Build what instances tell each other; they are on a network of their own."""
@@ -250,6 +263,7 @@
                 names.OPERATOR_TABLE: self.operator_rows,
                 names.SERVERS_TABLE: self.server_rows,
                 names.STATUS_TABLE: self.status_rows,
+                QUARANTINE_TABLE: self.quarantine_rows,
             },
             names.OPERATOR_TABLE,
             knowledge_bound_ms(boot),
@@ -378,7 +392,6 @@
 
     def _build_quarantine(self):
         """Build what keeps requests with harmful content from backend servers."""
-        self.quarantine = QuarantineTable(self.clock)
         self.quarantine_exchange = QuarantineExchange(
             self.quarantine,
             self.members,
@@ -387,6 +400,7 @@
             self.clock,
             self.random,
         )
+        self.quarantine_exchange.on_decision = self.quarantine_storage.save
         self.gossip.add_topic(self.quarantine_exchange)
         self.crash_reporter = CrashReporter(
             self.backends,
@@ -418,6 +432,7 @@
             self.operator_rows.run(),
             self.server_rows.run(),
             self.status_rows.run(),
+            self.quarantine_rows.run(),
             self.releases.run(),
             self._run_maintenance(),
         )
@@ -453,6 +468,7 @@
         await self.partitions.close()
         await self.crash_reporter.close()
         await self.quarantine_exchange.close()
+        await self.quarantine_storage.close()
         await self.backend_client.close()
         await self.peer_server.stop()
         await self.peer_client.close()
@@ -477,6 +493,7 @@
         self.operator_rows.set_times(*times_by_table[names.OPERATOR_TABLE])
         self.server_rows.set_times(*times_by_table[names.SERVERS_TABLE])
         self.status_rows.set_times(*times_by_table[names.STATUS_TABLE])
+        self.quarantine_rows.set_times(*times_by_table[QUARANTINE_TABLE])
         logger.info("settings.reloaded", extra={"changed": changed})
 
     def is_ready(self):
@@ -620,6 +637,7 @@
             max(MIN_WAIT_MS, int(STATUS_WAIT_SHARE * boot.rollback_ms)),
             STATUS_BATCH_DELAY_MS,
         ),
+        QUARANTINE_TABLE: (QUARANTINES_WAIT_MS, QUARANTINES_BATCH_DELAY_MS),
     }
 
 
--- a/stoatpath/measure/quarantine_models.py
+++ b/stoatpath/measure/quarantine_models.py
@@ -1,7 +1,8 @@
 """A model of instances before backend servers that end on a prompt part or a request.
 
 The instances run the quarantine code of gateways in virtual time; the network, the
-backend servers and the attempts are simulated.
+store, the backend servers and the attempts are simulated. Each instance reads the store
+itself, which takes no less than the copies of gateways do.
 """
 
 import asyncio
@@ -10,8 +11,16 @@
 
 from stoatpath.callers.relay_messages import NO_PROMPT, Prompt, PromptPart
 from stoatpath.dispatch.messages import AttemptResult
+from stoatpath.feeds.followers import TableFollower
+from stoatpath.feeds.reachability import Reachability
 from stoatpath.measure.limit_models import CLOCK_SPREAD_MS, ModelPeerClient
-from stoatpath.measure.relay_models import Handlers, model_member
+from stoatpath.measure.relay_models import (
+    BATCH_DELAY_MS,
+    Handlers,
+    ModelStore,
+    ModelStoreClient,
+    model_member,
+)
 from stoatpath.measure.virtual_loops import VirtualClock
 from stoatpath.membership.members import MemberTable
 from stoatpath.membership.messages import Member
@@ -20,7 +29,10 @@
 from stoatpath.quarantine.messages import whole_request_name
 from stoatpath.quarantine.quarantines import QuarantineTable
 from stoatpath.quarantine.reporters import CrashReporter
+from stoatpath.quarantine.storages import QUARANTINE_TABLE, QuarantineStorage
 
+# As in `stoatpath.gateways`.
+QUARANTINES_WAIT_MS = 4_000
 SERVICE = "desk-assist"
 OTHER_SERVICE = "booking-desk"
 POISON_PART = "poison"
@@ -82,6 +94,8 @@
         "members",
         "table",
         "exchange",
+        "storage",
+        "rows",
         "reporter",
     )
 
@@ -96,6 +110,20 @@
         self.exchange = QuarantineExchange(
             self.table, self.members, client, handlers, self.clock, rng
         )
+        store = ModelStoreClient(fleet.store, name)
+        reachability = Reachability()
+        self.storage = QuarantineStorage(self.table, store, reachability, self.clock)
+        self.exchange.on_decision = self.storage.save
+        self.rows = TableFollower(
+            store,
+            QUARANTINE_TABLE,
+            QUARANTINES_WAIT_MS,
+            BATCH_DELAY_MS,
+            reachability,
+            self.clock,
+            rng,
+            self.storage.apply,
+        )
         self.reporter = CrashReporter(
             fleet, fleet.is_reachable, self.exchange.report, self.clock, rng
         )
@@ -104,6 +132,7 @@
         """Cancel all tasks."""
         await self.reporter.close()
         await self.exchange.close()
+        await self.storage.close()
 
 
 class QuarantineFleet:
@@ -117,11 +146,13 @@
     reached a backend server from instances that had not just started, `served_ms` those
     at which such requests were answered. `results` holds the time and the success of
     the first attempt of each other request. The names in `killed`, `frozen` and
-    `isolated` are those of instances that refuse connections or reach no other.
+    `isolated` are those of instances that refuse connections or reach no other; all
+    reach the store.
     """
 
     __slots__ = (
         "loop",
+        "store",
         "backends",
         "other_backend",
         "instances_by_name",
@@ -148,6 +179,7 @@
 
     def __init__(self, loop, instances, servers, rate_per_s, seed):
         self.loop = loop
+        self.store = ModelStore(loop)
         self.backends = [
             ModelBackend(f"server-{index}", SERVICE) for index in range(servers)
         ]
@@ -263,6 +295,7 @@
         rng = random.Random(self._random.random())
         instance = self.instances_by_name[name] = ModelInstance(self, name, rng)
         self._start(self._run_gossip(instance))
+        self._start(self._follow_store(instance))
 
     def _introduce(self, names):
         """Make instances and all others known to each other."""
@@ -273,6 +306,11 @@
                     _tell(instance, other)
                     _tell(other, instance)
 
+    async def _follow_store(self, instance):
+        """Read decisions from the store while an instance is the one of its name."""
+        while self.instances_by_name.get(instance.name) is instance:
+            await instance.rows.step()
+
     async def _run_gossip(self, instance):
         """Exchange decisions with random instances."""
         started_s = self.loop.time()
--- a/stoatpath/measure/relay_models.py
+++ b/stoatpath/measure/relay_models.py
@@ -21,7 +21,13 @@
     PLATFORM_UNAVAILABLE,
     Failure,
 )
-from stoatpath.platform.row_stores import RowPage, StoredRow
+from stoatpath.platform.row_stores import (
+    CALL_TIMEOUT_MS,
+    Committed,
+    Conflict,
+    RowPage,
+    StoredRow,
+)
 from stoatpath.sessions.shared_releases import SharedSessions
 from stoatpath.utils import cancel_and_wait, decode_json, encode_json
 
@@ -36,7 +42,7 @@
 
 
 class ModelStore:
-    """Rows of two tables; counts the calls of all instances by name.
+    """Rows of some tables; counts the calls of all instances by name.
 
     The store is unreachable for the instances in `unreachable_from`. Waiting polls of
     the tables in `silent_polls` are never answered.
@@ -69,9 +75,9 @@
         """The number of calls of all instances."""
         return sum(self.calls_by_name.values())
 
-    def put(self, table, key, is_deleted=False):
+    def put(self, table, key, is_deleted=False, value=b"{}"):
         """Write or remove a row; return the new version."""
-        value = None if is_deleted else b"{}"
+        value = None if is_deleted else value
         row = StoredRow(key, self.version + 1, value, is_deleted)
         self._rows.append((table, row))
         self._changed.set()
@@ -82,9 +88,11 @@
         """Return `answer()` after the delays of a call, or a failure."""
         self.calls_by_name[name] = self.calls_by_name.get(name, 0) + 1
         await asyncio.sleep(STORE_DELAY_MS / 2000)
+        if name in self.unreachable_from:
+            return await self._run_into_time_limit()
         page = answer()
         deadline_s = self._loop.time() + wait_ms / 1000
-        while not page.rows and self._loop.time() < deadline_s:
+        while self._loop.time() < deadline_s and not page.rows:
             if name in self.unreachable_from:
                 break
             try:
@@ -94,12 +102,24 @@
                 pass
             page = answer()
         if name in self.unreachable_from:
-            # The client's time limit.
-            await asyncio.sleep(1.0)
-            return Failure(PLATFORM_UNAVAILABLE, "unreachable")
+            return await self._run_into_time_limit()
         await asyncio.sleep(STORE_DELAY_MS / 2000)
         return page
 
+    async def _run_into_time_limit(self):
+        await asyncio.sleep(CALL_TIMEOUT_MS / 1000)
+        return Failure(PLATFORM_UNAVAILABLE, "unreachable")
+
+    def commit(self, writes):
+        """Apply `RowWrite`s if all their conditions hold."""
+        for write in writes:
+            known = [row for row in self.page(write.table).rows if row.key == write.key]
+            if write.expected_version != (known[0].version if known else 0):
+                return Conflict()
+        for write in writes:
+            self.put(write.table, write.key, write.value is None, write.value)
+        return Committed(self.version, self._loop.time() * 1000)
+
     def page(self, table, after=None):
         """Return the newest rows of a table, or those changed after a version."""
         newest = {}
@@ -123,6 +143,10 @@
         """Read a whole table."""
         return await self._store.call(self._name, lambda: self._store.page(table))
 
+    async def write(self, writes):
+        """Write rows if all conditions hold."""
+        return await self._store.call(self._name, lambda: self._store.commit(writes))
+
     async def wait_for_changes(self, table, version, wait_ms):
         """Wait for changes of a table."""
         answer = self._store.call(
--- a/stoatpath/platform/row_stores.py
+++ b/stoatpath/platform/row_stores.py
@@ -89,7 +89,10 @@
 
 
 class RowWrite:
-    """A write that requires `expected_version` of the row; 0 if it must not exist."""
+    """A write that requires `expected_version` of the row; 0 if it must not exist.
+
+    `value` is the bytes, or None to remove the row.
+    """
 
     __slots__ = ("table", "key", "value", "expected_version")
 
@@ -187,8 +190,11 @@
                 _encode_row_key(write)
                 | {"value": base64.b64encode(write.value).decode()}
                 for write in writes
+                if write.value is not None
+            ],
+            "remove": [
+                _encode_row_key(write) for write in writes if write.value is None
             ],
-            "remove": [],
         }
         return await self._call(
             "POST", "/-/rows-tx", _decode_commit, body=encode_json(message)
--- a/stoatpath/quarantine/exchanges.py
+++ b/stoatpath/quarantine/exchanges.py
@@ -51,12 +51,13 @@
     """Collects evidence as a keeper, and exchanges decisions with other instances.
 
     `table` is the `QuarantineTable`, `members` the `MemberTable`. It is also a topic of
-    gossip messages.
+    gossip messages. `on_decision` is called with each decision of this instance.
     """
 
     __slots__ = (
         "table",
         "history",
+        "on_decision",
         "_members",
         "_client",
         "_clock",
@@ -72,6 +73,7 @@
     def __init__(self, table, members, client, server, clock, random):
         self.table = table
         self.history = PartHistory()
+        self.on_decision = lambda quarantine: None
         self._members = members
         self._client = client
         self._clock = clock
@@ -228,6 +230,7 @@
         await self._tell_all(decision)
 
     async def _tell_all(self, decision):
+        self.on_decision(decision)
         message = decision.to_json(self._clock.now_ms())
         await self._ask_all(self._other_names(), DECISION_TOPIC, message)
 
--- a/stoatpath/quarantine/features/quarantine.feature
+++ b/stoatpath/quarantine/features/quarantine.feature
@@ -101,6 +101,7 @@
       | 7     | 9       | 20   | 3      | join             |
       | 7     | 9       | 20   | 2      | restart          |
       | 7     | 9       | 20   | 2      | lose their peers |
+      | 69    | 40      | 80   | 20     | lose their peers |
       | 69    | 40      | 80   | 20     | join             |
       | 69    | 40      | 80   | 20     | restart          |
       | 69    | 40      | 80   | 5      | leave            |
@@ -136,6 +137,8 @@
       | 7     | 4       | 15   | plain  | 3      | join    |
       | 7     | 4       | 15   | plain  | 3      | restart |
       | 7     | 9       | 40   | stream | 3      | restart |
+      | 7     | 4       | 15   | plain  | 3      | lose their peers |
+      | 7     | 9       | 40   | stream | 7      | lose their peers |
       | 69    | 12      | 80   | plain  | 20     | join    |
       | 69    | 12      | 80   | plain  | 20     | restart |
       | 69    | 12      | 80   | plain  | 20     | leave   |
--- a/stoatpath/quarantine/quarantines.py
+++ b/stoatpath/quarantine/quarantines.py
@@ -93,11 +93,14 @@
             return 0
         return self._by_key[service, part].repeats + 1
 
+    def version(self, service, part):
+        """Return the version of the decision known of a part, 0 if there is none."""
+        quarantine = self._by_key.get((service, part))
+        return 0 if quarantine is None else quarantine.version
+
     def next_version(self, service, part):
         """Return a version above that of the decision known of a part."""
-        quarantine = self._by_key.get((service, part))
-        known = 0 if quarantine is None else quarantine.version
-        return max(known + 1, self._clock.wall_ms())
+        return max(self.version(service, part) + 1, self._clock.wall_ms())
 
     def merge(self, quarantine):
         """Apply a decision; return whether it is newer than the one known."""
--- a/stoatpath/standins/row_stores.py
+++ b/stoatpath/standins/row_stores.py
@@ -212,8 +212,8 @@
                 return False
         await self._apply(
             [
-                (write["table"], write["key"], write["value"])
-                for write in message["writes"]
+                (entry["table"], entry["key"], entry.get("value"))
+                for entry in message["writes"] + message["remove"]
             ]
         )
         return True
