Crashes of a backend server that keeps its name count one by one

Cause: evidence is grouped by backend server, taken for one crash each. A backend server may come back under its name: then all its crashes were one, and a service with one or two of them never reached the evidence for a decision while other requests were lost beside.

Change: attempts that were sent to a backend server 100 ms after a loss there, or later, belong to another crash. The margin covers what reports of other instances take, so one crash that several instances see stays one.

--- a/stoatpath/quarantine/suspicions.py
+++ b/stoatpath/quarantine/suspicions.py
@@ -24,6 +24,8 @@
 MIN_WHOLE_SCORE_AGAIN = WAITING_WEIGHT
 # Crashes closer together may have one cause outside of the backend servers.
 SEPARATION_MS = 100.0
+# A backend server that has ended is not back sooner. Covers what reports take, too.
+MIN_RESTART_MS = 100.0
 WINDOW_MS = 60_000.0
 MAX_ATTEMPTS = 2_000
 NEVER_MS = float("-inf")
@@ -32,9 +34,9 @@
 class Suspicion:
     """A part, or a whole request, that may end backend servers.
 
-    `crashes` are the names of the backend servers that ended with it, `since_ms` is
-    when the first of them did, `answered_ms` when an answer to it last began, as far as
-    is known.
+    `crashes` are the keys of the crashes that took attempts with it, `since_ms` is when
+    the first of them was, `answered_ms` when an answer to it last began, as far as is
+    known.
     """
 
     __slots__ = ("part", "score", "crashes", "since_ms", "answered_ms")
@@ -104,8 +106,8 @@
         """
         self._expire(now_ms)
         found = []
-        for part, losses_by_backend in self._losses_by_part().items():
-            suspicion = self._suspect(part, losses_by_backend, is_known(part))
+        for part, losses_by_crash in self._losses_by_part().items():
+            suspicion = self._suspect(part, losses_by_crash, is_known(part))
             if suspicion is not None:
                 found.append(suspicion)
         return sorted(
@@ -124,15 +126,16 @@
         The attempts of a whole request still count against its parts, since one of
         these may end backend servers under other requests too.
         """
-        explained = {
-            attempt.backend for attempt in self._attempts if part in attempt.names
-        }
-        kept = [
-            attempt
-            for attempt in self._attempts
-            if attempt.backend not in explained
-            or (is_whole_request(part) and attempt.content == part)
-        ]
+        kept = []
+        for attempts in self._attempts_by_crash().values():
+            is_explained = any(part in attempt.names for attempt in attempts)
+            kept += [
+                attempt
+                for attempt in attempts
+                if not is_explained
+                or (is_whole_request(part) and attempt.content == part)
+            ]
+        kept.sort(key=lambda attempt: attempt.lost_ms)
         if is_whole_request(part):
             kept = [
                 attempt.without_content() if attempt.content == part else attempt
@@ -140,9 +143,9 @@
             ]
         self._attempts = deque(kept, MAX_ATTEMPTS)
 
-    def _suspect(self, part, losses_by_backend, is_known):
+    def _suspect(self, part, losses_by_crash, is_known):
         """Return a `Suspicion`, or None if there is too little evidence."""
-        losses = list(losses_by_backend.values())
+        losses = list(losses_by_crash.values())
         if is_whole_request(part):
             score = _score(losses, is_later_attempt=_is_sent_after)
             min_score = MIN_WHOLE_SCORE_AGAIN if is_known else MIN_SCORE
@@ -155,16 +158,31 @@
             return None
         since_ms = min(loss.lost_ms for loss in losses)
         answered_ms = self._answered_ms_by_part.get(part, NEVER_MS)
-        crashes = frozenset(losses_by_backend)
+        crashes = frozenset(losses_by_crash)
         return Suspicion(part, score, crashes, since_ms, answered_ms)
 
-    def _losses_by_part(self):
-        """Return the `_Loss` of each crash by part and by backend server."""
+    def _attempts_by_crash(self):
+        """Return the attempts by the backend server and the time of its crash.
+
+        A backend server may come back under its name: attempts that were sent to it
+        well after a loss were lost in a later crash.
+        """
         attempts_by_backend = {}
         for attempt in self._attempts:
             attempts_by_backend.setdefault(attempt.backend, []).append(attempt)
-        losses_by_part = {}
+        attempts_by_crash = {}
         for backend, attempts in attempts_by_backend.items():
+            crash = None
+            for attempt in sorted(attempts, key=lambda each: each.lost_ms):
+                if crash is None or attempt.started_ms >= crash[1] + MIN_RESTART_MS:
+                    crash = (backend, attempt.lost_ms)
+                attempts_by_crash.setdefault(crash, []).append(attempt)
+        return attempts_by_crash
+
+    def _losses_by_part(self):
+        """Return the `_Loss` of each crash by part and by the key of the crash."""
+        losses_by_part = {}
+        for crash, attempts in self._attempts_by_crash().items():
             has_begun = any(attempt.has_begun for attempt in attempts)
             is_alone = len({attempt.content for attempt in attempts}) == 1
             for attempt in attempts:
@@ -173,10 +191,10 @@
                         continue
                     weight = _weight(attempt, part, has_begun, is_alone)
                     losses = losses_by_part.setdefault(part, {})
-                    if backend in losses:
-                        losses[backend].add(weight, attempt)
+                    if crash in losses:
+                        losses[crash].add(weight, attempt)
                     else:
-                        losses[backend] = _Loss(weight, attempt)
+                        losses[crash] = _Loss(weight, attempt)
         return losses_by_part
 
     def _expire(self, now_ms):
