A backend server that lost attempts is contacted at once, not only after 20 ms

Cause: a backend server is contacted 20 ms after the loss, or later on a busy machine; if it is back by then, it counts as one that broke off an answer. Ruled out: contacting it at once only, as its listener may close a little after its connections.

Change: it is contacted at once, and again after 20 ms if it accepted; refused either time, it has ended.

--- a/stoatpath/quarantine/features/quarantine.feature
+++ b/stoatpath/quarantine/features/quarantine.feature
@@ -74,6 +74,8 @@
       | the answer broke off            | accepts         | accept          | before the first event    | is not reported |
       | the answer had begun            | accepts nothing | accept          | after the first event     | is not reported |
       | this instance is cut off        | accepts nothing | accept nothing  | before the first event    | is not reported |
+      | it ended and is back at once    | accepts nothing for 10 ms | accept   | before the first event    | is reported     |
+      | it ended and is back soon       | accepts nothing for 30 ms | accept   | before the first event    | is reported     |
       | all of the service ended        | accepts nothing | are of another service | before the first event | is reported  |
 
   Scenario Outline: At <count> instances, few requests with a poison part reach backend servers
--- a/stoatpath/quarantine/features/steps/quarantine_steps.py
+++ b/stoatpath/quarantine/features/steps/quarantine_steps.py
@@ -110,6 +110,8 @@
 def step_impl(context, state, others):
     context.accepting = {"s1": state == "accepts", "s2": others == "accept"}
     context.accepting["s3"] = others != "accept nothing"
+    _, _, down_ms = state.partition(" nothing for ")
+    context.back_s = float(down_ms.removesuffix(" ms") or "inf") / 1000
     context.services_by_name = {"s1": "desk", "s2": "desk", "s3": "assist"}
 
 
@@ -142,7 +144,8 @@
     context.reports = []
 
     async def is_reachable(address):
-        return context.accepting[address]
+        is_back = asyncio.get_running_loop().time() >= context.back_s
+        return context.accepting[address] or (address == "s1" and is_back)
 
     async def report(service, attempts):
         context.reports.append((service, [each.request_id for each in attempts]))
--- a/stoatpath/quarantine/reporters.py
+++ b/stoatpath/quarantine/reporters.py
@@ -10,7 +10,8 @@
 logger = logging.getLogger(__name__)
 
 LOST_REASONS = (BROKEN_ANSWER, SILENT_CONNECTION)
-# All connections of a backend server that ends are lost within this time.
+# All connections of a backend server that ends are lost within this time, and it accepts
+# none at the end of it unless it is back already.
 COLLECT_MS = 20.0
 # Other backend servers that are contacted, to rule out that this instance is cut off.
 COMPARED_BACKENDS = 3
@@ -65,9 +66,12 @@
         await cancel_and_wait(list(self._tasks))
 
     async def _check(self, name, service):
-        await self._clock.sleep_until(self._clock.now_ms() + COLLECT_MS)
+        collected_ms = self._clock.now_ms() + COLLECT_MS
         try:
+            # It may be back soon, so it is contacted at once, too.
             has_ended = await self._has_ended(name)
+            await self._clock.sleep_until(collected_ms)
+            has_ended = has_ended or await self._has_ended(name)
         finally:
             results = self._results_by_backend.pop(name)
         attempts = [_lost_attempt(result) for result in results]
