--- a/stoatpath/quarantine/reporters.py
+++ b/stoatpath/quarantine/reporters.py
@@ -10,8 +10,8 @@
 logger = logging.getLogger(__name__)
 
 LOST_REASONS = (BROKEN_ANSWER, SILENT_CONNECTION)
-# All connections of a backend server that ends are lost within this time, and it accepts
-# none at the end of it unless it is back already.
+# All connections of a backend server that ends are lost within this time. It accepts
+# none at the end of it, unless it is back already.
 COLLECT_MS = 20.0
 # Other backend servers that are contacted, to rule out that this instance is cut off.
 COMPARED_BACKENDS = 3
