Tests: requests of a history aren't hedged on a busy machine

The listed failure 'An unusually slow attempt is hedged when buffered' counted hedges of the 20 requests before the slow one. Cause: the test's machine was slow for these, and they were hedged after 30 ms, as they should be. Reproduced: one of eight runs at a time on one core (three hedges for one), and always with a delay of 0 (trial).

--- a/stoatpath/dispatch/features/steps/dispatch_steps.py
+++ b/stoatpath/dispatch/features/steps/dispatch_steps.py
@@ -8,6 +8,8 @@
 from stoatpath.outcomes import is_failure
 from stoatpath.utils import decode_json
 
+# Longer than any request of a scenario takes.
+NO_HEDGE_MS = 60_000.0
 KINDS = {
     "completion": {},
     "stream": {"stream": True},
@@ -275,8 +277,11 @@
     async def run():
         rig = Rig(first_byte_limit_ms=5_000)
         await rig.start()
+        hedge_min_ms = rig.router.settings.hedge_min_ms
+        rig.router.settings.hedge_min_ms = NO_HEDGE_MS
         for number in range(10, 30):
             await rig.run(rig.request(number, stream=context.is_stream))
+        rig.router.settings.hedge_min_ms = hedge_min_ms
         rig.inject_fault("slow", delay_ms=2_000)
         context.request = rig.request(1, stream=context.is_stream)
         started_ms = rig.clock.now_ms()
