Stored decisions that can't be read stay in the store

Found in review: an instance took a row that it can't read for one to forget, and removed it with its next write. During a release the row may be one that newer instances read. It stays now, is logged as before, and counts for nothing. The parts of the quarantine are built together in the gateway.

--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -182,6 +182,10 @@
         self.routes = RouteKeeper(documents.decode_route_table)
         self.backends = BackendDirectory(documents.decode_backend, self.reachability)
         self.releases = self._build_releases()
+        self.quarantine = QuarantineTable(self.clock)
+        self.quarantine_storage = QuarantineStorage(
+            self.quarantine, self.store, self.reachability, self.clock
+        )
         self._build_followers()
         self._build_peers()
         self.guard = RouteGuard(self.routes, boot.fails_closed, boot.revoke_ms, clock)
@@ -220,10 +224,6 @@
         self.status_rows = self._build_follower(
             names.STATUS_TABLE, self._apply_status_rows
         )
-        self.quarantine = QuarantineTable(self.clock)
-        self.quarantine_storage = QuarantineStorage(
-            self.quarantine, self.store, self.reachability, self.clock
-        )
         self.quarantine_rows = self._build_follower(
             QUARANTINE_TABLE, self.quarantine_storage.apply
         )
--- a/stoatpath/quarantine/features/steps/storage_steps.py
+++ b/stoatpath/quarantine/features/steps/storage_steps.py
@@ -13,6 +13,7 @@
 SEED = 1
 SETTLE_S = 1.0
 CHECK_S = 0.05
+UNREADABLE_KEY = "unreadable"
 STORAGE_LOGGER = "stoatpath.quarantine.storages"
 
 
@@ -124,7 +125,7 @@
     handler.emit = storage.emit
     logger.addHandler(handler)
     context.add_cleanup(logger.removeHandler, handler)
-    storage.fleet.store.put(QUARANTINE_TABLE, "key", value=value.encode())
+    storage.fleet.store.put(QUARANTINE_TABLE, UNREADABLE_KEY, value=value.encode())
     storage.sleep(2)
 
 
@@ -157,6 +158,15 @@
     assert len(rows) == count, rows
 
 
+@then("the row stays when the second puts part {part} into quarantine")
+def step_impl(context, part):
+    storage = context.storage
+    storage.decide(1, part, 60)
+    storage.sleep(1)
+    assert UNREADABLE_KEY in [row.key for row in storage.stored_rows()]
+    assert len(storage.stored_rows()) == 2
+
+
 @then("no part is in quarantine at an instance")
 def step_impl(context):
     for instance in context.storage.instances:
--- a/stoatpath/quarantine/features/storages.feature
+++ b/stoatpath/quarantine/features/storages.feature
@@ -40,6 +40,7 @@
     When the store has the decision <value>
     Then no part is in quarantine at an instance
     And each instance has logged an unreadable row
+    And the row stays when the second puts part y into quarantine
 
     Examples:
       | is wrong                       | value                                                                                  |
--- a/stoatpath/quarantine/storages.py
+++ b/stoatpath/quarantine/storages.py
@@ -23,6 +23,7 @@
 RETRY_PAUSE_MS = 400.0
 # A decision that could not be stored for so long is left to the other instances.
 SAVE_FOR_MS = 30_000.0
+NEVER_MS = float("inf")
 
 
 class _Row:
@@ -88,7 +89,8 @@
                 continue
             now_ms = self._clock.now_ms()
             quarantine = self._decode(change.row, now_ms)
-            forget_ms = now_ms if quarantine is None else _forget_ms(quarantine)
+            # A row that can't be read may be of a newer release: it stays.
+            forget_ms = NEVER_MS if quarantine is None else _forget_ms(quarantine)
             self._rows_by_key[change.key] = _Row(change.row.version, forget_ms)
             if quarantine is not None:
                 self._table.merge(quarantine)
