A decision that comes just as the last one is stored is stored, too

What could happen: instances without peers never learn a decision. Cause: the writer task had ended, but its callback, which forgot it, had not run yet, so that no new task was started. A task that is done counts as none now.

Evidence: the scenario puts the second decision into that moment; without the change the store has 1 decision of 2.

--- a/stoatpath/quarantine/features/steps/storage_steps.py
+++ b/stoatpath/quarantine/features/steps/storage_steps.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import logging
+from unittest import mock
 
 from behave import given, then, when
 
 from stoatpath.measure.quarantine_models import SERVICE, QuarantineFleet
+from stoatpath.measure.relay_models import ModelStoreClient
 from stoatpath.measure.virtual_loops import VirtualLoop
 from stoatpath.quarantine.messages import Quarantine
 from stoatpath.quarantine.storages import QUARANTINE_TABLE
@@ -45,14 +47,18 @@
         """Let an instance decide on a part, and store that."""
 
         async def decide():
-            instance = self.instances[number]
-            end_ms = instance.clock.now_ms() + 1000 * seconds
-            decision = Quarantine(SERVICE, part, version, end_ms, is_lifted=is_lifted)
-            instance.table.merge(decision)
-            instance.storage.save(decision)
+            self.decide_now(number, part, seconds, version, is_lifted)
 
         self.run(decide())
 
+    def decide_now(self, number, part, seconds, version=1, is_lifted=False):
+        """Do the same from a coroutine."""
+        instance = self.instances[number]
+        end_ms = instance.clock.now_ms() + 1000 * seconds
+        decision = Quarantine(SERVICE, part, version, end_ms, is_lifted=is_lifted)
+        instance.table.merge(decision)
+        instance.storage.save(decision)
+
     def seconds_left(self, part):
         """Return how long the quarantine of a part goes on at each instance."""
         return [
@@ -111,6 +117,33 @@
     context.storage.sleep(1)
 
 
+@when(
+    "the first puts part {later} into quarantine "
+    "at the moment at which part {part} is stored"
+)
+def step_impl(context, later, part):
+    storage = context.storage
+    write = ModelStoreClient.write
+
+    async def store_both():
+        is_stored = asyncio.Event()
+
+        async def write_and_tell(client, writes):
+            result = await write(client, writes)
+            is_stored.set()
+            return result
+
+        patch = mock.patch.object(ModelStoreClient, "write", write_and_tell)
+        patch.start()
+        context.add_cleanup(patch.stop)
+        storage.decide_now(0, part, 60)
+        await is_stored.wait()
+        storage.decide_now(0, later, 60)
+        await asyncio.sleep(SETTLE_S)
+
+    storage.run(store_both())
+
+
 @when("{later:d} s later another instance starts")
 def step_impl(context, later):
     context.storage.sleep(later)
--- a/stoatpath/quarantine/features/storages.feature
+++ b/stoatpath/quarantine/features/storages.feature
@@ -22,6 +22,12 @@
     When the store is away for 40 s, while the first puts part x into quarantine for 60 s
     Then the store has 0 decisions
 
+  # Guards against a decision that no task writes, since it came as the last one ended.
+  Scenario: A decision that comes just when another is stored is stored, too
+    Given 2 instances that reach the store, but not each other
+    When the first puts part y into quarantine at the moment at which part x is stored
+    Then the store has 2 decisions
+
   # Guards against a table that grows for ever.
   Scenario: Decisions that no instance remembers are removed from the store
     Given 2 instances that reach the store, but not each other
--- a/stoatpath/quarantine/storages.py
+++ b/stoatpath/quarantine/storages.py
@@ -23,7 +23,7 @@
 RETRY_PAUSE_MS = 400.0
 # A decision that could not be stored for so long is left to the other instances.
 SAVE_FOR_MS = 30_000.0
-NEVER_MS = float("inf")
+FOREVER_MS = float("inf")
 
 
 class _Row:
@@ -77,9 +77,9 @@
         give_up_ms = self._clock.now_ms() + SAVE_FOR_MS
         pending = _PendingDecision(quarantine, give_up_ms)
         self._pending_by_key[_row_key(quarantine)] = pending
-        if self._writer is None:
+        if self._writer is None or self._writer.done():
             self._writer = asyncio.get_running_loop().create_task(self._write_pending())
-            self._writer.add_done_callback(self._handle_writer_end)
+            self._writer.add_done_callback(_log_writer_failure)
 
     def apply(self, changes):
         """Apply `RowChange`s of the table."""
@@ -90,7 +90,7 @@
             now_ms = self._clock.now_ms()
             quarantine = self._decode(change.row, now_ms)
             # A row that can't be read may be of a newer release: it stays.
-            forget_ms = NEVER_MS if quarantine is None else _forget_ms(quarantine)
+            forget_ms = FOREVER_MS if quarantine is None else _forget_ms(quarantine)
             self._rows_by_key[change.key] = _Row(change.row.version, forget_ms)
             if quarantine is not None:
                 self._table.merge(quarantine)
@@ -126,6 +126,7 @@
         return store_ms
 
     async def _write_pending(self):
+        """Write until nothing is pending."""
         while True:
             self._drop_obsolete()
             if not self._pending_by_key:
@@ -179,10 +180,10 @@
         version = 0 if row is None else row.version
         return RowWrite(QUARANTINE_TABLE, key, value, version)
 
-    def _handle_writer_end(self, task):
-        self._writer = None
-        if not task.cancelled() and task.exception() is not None:
-            logger.error("quarantine.writer-failed", exc_info=task.exception())
+
+def _log_writer_failure(task):
+    if not task.cancelled() and task.exception() is not None:
+        logger.error("quarantine.writer-failed", exc_info=task.exception())
 
 
 def _row_key(quarantine):
