Pauses between writes of a decision grow while the store is away

Each call of the store has a price, also one that fails: an instance tried to write a decision each 0.4 s, 22 times until it gave up after 30 s (calls that hang take 1 s). The pause doubles now, up to 3.2 s.

Evidence: the new scenario allows 10 writes in 40 s without the store; 22 before.

--- a/stoatpath/measure/quarantine_models.py
+++ b/stoatpath/measure/quarantine_models.py
@@ -95,6 +95,7 @@
         "members",
         "table",
         "exchange",
+        "store",
         "storage",
         "rows",
         "reporter",
@@ -111,12 +112,14 @@
         self.exchange = QuarantineExchange(
             self.table, self.members, client, handlers, self.clock, rng
         )
-        store = ModelStoreClient(fleet.store, name)
+        self.store = ModelStoreClient(fleet.store, name)
         reachability = Reachability()
-        self.storage = QuarantineStorage(self.table, store, reachability, self.clock)
+        self.storage = QuarantineStorage(
+            self.table, self.store, reachability, self.clock
+        )
         self.exchange.on_decision = self.storage.save
         self.rows = TableFollower(
-            store,
+            self.store,
             QUARANTINE_TABLE,
             QUARANTINES_WAIT_MS,
             BATCH_DELAY_MS,
--- a/stoatpath/measure/relay_models.py
+++ b/stoatpath/measure/relay_models.py
@@ -131,13 +131,14 @@
 
 
 class ModelStoreClient:
-    """The calls of one instance, as `RowStore` makes them."""
+    """The calls of one instance, as `RowStore` makes them; `writes` counts writes."""
 
-    __slots__ = ("_store", "_name")
+    __slots__ = ("_store", "_name", "writes")
 
     def __init__(self, store, name):
         self._store = store
         self._name = name
+        self.writes = 0
 
     async def read(self, table, start=""):
         """Read a whole table."""
@@ -145,6 +146,7 @@
 
     async def write(self, writes):
         """Write rows if all conditions hold."""
+        self.writes += 1
         return await self._store.call(self._name, lambda: self._store.commit(writes))
 
     async def wait_for_changes(self, table, version, wait_ms):
--- a/stoatpath/quarantine/features/steps/storage_steps.py
+++ b/stoatpath/quarantine/features/steps/storage_steps.py
@@ -200,6 +200,12 @@
     assert len(storage.stored_rows()) == 2
 
 
+@then("the first has tried to write at most {count:d} times")
+def step_impl(context, count):
+    writes = context.storage.instances[0].store.writes
+    assert 2 <= writes <= count, writes
+
+
 @then("no part is in quarantine at an instance")
 def step_impl(context):
     for instance in context.storage.instances:
--- a/stoatpath/quarantine/features/storages.feature
+++ b/stoatpath/quarantine/features/storages.feature
@@ -28,6 +28,12 @@
     When the first puts part y into quarantine at the moment at which part x is stored
     Then the store has 2 decisions
 
+  # Guards against many priced calls to a store that is away.
+  Scenario: While the store is away, the pauses between writes grow
+    Given 2 instances that reach the store, but not each other
+    When the store is away for 40 s, while the first puts part x into quarantine for 60 s
+    Then the first has tried to write at most 10 times
+
   # Guards against a table that grows for ever.
   Scenario: Decisions that no instance remembers are removed from the store
     Given 2 instances that reach the store, but not each other
--- a/stoatpath/quarantine/storages.py
+++ b/stoatpath/quarantine/storages.py
@@ -19,8 +19,10 @@
 QUARANTINE_TABLE = "quarantines"
 # A call of the store takes 100 entries; a write has a condition too.
 MAX_WRITES = 50
-# Pause after a write that failed, or that another instance came before.
+# Pause after a write that failed, or that another instance came before. It doubles, as
+# each call has a price.
 RETRY_PAUSE_MS = 400.0
+MAX_RETRY_PAUSE_MS = 3_200.0
 # A decision that could not be stored for so long is left to the other instances.
 SAVE_FOR_MS = 30_000.0
 FOREVER_MS = float("inf")
@@ -127,13 +129,16 @@
 
     async def _write_pending(self):
         """Write until nothing is pending."""
+        pause_ms = RETRY_PAUSE_MS
         while True:
             self._drop_obsolete()
             if not self._pending_by_key:
                 return
-            if not await self._write_some():
-                retry_ms = self._clock.now_ms() + RETRY_PAUSE_MS
-                await self._clock.sleep_until(retry_ms)
+            if await self._write_some():
+                pause_ms = RETRY_PAUSE_MS
+                continue
+            await self._clock.sleep_until(self._clock.now_ms() + pause_ms)
+            pause_ms = min(MAX_RETRY_PAUSE_MS, 2 * pause_ms)
 
     def _drop_obsolete(self):
         """Drop decisions that a newer one has replaced, or that took too long."""
