Tests: clients of services have time for an answer on a busy machine

The listed failure 'table read with the fault down' met the client's time limit of 150 ms where an answer was expected. Cause: calls of the test take longer on a busy machine.

--- a/stoatpath/services/features/steps/client_steps.py
+++ b/stoatpath/services/features/steps/client_steps.py
@@ -25,8 +25,8 @@
 from stoatpath.standins.ratings import RatingStandin
 from stoatpath.standins.tables import TableStandin
 
-TIMEOUT_MS = 150
-SLOW_MS = 400
+TIMEOUT_MS = 1_500
+SLOW_MS = 4_000
 KEY = "leases/a"
 
 
