Send nothing to the backend servers of zones that the operator drained

Cause: gateways did not read the rows evacuate/ZONE of the table op, so a drained zone went on to get requests.

Change: the package zones keeps the drained zones and filters the candidates of each attempt before a release is chosen. The backend server is checked again after the wait for a permit, before the exchange starts and once its connection is open, just before the request is written; a refused one is assigned again without cost to the retry budget. With no server left, requests are refused at once (503, not run, Retry-After), also those that wait for a slot. Admission, the detection of partitions, readiness and the completion of roll-outs leave drained servers out. Routes and organisations may have allowed_regions, and the settings file bounds. evac_ms, zones and region.

--- a/stoatpath/admission/gates.py
+++ b/stoatpath/admission/gates.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from stoatpath.admission.messages import QUEUED
+from stoatpath.outcomes import is_failure
 
 
 class AdmissionGate:
@@ -57,6 +58,16 @@
             self._queue.set_capacity(pool, slots)
         self._deliver_grants(self._queue.grant_waiting(self._clock.now_ms()))
 
+    def refuse_waiting(self, find_failure):
+        """End the wait of each request for which `find_failure` returns a failure."""
+        for request in self._queue.waiting_requests():
+            failure = find_failure(request)
+            waiter = self._waiters_by_id.get(request.request_id)
+            if failure is None or waiter is None or waiter.done():
+                continue
+            self._queue.remove_waiting(request.request_id)
+            waiter.set_result(failure)
+
     def _deliver_grants(self, grants):
         for grant in grants:
             waiter = self._waiters_by_id.get(grant.request_id)
@@ -74,4 +85,6 @@
         self._waiters_by_id.pop(request_id, None)
         self._queue.remove_waiting(request_id)
         if waiter.done() and not waiter.cancelled():
-            self.release(waiter.result())
+            grant = waiter.result()
+            if not is_failure(grant):
+                self.release(grant)
--- a/stoatpath/admission/messages.py
+++ b/stoatpath/admission/messages.py
@@ -7,6 +7,7 @@
     A pool is a version of a model or a plain service. `expected_ms` is the expected
     time for which the slot is held. `is_short` is set for the work of purposes
     configured as short. `weight` is the fair-share weight of the organisation.
+    `allowed_regions` limits the backend servers that it may reach, None if it doesn't.
     """
 
     __slots__ = (
@@ -17,6 +18,7 @@
         "deadline_ms",
         "expected_ms",
         "is_short",
+        "allowed_regions",
     )
 
     def __init__(
@@ -28,6 +30,7 @@
         deadline_ms,
         expected_ms,
         is_short,
+        allowed_regions=None,
     ):
         self.request_id = request_id
         self.organisation = organisation
@@ -36,6 +39,7 @@
         self.deadline_ms = deadline_ms
         self.expected_ms = expected_ms
         self.is_short = is_short
+        self.allowed_regions = allowed_regions
 
 
 class Grant:
--- a/stoatpath/admission/queues.py
+++ b/stoatpath/admission/queues.py
@@ -181,6 +181,10 @@
             grants += self._grant_waiting_in_pool(name, now_ms)
         return grants
 
+    def waiting_requests(self):
+        """Return the waiting requests."""
+        return [waiting.request for waiting in self._waiting_by_id.values()]
+
     def remove_waiting(self, request_id):
         """Remove a waiting request; return whether it was still waiting."""
         waiting = self._waiting_by_id.pop(request_id, None)
--- a/stoatpath/cascades/confidence.py
+++ b/stoatpath/cascades/confidence.py
@@ -16,6 +16,7 @@
     Outcome,
     is_failure,
 )
+from stoatpath.zones.eligibility import allowed_regions_of
 
 # Lowest confidence (0 to 100) at which an answer of the smallest model is accepted.
 ACCEPT_CONFIDENCE = 55.0
@@ -139,7 +140,11 @@
             if forwarded is not None:
                 return _with_actual_outcome(request, forwarded)
         request.releases = router.releases.choose(request)
-        if not router.backends.of_service(request.service.name):
+        backends = router.eligible.for_request(request)
+        if is_failure(backends):
+            self._record_decision(request, "zones", backends.detail)
+            return backends
+        if not backends:
             return self._no_backend_failure(request)
         grant = await router.gate.acquire(self._build_admission_request(request))
         if is_failure(grant):
@@ -233,6 +238,7 @@
             request.deadline_ms,
             0.0,
             False,
+            allowed_regions_of(request),
         )
 
     def _no_backend_failure(self, request):
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -21,6 +21,7 @@
     SILENT_CONNECTION,
     SUPERSEDED,
     UNSURE_ANSWER,
+    ZONES_DRAINED,
     Failure,
     Outcome,
     is_failure,
@@ -146,10 +147,13 @@
             answer = await self._send_with_hedge(state, attempt)
             if not is_failure(answer):
                 return answer
+            if attempt.is_withheld and answer.reason is ZONES_DRAINED:
+                # Nothing was sent: it is assigned again, at no cost to the budget.
+                continue
             state.record_failure(attempt, answer)
             if not await self._wait_for_retry(state, answer, retries):
                 break
-        return state.worst_failure
+        return state.worst_failure or answer
 
     def _check_guard(self, state):
         problem = self._policy.check_send(state.request, state.version)
@@ -217,9 +221,11 @@
             backend = choice.backend
             is_permitted = await gate.acquire(backend.name)
             # It may have begun to leave while the permit was on its way.
-            if is_permitted and not backend.is_leaving:
+            reason = LEAVING if backend.is_leaving else None
+            reason = reason or self._policy.exclusion_reason(state.request, backend)
+            if is_permitted and reason is None:
                 return choice
-            reason = LEAVING if backend.is_leaving else LIMIT_REACHED
+            reason = reason or LIMIT_REACHED
             self._record_decision(state.request, "permit", reason, backend=backend.name)
         choice = self._select_backend(state, only_permitted=True)
         if not is_failure(choice):
@@ -309,7 +315,7 @@
                 began_after_ms=_elapsed_ms(started_ms, first_byte_ms),
                 events=attempt.events,
             )
-            if failure.reason is SUPERSEDED:
+            if failure.reason is SUPERSEDED or attempt.is_withheld:
                 return
             if failure.reason is UNSURE_ANSWER:
                 # The backend server worked as it should: no failure for breakers.
@@ -359,6 +365,9 @@
         request = state.request
         query = self._policy.query(request, state.version, state.tried_names)
         backends = self._policy.candidates(request, state.version, state.relay)
+        if is_failure(backends):
+            self._record_decision(request, "route", backends.detail)
+            return backends
         backends, withheld = self._router.send_gate.split_withheld(
             backends, only_permitted
         )
@@ -371,7 +380,8 @@
             return choice
         choice.candidates += [
             Candidate(backend.name, None, reason)
-            for backend, reason in withheld[:MAX_LISTED_WITHHELD]
+            for listed in (withheld, self._policy.excluded(request))
+            for backend, reason in listed[:MAX_LISTED_WITHHELD]
         ]
         self._record_decision(
             request,
@@ -418,10 +428,11 @@
 def _combine_with_choice(worst_failure, failure):
     """Return the failure of a request for which no backend server can be selected.
 
-    If it was never run, that all backend servers take no more says when to return.
+    If it was never run, that all backend servers take no more, or are in drained zones,
+    says when to return.
     """
     if worst_failure is None:
         return failure
-    if failure.reason is BACKENDS_LIMITED:
+    if failure.reason in (BACKENDS_LIMITED, ZONES_DRAINED):
         return worst_failure.combined_with(failure)
     return worst_failure
--- a/stoatpath/dispatch/engine_policies.py
+++ b/stoatpath/dispatch/engine_policies.py
@@ -55,6 +55,14 @@
             return [backend for backend in serving if backend.resumes]
         return serving
 
+    def excluded(self, request):
+        """Return no backend servers: routers exclude none by zone."""
+        return []
+
+    def exclusion_reason(self, request, backend):
+        """Return None: routers exclude no backend server by zone."""
+        return None
+
     def may_resume(self, request, version):
         """Return whether an interrupted stream can be resumed."""
         serving = self._router.backends.serving(version.name)
--- a/stoatpath/dispatch/messages.py
+++ b/stoatpath/dispatch/messages.py
@@ -11,7 +11,9 @@
     (`CompletionRelay`) or the identifier of the last one (`EventRelay`).
     `needs_fresh_connection` asks for a new connection; `was_pooled` says that a
     possibly idle one was used. `min_confidence` is the confidence that the head of an
-    answer must state, or None. `events` is the number of events of a relayed stream
+    answer must state, or None. `check_send` is called with
+    the connection open and returns a failure or None; `is_withheld` is true once such a
+    check has refused the attempt. `events` is the number of events of a relayed stream
     that arrived; `RelaySender` counts those with an identifier.
     """
 
@@ -27,6 +29,8 @@
         "was_pooled",
         "deadlines",
         "min_confidence",
+        "check_send",
+        "is_withheld",
         "events",
     )
 
@@ -44,6 +48,8 @@
         self.was_pooled = False
         self.deadlines = None
         self.min_confidence = None
+        self.check_send = None
+        self.is_withheld = False
         self.events = 0
 
     @property
--- a/stoatpath/dispatch/relay_policies.py
+++ b/stoatpath/dispatch/relay_policies.py
@@ -2,6 +2,7 @@
 
 from stoatpath.dispatch.event_relays import EventRelay
 from stoatpath.dispatch.latencies import FirstByteTimes
+from stoatpath.outcomes import is_failure
 from stoatpath.routing.affinity import AffinityQuery
 
 # First byte timeout as a multiple of the route's latency objective; after that time
@@ -49,15 +50,27 @@
     def candidates(self, request, version, relay):
         """Return the backend servers with a release that may run the request.
 
+        Return a failure if drained zones and regions exclude all. They are applied
+        before the choice of a release, which may have servers in a drained zone only.
         The roll-out may have gone on since the request arrived, so a retry or a resumed
         stream chooses anew: a completed roll-out stops the servers of the old release.
         """
         if self._router.forwarder.is_needed(request):
             return []
         request.releases = self._router.releases.choose(request)
-        backends = self._router.backends.of_service(request.service.name)
+        backends = self._router.eligible.for_request(request)
+        if is_failure(backends):
+            return backends
         return request.releases.select(backends)
 
+    def excluded(self, request):
+        """Return pairs of an excluded backend server and the reason."""
+        return self._router.eligible.excluded(request)
+
+    def exclusion_reason(self, request, backend):
+        """Return why a selected backend server must not be used any more, or None."""
+        return self._router.eligible.exclusion_reason(request, backend)
+
     def may_resume(self, request, version):
         """Return whether an interrupted stream can be resumed."""
         return request.is_repeatable
--- a/stoatpath/dispatch/relay_senders.py
+++ b/stoatpath/dispatch/relay_senders.py
@@ -6,6 +6,7 @@
 from stoatpath.dispatch.event_relays import relay_events
 from stoatpath.dispatch.exchanges import read_body, run_exchange
 from stoatpath.dispatch.liveness import LivenessWatch
+from stoatpath.dispatch.send_checks import SendRefused
 from stoatpath.outcomes import (
     BACKEND_ERROR,
     REFUSED_BY_BACKEND,
@@ -32,7 +33,8 @@
     `decode_head` converts a response into an `AnswerHead`, `name_backend` adds the name
     of the backend server to one for another instance. `gate` is the `SendGate`.
     `on_answered` is called with a request when the first event of its answer, or all of
-    it, has arrived.
+    it, has arrived. `check_send` returns the failure of a request that must not be sent
+    to a backend server now, or None.
     """
 
     __slots__ = (
@@ -42,21 +44,29 @@
         "_name_backend",
         "_gate",
         "_on_answered",
+        "_check_send",
     )
 
-    def __init__(self, clock, calls, decode_head, name_backend, gate, on_answered):
+    def __init__(
+        self, clock, calls, decode_head, name_backend, gate, on_answered, check_send
+    ):
         self._clock = clock
         self._calls = calls
         self._decode_head = decode_head
         self._name_backend = name_backend
         self._gate = gate
         self._on_answered = on_answered
+        self._check_send = check_send
 
     async def send(self, attempt):
         """Return an answer, or a failure with the outcome of the execution."""
         request = attempt.request
         if request.deadline_ms <= self._clock.now_ms():
             return Failure(TIMED_OUT, "the deadline passed before sending")
+        attempt.check_send = lambda: self._check(attempt)
+        problem = attempt.check_send()
+        if problem is not None:
+            return problem
         silence_ms = STREAM_SILENCE_MS if request.is_stream else NO_TIMEOUT_MS
         deadlines = ExchangeDeadlines(
             self._clock, request.deadline_ms, attempt.first_byte_deadline_ms, silence_ms
@@ -70,6 +80,8 @@
         try:
             exchange = self._exchange(attempt, deadlines, pending)
             result = await run_exchange(exchange, deadlines)
+        except SendRefused as refused:
+            result = refused.failure
         finally:
             watch.stop()
             pending.end()
@@ -77,6 +89,12 @@
             request.run_count += 1
         return result
 
+    def _check(self, attempt):
+        """Return the failure of an attempt that must not be sent, or None."""
+        problem = self._check_send(attempt.request, attempt.backend)
+        attempt.is_withheld = problem is not None
+        return problem
+
     async def _exchange(self, attempt, deadlines, pending):
         request = attempt.request
         sent_ms = self._clock.now_ms()
--- a/stoatpath/dispatch/retries.py
+++ b/stoatpath/dispatch/retries.py
@@ -8,6 +8,7 @@
     REFUSED_BY_BACKEND,
     SILENT_CONNECTION,
     WRONG_PROCESS,
+    ZONES_DRAINED,
     Outcome,
 )
 
@@ -29,6 +30,8 @@
     REFUSED_BY_BACKEND,
     SILENT_CONNECTION,
     WRONG_PROCESS,
+    # Of a hedge that was not sent, beside a first attempt that may be repeated.
+    ZONES_DRAINED,
 )
 
 
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -19,6 +19,7 @@
 from stoatpath.callers.statistics import Durations
 from stoatpath.cascades.confidence import ConfidencePlanner, ConfidenceRunner
 from stoatpath.clock import Clock
+from stoatpath.configuration.operator_rows import OperatorRows
 from stoatpath.configuration.route_guards import RouteGuard
 from stoatpath.configuration.route_keepers import RouteKeeper
 from stoatpath.dispatch.attempt_statistics import AttemptStatistics
@@ -61,6 +62,8 @@
 from stoatpath.routing.affinity import AffinityChooser
 from stoatpath.sessions.releases import SessionReleases
 from stoatpath.utils import cancel_and_wait
+from stoatpath.zones.backends import EligibleBackends
+from stoatpath.zones.capacities import slots_by_service
 
 logger = logging.getLogger(__name__)
 
@@ -131,6 +134,8 @@
         "reachability",
         "routes",
         "backends",
+        "eligible",
+        "operator_orders",
         "releases",
         "guard",
         "rates",
@@ -181,7 +186,11 @@
         self.reachability = Reachability()
         self.routes = RouteKeeper(documents.decode_route_table)
         self.backends = BackendDirectory(documents.decode_backend, self.reachability)
+        self.eligible = EligibleBackends.from_boot(boot, self.backends, clock)
         self.releases = self._build_releases()
+        self.operator_orders = OperatorRows(
+            self.routes, self.releases, self.eligible.evacuations, clock
+        )
         self.quarantine = QuarantineTable(self.clock)
         self.quarantine_storage = QuarantineStorage(
             self.quarantine, self.store, self.reachability, self.clock
@@ -207,7 +216,7 @@
             self.store,
             documents.StatusCodec(),
             SessionReleases(self.boot.session_ms),
-            self.backends,
+            self.eligible,
             self.reachability,
             self.clock,
             self.random,
@@ -332,6 +341,7 @@
             name_backend,
             self.send_gate,
             self.quarantine_exchange.record_answered,
+            self.eligible.check_send,
         )
         self.attempts = AttemptRunner(self, self.random, RelayPolicy(self))
         self.attempts.abandoned_observers.append(self.crash_reporter.observe)
@@ -364,7 +374,7 @@
     def _build_forwarding(self):
         """Build what sends requests through others if no backend server is reached."""
         self.partitions = PartitionDetector(
-            self.backends,
+            self.eligible,
             self.backend_client.is_reachable,
             self.clock,
             self.random,
@@ -486,6 +496,7 @@
         self.retry_budget.set_bounds(
             boot.retry_ratio, boot.retry_window_ms, boot.retry_slack
         )
+        self.eligible.filter.set_regions(boot.regions_by_zone, boot.region)
         self.releases.registry.set_exposure(boot.exposure_share)
         self.releases.exposure_slack = boot.exposure_slack
         self.tables.set_bound(knowledge_bound_ms(boot))
@@ -511,8 +522,8 @@
 
     def _is_partitioned(self):
         """Return whether peers reach all services, and this instance none."""
-        services = {backend.service for backend in self.backends.by_name.values()}
-        return all(self.peer_finder.can_forward(service) for service in services)
+        services = self.eligible.services()
+        return bool(services) and all(map(self.peer_finder.can_forward, services))
 
     def addresses(self):
         """Return the listening addresses by the kind of client."""
@@ -527,17 +538,8 @@
         return f"requests in flight: {len(self.listener.open_by_id)}"
 
     def _apply_operator_rows(self, changes):
-        for change in changes:
-            if change.row is None:
-                continue
-            if change.key == names.CONFIG_KEY:
-                self.routes.apply(change.row)
-            elif documents.parse_rollout_key(change.key) is not None:
-                order = documents.decode_order(change.row)
-                if is_failure(order):
-                    _log_unreadable(change.key, order)
-                else:
-                    self.releases.apply_order(order)
+        if self.operator_orders.apply(changes):
+            self._update_capacities()
         self._update_status_polling()
 
     def _apply_server_rows(self, changes):
@@ -598,18 +600,9 @@
             self._update_status_polling()
 
     def _update_capacities(self):
-        backends = [
-            backend
-            for backend in self.backends.by_name.values()
-            if not backend.is_leaving
-        ]
-        allowed = self.send_gate.allowed_in_flight(backends)
-        slots_by_service = {}
-        for backend in backends:
-            slots = slots_by_service.get(backend.service, 0)
-            slots += min(backend.slots, allowed[backend.name])
-            slots_by_service[backend.service] = slots
-        self.gate.set_capacities(slots_by_service)
+        self.gate.set_capacities(slots_by_service(self.eligible, self.send_gate))
+        if self.eligible.evacuations.drained_zones():
+            self.gate.refuse_waiting(self.eligible.build_waiting_check())
 
 
 def knowledge_bound_ms(boot):
--- a/stoatpath/measure/limit_models.py
+++ b/stoatpath/measure/limit_models.py
@@ -154,6 +154,14 @@
         """Return all backend servers."""
         return self._backends
 
+    def excluded(self, request):
+        """Return no backend servers: zones play no part."""
+        return []
+
+    def exclusion_reason(self, request, backend):
+        """Return None: zones play no part."""
+        return None
+
     def check_send(self, request, version):
         """Return None: any request may be sent."""
         return None
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -10,6 +10,7 @@
 from stoatpath.callers.relay_messages import AnswerHead
 from stoatpath.dispatch.connections import accepts_connections
 from stoatpath.dispatch.response_handlers import use_checked_handler
+from stoatpath.dispatch.send_checks import CheckedRequest, check_before_send
 from stoatpath.platform import names
 
 EVENT_STREAM = "text/event-stream"
@@ -69,6 +70,7 @@
             connector=connector,
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
+            request_class=CheckedRequest,
             skip_auto_headers=SKIPPED_AUTO_HEADERS,
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=CONNECT_TIMEOUT_MS / 1000
@@ -94,6 +96,7 @@
     def _open(self, attempt, headers):
         request = attempt.request
         self.calls += 1
+        check_before_send(attempt.check_send)
         return self._session.request(
             request.method,
             URL(f"http://{attempt.backend.address}{request.path}", encoded=True),
--- a/stoatpath/platform/boot_files.py
+++ b/stoatpath/platform/boot_files.py
@@ -35,7 +35,9 @@
     out of date. `is_first_start` tells that all instances start now. The other
     attributes are bounds of the deployment; durations are in the unit of the name's
     suffix, shares and ratios are fractions of requests, and slacks are numbers of
-    requests allowed beyond those fractions.
+    requests allowed beyond those fractions. `evac_ms` is None if the file has no such
+    bound. `regions_by_zone` maps zones to regions; `region` is that of the process, or
+    None.
     """
 
     __slots__ = (
@@ -61,6 +63,9 @@
         "exposure_share",
         "exposure_slack",
         "session_ms",
+        "evac_ms",
+        "regions_by_zone",
+        "region",
     )
 
     @classmethod
@@ -96,6 +101,11 @@
         boot.exposure_share = bounds_reader.number("expose_share", minimum=0)
         boot.exposure_slack = bounds_reader.number("expose_slack", minimum=0)
         boot.session_ms = bounds_reader.number("session_s", minimum=0) * 1_000
+        boot.evac_ms = bounds_reader.optional_number("evac_ms", minimum=1)
+        boot.regions_by_zone = reader.texts_by_name("zones")
+        boot.region = reader.optional_text("region") or (
+            boot.regions_by_zone.get(boot.zone)
+        )
         if reader.problems:
             return Failure(BAD_REQUEST, "; ".join(reader.problems))
         return boot
@@ -142,6 +152,17 @@
             return self._record_problem(path, value, "a text that is not empty", "")
         return value
 
+    def optional_text(self, *path):
+        return None if self._get_value(path) is None else self.text(*path)
+
+    def texts_by_name(self, *path):
+        """Return a table of texts; a name that YAML reads as a number is a problem."""
+        texts = self.table(*path)
+        for name in texts:
+            if not isinstance(name, str):
+                self._record_problem(path, name, "names that are texts", "")
+        return {name: self.text(*path, name) for name in texts if isinstance(name, str)}
+
     def address(self, *path):
         value = self._get_value(path)
         host, _, port = value.rpartition(":") if isinstance(value, str) else ("",) * 3
@@ -167,6 +188,11 @@
             )
         return value
 
+    def optional_number(self, *path, minimum):
+        if self._get_value(path) is None:
+            return None
+        return self.number(*path, minimum=minimum)
+
     def flag(self, *path):
         value = self._get_value(path)
         if not isinstance(value, bool):
--- a/stoatpath/platform/documents.py
+++ b/stoatpath/platform/documents.py
@@ -12,7 +12,11 @@
 )
 from stoatpath.membership.messages import ListedBackend
 from stoatpath.outcomes import BAD_REQUEST, Failure
-from stoatpath.platform.names import ROLLOUT_PREFIX, STATUS_TABLE
+from stoatpath.platform.names import (
+    EVACUATION_PREFIX,
+    ROLLOUT_PREFIX,
+    STATUS_TABLE,
+)
 from stoatpath.platform.row_stores import era_of, number_of
 from stoatpath.rollouts.messages import (
     COMPLETED,
@@ -97,6 +101,16 @@
     return None
 
 
+def parse_evacuation_key(key):
+    """Return the zone in the key of a drain order, or None for other keys.
+
+    It is "" if the key is malformed.
+    """
+    if key.startswith(EVACUATION_PREFIX):
+        return key.removeprefix(EVACUATION_PREFIX)
+    return None
+
+
 def _decode(value, build):
     data = decode_json(value) if value is not None else None
     if not isinstance(data, dict):
@@ -111,7 +125,9 @@
     services = [_build_service(each) for each in data["services"]]
     organisations_by_key = {}
     for each in data.get("tenants") or ():
-        organisation = RoutedOrganisation(each["name"], each.get("priority"))
+        organisation = RoutedOrganisation(
+            each["name"], each.get("priority"), _decode_regions(each)
+        )
         for key in each.get("api_keys") or ():
             organisations_by_key[key] = organisation
     return RouteTable(
@@ -152,9 +168,24 @@
         bool(data.get("resumable", False)),
         # `sizes` lists models, smallest first.
         tuple(data.get("sizes") or ()),
+        _decode_regions(data),
     )
 
 
+def _decode_regions(data):
+    """Return the allowed regions as a set, None for any.
+
+    An empty list allows none. Only a missing or null field allows all: a restriction
+    that can't be read must not be dropped.
+    """
+    regions = data.get("allowed_regions")
+    if regions is None:
+        return None
+    if not isinstance(regions, list):
+        raise ValueError(f"expected a list of regions, not {regions!r}")
+    return frozenset(_require_text(region) for region in regions)
+
+
 def _build_limits(data):
     return CallerLimits(
         int(data.get("max_header_bytes") or DEFAULT_HEAD_BYTES),
--- a/stoatpath/platform/names.py
+++ b/stoatpath/platform/names.py
@@ -6,6 +6,7 @@
 STATUS_TABLE = "status"
 CONFIG_KEY = "config"
 ROLLOUT_PREFIX = "rollout/"
+EVACUATION_PREFIX = "evacuate/"
 
 # Path of the readiness check of the platform.
 READY_PATH = "/-/readyz"
--- a/stoatpath/rollouts/features/steps/shared_session_steps.py
+++ b/stoatpath/rollouts/features/steps/shared_session_steps.py
@@ -90,10 +90,10 @@
 def step_impl(context):
     instance = context.instance = Instance()
     instance.start_rollout()
-    backends = SimpleNamespace(of_service=lambda service: [OLD, NEW])
+    eligible = SimpleNamespace(for_request=lambda request: [OLD, NEW])
     gateway = SimpleNamespace(
         clock=instance.clock,
-        backends=backends,
+        eligible=eligible,
         releases=instance.keeper,
         forwarder=SimpleNamespace(is_needed=lambda request: False),
     )
--- a/stoatpath/standins/deployments.py
+++ b/stoatpath/standins/deployments.py
@@ -53,24 +53,27 @@
         self._restarts = set()
         self._keeps_names = False
 
-    async def start(self, models=2, plain=2, gateways=1):
+    async def start(self, models=2, plain=2, gateways=1, zones=("zone-a",)):
         """Start the store, replicas and gateways.
 
         `models` and `plain` count the replicas of the model and the plain service.
+        They are in each of `zones` in turn.
         """
         self.store_address = await self.store.start()
         await self.store.put("op", "config", self.config)
         for index in range(models):
-            await self.add_replica(f"m{index}", LLM_SERVICE)
+            zone = zones[index % len(zones)]
+            await self.add_replica(f"m{index}", LLM_SERVICE, zone=zone)
         for index in range(plain):
-            await self.add_replica(f"p{index}", PLAIN_SERVICE)
+            zone = zones[index % len(zones)]
+            await self.add_replica(f"p{index}", PLAIN_SERVICE, zone=zone)
         for index in range(gateways):
             await self.add_gateway(f"gateway-{index}")
         await self.wait_until_in_sync()
 
-    async def add_replica(self, name, service, release="v1"):
+    async def add_replica(self, name, service, release="v1", zone="zone-a"):
         """Start a replica and add it to the table `servers`."""
-        replica = ReplicaStandin(name, service, release)
+        replica = ReplicaStandin(name, service, release, zone)
         self.replicas_by_name[name] = replica
         await replica.start()
         await self.store.put("servers", name, replica.server_row())
@@ -111,15 +114,20 @@
         name = replica.name
         if not self._keeps_names:
             name = f"{replica.name}-{len(self.crashes_ms)}"
-        successor = await self.add_replica(name, replica.service, replica.release)
+        successor = await self.add_replica(
+            name, replica.service, replica.release, replica.zone
+        )
         successor.poison_part = replica.poison_part
         successor.poison_path = replica.poison_path
         successor.on_crash = self._handle_crash
 
-    async def add_gateway(self, name, zone="zone-a", seeds=(), **bounds):
-        """Start a gateway; `seeds` are peer addresses of others."""
+    async def add_gateway(self, name, zone="zone-a", seeds=(), zones=None, **bounds):
+        """Start a gateway; `seeds` are peer addresses of others.
+
+        `zones` maps zones to regions in its settings.
+        """
         mapping = boot_mapping(name, self.store_address, bounds)
-        mapping |= {"zone": zone, "seeds": list(seeds)}
+        mapping |= {"zone": zone, "seeds": list(seeds), "zones": zones}
         boot = BootFile.from_mapping(mapping)
         assert not is_failure(boot), boot
         gateway = Gateway.from_boot(boot, rng=random.Random(1))
--- /dev/null
+++ b/stoatpath/zones/__init__.py
@@ -0,0 +1,1 @@
+"""Availability zones: drained ones, and the regions that requests may reach."""
--- /dev/null
+++ b/stoatpath/zones/eligibility.py
@@ -0,0 +1,71 @@
+"""Decides by zone and region which backend servers a request may reach."""
+
+DRAINED = "zone drained"
+OTHER_REGION = "region not allowed"
+
+
+class ZoneFilter:
+    """Excludes backend servers in drained zones and outside the allowed regions.
+
+    `evacuations` is the `EvacuationTable`. `regions_by_zone` and `own_region` come from
+    the settings file; a zone that is not mapped is in no region.
+    """
+
+    __slots__ = ("_evacuations", "_regions_by_zone", "_own_region")
+
+    def __init__(self, evacuations, regions_by_zone, own_region):
+        self._evacuations = evacuations
+        self.set_regions(regions_by_zone, own_region)
+
+    def set_regions(self, regions_by_zone, own_region):
+        """Set the region of each zone, and that of this instance or None."""
+        self._regions_by_zone = regions_by_zone
+        self._own_region = own_region
+
+    def exclusion_reason(self, backend, allowed_regions):
+        """Return why a request must not reach a backend server, or None.
+
+        `allowed_regions` is a set of names, or None if the request may reach any.
+        """
+        if self._evacuations.is_drained(backend.zone):
+            return DRAINED
+        if allowed_regions is None:
+            return None
+        is_allowed = self._regions_by_zone.get(backend.zone) in allowed_regions
+        return None if is_allowed else OTHER_REGION
+
+    def split(self, backends, allowed_regions):
+        """Return the backend servers that a request may reach, and the others.
+
+        The latter are pairs of a backend server and the reason.
+        """
+        if allowed_regions is None and not self._evacuations.drained_zones():
+            return backends, []
+        eligible, excluded = [], []
+        for backend in backends:
+            reason = self.exclusion_reason(backend, allowed_regions)
+            if reason is None:
+                eligible.append(backend)
+            else:
+                excluded.append((backend, reason))
+        return eligible, excluded
+
+    def allows_instance(self, zone, allowed_regions):
+        """Return whether a request may be forwarded to an instance of a zone.
+
+        The instance must be in an allowed region, or in the region of this one.
+        """
+        if allowed_regions is None:
+            return True
+        region = self._regions_by_zone.get(zone)
+        return region is not None and region in (*allowed_regions, self._own_region)
+
+
+def allowed_regions_of(request):
+    """Return the regions that route and organisation both allow, None for any."""
+    limits = [
+        each.allowed_regions
+        for each in (request.route, request.organisation)
+        if each is not None and each.allowed_regions is not None
+    ]
+    return frozenset.intersection(*limits) if limits else None
--- /dev/null
+++ b/stoatpath/zones/features/steps/drain_steps.py
@@ -0,0 +1,336 @@
+"""Steps on requests through gateways while zones are drained and returned."""
+
+import asyncio
+from types import SimpleNamespace
+from unittest import mock
+
+import aiohttp
+from behave import given, then, when
+from fleets import ZoneFleet, wait_until
+
+from stoatpath.dispatch.messages import AttemptResult
+from stoatpath.outcomes import CONNECT_FAILED
+from stoatpath.standins.deployments import LLM_SERVICE, PLAIN_SERVICE
+from stoatpath.standins.faults import Fault
+
+STORE_OPERATIONS = ("read", "feed", "tx")
+# A partition is found within one connect time-out.
+PARTITION_S = 0.6
+
+
+@given(
+    "{gateways:d} gateways, and {count:d} backend servers of each service in {zones}"
+)
+def step_impl(context, gateways, count, zones):
+    context.fleet = ZoneFleet(gateways, count, zones.split()[1:])
+    context.add_cleanup(context.fleet.close)
+
+
+@when("the operator drains {zone}")
+def step_impl(context, zone):
+    context.known_after_s = context.fleet.run(context.fleet.order(zone, True))
+
+
+@when("the operator returns {zone}")
+def step_impl(context, zone):
+    context.fleet.run(context.fleet.order(zone, False))
+
+
+@when("callers send {count:d} {route} requests through each gateway")
+def step_impl(context, count, route):
+    context.fleet.run(context.fleet.send_through_all(count, route))
+
+
+@when("another instance forwards {count:d} look requests")
+def step_impl(context, count):
+    headers = {"Stoatpath-Forwarded": "0"}
+    context.fleet.run(context.fleet.send_through_all(count, "look", **headers))
+
+
+@then("all of them are answered with 200")
+def step_impl(context):
+    statuses = [each.status for each in context.fleet.responses]
+    assert statuses and set(statuses) == {200}, statuses
+
+
+@then("the backend servers of {zone} got none of them")
+def step_impl(context, zone):
+    assert context.fleet.arrivals(zone) == 0, context.fleet.arrivals(zone)
+
+
+@then("the backend servers of {zone} got some of them")
+def step_impl(context, zone):
+    assert context.fleet.arrivals(zone) > 0
+
+
+@then("all of them are refused with 503 and a time to retry, within {seconds:g} s")
+def step_impl(context, seconds):
+    assert context.fleet.responses
+    assert_refused(context.fleet.responses, seconds)
+
+
+def assert_refused(responses, seconds):
+    for response in responses:
+        assert response.status == 503, response.status
+        assert float(response.headers["Retry-After"]) >= 1.0, response.headers
+        assert b"zones-drained" in response.body, response.body
+        assert b"not-run" in response.body, response.body
+        assert response.took_s <= seconds, response.took_s
+
+
+@then("the gateways are ready")
+def step_impl(context):
+    assert all(each.is_ready() for each in context.fleet.gateways)
+
+
+@given("a request to a backend server of {zone} waits {seconds:g} s for {what}")
+def step_impl(context, zone, seconds, what):
+    context.wait = context.fleet.run(delay_sends(context.fleet, zone, seconds, what))
+    context.add_cleanup(context.wait.patch.stop)
+
+
+async def delay_sends(fleet, zone, seconds, what):
+    """Let requests to a zone wait; each is sent there unless a check prevents it."""
+    wait = SimpleNamespace(begun=asyncio.Event(), patch=None)
+    names = {each.name for each in fleet.replicas(zone)}
+    ports = {int(each.address.rpartition(":")[2]) for each in fleet.replicas(zone)}
+    gate = fleet.gateways[0].send_gate
+    acquire = gate.acquire
+    connect = aiohttp.TCPConnector._create_connection
+
+    async def acquire_slowly(name):
+        if name in names:
+            wait.begun.set()
+            await asyncio.sleep(seconds)
+        return await acquire(name)
+
+    async def connect_slowly(connector, request, *rest):
+        protocol = await connect(connector, request, *rest)
+        if request.url.port in ports:
+            wait.begun.set()
+            await asyncio.sleep(seconds)
+        return protocol
+
+    if what == "a permit":
+        wait.patch = mock.patch.object(
+            type(gate), "acquire", staticmethod(acquire_slowly)
+        )
+    else:
+        wait.patch = mock.patch.object(
+            aiohttp.TCPConnector, "_create_connection", connect_slowly
+        )
+    wait.patch.start()
+    return wait
+
+
+@when("a look request is sent, and {zone} is drained while it waits")
+def step_impl(context, zone):
+    fleet = context.fleet
+
+    async def send_and_drain():
+        # Another zone costs more than two requests in flight, so that the request is
+        # first assigned to the zone of the gateway.
+        request = asyncio.create_task(fleet.send("look"))
+        async with asyncio.timeout(5):
+            await context.wait.begun.wait()
+        await fleet.order(zone, True)
+        assert not request.done()
+        await request
+
+    fleet.run(send_and_drain())
+
+
+@given("each backend server has {slots:d} slots and answers after {seconds:g} s")
+def step_impl(context, slots, seconds):
+    fleet = context.fleet
+
+    async def restrict():
+        for replica in fleet.deployment.replicas_by_name.values():
+            replica.delay_ms = 1000 * seconds
+            row = replica.server_row(slots=slots)
+            await fleet.deployment.store.put("servers", replica.name, row)
+        gateway = fleet.gateways[0]
+        assert await wait_until(
+            lambda: all(each.capacity == slots for each in gateway.gate.pool_loads())
+        )
+
+    fleet.run(restrict())
+
+
+@when(
+    "{count:d} look requests are sent, and {zone} is drained once {waiting:d} of them "
+    "wait"
+)
+def step_impl(context, count, zone, waiting):
+    fleet = context.fleet
+    gate = fleet.gateways[0].gate
+
+    async def send_and_drain():
+        tasks = [asyncio.create_task(fleet.send("look")) for _ in range(count)]
+        assert await wait_until(lambda: gate.waiting_count() == waiting)
+        await fleet.order(zone, True)
+        await asyncio.wait(tasks, timeout=0.3)
+        context.refused = list(fleet.responses)
+        await asyncio.gather(*tasks)
+
+    fleet.run(send_and_drain())
+
+
+@then("{count:d} of them is answered with 200")
+def step_impl(context, count):
+    statuses = [each.status for each in context.fleet.responses]
+    assert statuses.count(200) == count, statuses
+
+
+@then(
+    "{count:d} of them are refused with 503 and a time to retry, "
+    "within 0.3 s of the drain"
+)
+def step_impl(context, count):
+    assert len(context.refused) == count, len(context.refused)
+    assert_refused(context.refused, seconds=float("inf"))
+
+
+@given("the streams of each backend server have {count:d} events, {seconds:g} s apart")
+def step_impl(context, count, seconds):
+    for replica in context.fleet.deployment.replicas_by_name.values():
+        replica.events = count
+        replica.event_ms = 1000 * seconds
+
+
+@when("a chat request is sent, and its zone is drained after it began")
+def step_impl(context):
+    fleet = context.fleet
+
+    async def send_and_drain():
+        fleet.forget_past()
+        context.stream = asyncio.create_task(fleet.send("chat"))
+        replicas = fleet.deployment.replicas_by_name.values()
+        assert await wait_until(lambda: any(each.runs for each in replicas))
+        context.first = next(each for each in replicas if each.runs)
+        arrivals_before = fleet.arrivals_before
+        await fleet.order(context.first.zone, True)
+        fleet.arrivals_before = arrivals_before
+        assert not context.stream.done()
+
+    fleet.run(send_and_drain())
+
+
+@when("its backend server {does}")
+def step_impl(context, does):
+    async def finish():
+        if does == "drops its connections":
+            for transport in context.first._transports:
+                transport.abort()
+        await context.stream
+
+    context.fleet.run(finish())
+
+
+@then("the caller got {count:d} events in order")
+def step_impl(context, count):
+    response = context.fleet.responses[-1]
+    ids = [line for line in response.body.splitlines() if line.startswith(b"id:")]
+    assert ids == [f"id: {number}".encode() for number in range(1, count + 1)], ids
+
+
+@then("the backend servers of its zone got {count:d} request")
+def step_impl(context, count):
+    arrivals = context.fleet.arrivals(context.first.zone)
+    assert arrivals == count, arrivals
+
+
+@given("the store answers after {seconds:g} s")
+def step_impl(context, seconds):
+    for operation in STORE_OPERATIONS:
+        fault = Fault(operation, "slow", None, 1000 * seconds)
+        context.fleet.deployment.store.faults.add(fault)
+
+
+@then("the gateways knew it after at most {seconds:g} s")
+def step_impl(context, seconds):
+    assert context.known_after_s <= seconds, context.known_after_s
+
+
+@when("another gateway starts")
+def step_impl(context):
+    fleet = context.fleet
+
+    async def start():
+        await fleet.add_gateway("gateway-new")
+        fleet.forget_past()
+
+    fleet.run(start())
+
+
+@when("the store fails for {seconds:g} s")
+def step_impl(context, seconds):
+    fleet = context.fleet
+
+    async def fail():
+        for operation in STORE_OPERATIONS:
+            fleet.deployment.store.faults.add(Fault(operation, "down", None))
+        await asyncio.sleep(seconds)
+
+    fleet.run(fail())
+
+
+@when("the row is removed while the store tells no changes and loses its history")
+def step_impl(context):
+    store = context.fleet.deployment.store
+
+    async def remove():
+        store.withholds_changes = True
+        await store.remove("op", "evacuate/z0")
+        store.discard_history()
+        store.withholds_changes = False
+
+    context.fleet.run(remove())
+
+
+@then("{zone} is in service within {seconds:g} s")
+def step_impl(context, zone, seconds):
+    evacuations = context.fleet.gateways[0].eligible.evacuations
+    is_back = wait_until(lambda: not evacuations.is_drained(zone), seconds)
+    assert context.fleet.run(is_back)
+
+
+@when("the backend servers of {zone} stop, but their rows stay")
+def step_impl(context, zone):
+    async def stop():
+        for replica in context.fleet.replicas(zone):
+            await replica.stop()
+
+    context.fleet.run(stop())
+
+
+@when("an attempt at one of them ends as a failed connection")
+def step_impl(context):
+    gateway = context.fleet.gateways[0]
+
+    async def observe():
+        for service in (LLM_SERVICE, PLAIN_SERVICE):
+            request = SimpleNamespace(service=SimpleNamespace(name=service))
+            gateway.partitions.observe(
+                AttemptResult(
+                    "", service, CONNECT_FAILED, None, 0.0, None, 1.0, request=request
+                )
+            )
+        await asyncio.sleep(PARTITION_S)
+
+    context.fleet.run(observe())
+
+
+@then("no service counts as unreachable, and the gateways are ready")
+def step_impl(context):
+    for gateway in context.fleet.gateways:
+        assert gateway.partitions.unreachable_services() == []
+        assert gateway.is_ready()
+
+
+@then("admission has {slots:d} slots of each service")
+def step_impl(context, slots):
+    loads = context.fleet.gateways[0].gate.pool_loads()
+    assert {each.capacity for each in loads} == {slots}, [
+        (each.pool, each.capacity) for each in loads
+    ]
