Bound the requests to cold backend servers by permits

Cause: after a crash or a cold zone all instances took the returned, empty server for the best one, and each half-open circuit sent a probe: 24 requests in a second of 20. Change: a table of cold servers (rows, new processes, zone returns, failed connections, other instances) is a second source of limits for permits. A later birth under a name drops limits, hold-offs and circuits of the earlier process.

--- a/stoatpath/backpressure/features/steps/permit_steps.py
+++ b/stoatpath/backpressure/features/steps/permit_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 from hypothesis import given as forall, settings, strategies as st
 
+from stoatpath.backpressure.cold_starts import ColdStartTable
 from stoatpath.backpressure.exchanges import PERMIT_TOPIC, PermitExchange
 from stoatpath.backpressure.limits import LimitTable
 from stoatpath.backpressure.messages import BackendSignals
@@ -246,7 +247,8 @@
     members = MemberTable(Member("a", "gateway", "a", "zone-a", 1, LIVE))
     members.merge([Member("b", "gateway", "b", "zone-a", 1, LIVE)], 0.0)
     server = SimpleNamespace(register=handlers.__setitem__)
-    exchange = PermitExchange(limits, members, client, server, clock)
+    cold = ColdStartTable(1.5, 5)
+    exchange = PermitExchange(limits, members, client, server, clock, cold)
     for number in range(8):
         limits.observe(f"m{number}", BackendSignals(2.0), 0.0, 1.0)
     return exchange, clock, handlers
@@ -269,11 +271,13 @@
     max_leaves=6,
 )
 answer_fields = st.fixed_dictionaries(
-    {}, optional={name: json_values for name in ("count", "wait_ms", "limit")}
+    {}, optional={name: json_values for name in ("count", "wait_ms", "limit", "cold")}
 )
 request_fields = st.fixed_dictionaries(
     {},
-    optional={name: json_values for name in ("backend", "instance", "wanted", "limit")},
+    optional={
+        name: json_values for name in ("backend", "instance", "wanted", "limit", "cold")
+    },
 )
 
 
--- a/stoatpath/backpressure/gates.py
+++ b/stoatpath/backpressure/gates.py
@@ -1,6 +1,9 @@
 """Decides whether a backend server may get a request, by what its answers asked for."""
 
+from stoatpath.backpressure.cold_starts import ColdStartTable
 from stoatpath.backpressure.messages import MAX_HOLD_OFF_MS
+from stoatpath.membership.directories import RESTARTED
+from stoatpath.outcomes import CONNECT_FAILED, CONNECTION_REFUSED
 
 LIMIT_REACHED = "limit reached"
 SLOTS_TAKEN = "slots taken"
@@ -14,7 +17,9 @@
 
     `withheld_by_reason` counts the selections of a backend server that left one out.
     `on_leaving` is called with the name of a backend server that leaves,
-    `on_hold_off` with the name of one that is held off, and until when.
+    `on_hold_off` with the name of one that is held off, and until when. `cold` is the
+    `ColdStartTable`. `on_restart` is called with the name of one whose process is new,
+    and when that was known.
     """
 
     __slots__ = (
@@ -25,11 +30,13 @@
         "withheld_by_reason",
         "on_leaving",
         "on_hold_off",
+        "on_restart",
+        "cold",
         "_unlisted_since_ms_by_name",
         "_clock",
     )
 
-    def __init__(self, limits, permits, hold_offs, shares, clock):
+    def __init__(self, limits, permits, hold_offs, shares, clock, cold=None):
         self.limits = limits
         self.permits = permits
         self.hold_offs = hold_offs
@@ -37,6 +44,8 @@
         self.withheld_by_reason = {LIMIT_REACHED: 0, HELD_OFF: 0, SLOTS_TAKEN: 0}
         self.on_leaving = lambda name: None
         self.on_hold_off = lambda name, until_ms: None
+        self.on_restart = lambda name, now_ms: None
+        self.cold = cold or ColdStartTable()
         self._unlisted_since_ms_by_name = {}
         self._clock = clock
 
@@ -44,11 +53,30 @@
         """Record the signals of an answer to a request sent at `sent_ms`."""
         now_ms = self._clock.now_ms()
         self.limits.observe(name, signals, sent_ms, now_ms)
-        if self.hold_offs.observe(name, signals, now_ms):
+        if self.hold_offs.observe(name, signals, now_ms, sent_ms):
             self.on_hold_off(name, self.hold_offs.until_ms(name))
         if signals.is_leaving:
             self.on_leaving(name)
 
+    def observe_entry(self, entry, change, now_ms):
+        """Record the entry of a backend server, and what it changed in the directory.
+
+        Nothing that an earlier process of the name asked for holds for a new one.
+        """
+        if change is RESTARTED:
+            self.limits.forget(entry.name, now_ms)
+            self.hold_offs.forget(entry.name, now_ms)
+            self.permits.forget(entry.name)
+            self.on_restart(entry.name, now_ms)
+        self.cold.observe_entry(entry, change, now_ms)
+
+    def observe_result(self, result):
+        """Record with an `AttemptResult` whether a backend server was reached."""
+        if result.reason in (CONNECT_FAILED, CONNECTION_REFUSED):
+            self.cold.observe_failure(result.backend, result.ended_ms)
+        elif result.first_byte_ms is not None:
+            self.cold.observe_answer(result.backend, result.started_ms, result.ended_ms)
+
     def observe_service(self, service, signals, sent_ms):
         """Record what an answer tells about all backend servers of its service."""
         self.shares.observe(service, signals, sent_ms, self._clock.now_ms())
@@ -68,7 +96,9 @@
         The latter are pairs of a backend server and the reason. With `only_permitted`,
         one with a limit needs a permit at hand.
         """
-        has_limits = self.limits.by_name or self.hold_offs.has_any()
+        has_limits = (
+            self.limits.by_name or self.hold_offs.has_any() or self.cold.has_any()
+        )
         if not has_limits and not self.shares.has_any():
             return backends, []
         open_backends, withheld = [], []
@@ -115,8 +145,20 @@
         self.limits.record_send(name)
 
     def limit_per_s(self, name):
-        """Return the limit that a backend server names, or None."""
-        return self.limits.limit_per_s(name)
+        """Return the lowest limit of a backend server in force, or None."""
+        limits = (
+            self.limits.limit_per_s(name),
+            self.cold.limit_per_s(name, self._clock.now_ms()),
+        )
+        return min((each for each in limits if each is not None), default=None)
+
+    def is_cold(self, name):
+        """Return whether a backend server has a bound because it is or was cold."""
+        return self.cold.limit_per_s(name, self._clock.now_ms()) is not None
+
+    def send_by_ms(self, name):
+        """Return until when a request must be on its way, for which there is leave."""
+        return self.permits.send_by_ms(name)
 
     def retain_backends(self, names):
         """Drop the state of all backend servers but the named ones.
@@ -125,7 +167,12 @@
         is kept for `REMEMBERED_MS` without an entry.
         """
         now_ms = self._clock.now_ms()
-        unlisted = {*self.limits.by_name, *self.hold_offs.names()} - set(names)
+        self.cold.expire(now_ms)
+        unlisted = {
+            *self.limits.by_name,
+            *self.hold_offs.names(),
+            *self.cold.watched_names(),
+        }.difference(names)
         self._unlisted_since_ms_by_name = {
             name: self._unlisted_since_ms_by_name.get(name, now_ms) for name in unlisted
         }
@@ -138,6 +185,7 @@
         self.limits.retain_backends(kept)
         self.permits.retain_backends(kept)
         self.hold_offs.retain_backends(kept)
+        self.cold.retain_backends(kept)
 
     async def close(self):
         """Cancel all tasks."""
--- a/stoatpath/backpressure/limits.py
+++ b/stoatpath/backpressure/limits.py
@@ -34,12 +34,19 @@
     instance began, changed or ended a limit.
     """
 
-    __slots__ = ("by_name", "limited_sends", "observers", "_unreadable_texts")
+    __slots__ = (
+        "by_name",
+        "limited_sends",
+        "observers",
+        "_started_ms_by_name",
+        "_unreadable_texts",
+    )
 
     def __init__(self):
         self.by_name = {}
         self.observers = []
         self.limited_sends = 0
+        self._started_ms_by_name = {}
         self._unreadable_texts = set()
 
     def limit_per_s(self, name):
@@ -53,6 +60,8 @@
         An answer to a request that was sent before the limit was heard may be older
         than the answer that named it: it can't end the limit, only lower it.
         """
+        if self._is_of_earlier_process(name, sent_ms):
+            return
         for text in signals.unreadable:
             self._log_unreadable(name, text)
         known = self.by_name.get(name)
@@ -72,6 +81,8 @@
 
     def merge(self, name, per_s, heard_ms):
         """Record what another instance heard; `per_s` is None if the limit ended."""
+        if self._is_of_earlier_process(name, heard_ms):
+            return
         known = self.by_name.get(name)
         if per_s is None:
             heard_ms -= TRAVEL_MS
@@ -80,6 +91,14 @@
         if known is None or heard_ms > known.heard_ms:
             self._set(name, per_s, heard_ms)
 
+    def forget(self, name, now_ms):
+        """Drop the limit of a backend server whose process is new."""
+        known = self.by_name.get(name)
+        if known is not None:
+            self._set(name, None, now_ms)
+            del self.by_name[name]
+        self._started_ms_by_name[name] = now_ms
+
     def record_send(self, name):
         """Count a request to a backend server."""
         limit = self.by_name.get(name)
@@ -89,13 +108,17 @@
 
     def retain_backends(self, names):
         """Drop the limits of all backend servers but the named ones."""
-        for name in [name for name in self.by_name if name not in names]:
-            del self.by_name[name]
+        for by_name in (self.by_name, self._started_ms_by_name):
+            for name in [name for name in by_name if name not in names]:
+                del by_name[name]
 
     def count_in_force(self):
         """Return the number of backend servers with a limit in force."""
         return sum(limit.per_s is not None for limit in self.by_name.values())
 
+    def _is_of_earlier_process(self, name, at_ms):
+        return at_ms < self._started_ms_by_name.get(name, float("-inf"))
+
     @staticmethod
     def _is_concurrent(known, sent_ms):
         return (
--- a/stoatpath/configuration/routes.py
+++ b/stoatpath/configuration/routes.py
@@ -24,14 +24,36 @@
 
 
 class RoutedService:
-    """A service that routes point to; `cost_by_model` is per 1,000 tokens."""
+    """A service that routes point to; `cost_by_model` is per 1,000 tokens.
 
-    __slots__ = ("name", "kind", "cost_by_model")
+    Its backend servers are cold for `cold_start_ms` after their start, 0 for never, and
+    then take `cold_start_per_s` requests a second, 0 for any number. `unreadable` lists
+    the optional fields that can't be decoded.
+    """
+
+    __slots__ = (
+        "name",
+        "kind",
+        "cost_by_model",
+        "cold_start_ms",
+        "cold_start_per_s",
+        "unreadable",
+    )
 
-    def __init__(self, name, cost_by_model):
+    def __init__(
+        self,
+        name,
+        cost_by_model,
+        cold_start_ms=0.0,
+        cold_start_per_s=0.0,
+        unreadable=(),
+    ):
         self.name = name
         self.kind = MODEL_SERVICE if cost_by_model else PLAIN_SERVICE
         self.cost_by_model = cost_by_model
+        self.cold_start_ms = cold_start_ms
+        self.cold_start_per_s = cold_start_per_s
+        self.unreadable = unreadable
 
 
 class RoutedOrganisation:
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -221,6 +221,13 @@
                 return choice
             reason = LEAVING if backend.is_leaving else LIMIT_REACHED
             self._record_decision(state.request, "permit", reason, backend=backend.name)
+            if gate.is_cold(backend.name):
+                # Many backend servers may be cold at once. A request that others can
+                # take doesn't wait for the answers of more issuers.
+                choice = self._select_backend(state, only_permitted=True)
+                if not is_failure(choice):
+                    gate.try_acquire(choice.backend.name)
+                    return choice
         choice = self._select_backend(state, only_permitted=True)
         if not is_failure(choice):
             gate.try_acquire(choice.backend.name)
@@ -244,6 +251,7 @@
             state.relay,
         )
         attempt.min_confidence = state.min_confidence
+        attempt.send_by_ms = self._router.send_gate.send_by_ms(backend.name)
         attempt.needs_fresh_connection = backend.name in state.fresh_retry_names
         return attempt
 
--- a/stoatpath/dispatch/messages.py
+++ b/stoatpath/dispatch/messages.py
@@ -7,12 +7,14 @@
     `number` is the attempt's position among those of the request and part of its
     identifier. `relay` writes the events of a streamed answer, or is None.
     `first_byte_deadline_ms` is the time by which the first byte must arrive.
+    `connect_timeout_ms` limits the time for the connection, None for the usual time.
     `resume_from` is where a partly relayed stream is resumed: the index of an event
     (`CompletionRelay`) or the identifier of the last one (`EventRelay`).
     `needs_fresh_connection` asks for a new connection; `was_pooled` says that a
     possibly idle one was used. `min_confidence` is the confidence that the head of an
     answer must state, or None. `events` is the number of events of a relayed stream
-    that arrived; `RelaySender` counts those with an identifier.
+    that arrived; `RelaySender` counts those with an identifier. `send_by_ms` is the
+    time by which the connection must be open: the permit to send expires then.
     """
 
     __slots__ = (
@@ -28,6 +30,8 @@
         "deadlines",
         "min_confidence",
         "events",
+        "send_by_ms",
+        "connect_timeout_ms",
     )
 
     def __init__(
@@ -45,6 +49,8 @@
         self.deadlines = None
         self.min_confidence = None
         self.events = 0
+        self.send_by_ms = float("inf")
+        self.connect_timeout_ms = None
 
     @property
     def has_begun(self):
--- a/stoatpath/dispatch/relay_senders.py
+++ b/stoatpath/dispatch/relay_senders.py
@@ -57,6 +57,8 @@
         request = attempt.request
         if request.deadline_ms <= self._clock.now_ms():
             return Failure(TIMED_OUT, "the deadline passed before sending")
+        if attempt.send_by_ms <= self._clock.now_ms():
+            return Failure(REFUSED_BY_BACKEND, "the permit expired before sending")
         silence_ms = STREAM_SILENCE_MS if request.is_stream else NO_TIMEOUT_MS
         deadlines = ExchangeDeadlines(
             self._clock, request.deadline_ms, attempt.first_byte_deadline_ms, silence_ms
@@ -81,6 +83,8 @@
         request = attempt.request
         sent_ms = self._clock.now_ms()
         remaining_ms = request.deadline_ms - sent_ms
+        if attempt.send_by_ms < float("inf"):
+            attempt.connect_timeout_ms = max(1.0, attempt.send_by_ms - sent_ms)
         request.was_sent = True
         async with self._calls.open(attempt, remaining_ms) as response:
             pending.end()
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -6,11 +6,7 @@
 
 from stoatpath.admission.gates import AdmissionGate
 from stoatpath.admission.queues import AdmissionQueue
-from stoatpath.backpressure.exchanges import PermitExchange
-from stoatpath.backpressure.gates import SendGate
-from stoatpath.backpressure.hold_offs import HoldOffs
-from stoatpath.backpressure.limits import LimitTable
-from stoatpath.backpressure.shares import SlotShares
+from stoatpath.backpressure.assemblies import build_send_gate
 from stoatpath.callers.bodies import BodyReader
 from stoatpath.callers.connections import ConnectionLimits
 from stoatpath.callers.listeners import Listener
@@ -322,7 +318,7 @@
         )
         self.chooser = AffinityChooser(boot.zone, self.random)
         self.backend_client = BackendClient()
-        self.send_gate = self._build_send_gate()
+        self.send_gate = build_send_gate(self)
         self._build_quarantine()
         self._build_forwarding()
         self.sender = RelaySender(
@@ -343,6 +339,7 @@
             self._remove_reassigned,
             self.crash_reporter.observe,
             self.partitions.observe,
+            self.send_gate.observe_result,
         ]
         self.gate = AdmissionGate(AdmissionQueue(MAX_QUEUED_REQUESTS), self.clock)
         self.releases.request_rate = self.retry_budget.request_rate
@@ -410,17 +407,6 @@
             self.random,
         )
 
-    def _build_send_gate(self):
-        limits = LimitTable()
-        permits = PermitExchange(
-            limits, self.members, self.peer_client, self.peer_server, self.clock
-        )
-        shares = SlotShares(self.members, self.random)
-        gate = SendGate(limits, permits, HoldOffs(self.random), shares, self.clock)
-        gate.on_leaving = self.backends.record_leaving
-        gate.on_hold_off = self.chooser.breakers.hold_open
-        return gate
-
     async def start(self, metrics_address=None):
         """Start all tasks and listen."""
         await self.backend_client.start()
@@ -488,6 +474,7 @@
         )
         self.releases.registry.set_exposure(boot.exposure_share)
         self.releases.exposure_slack = boot.exposure_slack
+        self.send_gate.cold.set_bound(boot.cold_factor, boot.cold_slack)
         self.tables.set_bound(knowledge_bound_ms(boot))
         times_by_table = poll_times_by_table(boot)
         self.operator_rows.set_times(*times_by_table[names.OPERATOR_TABLE])
--- a/stoatpath/membership/directories.py
+++ b/stoatpath/membership/directories.py
@@ -15,6 +15,12 @@
 MIN_LAPSE_OUTAGE_MS = 500.0
 MAX_LEAVING_ENTRIES = 10_000
 MAX_REMOVED_ENTRIES = 1_000
+# What an entry changes in the directory: it is of the first table, of a name that was
+# not known, of a new process of a known name, or of the same process as before.
+FIRST_TABLE = "first table"
+ADDED = "added"
+RESTARTED = "restarted"
+RENEWED = "renewed"
 # Reasons in logs.
 ANSWERED = "it says so in an answer"
 LISTED = "its entry says so"
@@ -24,10 +30,13 @@
     """Backend servers by name, including those that are leaving.
 
     `decode` converts the key and value of a row to a `ListedBackend` or a failure.
+    Each of `entry_observers` is called with every entry, what it changes and the time.
     """
 
     __slots__ = (
         "by_name",
+        "entry_observers",
+        "_has_table",
         "_decode",
         "_reachability",
         "_lapsed_until_ms_by_name",
@@ -37,6 +46,8 @@
 
     def __init__(self, decode, reachability):
         self.by_name = {}
+        self.entry_observers = []
+        self._has_table = False
         self._decode = decode
         self._reachability = reachability
         self._lapsed_until_ms_by_name = {}
@@ -58,6 +69,7 @@
                 self._drop(change.key, "its entry can't be decoded")
                 continue
             self._add_or_update(entry, now_ms)
+        self._has_table = True
 
     def expire_lapsed(self, now_ms):
         """Remove backend servers whose lapsed entries were not renewed in time."""
@@ -97,6 +109,7 @@
 
     def _add_or_update(self, entry, now_ms):
         self._lapsed_until_ms_by_name.pop(entry.name, None)
+        change = self._change_by(entry)
         known = self.by_name.get(entry.name)
         if known is None or not known.entry.is_same_process(entry):
             known = DirectoryBackend(entry, now_ms)
@@ -120,6 +133,24 @@
         known.is_leaving = (
             known.is_leaving or entry.is_leaving or self._said_leaving(entry)
         )
+        for observer in self.entry_observers:
+            observer(entry, change, now_ms)
+
+    def _change_by(self, entry):
+        """Return what an entry is about to change.
+
+        The entry of a known process may have lapsed and returned. Without `born`, it
+        may as well be that of a new process.
+        """
+        if not self._has_table:
+            return FIRST_TABLE
+        known = self.by_name.get(entry.name)
+        if known is not None:
+            return RENEWED if known.entry.is_same_process(entry) else RESTARTED
+        removed = self._removed_entries_by_name.get(entry.name)
+        if removed is None or (entry.born is None and removed.is_same_process(entry)):
+            return ADDED
+        return RENEWED if removed.is_same_process(entry) else RESTARTED
 
     def _said_leaving(self, entry):
         """Return whether the process of an entry said that it leaves."""
--- a/stoatpath/membership/messages.py
+++ b/stoatpath/membership/messages.py
@@ -93,7 +93,9 @@
     """A backend server, by its own entry in the platform's store.
 
     `release` is the version of its software. `born` distinguishes successive
-    processes of one name; it is None if the entry lacks it.
+    processes of one name; it is None if the entry lacks it. `cold_left_ms` is for how
+    long it still was cold when the entry was written, None if the entry doesn't say.
+    `unreadable` lists the optional fields that can't be decoded.
     """
 
     __slots__ = (
@@ -105,10 +107,22 @@
         "slots",
         "is_leaving",
         "born",
+        "cold_left_ms",
+        "unreadable",
     )
 
     def __init__(
-        self, name, service, address, zone, release, slots, is_leaving, born=None
+        self,
+        name,
+        service,
+        address,
+        zone,
+        release,
+        slots,
+        is_leaving,
+        born=None,
+        cold_left_ms=None,
+        unreadable=(),
     ):
         self.name = name
         self.service = service
@@ -118,6 +132,8 @@
         self.slots = slots
         self.is_leaving = is_leaving
         self.born = born
+        self.cold_left_ms = cold_left_ms
+        self.unreadable = unreadable
 
     def is_same_process(self, other):
         """Return whether another entry of this name is of the same process."""
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -94,12 +94,16 @@
     def _open(self, attempt, headers):
         request = attempt.request
         self.calls += 1
+        connect_ms = CONNECT_TIMEOUT_MS
+        if attempt.connect_timeout_ms is not None:
+            connect_ms = min(connect_ms, attempt.connect_timeout_ms)
         return self._session.request(
             request.method,
             URL(f"http://{attempt.backend.address}{request.path}", encoded=True),
             headers=headers,
             data=request.body or None,
             allow_redirects=False,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_ms / 1000),
         )
 
     async def is_reachable(self, address):
--- a/stoatpath/platform/boot_files.py
+++ b/stoatpath/platform/boot_files.py
@@ -1,12 +1,19 @@
 """Reads the settings file that the platform provides to each process."""
 
+import logging
 import os
 
 import yaml
 
 from stoatpath.outcomes import BAD_REQUEST, Failure, is_failure
 
+logger = logging.getLogger(__name__)
+
 BOOT_VARIABLE = "STOATPATH_BOOT"
+# Larger values are ignored.
+MAX_COLD_FACTOR = 1_000
+MAX_COLD_SLACK = 1_000_000
+MAX_LOGGED_CHARS = 40
 # Defaults of optional bounds, from the deployments that the platform documents.
 # Names that end in _s are in seconds, in _ms in milliseconds.
 DEFAULT_BOUNDS = {
@@ -35,7 +42,8 @@
     out of date. `is_first_start` tells that all instances start now. The other
     attributes are bounds of the deployment; durations are in the unit of the name's
     suffix, shares and ratios are fractions of requests, and slacks are numbers of
-    requests allowed beyond those fractions.
+    requests allowed beyond those fractions. `cold_factor` is that of the rate at which
+    cold backend servers may get requests, None for no bound of this kind.
     """
 
     __slots__ = (
@@ -61,6 +69,8 @@
         "exposure_share",
         "exposure_slack",
         "session_ms",
+        "cold_factor",
+        "cold_slack",
     )
 
     @classmethod
@@ -96,6 +106,9 @@
         boot.exposure_share = bounds_reader.number("expose_share", minimum=0)
         boot.exposure_slack = bounds_reader.number("expose_slack", minimum=0)
         boot.session_ms = bounds_reader.number("session_s", minimum=0) * 1_000
+        boot.cold_factor = bounds_reader.optional_number("cold_over", MAX_COLD_FACTOR)
+        boot.cold_slack = bounds_reader.optional_number("cold_slack", MAX_COLD_SLACK)
+        boot.cold_slack = boot.cold_slack or 0
         if reader.problems:
             return Failure(BAD_REQUEST, "; ".join(reader.problems))
         return boot
@@ -167,6 +180,18 @@
             )
         return value
 
+    def optional_number(self, name, largest):
+        """Return a number from 0, or None; one that is no such number is ignored."""
+        value = self._get_value((name,))
+        if value is None:
+            return None
+        is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+        if is_number and 0 <= value <= largest:
+            return value
+        extra = {"setting": self._prefix + name, "text": repr(value)[:MAX_LOGGED_CHARS]}
+        logger.warning("settings.ignored", extra=extra)
+        return None
+
     def flag(self, *path):
         value = self._get_value(path)
         if not isinstance(value, bool):
--- a/stoatpath/platform/documents.py
+++ b/stoatpath/platform/documents.py
@@ -41,6 +41,10 @@
 DEFAULT_BODY_BYTES = 4_194_304
 DEFAULT_HEAD_TIMEOUT_MS = 3_000
 DEFAULT_IDLE_TIMEOUT_MS = 15_000
+# Larger values count as unreadable.
+MAX_COLD_START_S = 600.0
+MAX_COLD_START_PER_S = 1e6
+MAX_LOGGED_CHARS = 40
 DECODE_ERRORS = (AttributeError, KeyError, TypeError, ValueError)
 
 
@@ -127,8 +131,15 @@
 def _build_service(data):
     # Only services of model replicas have `engine`.
     models = (data.get("engine") or {}).get("models") or ()
+    unreadable = []
+    cold_start_s = _read_number(data, "cold_start_s", MAX_COLD_START_S, unreadable)
+    per_s = _read_number(data, "coldstart_per_s", MAX_COLD_START_PER_S, unreadable)
     return RoutedService(
-        data["name"], {each["name"]: float(each.get("cost", 0)) for each in models}
+        data["name"],
+        {each["name"]: float(each.get("cost", 0)) for each in models},
+        (cold_start_s or 0.0) * 1_000,
+        per_s or 0.0,
+        unreadable,
     )
 
 
@@ -171,6 +182,10 @@
     host, _, port = data["address"].rpartition(":")
     if not host or not 0 < int(port) < 65_536:
         raise ValueError(f"no IP:PORT: {data['address']!r}")
+    unreadable = []
+    cold_left_ms = _read_number(
+        data, "cold_left_ms", MAX_COLD_START_S * 1_000, unreadable
+    )
     # `version` is the release of the replica's software, not of its model weights.
     # `born` distinguishes restarts of a replica with the same identifier.
     return ListedBackend(
@@ -182,6 +197,8 @@
         int(data["slots"]),
         state == DRAINING,
         data.get("born"),
+        cold_left_ms,
+        unreadable,
     )
 
 
@@ -208,6 +225,18 @@
     )
 
 
+def _read_number(data, name, largest, unreadable):
+    """Return an optional number from 0, or None; list what can't be decoded."""
+    value = data.get(name)
+    if value is None:
+        return None
+    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    if is_number and 0 <= value <= largest:
+        return float(value)
+    unreadable.append(f"{name}: {value!r}"[:MAX_LOGGED_CHARS])
+    return None
+
+
 def _require_text(value):
     if not isinstance(value, str) or not value:
         raise ValueError(f"expected a text, not {value!r}")
--- a/stoatpath/routing/affinity.py
+++ b/stoatpath/routing/affinity.py
@@ -80,6 +80,11 @@
         self.breakers.observe(result)
         self.failures.observe(result)
 
+    def reset(self, name, now_ms):
+        """Drop what is known of a backend server whose process is new."""
+        self.breakers.reset(name, now_ms)
+        self.failures.reset(name)
+
     def retain_backends(self, names):
         """Drop the state of all backend servers but the named ones."""
         self.breakers.retain_backends(names)
--- a/stoatpath/routing/breakers.py
+++ b/stoatpath/routing/breakers.py
@@ -28,7 +28,8 @@
 
     `failure_weight` sums the failures since the last success; a connection that can't
     be established counts as FAILURES_TO_OPEN. `trips` counts how often the circuit
-    opened since it last closed.
+    opened since it last closed. Attempts from before `started_ms` were at an earlier
+    process of the name.
     """
 
     __slots__ = (
@@ -37,6 +38,7 @@
         "open_until_ms",
         "probe_until_ms",
         "closed_ms",
+        "started_ms",
     )
 
     def __init__(self):
@@ -45,6 +47,7 @@
         self.open_until_ms = float("-inf")
         self.probe_until_ms = float("-inf")
         self.closed_ms = float("-inf")
+        self.started_ms = float("-inf")
 
 
 class CircuitBreakers:
@@ -64,6 +67,9 @@
 
     def observe(self, result):
         """Update a breaker with the `AttemptResult` of an attempt."""
+        breaker = self._by_backend.get(result.backend)
+        if breaker is not None and result.started_ms < breaker.started_ms:
+            return
         if result.reason is None:
             self._record_success(result.backend, result.ended_ms)
         elif result.reason in COUNTED_REASONS:
@@ -118,6 +124,11 @@
         breaker.trips += 1
         breaker.open_until_ms = now_ms + open_ms * self._random.uniform(0.5, 1.0)
 
+    def reset(self, name, now_ms):
+        """Close the circuit of a backend server whose process is new."""
+        breaker = self._by_backend[name] = _Breaker()
+        breaker.started_ms = now_ms
+
     def retain_backends(self, names):
         """Drop the breakers of all backend servers but the named ones."""
         for name in [name for name in self._by_backend if name not in names]:
--- a/stoatpath/routing/failure_rates.py
+++ b/stoatpath/routing/failure_rates.py
@@ -59,6 +59,10 @@
         counts.decay(now_ms)
         return counts.failures / (counts.answers + PRIOR_ANSWERS)
 
+    def reset(self, name):
+        """Drop the rate of a backend server whose process is new."""
+        self._by_backend.pop(name, None)
+
     def retain_backends(self, names):
         """Drop the rates of all backend servers but the named ones."""
         for name in [name for name in self._by_backend if name not in names]:
