--- a/stoatpath/dispatch/messages.py
+++ b/stoatpath/dispatch/messages.py
@@ -7,14 +7,16 @@
     `number` is the attempt's position among those of the request and part of its
     identifier. `relay` writes the events of a streamed answer, or is None.
     `first_byte_deadline_ms` is the time by which the first byte must arrive.
+    `connect_timeout_ms` limits the time for the connection, None for the usual time.
     `resume_from` is where a partly relayed stream is resumed: the index of an event
     (`CompletionRelay`) or the identifier of the last one (`EventRelay`).
     `needs_fresh_connection` asks for a new connection; `was_pooled` says that a
     possibly idle one was used. `min_confidence` is the confidence that the head of an
-    answer must state, or None. `check_send` is called with
-    the connection open and returns a failure or None; `is_withheld` is true once such a
-    check has refused the attempt. `events` is the number of events of a relayed stream
-    that arrived; `RelaySender` counts those with an identifier.
+    answer must state, or None. `check_send` is called with the connection open and
+    returns a failure or None; `is_withheld` is true once such a check has refused the
+    attempt. `events` is the number of events of a relayed stream that arrived;
+    `RelaySender` counts those with an identifier. `send_by_ms` is the time by which the
+    connection must be open: the permit to send expires then.
     """
 
     __slots__ = (
@@ -32,6 +34,8 @@
         "check_send",
         "is_withheld",
         "events",
+        "send_by_ms",
+        "connect_timeout_ms",
     )
 
     def __init__(
@@ -51,6 +55,8 @@
         self.check_send = None
         self.is_withheld = False
         self.events = 0
+        self.send_by_ms = float("inf")
+        self.connect_timeout_ms = None
 
     @property
     def has_begun(self):
--- a/stoatpath/platform/boot_files.py
+++ b/stoatpath/platform/boot_files.py
@@ -1,12 +1,19 @@
 """Reads the settings file that the platform provides to each process."""
 
+import logging
 import os
 
 import yaml
 
 from stoatpath.outcomes import BAD_REQUEST, Failure, is_failure
 
+logger = logging.getLogger(__name__)
+
 BOOT_VARIABLE = "STOATPATH_BOOT"
+# Larger values are ignored.
+MAX_COLD_FACTOR = 1_000
+MAX_COLD_SLACK = 1_000_000
+MAX_LOGGED_CHARS = 40
 # Defaults of optional bounds, from the deployments that the platform documents.
 # Names that end in _s are in seconds, in _ms in milliseconds.
 DEFAULT_BOUNDS = {
@@ -37,7 +44,8 @@
     suffix, shares and ratios are fractions of requests, and slacks are numbers of
     requests allowed beyond those fractions. `evac_ms` is None if the file has no such
     bound. `regions_by_zone` maps zones to regions; `region` is that of the process, or
-    None.
+    None. `cold_factor` is that of the rate at which cold backend servers may get
+    requests, None for no bound of this kind.
     """
 
     __slots__ = (
@@ -66,6 +74,8 @@
         "evac_ms",
         "regions_by_zone",
         "region",
+        "cold_factor",
+        "cold_slack",
     )
 
     @classmethod
@@ -106,6 +116,9 @@
         boot.region = reader.optional_text("region") or (
             boot.regions_by_zone.get(boot.zone)
         )
+        boot.cold_factor = bounds_reader.tolerated_number("cold_over", MAX_COLD_FACTOR)
+        boot.cold_slack = bounds_reader.tolerated_number("cold_slack", MAX_COLD_SLACK)
+        boot.cold_slack = boot.cold_slack or 0
         if reader.problems:
             return Failure(BAD_REQUEST, "; ".join(reader.problems))
         return boot
@@ -193,6 +206,18 @@
             return None
         return self.number(*path, minimum=minimum)
 
+    def tolerated_number(self, name, largest):
+        """Return a number from 0, or None; one that is no such number is ignored."""
+        value = self._get_value((name,))
+        if value is None:
+            return None
+        is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+        if is_number and 0 <= value <= largest:
+            return value
+        extra = {"setting": self._prefix + name, "text": repr(value)[:MAX_LOGGED_CHARS]}
+        logger.warning("settings.ignored", extra=extra)
+        return None
+
     def flag(self, *path):
         value = self._get_value(path)
         if not isinstance(value, bool):
