Model links of instances, and measure large changes in virtual time

The model of the relays had links without a bandwidth, so that it could not show why a large change is late.

--- a/stoatpath/measure/relay_models.py
+++ b/stoatpath/measure/relay_models.py
@@ -2,7 +2,8 @@
 
 The instances run the code of gateways; the store and the network are simulated. All
 members know each other, and a failed one stays in everybody's list: gossip would only
-make failovers faster.
+make failovers faster. Links have a bandwidth that concurrent transfers share, and
+instances can be cut off from the store and from each other.
 """
 
 import asyncio
@@ -39,19 +40,91 @@
 BATCH_DELAY_MS = 200.0
 SILENCE_S = 60.0
 CLOCK_SPREAD_MS = 1_000_000.0
+CHUNK_BYTES = 16 * 1024
+BYTES_PER_MS_PER_MBIT = 125.0
+# Bytes of a row of the store's answers besides its value.
+ROW_OVERHEAD_BYTES = 100
+
+
+class ModelLink:
+    """The link of an instance, with the same bandwidth for each direction."""
+
+    __slots__ = ("mbits", "sending", "receiving")
+
+    def __init__(self, mbits):
+        self.mbits = mbits
+        self.sending = 0
+        self.receiving = 0
+
+
+async def transfer(size, sender, receiver, on_chunk=lambda: None):
+    """Wait until the bytes have passed both links; None is an unlimited link.
+
+    Transfers of a link share its bandwidth equally. `on_chunk` is called after each
+    chunk.
+    """
+    if sender is not None:
+        sender.sending += 1
+    if receiver is not None:
+        receiver.receiving += 1
+    try:
+        while size > 0:
+            rates = []
+            if sender is not None:
+                rates.append(sender.mbits / sender.sending)
+            if receiver is not None:
+                rates.append(receiver.mbits / receiver.receiving)
+            chunk = min(size, CHUNK_BYTES)
+            if rates:
+                await asyncio.sleep(chunk / (min(rates) * BYTES_PER_MS_PER_MBIT) / 1000)
+            on_chunk()
+            size -= chunk
+    finally:
+        if sender is not None:
+            sender.sending -= 1
+        if receiver is not None:
+            receiver.receiving -= 1
+
+
+def build_config_value(count, revision, seed=1):
+    """Return the bytes of an operator's row with a number of routes."""
+    rng = random.Random(seed)
+    kinds = ("idempotent", "non_idempotent", "streaming")
+    routes = []
+    for index in range(count):
+        tag = f"{rng.getrandbits(32):08x}"
+        routes.append(
+            {
+                "name": f"route-{index}-{tag}",
+                "host": f"{tag}.example.test",
+                "prefix": f"/v1/{rng.getrandbits(24):06x}/",
+                "kind": kinds[index % 3],
+                "service": f"service-{rng.randrange(40)}",
+                "timeout_ms": rng.randrange(500, 60_000),
+                "target_latency_ms": rng.randrange(100, 500),
+                "priority": rng.randrange(4),
+                "max_attempts": rng.randrange(1, 4),
+                "public": rng.random() < 0.5,
+            }
+        )
+    services = [{"name": f"service-{index}"} for index in range(40)]
+    return encode_json({"version": revision, "services": services, "routes": routes})
 
 
 class ModelStore:
     """Rows of some tables; counts the calls of all instances by name.
 
     The store is unreachable for the instances in `unreachable_from`. Waiting polls of
-    the tables in `silent_polls` are never answered.
+    the tables in `silent_polls` are never answered. `links_by_name` are the links of
+    instances. `call_starts` has the time in ms and the caller of each call.
     """
 
     __slots__ = (
         "calls_by_name",
+        "call_starts",
         "unreachable_from",
         "silent_polls",
+        "links_by_name",
         "_loop",
         "_rows",
         "_changed",
@@ -59,8 +132,10 @@
 
     def __init__(self, loop):
         self.calls_by_name = {}
+        self.call_starts = []
         self.unreachable_from = set()
         self.silent_polls = set()
+        self.links_by_name = {}
         self._loop = loop
         self._rows = []
         self._changed = asyncio.Event()
@@ -87,6 +162,7 @@
     async def call(self, name, answer, wait_ms=0.0):
         """Return `answer()` after the delays of a call, or a failure."""
         self.calls_by_name[name] = self.calls_by_name.get(name, 0) + 1
+        self.call_starts.append((self._loop.time() * 1000, name))
         await asyncio.sleep(STORE_DELAY_MS / 2000)
         if name in self.unreachable_from:
             return await self._run_into_time_limit()
@@ -104,6 +180,14 @@
         if name in self.unreachable_from:
             return await self._run_into_time_limit()
         await asyncio.sleep(STORE_DELAY_MS / 2000)
+        link = self.links_by_name.get(name)
+        if link is None or not isinstance(page, RowPage):
+            return page
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_MS / 1000):
+                await transfer(_page_bytes(page), None, link)
+        except TimeoutError:
+            return Failure(PLATFORM_UNAVAILABLE, "no answer in time")
         return page
 
     async def _run_into_time_limit(self):
@@ -220,25 +304,45 @@
         self._fleet = fleet
         self._name = name
 
-    async def ask(self, address, topic, message, timeout_ms):
-        """Return the answer of an instance, whose address is its name."""
+    async def ask(self, address, topic, message, timeout_ms, total_ms=None):
+        """Return the answer of an instance, whose address is its name.
+
+        With `total_ms`, `timeout_ms` limits the time without a byte of the answer, as
+        that of `PeerClient`.
+        """
         fleet = self._fleet
+        loop = fleet.loop
+        end_s = loop.time() + (timeout_ms if total_ms is None else total_ms) / 1000
+
+        def extend_silence():
+            if total_ms is not None:
+                silence.reschedule(min(end_s, loop.time() + timeout_ms / 1000))
+
         try:
-            async with asyncio.timeout(timeout_ms / 1000):
+            async with asyncio.timeout(timeout_ms / 1000) as silence:
                 await asyncio.sleep(PEER_DELAY_MS / 2000)
                 if address in fleet.killed:
                     return Failure(CONNECTION_REFUSED, "refused")
-                if address not in fleet.silent:
+                if not fleet.is_silent_to(address, self._name):
                     fleet.messages += 1
                     handler = fleet.handlers_by_name[address][topic]
+                    if self._name in fleet.plain:
+                        message.pop("encodings", None)
                     answer = await handler(decode_json(encode_json(message)))
-                    fleet.bytes_sent += len(encode_json(answer))
+                    body = encode_json(answer)
+                    fleet.bytes_sent += len(body)
                     await asyncio.sleep(PEER_DELAY_MS / 2000)
-                    if address not in fleet.silent | fleet.killed:
-                        return decode_json(encode_json(answer))
+                    await transfer(
+                        len(body),
+                        fleet.store.links_by_name.get(address),
+                        fleet.store.links_by_name.get(self._name),
+                        extend_silence,
+                    )
+                    if not fleet.is_silent_to(address, self._name):
+                        return decode_json(body)
                 await asyncio.sleep(SILENCE_S)
         except TimeoutError:
-            pass
+            fleet.given_up += 1
         return Failure(CONNECT_FAILED, "no answer in time")
 
 
@@ -246,7 +350,11 @@
     """Instances in availability zones, with one store.
 
     `killed` and `silent` are the names of instances that refuse connections or do not
-    answer. `messages` and `bytes_sent` count what instances tell each other.
+    answer. `cuts` are pairs of instances, as frozen sets, that don't reach each other.
+    `messages` and `bytes_sent` count what instances tell each other, `given_up` the
+    answers that were not waited for any longer. `links_mbits` are the bandwidths of the
+    instances' links, repeated in turn; None for unlimited ones. Those in `plain` ask
+    like builds that do not understand compressed rows.
     """
 
     __slots__ = (
@@ -254,20 +362,26 @@
         "store",
         "killed",
         "silent",
+        "cuts",
+        "plain",
         "messages",
         "bytes_sent",
+        "given_up",
         "handlers_by_name",
         "instances_by_name",
         "_tasks_by_name",
     )
 
-    def __init__(self, loop, count, zones, bound_ms, seed=1):
+    def __init__(self, loop, count, zones, bound_ms, seed=1, links_mbits=None):
         self.loop = loop
         self.store = ModelStore(loop)
         self.killed = set()
         self.silent = set()
+        self.cuts = set()
+        self.plain = set()
         self.messages = 0
         self.bytes_sent = 0
+        self.given_up = 0
         self.handlers_by_name = {}
         self.instances_by_name = {}
         self._tasks_by_name = {}
@@ -279,6 +393,10 @@
             self.instances_by_name[name] = ModelInstance(
                 self, name, zone, bound_ms, rng
             )
+            if links_mbits:
+                # Links vary within each zone.
+                mbits = links_mbits[index // zones % len(links_mbits)]
+                self.store.links_by_name[name] = ModelLink(mbits)
         records = [
             model_member(each.name, each.zone)
             for each in self.instances_by_name.values()
@@ -286,6 +404,12 @@
         for instance in self.instances_by_name.values():
             instance.members.merge(records, instance.clock.now_ms())
 
+    def is_silent_to(self, name, other):
+        """Return whether no byte of an instance reaches another one."""
+        return name in self.silent | self.killed or frozenset((name, other)) in (
+            self.cuts
+        )
+
     def handlers(self, name):
         """Return an object with which an instance registers its handlers."""
         return Handlers(self.handlers_by_name.setdefault(name, {}))
@@ -330,6 +454,10 @@
         return (self.loop.time() - started_s) * 1000
 
 
+def _page_bytes(page):
+    return sum(ROW_OVERHEAD_BYTES + len(row.value or b"") * 4 // 3 for row in page.rows)
+
+
 class Handlers:
     """Has the method `register` of a `PeerServer`."""
 
