Rows of over 4 KB travel compressed between instances

Eight followers copy 460 KB of base64 from one source, and answers that exceed their time limit are asked for again. Requests state the encodings that they understand; rows are compressed once and passed on as they came. Builds from before this change state none, and are answered as before.

--- /dev/null
+++ b/stoatpath/feeds/features/propagation.feature
@@ -0,0 +1,51 @@
+Feature: A large change reaches all instances in time over slow links
+
+  Scenario Outline: A row travels compressed to an asker that understands it: <understood>
+    Given a copy with a row of 1400 routes
+    When an asker that understands "<understood>" asks for it
+    Then the answer has at most <kilobytes> KB
+    And the asker reads the same row
+
+    Examples:
+      | understood | kilobytes |
+      | zlib       | 80        |
+      |            | 600       |
+      | other      | 600       |
+
+  Scenario: A row is compressed once and passed on as it came
+    Given a copy with a row of 1400 routes
+    When the row is passed on along a chain of 3 instances
+    Then it is compressed once
+
+  Scenario Outline: A request of a build from before compression <encodings> is answered plainly
+    Given a copy with a row of 1400 routes
+    When a request whose encodings are <encodings> arrives
+    Then the rows of the answer have 4 fields
+
+    Examples:
+      | encodings |
+      | missing   |
+      | null      |
+
+  Scenario Outline: A value with <fault> is rejected as malformed
+    Given a compressed row with <fault>
+    Then the update is rejected as malformed
+
+    Examples:
+      | fault               |
+      | an unknown encoding |
+      | a cut-off value     |
+      | a value too large   |
+      | no zlib data        |
+      | no value            |
+
+  Scenario Outline: 1400 more routes are known in time without a fault, <count> instances
+    Given <count> instances with links of <links> Mbit/s and a bound of 2500 ms
+    When 1400 routes are added
+    Then all have the change within <limit> ms
+    And at most <megabytes> MB were sent
+
+    Examples:
+      | count | links     | limit | megabytes |
+      | 7     | 10,100,5  | 1250  | 1         |
+      | 59    | 10,100,5  | 2000  | 6         |
--- /dev/null
+++ b/stoatpath/feeds/features/steps/propagation_steps.py
@@ -0,0 +1,147 @@
+"""Steps on large rows that instances copy from each other over slow links."""
+
+import base64
+import zlib
+from unittest import mock
+
+from behave import given, then, when
+
+from stoatpath.feeds import messages
+from stoatpath.feeds.copies import TableCopy
+from stoatpath.feeds.messages import TablesAnswer, TablesRequest, TableUpdate
+from stoatpath.measure.propagations import measure_change
+from stoatpath.measure.relay_models import build_config_value
+from stoatpath.platform.row_stores import StoredRow
+from stoatpath.utils import decode_json, encode_json
+
+TABLE = "op"
+
+
+def build_answer(copy):
+    update = TableUpdate.from_copy(copy, None)
+    return TablesAnswer(1.0, None, None, False, {TABLE: update})
+
+
+def over_the_wire(answer, encodings):
+    """Return the body of an answer and the answer as its asker reads it."""
+    body = encode_json(answer.to_json(encodings))
+    return body, TablesAnswer.from_json(decode_json(body))
+
+
+@given("a copy with a row of {count:d} routes")
+def step_impl(context, count):
+    context.value = build_config_value(count, 1)
+    context.copy = TableCopy()
+    row = StoredRow("config", 1, context.value)
+    context.copy.apply_full_read([row], 1, 0.0, 0.0)
+
+
+@when('an asker that understands "{understood}" asks for it')
+@when('an asker that understands "" asks for it')
+def step_impl(context, understood=""):
+    context.body, context.answer = over_the_wire(
+        build_answer(context.copy), [understood]
+    )
+
+
+@then("the answer has at most {kilobytes:d} KB")
+def step_impl(context, kilobytes):
+    assert len(context.body) <= kilobytes * 1_000, len(context.body)
+
+
+@then("the asker reads the same row")
+def step_impl(context):
+    (row,) = context.answer.updates_by_table[TABLE].rows
+    assert row.value == context.value
+
+
+@when("the row is passed on along a chain of {count:d} instances")
+def step_impl(context, count):
+    with mock.patch.object(messages.zlib, "compress", wraps=zlib.compress) as compress:
+        copy = context.copy
+        for _ in range(count):
+            _, answer = over_the_wire(build_answer(copy), messages.ENCODINGS)
+            update = answer.updates_by_table[TABLE]
+            copy = TableCopy()
+            copy.apply_full_read(update.rows, update.version, 0.0, 0.0)
+    assert copy.rows_by_key["config"].value == context.value
+    context.compressions = compress.call_count
+
+
+@then("it is compressed once")
+def step_impl(context):
+    assert context.compressions == 1, context.compressions
+
+
+@when("a request whose encodings are {encodings} arrives")
+def step_impl(context, encodings):
+    data = TablesRequest({}, 0.0, 0.0).to_json()
+    del data["encodings"]
+    if encodings == "null":
+        data["encodings"] = None
+    request = TablesRequest.from_json(data)
+    context.wire = build_answer(context.copy).to_json(request.encodings)
+
+
+@then("the rows of the answer have {count:d} fields")
+def step_impl(context, count):
+    rows = context.wire["tables"][TABLE]["rows"]
+    assert [len(row) for row in rows] == [count]
+
+
+@given("a compressed row with {fault}")
+def step_impl(context, fault):
+    compressed = zlib.compress(b"x" * 10_000)
+    encoding = "zlib"
+    if fault == "an unknown encoding":
+        encoding = "other"
+    elif fault == "a cut-off value":
+        compressed = compressed[:-8]
+    elif fault == "a value too large":
+        compressed = zlib.compress(bytes(messages.MAX_VALUE_BYTES + 1))
+    elif fault == "no zlib data":
+        compressed = b"plain text"
+    else:
+        assert fault == "no value"
+        compressed = None
+    text = None if compressed is None else base64.b64encode(compressed).decode()
+    context.update = {
+        "rows": [["config", 1, text, False, encoding]],
+        "version": 1,
+        "confirmed_store_ms": 1.0,
+        "is_whole": True,
+    }
+
+
+@then("the update is rejected as malformed")
+def step_impl(context):
+    try:
+        TableUpdate.from_json(context.update)
+    except ValueError:
+        return
+    raise AssertionError("the update was accepted")
+
+
+@given("{count:d} instances with links of {links} Mbit/s and a bound of {bound:d} ms")
+def step_impl(context, count, links, bound):
+    context.sizes = count, bound, [float(each) for each in links.split(",")]
+
+
+def run_change(context, routes, **details):
+    count, bound_ms, links = context.sizes
+    context.times = measure_change(count, 3, bound_ms, links, routes=routes, **details)
+
+
+@when("{routes:d} routes are added")
+def step_impl(context, routes):
+    run_change(context, routes)
+
+
+@then("all have the change within {limit:d} ms")
+def step_impl(context, limit):
+    assert context.times.last_ms <= limit, str(context.times)
+
+
+@then("at most {megabytes:d} MB were sent")
+def step_impl(context, megabytes):
+    assert context.times.bytes_sent <= megabytes * 1e6, str(context.times)
--- a/stoatpath/feeds/messages.py
+++ b/stoatpath/feeds/messages.py
@@ -2,10 +2,20 @@
 
 import base64
 import binascii
+import zlib
 
 from stoatpath.feeds.copies import NEVER_MS
 from stoatpath.platform.row_stores import StoredRow
 
+# The encoding of values that a request may allow; builds from before it name none.
+ZLIB = "zlib"
+ENCODINGS = (ZLIB,)
+# Smaller values gain less than the work of compressing them costs.
+MIN_COMPRESSED_BYTES = 4 * 1024
+# An operator's row is below 1 MB. The limit bounds the memory that a malformed value
+# can take.
+MAX_VALUE_BYTES = 16 * 1024 * 1024
+
 
 class TableUpdate:
     """Rows of a table that changed since a version, or all of them if `is_whole`.
@@ -42,13 +52,13 @@
             version = int(data["version"])
             confirmed_store_ms = float(data["confirmed_store_ms"])
             return cls(rows, version, confirmed_store_ms, data["is_whole"] is True)
-        except (KeyError, TypeError, binascii.Error) as error:
+        except (KeyError, TypeError, binascii.Error, zlib.error) as error:
             raise ValueError(f"malformed table update: {error!r}") from error
 
-    def to_json(self):
-        """Return the wire form."""
+    def to_json(self, encodings=()):
+        """Return the wire form; `encodings` are those that the receiver understands."""
         return {
-            "rows": [_encode_row(row) for row in self.rows],
+            "rows": [_encode_row(row, ZLIB in encodings) for row in self.rows],
             "version": self.version,
             "confirmed_store_ms": self.confirmed_store_ms,
             "is_whole": self.is_whole,
@@ -62,7 +72,7 @@
     by `wait_ms` until the receiver has a newer version, or a confirmation later than
     `confirmed_store_ms` on the store's clock. `sessions_digest` and `sessions` are the
     digest and the wire form of `SharedSessions`; the latter is None if the receiver
-    has them.
+    has them. `encodings` are the encodings of values that the sender understands.
     """
 
     __slots__ = (
@@ -71,6 +81,7 @@
         "wait_ms",
         "sessions_digest",
         "sessions",
+        "encodings",
     )
 
     def __init__(
@@ -80,12 +91,14 @@
         wait_ms,
         sessions_digest="",
         sessions=None,
+        encodings=ENCODINGS,
     ):
         self.versions_by_table = versions_by_table
         self.confirmed_store_ms = confirmed_store_ms
         self.wait_ms = wait_ms
         self.sessions_digest = sessions_digest
         self.sessions = sessions
+        self.encodings = encodings
 
     @classmethod
     def from_json(cls, data):
@@ -102,6 +115,7 @@
                 float(data["wait_ms"]),
                 str(data["sessions_digest"]),
                 data["sessions"],
+                tuple(str(each) for each in data.get("encodings") or ()),
             )
         except (AttributeError, KeyError, TypeError) as error:
             raise ValueError(f"malformed request: {error!r}") from error
@@ -115,6 +129,7 @@
             "wait_ms": self.wait_ms,
             "sessions_digest": self.sessions_digest,
             "sessions": self.sessions,
+            "encodings": self.encodings,
         }
 
 
@@ -174,15 +189,15 @@
         except (AttributeError, KeyError, TypeError) as error:
             raise ValueError(f"malformed answer: {error!r}") from error
 
-    def to_json(self):
-        """Return the wire form."""
+    def to_json(self, encodings=()):
+        """Return the wire form; `encodings` are those that the receiver understands."""
         return {
             "store_ms": self.store_ms,
             "outage_end_store_ms": self.outage_end_store_ms,
             "outage_duration_ms": self.outage_duration_ms,
             "is_leaving": self.is_leaving,
             "tables": {
-                table: update.to_json()
+                table: update.to_json(encodings)
                 for table, update in self.updates_by_table.items()
             },
             "sessions_digest": self.sessions_digest,
@@ -190,15 +205,33 @@
         }
 
 
-def _encode_row(row):
+def _encode_row(row, may_compress):
+    if may_compress and len(row.value or b"") >= MIN_COMPRESSED_BYTES:
+        if row.compressed_text is None:
+            row.compressed_text = base64.b64encode(zlib.compress(row.value)).decode()
+        return [row.key, row.version, row.compressed_text, row.is_deleted, ZLIB]
     value = None if row.value is None else base64.b64encode(row.value).decode()
     return [row.key, row.version, value, row.is_deleted]
 
 
 def _decode_row(data):
-    key, version, value, is_deleted = data
+    key, version, value, is_deleted, *encoding = data
     decoded = None if value is None else base64.b64decode(value, validate=True)
-    return StoredRow(str(key), int(version), decoded, is_deleted is True)
+    if not encoding:
+        return StoredRow(str(key), int(version), decoded, is_deleted is True)
+    if encoding != [ZLIB] or decoded is None:
+        raise ValueError(f"unknown encoding {encoding!r}")
+    row = StoredRow(str(key), int(version), _decompress(decoded), is_deleted is True)
+    row.compressed_text = value
+    return row
+
+
+def _decompress(data):
+    decompressor = zlib.decompressobj()
+    value = decompressor.decompress(data, MAX_VALUE_BYTES)
+    if not decompressor.eof:
+        raise ValueError(f"a value is cut off or over {MAX_VALUE_BYTES} bytes")
+    return value
 
 
 def _number_or_none(value):
--- a/stoatpath/feeds/relays.py
+++ b/stoatpath/feeds/relays.py
@@ -389,7 +389,7 @@
                     await self._news.wait()
             except TimeoutError:
                 break
-        return self._build_answer(request).to_json()
+        return self._build_answer(request).to_json(request.encodings)
 
     def _has_news(self, request):
         if self._lead.copy.confirmed_store_ms > request.confirmed_store_ms:
--- a/stoatpath/platform/row_stores.py
+++ b/stoatpath/platform/row_stores.py
@@ -45,15 +45,18 @@
     """A row as read; `version` grows with every change and every era of the store.
 
     `value` is the bytes, or None if the row is deleted or is not valid base64.
+    `compressed_text` is the compressed value as instances pass it on, or None until
+    it is needed.
     """
 
-    __slots__ = ("key", "version", "value", "is_deleted")
+    __slots__ = ("key", "version", "value", "is_deleted", "compressed_text")
 
     def __init__(self, key, version, value, is_deleted=False):
         self.key = key
         self.version = version
         self.value = value
         self.is_deleted = is_deleted
+        self.compressed_text = None
 
     @classmethod
     def from_json(cls, data, era):
