Instances without news wait for their source instead of rejecting it all at once

When the reader lost the store, each instance rejected its source, sound ones included, and 57 of 59 read the store at the same moment. An answer now tells whether its sender still expects news and whether newer rows are on their way; only the followers of an instance that expects none, or does not answer, select another one. The first of each zone reads the store after 0.35 of the bound, the others after 0.6 to 0.7 by rank, later while rows arrive, and ask one other instance before. The first read after a pause does not wait for changes.

--- a/stoatpath/feeds/features/propagation.feature
+++ b/stoatpath/feeds/features/propagation.feature
@@ -54,3 +54,17 @@
     Given 59 instances with links of 10,100,5,20 Mbit/s and a bound of 2500 ms
     When 1400 routes are added
     Then no answer is given up and no source rejected
+
+  Scenario Outline: <count> instances get 1400 more routes in time although <fault>
+    Given <count> instances with links of 10,100,5,20 Mbit/s and a bound of 2500 ms
+    When 1400 routes are added as the fault <fault> begins
+    Then all instances have the change within 2500 ms
+    And at most <rejected> sources are rejected
+    And at most <peak> store calls are made within 50 ms
+
+    Examples:
+      | count | fault           | rejected | peak |
+      | 7     | reader-cut      | 10       | 10   |
+      | 7     | reader-zone-cut | 10       | 10   |
+      | 59    | reader-cut      | 100      | 20   |
+      | 59    | reader-zone-cut | 120      | 20   |
--- a/stoatpath/feeds/features/steps/propagation_steps.py
+++ b/stoatpath/feeds/features/steps/propagation_steps.py
@@ -151,3 +151,23 @@
 def step_impl(context):
     assert context.times.given_up == 0, str(context.times)
     assert not context.times.rejected, str(context.times)
+
+
+@when("{routes:d} routes are added as the fault {fault} begins")
+def step_impl(context, routes, fault):
+    run_change(context, routes, fault=fault)
+
+
+@then("all instances have the change within {limit:d} ms")
+def step_impl(context, limit):
+    assert context.times.last_ms <= limit, str(context.times)
+
+
+@then("at most {count:d} sources are rejected")
+def step_impl(context, count):
+    assert context.times.rejected.total() <= count, str(context.times)
+
+
+@then("at most {count:d} store calls are made within 50 ms")
+def step_impl(context, count):
+    assert context.times.peak_calls <= count, str(context.times)
--- a/stoatpath/feeds/followers.py
+++ b/stoatpath/feeds/followers.py
@@ -23,11 +23,12 @@
 
     `on_changes` is called with the `RowChange`s of each read, in order. Nothing is
     read while the event `is_enabled` is cleared; updates from another instance may
-    still be applied. After a change, the next read is delayed by `batch_delay_ms`, so
-    that one call returns a series of changes. `on_answer` is called after each answer
-    of the store with the newest version of all its tables, and `on_failure` after each
-    failed call. `backoff_cap_ms` limits the
-    pause after repeated problems.
+    still be applied. The first read after that does not wait for changes, so that it
+    confirms the copy at once. After a change, the next read is delayed by
+    `batch_delay_ms`, so that one call returns a series of changes. `on_answer` is
+    called after each answer of the store with the newest version of all its tables,
+    and `on_failure` after each failed call. `backoff_cap_ms` limits the pause after
+    repeated problems.
     """
 
     __slots__ = (
@@ -47,6 +48,7 @@
         "_has_gap",
         "_failures",
         "_is_overdue",
+        "_is_resumed",
         "_poll_sent_ms",
     )
 
@@ -78,6 +80,7 @@
         self._has_gap = True
         self._failures = 0
         self._is_overdue = asyncio.Event()
+        self._is_resumed = False
         self._poll_sent_ms = None
 
     def set_times(self, wait_ms, batch_delay_ms):
@@ -90,6 +93,7 @@
         while True:
             if not self.is_enabled.is_set():
                 await self.is_enabled.wait()
+                self._is_resumed = True
                 if self.copy.age_ms(self._clock.now_ms()) > MAX_PAUSE_MS:
                     self._has_gap = True
             await self.step()
@@ -164,7 +168,9 @@
         """Wait for changes; once the poll is overdue, ask anew without waiting."""
         self._is_overdue.clear()
         self._poll_sent_ms = sent_ms
-        poll = asyncio.create_task(self._wait_for_changes(self._wait_ms))
+        wait_ms = 0 if self._is_resumed else self._wait_ms
+        self._is_resumed = False
+        poll = asyncio.create_task(self._wait_for_changes(wait_ms))
         overdue = asyncio.create_task(self._is_overdue.wait())
         try:
             await asyncio.wait({poll, overdue}, return_when=asyncio.FIRST_COMPLETED)
--- a/stoatpath/feeds/messages.py
+++ b/stoatpath/feeds/messages.py
@@ -139,7 +139,10 @@
     `store_ms` is the latest possible reading of the store's clock when the answer was
     sent. `outage_end_store_ms` is that of the end of the store's last outage, which
     lasted `outage_duration_ms`; both are None without one. `is_leaving` tells that the
-    sender stops soon. The sessions are as in `TablesRequest`.
+    sender stops soon. The sessions are as in `TablesRequest`. `expects_news` tells
+    whether the sender's source or the store may still confirm its tables; None if the
+    sender is of a build that does not tell. `is_arriving` tells whether bytes of newer
+    rows are on their way to the sender.
     """
 
     __slots__ = (
@@ -150,6 +153,8 @@
         "updates_by_table",
         "sessions_digest",
         "sessions",
+        "expects_news",
+        "is_arriving",
     )
 
     def __init__(
@@ -161,6 +166,8 @@
         updates_by_table,
         sessions_digest="",
         sessions=None,
+        expects_news=None,
+        is_arriving=False,
     ):
         self.store_ms = store_ms
         self.outage_end_store_ms = outage_end_store_ms
@@ -169,6 +176,8 @@
         self.updates_by_table = updates_by_table
         self.sessions_digest = sessions_digest
         self.sessions = sessions
+        self.expects_news = expects_news
+        self.is_arriving = is_arriving
 
     @classmethod
     def from_json(cls, data):
@@ -185,6 +194,8 @@
                 },
                 str(data["sessions_digest"]),
                 data["sessions"],
+                data.get("expects_news"),
+                data.get("is_arriving") is True,
             )
         except (AttributeError, KeyError, TypeError) as error:
             raise ValueError(f"malformed answer: {error!r}") from error
@@ -202,6 +213,8 @@
             },
             "sessions_digest": self.sessions_digest,
             "sessions": self.sessions,
+            "expects_news": self.expects_news,
+            "is_arriving": self.is_arriving,
         }
 
 
--- a/stoatpath/feeds/relays.py
+++ b/stoatpath/feeds/relays.py
@@ -2,8 +2,10 @@
 
 Reading the store has a price for each call, so one instance reads it and the others
 copy its tables along a tree (see `feeds.sources`). Every copy is dated by the store's
-answer behind it, not by when it was passed on. An instance whose copies are not
-confirmed in time selects another source, and soon after reads the store itself.
+answer behind it, not by when it was passed on. The followers of an instance that does
+not answer, or whose reads of the store are not answered, select another source. Those
+below wait for them. The first instance of each zone reads the store itself if its
+copies are not confirmed in time, and the others later, one after the other.
 """
 
 import asyncio
@@ -22,18 +24,31 @@
 STORE = "store"
 # Shares of the bound on the time from a change in the store to its effect everywhere.
 # The reader's polls confirm the tables each `POLL_SHARE`. An instance without a
-# confirmation selects another source after `RESELECT_SHARE`; each level of the tree
-# waits a little longer, so that a new source of the level above can provide it first.
-# After `DIRECT_SHARE` it reads the store; the rest of the bound is left for that read.
+# confirmation asks what its source expects after `RESELECT_SHARE`; each level of the
+# tree waits a little longer, so that a new source of the level above can provide it
+# first. The first of each zone reads the store after the same time, the others after
+# `DIRECT_SHARE` and up to `SPREAD_SHARE` more: higher ones in the tree begin, so that
+# most others have the copies from them before their own turn. While newer rows are on
+# their way, it waits until `ARRIVING_SHARE`, as a second transfer would slow down the
+# first. The rest of the bound is left for that read.
 POLL_SHARE = 0.2
 RESELECT_SHARE = 0.35
 RESELECT_SHARE_PER_LEVEL = 0.05
 DIRECT_SHARE = 0.6
+SPREAD_SHARE = 0.1
+ARRIVING_SHARE = 0.75
+# Time without an answer of the store, beyond the time that it may wait, after which
+# followers do not expect news of a reader. A slow store takes up to 240 ms.
+UNANSWERED_SHARE = 0.15
+# Time after the last sign of arriving bytes for which more are expected.
+ARRIVAL_SILENCE_SHARE = 0.2
 # Time until an answer begins beyond the time that its sender may wait, as a share. A
 # large one may take `TRANSFER_SHARE` to arrive: 470 KB on a link of 10 Mbit/s that two
 # transfers share take 750 ms.
 TRAVEL_SHARE = 0.1
 TRANSFER_SHARE = 0.6
+# Time that any other instance may wait which is asked instead of the source.
+AROUND_SHARE = 0.1
 MIN_HOLD_MS = 50.0
 MAX_HOLD_MS = 5_000.0
 RESELECT_PERIOD_MS = 500.0
@@ -84,6 +99,9 @@
         "_asked_name",
         "_asks_any",
         "_news",
+        "_store_due_ms",
+        "_arriving_until_ms",
+        "_was_store_overdue",
         "on_era_change",
     )
 
@@ -123,6 +141,9 @@
         self._asked_name = None
         self._asks_any = False
         self._news = asyncio.Event()
+        self._store_due_ms = NEVER_MS
+        self._arriving_until_ms = NEVER_MS
+        self._was_store_overdue = False
         self.on_era_change = lambda era: None
         server.register(TABLES_TOPIC, self._handle_request)
         for follower in followers_by_table.values():
@@ -176,9 +197,35 @@
 
     def _is_cut_off(self):
         """Return whether neither a source nor the store has confirmed the tables."""
+        is_late = self.copy_age_ms() >= RESELECT_SHARE * self._bound_ms
+        return is_late and self._is_store_overdue()
+
+    def _is_store_overdue(self):
+        """Return whether this instance reads the store and has no answer in time."""
         is_out = self._reachability.outage_start_ms is not None
-        is_late = self.copy_age_ms() >= DIRECT_SHARE * self._bound_ms
-        return self.is_reading_store and is_out and is_late
+        is_due = self._clock.now_ms() >= self._store_due_ms
+        return self.is_reading_store and (is_out or is_due)
+
+    def record_store_progress(self):
+        """Record that bytes of an answer of the store arrive."""
+        self._extend_store_due()
+        self._record_progress()
+
+    def _extend_store_due(self, wait_ms=0.0):
+        limit_ms = wait_ms + UNANSWERED_SHARE * self._bound_ms
+        self._store_due_ms = max(self._store_due_ms, self._clock.now_ms() + limit_ms)
+
+    def _record_progress(self):
+        """Record that bytes of newer rows are on their way here."""
+        limit_ms = ARRIVAL_SILENCE_SHARE * self._bound_ms
+        self._arriving_until_ms = self._clock.now_ms() + limit_ms
+
+    def _is_arriving(self):
+        return self._clock.now_ms() < self._arriving_until_ms
+
+    def _expects_news(self):
+        """Return whether the source or the store may still confirm the tables."""
+        return self.source is not None or not self._is_store_overdue()
 
     async def _ask_around(self, now_ms):
         """Ask the source and any other instance in turn, whoever has news first."""
@@ -189,12 +236,19 @@
         if source is None:
             await self._clock.sleep_until(now_ms + RESELECT_PERIOD_MS)
             return
-        answer = await self._ask(source, now_ms, POLL_SHARE * self._bound_ms)
+        await self._ask_member(source, now_ms, AROUND_SHARE * self._bound_ms)
+
+    async def _ask_member(self, member, now_ms, hold_ms):
+        """Ask a member; return whether it confirms the tables more recently."""
+        answer = await self._ask(member, now_ms, hold_ms)
         if is_failure(answer):
-            self._reject_source(source, answer.detail)
+            self._reject_source(member, answer.detail)
             await self._clock.sleep_until(self._clock.now_ms() + FAILURE_PAUSE_MS)
-        elif self._apply(source, answer, now_ms):
-            logger.info("tables.news", extra={"source": source.name})
+            return False
+        is_newer = self._apply(member, answer, now_ms)
+        if is_newer:
+            logger.info("tables.news", extra={"source": member.name})
+        return is_newer
 
     async def _follow(self, source, now_ms):
         """Ask a source once; return whether it confirms the tables more recently."""
@@ -207,12 +261,15 @@
             self._reject_source(source, answer.detail)
             await self._clock.sleep_until(self._clock.now_ms() + FAILURE_PAUSE_MS)
             return False
-        if is_new and self._is_behind(answer):
+        if self._is_behind(answer):
             self._reject_source(source, "it is behind")
             await self._clock.sleep_until(self._clock.now_ms() + FAILURE_PAUSE_MS)
             return False
         is_newer = self._apply(source, answer, now_ms)
-        if not is_newer and not is_new and self._is_source_overdue():
+        expects_news = answer.expects_news
+        if expects_news is None:
+            expects_news = is_new or not self._is_source_overdue()
+        if not is_newer and not expects_news:
             self._reject_source(source, "it has no newer confirmation")
         elif answer.is_leaving:
             self._reject_source(source, "it is leaving")
@@ -237,11 +294,15 @@
             request.to_json(),
             hold_ms + TRAVEL_SHARE * self._bound_ms,
             hold_ms + TRANSFER_SHARE * self._bound_ms,
+            self._record_progress,
         )
+        self._arriving_until_ms = NEVER_MS
         if is_failure(answer):
             return answer
         try:
             answer = TablesAnswer.from_json(answer)
+            if answer.is_arriving:
+                self._record_progress()
             self._sessions.merge(answer.sessions or {})
             self._source_sessions_digest = answer.sessions_digest
             return answer
@@ -249,29 +310,37 @@
             return Failure(CONNECT_FAILED, str(error))
 
     def _is_behind(self, answer):
-        """Return whether the source's copy is older than this one by over one poll."""
+        """Return whether the source's copy is older than this one by over one poll.
+
+        An instance that reads the store itself leaves its source more time to get it.
+        """
         if not self._lead.copy.is_known:
             return False
         update = answer.updates_by_table.get(self._lead_table)
-        limit_ms = self._lead.copy.confirmed_store_ms - POLL_SHARE * self._bound_ms
+        share = RESELECT_SHARE if self.is_reading_store else POLL_SHARE
+        limit_ms = self._lead.copy.confirmed_store_ms - share * self._bound_ms
         return update is None or update.confirmed_store_ms < limit_ms
 
     def _is_source_overdue(self):
-        confirmed_ms = self._lead.copy.confirmed_ms
+        return self._clock.now_ms() >= self._dated_ms() + self._reselect_after_ms()
+
+    def _dated_ms(self):
+        """Return the reading from which the age of the copies counts."""
         if not self._lead.copy.is_known:
-            confirmed_ms = self._first_read_ms
-        return self._clock.now_ms() >= confirmed_ms + self._reselect_after_ms()
+            return self._first_read_ms
+        return self._lead.copy.confirmed_ms
 
     def _hold_ms(self, now_ms):
         """Return how long the source may wait before it answers without news."""
         full_ms = RESELECT_SHARE * self._bound_ms
+        due_ms = self._dated_ms() + self._reselect_after_ms()
         if self.is_reading_store:
-            return full_ms
-        if not self._lead.copy.is_known:
-            due_ms = self._first_read_ms + self._reselect_after_ms()
-            return max(MIN_HOLD_MS, due_ms - now_ms)
-        due_ms = self._lead.copy.confirmed_ms + self._reselect_after_ms()
-        return min(full_ms, max(MIN_HOLD_MS, due_ms - now_ms))
+            due_ms = max(due_ms, self._store_due_ms)
+        elif now_ms >= due_ms:
+            # An answer just before tells whether newer rows are on their way.
+            due_ms = self._direct_due_ms() - MIN_HOLD_MS
+        left_ms = max(MIN_HOLD_MS, due_ms - now_ms)
+        return min(full_ms, left_ms) if self._lead.copy.is_known else left_ms
 
     def _apply(self, source, answer, sent_ms):
         """Apply an answer; return whether it confirms the tables more recently."""
@@ -304,15 +373,39 @@
     async def _watch_age(self):
         """Read the store whenever the copies are not confirmed in time."""
         while True:
-            due_ms = self._lead.copy.confirmed_ms + DIRECT_SHARE * self._bound_ms
-            if not self._lead.copy.is_known:
-                due_ms = self._first_read_ms + DIRECT_SHARE * self._bound_ms
+            due_ms = self._direct_due_ms()
             now_ms = self._clock.now_ms()
             if now_ms >= due_ms:
+                if not self.is_reading_store and await self._ask_once(now_ms):
+                    continue
                 self._set_reading_store(True, "no confirmation in time")
                 due_ms = now_ms + CHECK_PERIOD_MS
+            if self._is_store_overdue() and not self._was_store_overdue:
+                # Followers that wait here select another source at once.
+                self._notify_followers()
+            self._was_store_overdue = self._is_store_overdue()
+            if self.is_reading_store and self._store_due_ms > now_ms:
+                due_ms = min(due_ms, self._store_due_ms)
             await self._clock.sleep_until(due_ms)
 
+    async def _ask_once(self, now_ms):
+        """Ask one other instance before the store; return whether it had news.
+
+        Its answer is compressed, and a tenth as large as the store's.
+        """
+        if self._selector.is_first_of_zone():
+            return False
+        member = self._selector.select_any(now_ms, self._random)
+        return member is not None and await self._ask_member(member, now_ms, 0.0)
+
+    def _direct_due_ms(self):
+        """Return when to read the store unless the copies are confirmed before."""
+        share = RESELECT_SHARE
+        if not self._selector.is_first_of_zone():
+            start = ARRIVING_SHARE if self._is_arriving() else DIRECT_SHARE
+            share = start + SPREAD_SHARE * self._selector.read_order()
+        return self._dated_ms() + share * self._bound_ms
+
     def copy_age_ms(self):
         """Return how long ago the tables were confirmed."""
         return self._lead.copy.age_ms(self._clock.now_ms())
@@ -344,6 +437,9 @@
     def _set_reading_store(self, is_reading, reason="the source has news again"):
         if is_reading != self.is_reading_store:
             self.is_reading_store = is_reading
+            if is_reading:
+                self._store_due_ms = NEVER_MS
+                self._extend_store_due()
             logger.info(
                 "tables.reading-store",
                 extra={
@@ -373,6 +469,8 @@
     def _handle_store_answer(self, version):
         """Pass on an answer of the store; detect polls that missed a change."""
         self.confirmed_by = STORE
+        self._arriving_until_ms = NEVER_MS
+        self._extend_store_due(POLL_SHARE * self._bound_ms)
         for follower in self._followers_by_table.values():
             follower.check_version(version, POLL_SHARE * self._bound_ms)
         self._update_followers()
@@ -390,6 +488,9 @@
             left_ms = deadline_ms - self._clock.now_ms()
             if left_ms <= 0 or self._is_leaving():
                 break
+            # Builds from before this field would ask again at once.
+            if request.encodings and not self._expects_news():
+                break
             try:
                 async with asyncio.timeout(left_ms / 1000):
                     await self._news.wait()
@@ -430,6 +531,8 @@
             updates_by_table,
             self._sessions.digest(),
             self._sessions_unless(request.sessions_digest),
+            self._expects_news(),
+            self._is_arriving(),
         )
 
     def _sessions_unless(self, known_digest):
--- a/stoatpath/feeds/sources.py
+++ b/stoatpath/feeds/sources.py
@@ -40,11 +40,33 @@
         return _source_of(self._members.local, self._live_members())
 
     def select_any(self, now_ms, random):
-        """Return a random member that is not excluded, or None."""
+        """Return a random member that is not excluded, or None.
+
+        Half of the time it is one of another zone: what cuts off an instance often
+        cuts off its zone.
+        """
         self._end_exclusions(now_ms)
         eligible = self._eligible()
+        zone = self._members.local.zone
+        if random.random() < 0.5:
+            eligible = [each for each in eligible if each.zone != zone] or eligible
         return random.choice(eligible) if eligible else None
 
+    def is_first_of_zone(self):
+        """Return whether no live member of the own zone ranks higher.
+
+        Members that were excluded count, too.
+        """
+        local = self._members.local
+        return not any(
+            each.zone == local.zone and _rank(each) > _rank(local)
+            for each in self._live_members()
+        )
+
+    def read_order(self):
+        """Return a number from 0 to 1, lower than those of the followers."""
+        return 1.0 - _rank(self._members.local)[0] / 2**64
+
     def depth(self, now_ms):
         """Return the number of instances between this one and the store."""
         return self._source_and_depth(now_ms)[1]
--- a/stoatpath/measure/relay_models.py
+++ b/stoatpath/measure/relay_models.py
@@ -160,8 +160,11 @@
         self._changed = asyncio.Event()
         return self.version
 
-    async def call(self, name, answer, wait_ms=0.0):
-        """Return `answer()` after the delays of a call, or a failure."""
+    async def call(self, name, answer, wait_ms=0.0, on_progress=lambda: None):
+        """Return `answer()` after the delays of a call, or a failure.
+
+        `on_progress` is called as bytes of the answer arrive.
+        """
         self.calls_by_name[name] = self.calls_by_name.get(name, 0) + 1
         self.call_starts.append((self._loop.time() * 1000, name))
         await asyncio.sleep(STORE_DELAY_MS / 2000)
@@ -186,7 +189,7 @@
             return page
         try:
             async with asyncio.timeout(CALL_TIMEOUT_MS / 1000):
-                await transfer(_page_bytes(page), None, link)
+                await transfer(_page_bytes(page), None, link, on_progress)
         except TimeoutError:
             return Failure(PLATFORM_UNAVAILABLE, "no answer in time")
         return page
@@ -218,16 +221,19 @@
 class ModelStoreClient:
     """The calls of one instance, as `RowStore` makes them; `writes` counts writes."""
 
-    __slots__ = ("_store", "_name", "writes")
+    __slots__ = ("_store", "_name", "writes", "on_progress")
 
     def __init__(self, store, name):
         self._store = store
         self._name = name
         self.writes = 0
+        self.on_progress = lambda: None
 
     async def read(self, table, start=""):
         """Read a whole table."""
-        return await self._store.call(self._name, lambda: self._store.page(table))
+        return await self._store.call(
+            self._name, lambda: self._store.page(table), 0.0, self.on_progress
+        )
 
     async def write(self, writes):
         """Write rows if all conditions hold."""
@@ -237,7 +243,10 @@
     async def wait_for_changes(self, table, version, wait_ms):
         """Wait for changes of a table."""
         answer = self._store.call(
-            self._name, lambda: self._store.page(table, version), wait_ms
+            self._name,
+            lambda: self._store.page(table, version),
+            wait_ms,
+            self.on_progress,
         )
         page = await answer
         if wait_ms and table in self._store.silent_polls:
@@ -285,6 +294,7 @@
             rng,
             SharedSessions(),
         )
+        store.on_progress = self.relay.record_store_progress
 
     def version(self, table):
         """Return the version of the local copy of a table."""
@@ -305,7 +315,9 @@
         self._fleet = fleet
         self._name = name
 
-    async def ask(self, address, topic, message, timeout_ms, total_ms=None):
+    async def ask(
+        self, address, topic, message, timeout_ms, total_ms=None, on_progress=None
+    ):
         """Return the answer of an instance, whose address is its name.
 
         The limits are those of `PeerClient`.
@@ -315,6 +327,8 @@
         end_s = loop.time() + (timeout_ms if total_ms is None else total_ms) / 1000
 
         def extend_silence():
+            if on_progress is not None:
+                on_progress()
             if total_ms is not None:
                 silence.reschedule(min(end_s, loop.time() + BODY_SILENCE_MS / 1000))
 
--- a/stoatpath/membership/peers.py
+++ b/stoatpath/membership/peers.py
@@ -120,17 +120,26 @@
         self.bytes_read = 0
 
     async def ask(
-        self, address, topic, message, timeout_ms=PEER_TIMEOUT_MS, total_ms=None
+        self,
+        address,
+        topic,
+        message,
+        timeout_ms=PEER_TIMEOUT_MS,
+        total_ms=None,
+        on_progress=None,
     ):
         """Send a message; return the decoded answer of the member, or a failure.
 
         With `total_ms`, `timeout_ms` limits only the time until the answer begins. Its
-        bytes may then arrive until `total_ms`, without a gap of `BODY_SILENCE_MS`.
+        bytes may then arrive until `total_ms`, without a gap of `BODY_SILENCE_MS`, and
+        `on_progress` is called as they do.
         The reason `CONNECTION_REFUSED` means that no process listens at the address.
         """
         payload = encode_json(message)
         try:
-            return await self._exchange(address, topic, payload, timeout_ms, total_ms)
+            return await self._exchange(
+                address, topic, payload, timeout_ms, total_ms, on_progress
+            )
         except aiohttp.ClientConnectorError as error:
             is_refused = error.os_error.errno == errno.ECONNREFUSED
             reason = CONNECTION_REFUSED if is_refused else CONNECT_FAILED
@@ -138,7 +147,9 @@
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             return Failure(CONNECT_FAILED, type(error).__name__, Outcome.UNKNOWN)
 
-    async def _exchange(self, address, topic, payload, timeout_ms, total_ms):
+    async def _exchange(
+        self, address, topic, payload, timeout_ms, total_ms, on_progress
+    ):
         if self._session is None:
             connector = aiohttp.TCPConnector(limit=0, ssl=self._tls or True)
             self._session = aiohttp.ClientSession(
@@ -166,7 +177,7 @@
             if total_ms is None:
                 body = await response.read()
             else:
-                body = await _read_until_silence(response.content)
+                body = await _read_until_silence(response.content, on_progress)
             signature = response.headers.get(SIGNATURE_HEADER, "")
         self.bytes_read += len(body)
         if response.status != 200:
@@ -185,10 +196,12 @@
             await self._session.close()
 
 
-async def _read_until_silence(content):
+async def _read_until_silence(content, on_progress):
     """Return a body; raise TimeoutError after `BODY_SILENCE_MS` without a byte."""
     chunks = []
     while not content.at_eof():
         async with asyncio.timeout(BODY_SILENCE_MS / 1000):
             chunks.append(await content.readany())
+        if on_progress is not None:
+            on_progress()
     return b"".join(chunks)
