--- a/stoatpath/backpressure/assemblies.py
+++ b/stoatpath/backpressure/assemblies.py
@@ -29,6 +29,7 @@
     gate.on_hold_off = gateway.chooser.breakers.hold_open
     gate.on_restart = gateway.chooser.reset
     gateway.backends.entry_observers.append(gate.observe_entry)
+    gateway.eligible.evacuations.return_observers.append(cold.observe_zone_return)
     gateway.routes.observers.append(
         lambda table: cold.set_services(table.services_by_name, clock.now_ms())
     )
--- a/stoatpath/zones/evacuations.py
+++ b/stoatpath/zones/evacuations.py
@@ -9,12 +9,14 @@
     """Which zones are drained and since when; times are clock readings in ms.
 
     The state comes from the rows of the operator. A zone without backend servers is
-    kept like any other.
+    kept like any other. Each of `return_observers` is called with a zone that returns
+    to service and the time.
     """
 
-    __slots__ = ("_drained_ms_by_zone", "_returned_ms_by_zone")
+    __slots__ = ("return_observers", "_drained_ms_by_zone", "_returned_ms_by_zone")
 
     def __init__(self):
+        self.return_observers = []
         self._drained_ms_by_zone = {}
         self._returned_ms_by_zone = {}
 
@@ -34,6 +36,8 @@
         self._returned_ms_by_zone[zone] = now_ms
         extra = {"zone": zone, "after_ms": round(now_ms - drained_ms)}
         logger.info("zones.returned", extra=extra)
+        for observer in self.return_observers:
+            observer(zone, now_ms)
         return True
 
     def is_drained(self, zone):
