Keep forwarded requests in allowed regions and out of drained zones; show drains

Cause: an instance without a path to the backend servers could forward a request out of its regions, or to a peer that does not follow drains (a build from before them). On-call operators could not see which zones are drained.

Change: peers say in the answer on what they reach which zones they know as drained; 2 s after a drain only peers that name the drained zones of a service get its requests, and only instances in an allowed region or this one's own. Half of bounds.evac_ms counts among the times within which tables must be known. stoatpathctl store zones shows the zones, store backends the state "drained"; two metrics; the causes zones-drained and region-not-allowed in traces.

--- a/features/platform/decoding.feature
+++ b/features/platform/decoding.feature
@@ -20,6 +20,12 @@
       | a seed without port           | seeds.1 = '10.0.0.1': expected IP:PORT |
       | a number as bootstrap         | bootstrap = 1: expected true or false  |
       | no time for a change          | bounds.config_ms = 0: expected a number from 1 |
+      | no time for a drain           | bounds.evac_ms = 0: expected a number from 1 |
+      | a text as evac_ms             | bounds.evac_ms = 'soon': expected a number from 1 |
+      | a list as zones               | zones = ['z0']: expected a table       |
+      | a zone with a number as region | zones.z0 = 7: expected a text that is not empty |
+      | a zone that is a number       | zones = 7: expected names that are texts |
+      | an empty region               | region = '': expected a text that is not empty |
 
   Scenario: All problems of a settings file are reported at once
     Given the settings of a gateway
@@ -33,6 +39,20 @@
     When the settings have fields of a later release and no bounds
     Then they are accepted with a grace period of 8000 ms and key checks that fail closed
 
+  Scenario Outline: The region of an instance whose settings have <fields>
+    Given the settings of a gateway
+    When the settings have the fields <fields>
+    Then the instance is in region <region>
+
+    Examples:
+      | fields                                    | region |
+      | {}                                        | none   |
+      | {"region": "eu"}                          | eu     |
+      | {"zones": {"zone-a": "us"}}               | us     |
+      | {"zones": {"zone-b": "us"}}               | none   |
+      | {"region": "eu", "zones": {"zone-a": "us"}} | eu   |
+      | {"region": null, "zones": null}           | none   |
+
   Scenario: The program checks its settings file
     Given a settings file with no store
     When the gateway program runs with --check
--- a/features/platform/steps/decoding_steps.py
+++ b/features/platform/steps/decoding_steps.py
@@ -1,5 +1,6 @@
 """Steps about decoding platform documents and caller headers."""
 
+import json
 import subprocess
 import sys
 import tempfile
@@ -41,6 +42,12 @@
         "a seed without port": lambda: data.update(seeds=["10.0.0.2:1", "10.0.0.1"]),
         "a number as bootstrap": lambda: data.update(bootstrap=1),
         "no time for a change": lambda: data["bounds"].update(config_ms=0),
+        "no time for a drain": lambda: data["bounds"].update(evac_ms=0),
+        "a text as evac_ms": lambda: data["bounds"].update(evac_ms="soon"),
+        "a list as zones": lambda: data.update(zones=["z0"]),
+        "a zone with a number as region": lambda: data.update(zones={"z0": 7}),
+        "a zone that is a number": lambda: data.update(zones={7: "eu"}),
+        "an empty region": lambda: data.update(region=""),
     }
     changes[fault]()
 
@@ -51,6 +58,19 @@
     assert not is_failure(BootFile.from_mapping(context.data))
 
 
+@when("the settings have the fields {fields}")
+def step_impl(context, fields):
+    context.data |= json.loads(fields)
+
+
+@then("the instance is in region {region}")
+def step_impl(context, region):
+    boot = BootFile.from_mapping(context.data)
+    assert not is_failure(boot), boot
+    assert boot.region == (None if region == "none" else region)
+    assert boot.evacuation_ms is None
+
+
 @when("the settings have fields of a later release and no bounds")
 def step_impl(context):
     del context.data["bounds"]
--- a/stoatpath/admission/messages.py
+++ b/stoatpath/admission/messages.py
@@ -7,7 +7,7 @@
     A pool is a version of a model or a plain service. `expected_ms` is the expected
     time for which the slot is held. `is_short` is set for the work of purposes
     configured as short. `weight` is the fair-share weight of the organisation.
-    `allowed_regions` limits the backend servers that it may reach, None if it doesn't.
+    `regions` limits the backend servers that it may reach, None if it doesn't.
     """
 
     __slots__ = (
@@ -18,7 +18,7 @@
         "deadline_ms",
         "expected_ms",
         "is_short",
-        "allowed_regions",
+        "regions",
     )
 
     def __init__(
@@ -30,7 +30,7 @@
         deadline_ms,
         expected_ms,
         is_short,
-        allowed_regions=None,
+        regions=None,
     ):
         self.request_id = request_id
         self.organisation = organisation
@@ -39,7 +39,7 @@
         self.deadline_ms = deadline_ms
         self.expected_ms = expected_ms
         self.is_short = is_short
-        self.allowed_regions = allowed_regions
+        self.regions = regions
 
 
 class Grant:
--- a/stoatpath/cascades/confidence.py
+++ b/stoatpath/cascades/confidence.py
@@ -16,7 +16,7 @@
     Outcome,
     is_failure,
 )
-from stoatpath.zones.eligibility import allowed_regions_of
+from stoatpath.zones.eligibility import regions_of
 
 # Lowest confidence (0 to 100) at which an answer of the smallest model is accepted.
 ACCEPT_CONFIDENCE = 55.0
@@ -238,7 +238,7 @@
             request.deadline_ms,
             0.0,
             False,
-            allowed_regions_of(request),
+            regions_of(request),
         )
 
     def _no_backend_failure(self, request):
--- a/stoatpath/commands/features/steps/store_view_steps.py
+++ b/stoatpath/commands/features/steps/store_view_steps.py
@@ -56,6 +56,17 @@
     context.write_rows = write_rows
 
 
+@given("a deployment in which zone-a and zone-z are drained and a key is malformed")
+def step_impl(context):
+    async def write_rows(deployment):
+        await deployment.add_replica("other", PLAIN_SERVICE, zone="zone-b")
+        await deployment.add_replica("third", PLAIN_SERVICE)
+        for key in ("evacuate/zone-a", "evacuate/zone-z", "evacuate/"):
+            await deployment.store.put("op", key, {})
+
+    context.write_rows = write_rows
+
+
 @given("a deployment with an unreadable roll-out status")
 def step_impl(context):
     async def write_rows(deployment):
--- a/stoatpath/commands/features/store_views.feature
+++ b/stoatpath/commands/features/store_views.feature
@@ -18,6 +18,22 @@
       | store                          | 1    | usage                       |
       | store keys                     | 1    | usage                       |
 
+  # Guards against a drain that on-call operators can't see, with the others beside it.
+  Scenario Outline: stoatpathctl <command> on a deployment with a drained zone
+    Given a deployment in which zone-a and zone-z are drained and a key is malformed
+    When an operator runs stoatpathctl <command>
+    Then the exit code is 0 and the output contains <text>
+
+    Examples:
+      | command                           | text                        |
+      | store zones                       | zone-a  drained     5       |
+      | store zones                       | zone-b  in service  1       |
+      | store zones                       | zone-z  drained     0       |
+      | store zones desk-assist           | zone-a  drained  2          |
+      | store zones                       | malformed: evacuate/: it names no zone |
+      | store zones --json                | "name": "zone-z"            |
+      | store backends                    | drained                     |
+
   Scenario: Unreadable rows are listed
     Given a deployment with an unreadable backend entry
     When an operator runs stoatpathctl store backends
--- a/stoatpath/commands/request_traces.py
+++ b/stoatpath/commands/request_traces.py
@@ -18,6 +18,7 @@
     "settings.",
     "store.",
     "tables.",
+    "zones.",
 )
 # Of each of these groups, the last event before a request belongs to its trace,
 # however old it is, because the state that it reports persists.
@@ -28,6 +29,7 @@
     ("routes.in-force",),
     ("program.listening",),
     ("drain.began",),
+    ("zones.drained", "zones.returned"),
 )
 CAUSES_BY_REASON = {
     "completed": "it was served",
@@ -41,6 +43,10 @@
     "look for drain.began",
     "no-backend": "no backend server was known that may serve it; look for "
     "backends.gone",
+    "zones-drained": "the operator has drained the zones of all backend servers that "
+    "may serve it; look for zones.drained",
+    "region-not-allowed": "no backend server is in a region that its route and its "
+    "organisation allow",
     "backends-limited": "all backend servers that may serve it take no more requests "
     "for now; look for backends.limit",
     "overloaded": "more requests waited than the instance lets wait",
--- a/stoatpath/commands/store_views.py
+++ b/stoatpath/commands/store_views.py
@@ -1,4 +1,4 @@
-"""Shows the routes, backend servers and roll-outs in the platform's store."""
+"""Shows routes, backend servers, zones and roll-outs in the platform's store."""
 
 from stoatpath.commands.messages import EXIT_INVALID, EXIT_OK, EXIT_USAGE, Result
 from stoatpath.commands.renderers import render_failure
@@ -8,7 +8,10 @@
 from stoatpath.platform.row_stores import RowPage
 from stoatpath.rollouts.release_evidence import EVIDENCE_TABLE, ReleaseEvidence
 
-USAGE = "usage: stoatpathctl --store=IP:PORT store routes|backends|rollouts [SERVICE]"
+USAGE = (
+    "usage: stoatpathctl --store=IP:PORT "
+    "store routes|backends|zones|rollouts [SERVICE]"
+)
 # Appended to the last key of a page, it gives the start of the next page.
 NEXT_KEY_SUFFIX = "\0"
 
@@ -65,9 +68,14 @@
         "max_attempts": route.max_attempts,
         "priority": route.priority,
         "models": list(route.models),
+        "regions": _sorted_regions(route.regions),
     }
 
 
+def _sorted_regions(regions):
+    return None if regions is None else sorted(regions)
+
+
 def _route_lines(routes):
     titles = ("ROUTE", "HOST", "PREFIX", "REPEATS", "SERVICES", "TIMEOUT", "ATTEMPTS")
     rows = [
@@ -87,8 +95,11 @@
 
 async def _show_backends(store, service):
     rows = await _read_table(store, names.SERVERS_TABLE)
-    if is_failure(rows):
-        return rows
+    orders = await _read_table(store, names.OPERATOR_TABLE)
+    for each in (rows, orders):
+        if is_failure(each):
+            return each
+    drained_zones = _read_drained_zones(orders)
     backends = []
     problems = []
     for row in rows.values():
@@ -104,7 +115,7 @@
                     "zone": entry.zone,
                     "address": entry.address,
                     "slots": entry.slots,
-                    "state": "leaving" if entry.is_leaving else "usable",
+                    "state": _describe_state(entry, drained_zones),
                     "row_version": row.version,
                 }
             )
@@ -116,6 +127,48 @@
     return Result(EXIT_OK, lines, {"backends": backends, "unreadable": problems})
 
 
+def _describe_state(entry, drained_zones):
+    if entry.is_leaving:
+        return "leaving"
+    return "drained" if entry.zone in drained_zones else "usable"
+
+
+def _read_drained_zones(orders):
+    """Return the zones that the operator's rows drain."""
+    zones = (documents.parse_evacuation_key(key) for key in orders)
+    return {zone for zone in zones if zone}
+
+
+async def _show_zones(store, service):
+    """Show all zones that are drained or have backend servers of a service."""
+    rows = await _read_table(store, names.SERVERS_TABLE)
+    orders = await _read_table(store, names.OPERATOR_TABLE)
+    for each in (rows, orders):
+        if is_failure(each):
+            return each
+    drained_zones = _read_drained_zones(orders)
+    counts = dict.fromkeys(drained_zones, 0)
+    for row in rows.values():
+        entry = documents.decode_backend(row.key, row.value)
+        if not is_failure(entry) and (not service or entry.service == service):
+            counts[entry.zone] = counts.get(entry.zone, 0) + 1
+    zones = [
+        {
+            "name": zone,
+            "state": "drained" if zone in drained_zones else "in service",
+            "backends": count,
+        }
+        for zone, count in sorted(counts.items())
+    ]
+    malformed = [key for key in orders if documents.parse_evacuation_key(key) == ""]
+    keys = ("name", "state", "backends")
+    lines = format_table(
+        ("ZONE", "STATE", "BACKENDS"), [[each[key] for key in keys] for each in zones]
+    )
+    lines += [f"malformed: {key}: it names no zone" for key in malformed]
+    return Result(EXIT_OK, lines, {"zones": zones, "malformed": malformed})
+
+
 async def _show_rollouts(store, service):
     orders = await _read_table(store, names.OPERATOR_TABLE)
     statuses = await _read_table(store, names.STATUS_TABLE)
@@ -224,5 +277,6 @@
 VIEWS_BY_NAME = {
     "routes": _show_routes,
     "backends": _show_backends,
+    "zones": _show_zones,
     "rollouts": _show_rollouts,
 }
--- a/stoatpath/configuration/routes.py
+++ b/stoatpath/configuration/routes.py
@@ -37,15 +37,15 @@
 class RoutedOrganisation:
     """An organisation. `priority` 0 comes first; None means that of the route.
 
-    `allowed_regions` is a set of names, or None if it allows all.
+    `regions` is a set of names, or None if it allows all.
     """
 
-    __slots__ = ("name", "priority", "allowed_regions", "weight")
+    __slots__ = ("name", "priority", "regions", "weight")
 
-    def __init__(self, name, priority, allowed_regions=None):
+    def __init__(self, name, priority, regions=None):
         self.name = name
         self.priority = priority
-        self.allowed_regions = allowed_regions
+        self.regions = regions
         self.weight = EQUAL_WEIGHT
 
 
@@ -56,7 +56,7 @@
     the final answer, `target_ms` is the latency objective up to the first byte.
     `models` lists the models to choose from, smallest first; it is empty if the
     caller names the model. `max_attempts` limits the attempts of one request.
-    `allowed_regions` is a set of names, or None if it allows all.
+    `regions` is a set of names, or None if it allows all.
     """
 
     __slots__ = (
@@ -72,7 +72,7 @@
         "is_public",
         "is_resumable",
         "models",
-        "allowed_regions",
+        "regions",
     )
 
     def __init__(
@@ -89,7 +89,7 @@
         is_public,
         is_resumable,
         models,
-        allowed_regions=None,
+        regions=None,
     ):
         self.name = name
         self.host = host
@@ -103,7 +103,7 @@
         self.is_public = is_public
         self.is_resumable = is_resumable
         self.models = models
-        self.allowed_regions = allowed_regions
+        self.regions = regions
 
     @property
     def is_stream(self):
--- a/stoatpath/forwarding/features/forwarders.feature
+++ b/stoatpath/forwarding/features/forwarders.feature
@@ -17,3 +17,4 @@
       | no run is left                   | repeatable  | 3    | broken-answer     | unknown | isn't forwarded |
       | the caller has left              | repeatable  | 1    | caller-gone       | unknown | isn't forwarded |
       | a peer forwarded it to here      | forwarded   | 0    | connect-failed    | not-run | isn't forwarded |
+      | no peer is in an allowed region  | bound       | 0    | connect-failed    | not-run | isn't forwarded |
--- a/stoatpath/forwarding/features/steps/forwarder_steps.py
+++ b/stoatpath/forwarding/features/steps/forwarder_steps.py
@@ -29,7 +29,7 @@
         service=SimpleNamespace(name="desk"),
         deadline_ms=1_000.0,
         is_forwarded=repeats == "forwarded",
-        is_repeatable=repeats == "repeatable",
+        is_repeatable=repeats in ("repeatable", "bound"),
         is_stream=False,
         run_count=runs,
         may_run_again=runs < most,
@@ -37,8 +37,9 @@
     router = SimpleNamespace(
         clock=ManualClock(),
         retry_budget=SimpleNamespace(try_spend=lambda service: True),
+        eligible=SimpleNamespace(allows_peer=lambda request, peer: repeats != "bound"),
     )
-    peers = SimpleNamespace(can_forward=lambda service, is_stream: True)
+    peers = SimpleNamespace(can_forward=lambda service, is_stream, allows: allows(None))
     context.forwarder = Forwarder(router, peers, None, None)
 
 
--- a/stoatpath/forwarding/forwarders.py
+++ b/stoatpath/forwarding/forwarders.py
@@ -53,7 +53,9 @@
         service = request.service.name
         if request.is_forwarded:
             return False
-        return self._peers.can_forward(service, request.is_stream)
+        return self._peers.can_forward(
+            service, request.is_stream, self._peer_check(request)
+        )
 
     def may_forward_after(self, request, failure):
         """Return whether a request that failed here may be forwarded."""
@@ -69,7 +71,9 @@
         """Return a `RelayedResult` or a failure, None if no peer was at hand."""
         relay = None if stream is None else EventRelay(stream)
         worst = None
-        peers = self._peers.find(request.service.name, request.is_stream)
+        peers = self._peers.find(
+            request.service.name, request.is_stream, self._peer_check(request)
+        )
         for number, peer in enumerate(peers[:MAX_FORWARDS], start=1):
             problem = self._router.quarantine.check(request)
             if problem is not None:
@@ -86,6 +90,10 @@
                 break
         return worst
 
+    def _peer_check(self, request):
+        """Return a function that tells whether a peer may get a request."""
+        return lambda peer: self._router.eligible.allows_peer(request, peer)
+
     def _try_repeat(self, request, failure):
         """Spend on another run of a request; return whether it is allowed."""
         is_lost = failure.outcome is Outcome.NOT_RUN or failure.reason in LOST_REASONS
--- a/stoatpath/forwarding/peers.py
+++ b/stoatpath/forwarding/peers.py
@@ -68,17 +68,34 @@
     """An instance to forward requests to.
 
     `acceptance` tells until when it takes them. `unreachable_services` are the services
-    of which it reaches no backend server, as known until `valid_until_ms`.
+    of which it reaches no backend server, as known until `valid_until_ms`, and
+    `drained_zones` those that it sends nothing to.
     """
 
-    __slots__ = ("name", "acceptance", "zone", "unreachable_services", "valid_until_ms")
+    __slots__ = (
+        "name",
+        "acceptance",
+        "zone",
+        "unreachable_services",
+        "valid_until_ms",
+        "drained_zones",
+    )
 
-    def __init__(self, name, acceptance, zone, unreachable_services, valid_until_ms):
+    def __init__(
+        self,
+        name,
+        acceptance,
+        zone,
+        unreachable_services,
+        valid_until_ms,
+        drained_zones=frozenset(),
+    ):
         self.name = name
         self.acceptance = acceptance
         self.zone = zone
         self.unreachable_services = unreachable_services
         self.valid_until_ms = valid_until_ms
+        self.drained_zones = drained_zones
 
     @property
     def address(self):
@@ -97,10 +114,11 @@
     """Asks peers what they reach, while this instance doesn't reach some services.
 
     `partitions` is the `PartitionDetector`. `local_acceptance` returns the `Acceptance`
-    of this instance.
+    of this instance, `drained_zones` the zones that it sends nothing to.
     """
 
     __slots__ = (
+        "drained_zones",
         "_partitions",
         "_members",
         "_client",
@@ -115,6 +133,7 @@
     def __init__(
         self, partitions, members, client, server, local_acceptance, clock, random
     ):
+        self.drained_zones = lambda: []
         self._partitions = partitions
         self._members = members
         self._client = client
@@ -127,8 +146,8 @@
         partitions.observers.append(self._handle_change)
         server.register(REACH_TOPIC, self._handle_question)
 
-    def find(self, service, is_stream=False):
-        """Return the peers that reach a service.
+    def find(self, service, is_stream=False, allows=None):
+        """Return the peers that reach a service, of those for which `allows` is true.
 
         Those that stay come first, and among them those of the same zone.
         """
@@ -138,6 +157,7 @@
             for peer in self._peers_by_name.values()
             if now_ms < peer.accepts_until_ms(is_stream)
             and service not in peer.unreachable_services
+            and (allows is None or allows(peer))
         ]
         self._random.shuffle(peers)
         local_zone = self._members.local.zone
@@ -146,10 +166,13 @@
             key=lambda peer: (peer.acceptance.is_leaving, peer.zone != local_zone),
         )
 
-    def can_forward(self, service, is_stream=False):
-        """Return whether a service is reached by peers, and not from here."""
+    def can_forward(self, service, is_stream=False, allows=None):
+        """Return whether a service is reached by peers, and not from here.
+
+        With `allows`, only peers count for which it is true.
+        """
         is_unreachable = self._partitions.is_unreachable(service)
-        return is_unreachable and bool(self.find(service, is_stream))
+        return is_unreachable and bool(self.find(service, is_stream, allows))
 
     def is_asked(self):
         """Return whether peers that are cut off have just asked this instance."""
@@ -204,6 +227,8 @@
             now_ms = self._clock.now_ms()
             acceptance = Acceptance.from_json(answer, now_ms)
             unreachable = frozenset(str(each) for each in answer["unreachable"])
+            # Instances of an older release name none: they don't know drained zones.
+            drained = frozenset(str(each) for each in answer.get("drained") or ())
             if acceptance.until_ms <= now_ms:
                 raise ValueError("it takes no requests")
         except (KeyError, TypeError, ValueError) as error:
@@ -213,7 +238,7 @@
             return
         valid_until_ms = now_ms + LIFETIME_MS
         self._peers_by_name[name] = ForwardingPeer(
-            name, acceptance, member.zone, unreachable, valid_until_ms
+            name, acceptance, member.zone, unreachable, valid_until_ms, drained
         )
 
     async def _handle_question(self, message):
@@ -222,6 +247,7 @@
         return {
             **self._local_acceptance().to_json(now_ms),
             "unreachable": self._partitions.unreachable_services(),
+            "drained": self.drained_zones(),
         }
 
 
--- a/stoatpath/gateway_metrics.py
+++ b/stoatpath/gateway_metrics.py
@@ -185,6 +185,16 @@
         gateway.forwarder.forwarded,
     )
     yield from quarantine_samples(gateway)
+    yield Sample.gauge(
+        "stoatpath_drained_zones",
+        "Zones that the operator has drained.",
+        len(gateway.eligible.evacuations.drained_zones()),
+    )
+    yield Sample.gauge(
+        "stoatpath_drained_backends",
+        "Backend servers in drained zones.",
+        len(gateway.eligible.drained()),
+    )
     counts_by_state = {"usable": 0, "leaving": 0}
     for backend in gateway.backends.by_name.values():
         counts_by_state["leaving" if backend.is_leaving else "usable"] += 1
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -70,9 +70,10 @@
 # Wait of one long poll for statuses, as a share of `rollback_ms`. A read on an
 # unresponsive connection then times out in time for a roll-back.
 STATUS_WAIT_SHARE = 0.5
-# Shares of `revoke_ms` and `rollback_ms` within which changes must be known everywhere;
-# what follows a change (requests on their way, further bad answers) needs the rest.
+# Shares of `revoke_ms`, `evac_ms` and `rollback_ms` within which changes must be known
+# everywhere; what follows (requests on their way, further bad answers) needs the rest.
 REVOKE_KNOWN_SHARE = 0.5
+EVACUATION_KNOWN_SHARE = 0.5
 ROLLBACK_KNOWN_SHARE = 0.5
 # Lower limit of waits, since all instances share the store's rate limits. Lower bounds
 # that need a shorter wait are not met.
@@ -388,6 +389,7 @@
             self.clock,
             self.random,
         )
+        self.peer_finder.drained_zones = self.eligible.evacuations.drained_zones
         self.forwarder = Forwarder(
             self, self.peer_finder, self.backend_client, decode_head
         )
@@ -611,6 +613,7 @@
         boot.config_ms,
         boot.drain_ms,
         REVOKE_KNOWN_SHARE * boot.revoke_ms,
+        EVACUATION_KNOWN_SHARE * (boot.evacuation_ms or float("inf")),
         ROLLBACK_KNOWN_SHARE * boot.rollback_ms,
     )
 
--- a/stoatpath/platform/boot_files.py
+++ b/stoatpath/platform/boot_files.py
@@ -35,9 +35,9 @@
     out of date. `is_first_start` tells that all instances start now. The other
     attributes are bounds of the deployment; durations are in the unit of the name's
     suffix, shares and ratios are fractions of requests, and slacks are numbers of
-    requests allowed beyond those fractions. `evac_ms` is None if the file has no such
-    bound. `regions_by_zone` maps zones to regions; `region` is that of the process, or
-    None.
+    requests allowed beyond those fractions. `evacuation_ms` is None if the file has no
+    such bound. `regions_by_zone` maps zones to regions; `region` is that of the
+    process, or None.
     """
 
     __slots__ = (
@@ -63,7 +63,7 @@
         "exposure_share",
         "exposure_slack",
         "session_ms",
-        "evac_ms",
+        "evacuation_ms",
         "regions_by_zone",
         "region",
     )
@@ -101,7 +101,7 @@
         boot.exposure_share = bounds_reader.number("expose_share", minimum=0)
         boot.exposure_slack = bounds_reader.number("expose_slack", minimum=0)
         boot.session_ms = bounds_reader.number("session_s", minimum=0) * 1_000
-        boot.evac_ms = bounds_reader.optional_number("evac_ms", minimum=1)
+        boot.evacuation_ms = bounds_reader.optional_number("evac_ms", minimum=1)
         boot.regions_by_zone = reader.texts_by_name("zones")
         boot.region = reader.optional_text("region") or (
             boot.regions_by_zone.get(boot.zone)
--- a/stoatpath/tools/ctl.py
+++ b/stoatpath/tools/ctl.py
@@ -39,7 +39,7 @@
   explain REQUEST_ID [LOG ...]
                          print why a request was served as it was; from log files
                          of all instances where they are given
-  store routes|backends|rollouts [SERVICE]
+  store routes|backends|zones|rollouts [SERVICE]
                          print what the platform's store holds: the configuration
                          in force, the backend servers, roll-outs and who judged them
 
--- a/stoatpath/zones/backends.py
+++ b/stoatpath/zones/backends.py
@@ -1,12 +1,15 @@
 """The backend servers that a gateway may send requests to, by zone and region."""
 
 from stoatpath.outcomes import REGION_NOT_ALLOWED, ZONES_DRAINED, Failure
-from stoatpath.zones.eligibility import DRAINED, ZoneFilter, allowed_regions_of
+from stoatpath.zones.eligibility import DRAINED, ZoneFilter, regions_of
 from stoatpath.zones.evacuations import EvacuationTable
 
 # Time after which the caller may retry, as when no backend server is known. How long a
 # zone stays drained is not known.
 RETRY_MS = 1_000.0
+# Time in which a drained zone becomes known at an instance that requests are forwarded
+# to, and in its answer, which counts for 1.5 s.
+PEER_KNOWS_AFTER_MS = 2_000.0
 
 
 class EligibleBackends:
@@ -61,16 +64,16 @@
 
         The list is empty if none of its service is known.
         """
-        return self._select(request.service.name, allowed_regions_of(request))
+        return self._select(request.service.name, regions_of(request))
 
     def excluded(self, request):
         """Return pairs of a backend server that it must not reach and the reason."""
         backends = self._directory.of_service(request.service.name)
-        return self.filter.split(backends, allowed_regions_of(request))[1]
+        return self.filter.split(backends, regions_of(request))[1]
 
     def exclusion_reason(self, request, backend):
         """Return why a request must not be sent to a backend server now, or None."""
-        return self.filter.exclusion_reason(backend, allowed_regions_of(request))
+        return self.filter.exclusion_reason(backend, regions_of(request))
 
     def check_send(self, request, backend):
         """Return the failure of a send that must not take place now, or None."""
@@ -81,6 +84,24 @@
         retry_at_ms = self._clock.now_ms() + RETRY_MS
         return Failure(cause, f"{reason}: {backend.zone}", retry_at_ms=retry_at_ms)
 
+    def allows_peer(self, request, peer):
+        """Return whether a request may be forwarded to a `ForwardingPeer`.
+
+        The peer must be in a region that the request may reach and, some time after a
+        drain, know the drained zones: one of an older release sends requests there.
+        """
+        regions = regions_of(request)
+        if not self.filter.allows_instance(peer.zone, regions):
+            return False
+        known_by_ms = self._clock.now_ms() - PEER_KNOWS_AFTER_MS
+        zones = {
+            backend.zone
+            for backend in self._directory.of_service(request.service.name)
+            if self.evacuations.is_drained(backend.zone)
+            and self.evacuations.drained_ms(backend.zone) <= known_by_ms
+        }
+        return zones <= peer.drained_zones
+
     def build_waiting_check(self):
         """Return a function from a waiting `AdmissionRequest` to its failure, or None.
 
@@ -89,7 +110,7 @@
         failures = {}
 
         def find_failure(request):
-            key = request.pools[0], request.allowed_regions
+            key = request.pools[0], request.regions
             if key not in failures:
                 selected = self._select(*key)
                 failures[key] = selected if isinstance(selected, Failure) else None
@@ -97,15 +118,15 @@
 
         return find_failure
 
-    def _select(self, service, allowed_regions):
+    def _select(self, service, regions):
         backends = self._directory.of_service(service)
-        eligible, excluded = self.filter.split(backends, allowed_regions)
+        eligible, excluded = self.filter.split(backends, regions)
         if eligible or not excluded:
             return eligible
         zones = {backend.zone for backend, reason in excluded if reason is DRAINED}
         retry_at_ms = self._clock.now_ms() + RETRY_MS
         if not zones:
-            regions = ", ".join(sorted(allowed_regions)) or "none"
+            regions = ", ".join(sorted(regions)) or "none"
             detail = f"no backend server of {service} is in an allowed region"
             return Failure(
                 REGION_NOT_ALLOWED, f"{detail} ({regions})", retry_at_ms=retry_at_ms
--- a/stoatpath/zones/eligibility.py
+++ b/stoatpath/zones/eligibility.py
@@ -22,50 +22,57 @@
         self._regions_by_zone = regions_by_zone
         self._own_region = own_region
 
-    def exclusion_reason(self, backend, allowed_regions):
+    def exclusion_reason(self, backend, regions):
         """Return why a request must not reach a backend server, or None.
 
-        `allowed_regions` is a set of names, or None if the request may reach any.
+        `regions` is a set of names, or None if the request may reach any.
         """
-        if self._evacuations.is_drained(backend.zone):
-            return DRAINED
-        if allowed_regions is None:
-            return None
-        is_allowed = self._regions_by_zone.get(backend.zone) in allowed_regions
-        return None if is_allowed else OTHER_REGION
+        return self._reason(backend.zone, regions)
 
-    def split(self, backends, allowed_regions):
+    def split(self, backends, regions):
         """Return the backend servers that a request may reach, and the others.
 
         The latter are pairs of a backend server and the reason.
         """
-        if allowed_regions is None and not self._evacuations.drained_zones():
+        if regions is None and not self._evacuations.drained_zones():
             return backends, []
         eligible, excluded = [], []
+        # There are thousands of backend servers, but few zones.
+        reasons_by_zone = {}
         for backend in backends:
-            reason = self.exclusion_reason(backend, allowed_regions)
+            zone = backend.zone
+            if zone not in reasons_by_zone:
+                reasons_by_zone[zone] = self._reason(zone, regions)
+            reason = reasons_by_zone[zone]
             if reason is None:
                 eligible.append(backend)
             else:
                 excluded.append((backend, reason))
         return eligible, excluded
 
-    def allows_instance(self, zone, allowed_regions):
+    def allows_instance(self, zone, regions):
         """Return whether a request may be forwarded to an instance of a zone.
 
         The instance must be in an allowed region, or in the region of this one.
         """
-        if allowed_regions is None:
+        if regions is None:
             return True
         region = self._regions_by_zone.get(zone)
-        return region is not None and region in (*allowed_regions, self._own_region)
+        return region is not None and region in (*regions, self._own_region)
+
+    def _reason(self, zone, regions):
+        if self._evacuations.is_drained(zone):
+            return DRAINED
+        if regions is None or self._regions_by_zone.get(zone) in regions:
+            return None
+        return OTHER_REGION
 
 
-def allowed_regions_of(request):
+def regions_of(request):
     """Return the regions that route and organisation both allow, None for any."""
     limits = [
-        each.allowed_regions
+        each.regions
         for each in (request.route, request.organisation)
-        if each is not None and each.allowed_regions is not None
+        if each is not None and each.regions is not None
     ]
     return frozenset.intersection(*limits) if limits else None
--- a/stoatpath/zones/features/drains.feature
+++ b/stoatpath/zones/features/drains.feature
@@ -56,6 +56,22 @@
     Then all of them are answered with 200
     And the backend servers of z0 got none of them
 
+  # Guards against requests that an instance without a path to the backend servers sends
+  # through one that follows no drain, as those of an older release do.
+  Scenario Outline: A gateway that is cut off forwards requests to a peer that <knows>
+    Given 2 gateways, and 2 backend servers of each service in zones z0 z1
+    And gateway-0 reaches no backend server, and gateway-1 <knows>
+    When the operator drains z0
+    And 3.5 s pass
+    And callers send 10 look requests through gateway-0
+    Then all of them are answered with <status>
+    And the backend servers of z0 got none of them
+
+    Examples:
+      | knows               | status |
+      | follows the drain   | 200    |
+      | names no drain      | 503    |
+
   # Guards against sends that were decided on before a wait.
   Scenario Outline: A zone is drained while a request waits for <wait>
     Given 1 gateways, and 2 backend servers of each service in zones z0 z1
@@ -64,11 +80,27 @@
     Then all of them are answered with 200
     And the backend servers of z0 got none of them
 
+    And the trace of the request says "zone drained" of a server of z0
+
     Examples:
       | wait            |
       | a permit        |
       | its connection  |
 
+  # Guards against later sends of a request whose first one went to a drained zone.
+  Scenario Outline: A zone is drained while a request runs there; next is <next>
+    Given 1 gateways, and 4 backend servers of each service in zones z0 z1
+    And the answers of each backend server take 0.4 s and lead to <next>
+    When a <route> request is sent, and z0 is drained while it runs there
+    Then all of them are answered with 200
+    And the backend servers of z0 got 1 and those of z1 1 of them
+
+    Examples:
+      | next                   | route |
+      | a retry                | look  |
+      | a hedge                | look  |
+      | a stage of the cascade | sum   |
+
   # Guards against requests that wait for a slot until their deadline.
   Scenario: All zones are drained while requests wait for a slot
     Given 1 gateways, and 1 backend servers of each service in zones z0
@@ -135,6 +167,31 @@
     And an attempt at one of them ends as a failed connection
     Then no service counts as unreachable, and the gateways are ready
 
+  # Guards against a zone that no release of a roll-out may leave.
+  Scenario Outline: A roll-out is <state>, and its new release is in a drained zone only
+    Given 1 gateways, and 1 backend servers of each service in zones z1
+    And a backend server of the release v2 in z0, to which a roll-out moves
+    When the operator drains z0
+    And the roll-out is <state>
+    And callers send 30 look requests through each gateway
+    Then all of them are answered with 200
+    And the backend servers of z0 got none of them
+
+    Examples:
+      | state     |
+      | ordered   |
+      | running   |
+      | completed |
+
+  # Guards against the end of the old release while the new one is out of service.
+  Scenario: A roll-out is not completed while its new release is in a drained zone only
+    Given 1 gateways, and 1 backend servers of each service in zones z1
+    And a backend server of the release v2 in z0, to which a roll-out moves
+    When the operator drains z0
+    Then the roll-out may not be completed at its end
+    When the operator returns z0
+    Then the roll-out may be completed at its end
+
   # Guards against slots of drained backend servers that admission gives to requests.
   Scenario: Admission does not count the slots of a drained zone
     Given 1 gateways, and 3 backend servers of each service in zones z0 z1
--- a/stoatpath/zones/features/steps/drain_steps.py
+++ b/stoatpath/zones/features/steps/drain_steps.py
@@ -7,13 +7,19 @@
 import aiohttp
 from behave import given, then, when
 from fleets import ZoneFleet, wait_until
+from logs import LogCapture
 
 from stoatpath.dispatch.messages import AttemptResult
+from stoatpath.dispatch.relay_policies import RelayPolicy
 from stoatpath.outcomes import CONNECT_FAILED
+from stoatpath.platform.backend_calls import BackendClient
+from stoatpath.platform.documents import STATES_BY_WORD
+from stoatpath.rollouts.messages import RUNNING, ReleaseOrder, ReleaseStatus
 from stoatpath.standins.deployments import LLM_SERVICE, PLAIN_SERVICE
 from stoatpath.standins.faults import Fault
 
 STORE_OPERATIONS = ("read", "feed", "tx")
+HEDGE_MS = 300.0
 # A partition is found within one connect time-out.
 PARTITION_S = 0.6
 
@@ -22,6 +28,8 @@
     "{gateways:d} gateways, and {count:d} backend servers of each service in {zones}"
 )
 def step_impl(context, gateways, count, zones):
+    context.log = LogCapture()
+    context.add_cleanup(context.log.close)
     context.fleet = ZoneFleet(gateways, count, zones.split()[1:])
     context.add_cleanup(context.fleet.close)
 
@@ -47,10 +55,59 @@
     context.fleet.run(context.fleet.send_through_all(count, "look", **headers))
 
 
-@then("all of them are answered with 200")
-def step_impl(context):
+class FailedCall:
+    """A call whose connection is refused."""
+
+    async def __aenter__(self):
+        raise aiohttp.ClientConnectorError(mock.Mock(ssl=None), OSError("cut"))
+
+    async def __aexit__(self, *error):
+        return False
+
+
+@given("{name} reaches no backend server, and gateway-1 {knows}")
+def step_impl(context, name, knows):
+    cut, other = context.fleet.gateways
+    assert cut.boot.instance == name
+    call = BackendClient.open
+
+    async def is_reachable(address):
+        return False
+
+    def open_unless_cut(client, attempt, remaining_ms):
+        if client is cut.backend_client:
+            return FailedCall()
+        return call(client, attempt, remaining_ms)
+
+    cut.partitions._is_reachable = is_reachable
+    patch = mock.patch.object(BackendClient, "open", open_unless_cut)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    if knows == "names no drain":
+        other.peer_finder.drained_zones = lambda: []
+    context.fleet.run(context.fleet.send("look", cut))
+
+
+@when("{seconds:g} s pass")
+def step_impl(context, seconds):
+    context.fleet.run(asyncio.sleep(seconds))
+
+
+@when("callers send {count:d} look requests through gateway-0")
+def step_impl(context, count):
+    fleet = context.fleet
+
+    async def send():
+        for _ in range(count):
+            await fleet.send("look", fleet.gateways[0])
+
+    fleet.run(send())
+
+
+@then("all of them are answered with {status:d}")
+def step_impl(context, status):
     statuses = [each.status for each in context.fleet.responses]
-    assert statuses and set(statuses) == {200}, statuses
+    assert statuses and set(statuses) == {status}, statuses
 
 
 @then("the backend servers of {zone} got none of them")
@@ -140,6 +197,106 @@
     fleet.run(send_and_drain())
 
 
+@given("the answers of each backend server take {seconds:g} s and lead to {what}")
+def step_impl(context, seconds, what):
+    fleet = context.fleet
+    for replica in fleet.deployment.replicas_by_name.values():
+        replica.delay_ms = 1000 * seconds
+        replica.confidence_by_model = {"tern-small": 10, "tern-large": 90}
+    for replica in fleet.replicas("z0"):
+        if what == "a retry":
+            replica.faults.add(Fault("serve", "reset-after", None))
+    if what == "a hedge":
+        patch = mock.patch.object(RelayPolicy, "hedge_delay_ms", hedge_once)
+        patch.start()
+        context.add_cleanup(patch.stop)
+
+
+def hedge_once(policy, request, sent_count):
+    return HEDGE_MS if sent_count == 1 else None
+
+
+@when("a {route} request is sent, and {zone} is drained while it runs there")
+def step_impl(context, route, zone):
+    fleet = context.fleet
+
+    async def send_and_drain():
+        fleet.forget_past()
+        request = asyncio.create_task(fleet.send(route))
+        assert await wait_until(lambda: fleet.arrivals(zone) == 1)
+        arrivals_before = fleet.arrivals_before
+        await fleet.order(zone, True)
+        fleet.arrivals_before = arrivals_before
+        assert not request.done()
+        await request
+
+    fleet.run(send_and_drain())
+
+
+@then("the backend servers of z0 got {first:d} and those of z1 {second:d} of them")
+def step_impl(context, first, second):
+    arrivals = context.fleet.arrivals("z0"), context.fleet.arrivals("z1")
+    assert arrivals == (first, second), arrivals
+
+
+@then('the trace of the request says "{reason}" of a server of {zone}')
+def step_impl(context, reason, zone):
+    names = {each.name for each in context.fleet.replicas(zone)}
+    decisions = context.log.decisions("attempt-0")
+    said = [
+        each
+        for each in decisions
+        if each.get("backend") in names
+        and reason in (each["reason"], each.get("detail", "").partition(":")[0])
+    ]
+    assert said, decisions
+
+
+@given("a backend server of the release {release} in {zone}, to which a roll-out moves")
+def step_impl(context, release, zone):
+    fleet = context.fleet
+
+    async def add():
+        await fleet.deployment.add_replica("new", PLAIN_SERVICE, release, zone)
+        await fleet.deployment.wait_until_in_sync()
+
+    fleet.run(add())
+    context.order = ReleaseOrder(PLAIN_SERVICE, release, 60_000.0, 1)
+
+
+@when("the roll-out is {state}")
+def step_impl(context, state):
+    releases = context.fleet.gateways[0].releases
+    store_ms = releases._reachability.store_ms(releases._clock.now_ms())
+    releases.apply_order(context.order)
+    if state != "ordered":
+        status = ReleaseStatus(
+            PLAIN_SERVICE, "v2", STATES_BY_WORD[state], 1, store_ms, "", "", 1
+        )
+        releases.apply_status(status)
+
+
+def may_complete(context):
+    releases = context.fleet.gateways[0].releases
+    now_ms = releases._clock.now_ms()
+    started_ms = releases._reachability.store_ms(now_ms) - 60_000.0
+    releases.registry.apply_order(context.order)
+    releases.registry.apply_status(
+        ReleaseStatus(PLAIN_SERVICE, "v2", RUNNING, 1, started_ms, "", "", 1)
+    )
+    return releases._may_complete(context.order)
+
+
+@then("the roll-out may not be completed at its end")
+def step_impl(context):
+    assert not may_complete(context)
+
+
+@then("the roll-out may be completed at its end")
+def step_impl(context):
+    assert may_complete(context)
+
+
 @given("each backend server has {slots:d} slots and answers after {seconds:g} s")
 def step_impl(context, slots, seconds):
     fleet = context.fleet
--- a/stoatpath/zones/features/steps/evacuation_steps.py
+++ b/stoatpath/zones/features/steps/evacuation_steps.py
@@ -1,9 +1,9 @@
 """Steps on the table of drained zones and the rows that it comes from."""
 
-import logging
 from types import SimpleNamespace
 
 from behave import given, then, when
+from logs import LogCapture
 
 from stoatpath.clock import ManualClock
 from stoatpath.configuration.operator_rows import OperatorRows
@@ -14,34 +14,6 @@
 VALUES = {"an object": b"{}", "no JSON": b"\xff{", "no base64": None}
 
 
-class LogCapture(logging.Handler):
-    """Keeps the records that are logged until it is closed."""
-
-    def __init__(self):
-        super().__init__()
-        self.records = []
-        logger = logging.getLogger("stoatpath")
-        self._level = logger.level
-        logger.setLevel(logging.INFO)
-        logger.addHandler(self)
-
-    def emit(self, record):
-        self.records.append(record)
-
-    def count(self, event, **fields):
-        return sum(
-            record.getMessage() == event
-            and all(getattr(record, name) == value for name, value in fields.items())
-            for record in self.records
-        )
-
-    def close(self):
-        logger = logging.getLogger("stoatpath")
-        logger.removeHandler(self)
-        logger.setLevel(self._level)
-        super().close()
-
-
 @given("no zone is drained")
 def step_impl(context):
     context.evacuations = EvacuationTable()
