--- a/stoatpath/platform/boot_files.py
+++ b/stoatpath/platform/boot_files.py
@@ -42,10 +42,10 @@
     out of date. `is_first_start` tells that all instances start now. The other
     attributes are bounds of the deployment; durations are in the unit of the name's
     suffix, shares and ratios are fractions of requests, and slacks are numbers of
-    requests allowed beyond those fractions. `evac_ms` is None if the file has no such
-    bound. `regions_by_zone` maps zones to regions; `region` is that of the process, or
-    None. `cold_factor` is that of the rate at which cold backend servers may get
-    requests, None for no bound of this kind.
+    requests allowed beyond those fractions. `evacuation_ms` is None if the file has no
+    such bound. `regions_by_zone` maps zones to regions; `region` is that of the
+    process, or None. `cold_factor` is that of the rate at which cold backend servers
+    may get requests, None for no bound of this kind.
     """
 
     __slots__ = (
@@ -71,7 +71,7 @@
         "exposure_share",
         "exposure_slack",
         "session_ms",
-        "evac_ms",
+        "evacuation_ms",
         "regions_by_zone",
         "region",
         "cold_factor",
@@ -111,7 +111,7 @@
         boot.exposure_share = bounds_reader.number("expose_share", minimum=0)
         boot.exposure_slack = bounds_reader.number("expose_slack", minimum=0)
         boot.session_ms = bounds_reader.number("session_s", minimum=0) * 1_000
-        boot.evac_ms = bounds_reader.optional_number("evac_ms", minimum=1)
+        boot.evacuation_ms = bounds_reader.optional_number("evac_ms", minimum=1)
         boot.regions_by_zone = reader.texts_by_name("zones")
         boot.region = reader.optional_text("region") or (
             boot.regions_by_zone.get(boot.zone)
