Reads of the store last as long as their bytes arrive, and are not repeated whole

A read of 470 KB over a slow link exceeded the limit of 1 s for the whole call, and a failed poll was followed by a read of the whole table. A long poll whose answer was arriving was replaced when another table's answer named a newer version. The limit now counts until the answer begins and for each gap, with 4 s more in all; a failed poll is repeated as a poll; arriving bytes postpone the replacement.

--- a/stoatpath/feeds/features/propagation.feature
+++ b/stoatpath/feeds/features/propagation.feature
@@ -68,3 +68,28 @@
       | 7     | reader-zone-cut | 10       | 10   |
       | 59    | reader-cut      | 100      | 20   |
       | 59    | reader-zone-cut | 120      | 20   |
+
+  Scenario Outline: A read of the store whose answer <course>
+    Given a store whose answer <course>
+    When an instance <call> it
+    Then the rows are <outcome> within <limit> ms
+
+    Examples:
+      | course                        | call             | outcome | limit |
+      | arrives evenly within 1500 ms | reads            | known   | 2500  |
+      | arrives evenly within 1500 ms | waits 100 ms for | known   | 2500  |
+      | never begins                  | reads            | unknown | 1500  |
+      | never begins                  | waits 100 ms for | unknown | 1600  |
+      | stops halfway                 | reads            | unknown | 2000  |
+
+  Scenario: A poll whose answer arrives slowly is not replaced
+    Given a store whose answer arrives evenly within 900 ms
+    When an instance polls it and hears of a newer version each 50 ms
+    Then the rows are known within 1500 ms
+    And the store was called once
+
+  Scenario: A table is not read whole after a failed poll
+    Given a store with a row and a follower of its table
+    When a poll fails and the row changes
+    Then the copy has the new value within a few reads
+    And the table was read whole once
--- a/stoatpath/feeds/followers.py
+++ b/stoatpath/feeds/followers.py
@@ -27,7 +27,8 @@
     confirms the copy at once. After a change, the next read is delayed by
     `batch_delay_ms`, so that one call returns a series of changes. `on_answer` is
     called after each answer of the store with the newest version of all its tables,
-    and `on_failure` after each failed call. `backoff_cap_ms` limits the pause after
+    `on_failure` after each failed call, and `on_progress` as bytes of an answer arrive.
+    `backoff_cap_ms` limits the pause after
     repeated problems.
     """
 
@@ -36,6 +37,7 @@
         "is_enabled",
         "on_answer",
         "on_failure",
+        "on_progress",
         "backoff_cap_ms",
         "_store",
         "_table",
@@ -76,6 +78,7 @@
         self._on_changes = on_changes
         self.on_answer = lambda version: None
         self.on_failure = lambda: None
+        self.on_progress = lambda: None
         self.backoff_cap_ms = BACKOFF_CAP_MS
         self._has_gap = True
         self._failures = 0
@@ -138,7 +141,9 @@
         if problem is None:
             self._failures = 0
             return
-        self._has_gap = True
+        # The changes after the copy's version can still be read after a failed call.
+        if not is_failure(problem) or self.copy.age_ms(now_ms) > MAX_PAUSE_MS:
+            self._has_gap = True
         if is_failure(problem):
             self._reachability.record_failure(problem, now_ms)
             self.on_failure()
@@ -181,9 +186,15 @@
             self._poll_sent_ms = None
             await cancel_and_wait([poll, overdue])
 
+    def _record_progress(self):
+        """Record that bytes of an answer arrive: its poll is not overdue."""
+        if self._poll_sent_ms is not None:
+            self._poll_sent_ms = self._clock.now_ms()
+        self.on_progress()
+
     async def _wait_for_changes(self, wait_ms):
         return await self._store.wait_for_changes(
-            self._table, self.copy.version, wait_ms
+            self._table, self.copy.version, wait_ms, self._record_progress
         )
 
     async def _read_table(self, sent_ms):
@@ -193,7 +204,7 @@
         as_of_store_ms = None
         start_key = ""
         while True:
-            page = await self._store.read(self._table, start_key)
+            page = await self._store.read(self._table, start_key, self._record_progress)
             if not isinstance(page, RowPage):
                 return page
             rows += page.rows
--- a/stoatpath/feeds/relays.py
+++ b/stoatpath/feeds/relays.py
@@ -150,6 +150,7 @@
             follower.is_enabled.clear()
             follower.on_answer = self._handle_store_answer
             follower.on_failure = self._update_followers
+            follower.on_progress = self._record_store_progress
 
     def set_bound(self, bound_ms):
         """Set the time within which each change must be known."""
@@ -206,7 +207,7 @@
         is_due = self._clock.now_ms() >= self._store_due_ms
         return self.is_reading_store and (is_out or is_due)
 
-    def record_store_progress(self):
+    def _record_store_progress(self):
         """Record that bytes of an answer of the store arrive."""
         self._extend_store_due()
         self._record_progress()
--- a/stoatpath/membership/peers.py
+++ b/stoatpath/membership/peers.py
@@ -18,7 +18,7 @@
 from stoatpath.outcomes import CONNECT_FAILED, CONNECTION_REFUSED, Failure, Outcome
 from stoatpath.servers import HttpServer
 from stoatpath.tls import url_scheme
-from stoatpath.utils import decode_json, encode_json
+from stoatpath.utils import decode_json, encode_json, read_until_silence
 
 logger = logging.getLogger(__name__)
 
@@ -177,7 +177,9 @@
             if total_ms is None:
                 body = await response.read()
             else:
-                body = await _read_until_silence(response.content, on_progress)
+                body = await read_until_silence(
+                    response.content, BODY_SILENCE_MS, on_progress
+                )
             signature = response.headers.get(SIGNATURE_HEADER, "")
         self.bytes_read += len(body)
         if response.status != 200:
@@ -194,14 +196,3 @@
         """Close the connections."""
         if self._session is not None:
             await self._session.close()
-
-
-async def _read_until_silence(content, on_progress):
-    """Return a body; raise TimeoutError after `BODY_SILENCE_MS` without a byte."""
-    chunks = []
-    while not content.at_eof():
-        async with asyncio.timeout(BODY_SILENCE_MS / 1000):
-            chunks.append(await content.readany())
-        if on_progress is not None:
-            on_progress()
-    return b"".join(chunks)
--- a/stoatpath/platform/row_stores.py
+++ b/stoatpath/platform/row_stores.py
@@ -8,12 +8,15 @@
 import aiohttp
 
 from stoatpath.outcomes import PLATFORM_UNAVAILABLE, Failure, Outcome
-from stoatpath.utils import decode_json, encode_json
+from stoatpath.utils import decode_json, encode_json, read_until_silence
 
 logger = logging.getLogger(__name__)
 
 # A response normally takes 4 ms, and up to sixty times as long from a slow store.
 CALL_TIMEOUT_MS = 1_000
+# The bytes of a response that has begun may arrive for so long, without a gap of
+# `CALL_TIMEOUT_MS`: 470 KB on a link of 5 Mbit/s that four transfers share take 3 s.
+TRANSFER_TIMEOUT_MS = 4_000
 CONNECT_TIMEOUT_MS = 500
 PAGE_ROWS = 500
 NO_HISTORY_STATUS = 410
@@ -132,7 +135,8 @@
     """Reads, watches and writes rows. Each result is a value or a failure.
 
     `era` is the latest era of the store that an answer told, or None. `on_era_change`
-    is called with it whenever it rises.
+    is called with it whenever it rises. The argument `on_progress` of reads is called
+    as bytes of the answer arrive.
     """
 
     __slots__ = ("_base", "_session", "calls", "failures", "era", "on_era_change")
@@ -150,14 +154,16 @@
         """Build a client of the store at `IP:PORT`."""
         return cls(f"http://{address}")
 
-    async def read(self, table, start=""):
+    async def read(self, table, start="", on_progress=None):
         """Return a `RowPage` of a table that starts at a key, or a failure."""
         query = {"table": table, "part": "", "limit": PAGE_ROWS}
         if start:
             query["from"] = start
-        return await self._call("GET", "/-/rows-get", RowPage.from_json, query)
+        return await self._call(
+            "GET", "/-/rows-get", RowPage.from_json, query, on_progress=on_progress
+        )
 
-    async def wait_for_changes(self, table, version, wait_ms):
+    async def wait_for_changes(self, table, version, wait_ms, on_progress=None):
         """Return a `RowPage` of changes since a version, `HistoryGone` or a failure.
 
         The page is empty if nothing changes within `wait_ms`. The changes since a
@@ -168,7 +174,12 @@
         query = {"table": table, "after": number_of(version), "wait_ms": wait_ms}
         timeout_ms = wait_ms + CALL_TIMEOUT_MS
         page = await self._call(
-            "GET", "/-/rows-feed", RowPage.from_json, query, timeout_ms=timeout_ms
+            "GET",
+            "/-/rows-feed",
+            RowPage.from_json,
+            query,
+            timeout_ms=timeout_ms,
+            on_progress=on_progress,
         )
         if isinstance(page, RowPage) and era_of(page.version) != era_of(version):
             return HistoryGone()
@@ -209,17 +220,28 @@
             await self._session.close()
 
     async def _call(
-        self, method, path, decode, query=None, body=None, timeout_ms=CALL_TIMEOUT_MS
+        self,
+        method,
+        path,
+        decode,
+        query=None,
+        body=None,
+        timeout_ms=CALL_TIMEOUT_MS,
+        on_progress=None,
     ):
         self.calls += 1
-        result = await self._send(method, path, decode, query, body, timeout_ms)
+        result = await self._send(
+            method, path, decode, query, body, timeout_ms, on_progress
+        )
         if isinstance(result, Failure):
             self.failures += 1
         return result
 
-    async def _send(self, method, path, decode, query, body, timeout_ms):
+    async def _send(self, method, path, decode, query, body, timeout_ms, on_progress):
         timeout = aiohttp.ClientTimeout(
-            total=timeout_ms / 1000, sock_connect=CONNECT_TIMEOUT_MS / 1000
+            total=(timeout_ms + TRANSFER_TIMEOUT_MS) / 1000,
+            sock_connect=CONNECT_TIMEOUT_MS / 1000,
+            sock_read=timeout_ms / 1000,
         )
         headers = {"Content-Type": "application/json"} if body else None
         try:
@@ -231,7 +253,9 @@
                 headers=headers,
                 timeout=timeout,
             ) as response:
-                body = await response.read()
+                body = await read_until_silence(
+                    response.content, CALL_TIMEOUT_MS, on_progress
+                )
                 return self._decode_response(path, response, body, decode)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Failure(PLATFORM_UNAVAILABLE, f"{path}: {type(error).__name__}")
--- a/stoatpath/utils.py
+++ b/stoatpath/utils.py
@@ -64,3 +64,18 @@
                 logger.warning(
                     "task.failed", extra={"task": task.get_name(), "why": why}
                 )
+
+
+async def read_until_silence(content, silence_ms, on_progress=None):
+    """Return the rest of an `aiohttp.StreamReader`.
+
+    Raise TimeoutError after `silence_ms` without a byte. `on_progress` is called after
+    each part.
+    """
+    parts = []
+    while not content.at_eof():
+        async with asyncio.timeout(silence_ms / 1000):
+            parts.append(await content.readany())
+        if on_progress is not None:
+            on_progress()
+    return b"".join(parts)
