A source that lacks a change but expects news is not rejected as behind

An instance that had got a change elsewhere rejected its source, as an answer without an update counted as older than any. Questions to any member avoid the zone asked before.

--- a/stoatpath/feeds/messages.py
+++ b/stoatpath/feeds/messages.py
@@ -142,7 +142,8 @@
     sender stops soon. The sessions are as in `TablesRequest`. `expects_news` tells
     whether the sender's source or the store may still confirm its tables; None if the
     sender is of a build that does not tell. `is_arriving` tells whether bytes of newer
-    rows are on their way to the sender.
+    rows are on their way to the sender. `age_ms` is the age of its copies, None if it
+    has none or does not tell.
     """
 
     __slots__ = (
@@ -155,6 +156,7 @@
         "sessions",
         "expects_news",
         "is_arriving",
+        "age_ms",
     )
 
     def __init__(
@@ -168,6 +170,7 @@
         sessions=None,
         expects_news=None,
         is_arriving=False,
+        age_ms=None,
     ):
         self.store_ms = store_ms
         self.outage_end_store_ms = outage_end_store_ms
@@ -178,6 +181,7 @@
         self.sessions = sessions
         self.expects_news = expects_news
         self.is_arriving = is_arriving
+        self.age_ms = age_ms
 
     @classmethod
     def from_json(cls, data):
@@ -196,6 +200,7 @@
                 data["sessions"],
                 data.get("expects_news"),
                 data.get("is_arriving") is True,
+                _number_or_none(data.get("age_ms")),
             )
         except (AttributeError, KeyError, TypeError) as error:
             raise ValueError(f"malformed answer: {error!r}") from error
@@ -215,6 +220,7 @@
             "sessions": self.sessions,
             "expects_news": self.expects_news,
             "is_arriving": self.is_arriving,
+            "age_ms": self.age_ms,
         }
 
 
--- a/stoatpath/feeds/relays.py
+++ b/stoatpath/feeds/relays.py
@@ -98,6 +98,7 @@
         "_disabled_tables",
         "_asked_name",
         "_asks_any",
+        "_avoided_zone",
         "_news",
         "_store_due_ms",
         "_arriving_until_ms",
@@ -140,6 +141,7 @@
         self._disabled_tables = set()
         self._asked_name = None
         self._asks_any = False
+        self._avoided_zone = members.local.zone
         self._news = asyncio.Event()
         self._store_due_ms = NEVER_MS
         self._arriving_until_ms = NEVER_MS
@@ -233,14 +235,18 @@
         self._asks_any = not self._asks_any
         source = self._selector.select_regardless()
         if source is None or self._asks_any:
-            source = self._selector.select_any(now_ms, self._random)
+            source = self._select_any(now_ms)
         if source is None:
             await self._clock.sleep_until(now_ms + RESELECT_PERIOD_MS)
             return
         await self._ask_member(source, now_ms, AROUND_SHARE * self._bound_ms)
 
+    def _select_any(self, now_ms):
+        return self._selector.select_any(now_ms, self._random, self._avoided_zone)
+
     async def _ask_member(self, member, now_ms, hold_ms):
         """Ask a member; return whether it confirms the tables more recently."""
+        self._avoided_zone = member.zone
         answer = await self._ask(member, now_ms, hold_ms)
         if is_failure(answer):
             self._reject_source(member, answer.detail)
@@ -313,13 +319,16 @@
     def _is_behind(self, answer):
         """Return whether the source's copy is older than this one by over one poll.
 
-        An instance that reads the store itself leaves its source more time to get it.
+        A source that expects news may be older until it reads the store itself.
         """
         if not self._lead.copy.is_known:
             return False
+        if answer.age_ms is not None:
+            share = DIRECT_SHARE + SPREAD_SHARE if answer.expects_news else POLL_SHARE
+            lag_ms = answer.age_ms - self.copy_age_ms()
+            return lag_ms > share * self._bound_ms
         update = answer.updates_by_table.get(self._lead_table)
-        share = RESELECT_SHARE if self.is_reading_store else POLL_SHARE
-        limit_ms = self._lead.copy.confirmed_store_ms - share * self._bound_ms
+        limit_ms = self._lead.copy.confirmed_store_ms - POLL_SHARE * self._bound_ms
         return update is None or update.confirmed_store_ms < limit_ms
 
     def _is_source_overdue(self):
@@ -396,7 +405,7 @@
         """
         if self._selector.is_first_of_zone():
             return False
-        member = self._selector.select_any(now_ms, self._random)
+        member = self._select_any(now_ms)
         return member is not None and await self._ask_member(member, now_ms, 0.0)
 
     def _direct_due_ms(self):
@@ -534,6 +543,7 @@
             self._sessions_unless(request.sessions_digest),
             self._expects_news(),
             self._is_arriving(),
+            self.copy_age_ms() if self._lead.copy.is_known else None,
         )
 
     def _sessions_unless(self, known_digest):
--- a/stoatpath/feeds/sources.py
+++ b/stoatpath/feeds/sources.py
@@ -39,17 +39,16 @@
         """Return the member to follow if none was excluded, or None."""
         return _source_of(self._members.local, self._live_members())
 
-    def select_any(self, now_ms, random):
+    def select_any(self, now_ms, random, avoided_zone=None):
         """Return a random member that is not excluded, or None.
 
-        Half of the time it is one of another zone: what cuts off an instance often
-        cuts off its zone.
+        It is of another zone than `avoided_zone` if there is one: what cuts off an
+        instance often cuts off a zone.
         """
         self._end_exclusions(now_ms)
         eligible = self._eligible()
-        zone = self._members.local.zone
-        if random.random() < 0.5:
-            eligible = [each for each in eligible if each.zone != zone] or eligible
+        outside = [each for each in eligible if each.zone != avoided_zone]
+        eligible = outside or eligible
         return random.choice(eligible) if eligible else None
 
     def is_first_of_zone(self):
