An instance that hears of a newer version asks other instances for it

An instance whose source was cut off got a change only when its own limits had passed, also if others told it of a newer version. Requests and answers now name the newest version heard of; one that is behind for 0.1 of the bound asks any other instance. Before a read of the store, up to three instances are asked, as their answers are a tenth as large.

--- a/stoatpath/feeds/features/propagation.feature
+++ b/stoatpath/feeds/features/propagation.feature
@@ -93,3 +93,14 @@
     When a poll fails and the row changes
     Then the copy has the new value within a few reads
     And the table was read whole once
+
+  Scenario Outline: An instance that hears of a newer version from <sender> gets it elsewhere
+    Given 9 instances with links of 100 Mbit/s and a bound of 2500 ms
+    When one loses its source and the store as 1400 routes are added
+    And it hears of the newer version from <sender> 300 ms later
+    Then it has the change within <limit> ms
+
+    Examples:
+      | sender   | limit |
+      | an asker | 650   |
+      | nobody   | 2500  |
--- a/stoatpath/feeds/features/steps/propagation_steps.py
+++ b/stoatpath/feeds/features/steps/propagation_steps.py
@@ -1,5 +1,6 @@
 """Steps on large rows that instances copy from each other over slow links."""
 
+import asyncio
 import base64
 import zlib
 from unittest import mock
@@ -9,8 +10,10 @@
 from stoatpath.feeds import messages
 from stoatpath.feeds.copies import TableCopy
 from stoatpath.feeds.messages import TablesAnswer, TablesRequest, TableUpdate
+from stoatpath.feeds.relays import TABLES_TOPIC
 from stoatpath.measure.propagations import measure_change
-from stoatpath.measure.relay_models import build_config_value
+from stoatpath.measure.relay_models import LEAD, ModelFleet, build_config_value
+from stoatpath.measure.virtual_loops import run_virtually
 from stoatpath.platform.row_stores import StoredRow
 from stoatpath.utils import decode_json, encode_json
 
@@ -171,3 +174,59 @@
 @then("at most {count:d} store calls are made within 50 ms")
 def step_impl(context, count):
     assert context.times.peak_calls <= count, str(context.times)
+
+
+def pick_leaf(fleet):
+    """Return an instance that no other follows."""
+    sources = {
+        each.relay.source.name
+        for each in fleet.instances_by_name.values()
+        if each.relay.source is not None
+    }
+    return next(
+        each for name, each in fleet.instances_by_name.items() if name not in sources
+    )
+
+
+@when("one loses its source and the store as {routes:d} routes are added")
+def step_impl(context, routes):
+    context.routes = routes
+
+
+@when("it hears of the newer version from {sender} {delay:d} ms later")
+def step_impl(context, sender, delay):
+    count, bound_ms, links = context.sizes
+
+    async def main(loop):
+        fleet = ModelFleet(loop, count, 3, bound_ms, links_mbits=links)
+        fleet.start()
+        try:
+            await asyncio.sleep(5)
+            leaf = pick_leaf(fleet)
+            while leaf.relay.copy_age_ms() > 20:
+                await asyncio.sleep(0.005)
+            fleet.store.unreachable_from.add(leaf.name)
+            fleet.cuts.add(frozenset((leaf.name, leaf.relay.source.name)))
+            value = build_config_value(context.routes, 2)
+            version = fleet.store.put(LEAD, "config", value=value)
+            started_s = loop.time()
+            await asyncio.sleep(delay / 1000)
+            if sender == "an asker":
+                request = TablesRequest({}, 0.0, 0.0, newest_version=version)
+                handler = fleet.handlers_by_name[leaf.name][TABLES_TOPIC]
+                await handler(request.to_json())
+                assert leaf.relay.behind_since_ms is not None
+            while leaf.version(LEAD) < version:
+                await asyncio.sleep(0.005)
+            await asyncio.sleep(0.1)
+            assert leaf.relay.behind_since_ms is None
+            return (loop.time() - started_s) * 1000 - 100
+        finally:
+            await fleet.stop()
+
+    context.time_ms = run_virtually(main)
+
+
+@then("it has the change within {limit:d} ms")
+def step_impl(context, limit):
+    assert context.time_ms <= limit, context.time_ms
--- a/stoatpath/feeds/messages.py
+++ b/stoatpath/feeds/messages.py
@@ -72,7 +72,8 @@
     by `wait_ms` until the receiver has a newer version, or a confirmation later than
     `confirmed_store_ms` on the store's clock. `sessions_digest` and `sessions` are the
     digest and the wire form of `SharedSessions`; the latter is None if the receiver
-    has them. `encodings` are the encodings of values that the sender understands.
+    has them. `encodings` are the encodings of values that the sender understands,
+    `newest_version` is the newest version of the lead table that it has heard of.
     """
 
     __slots__ = (
@@ -82,6 +83,7 @@
         "sessions_digest",
         "sessions",
         "encodings",
+        "newest_version",
     )
 
     def __init__(
@@ -92,6 +94,7 @@
         sessions_digest="",
         sessions=None,
         encodings=ENCODINGS,
+        newest_version=0,
     ):
         self.versions_by_table = versions_by_table
         self.confirmed_store_ms = confirmed_store_ms
@@ -99,6 +102,7 @@
         self.sessions_digest = sessions_digest
         self.sessions = sessions
         self.encodings = encodings
+        self.newest_version = newest_version
 
     @classmethod
     def from_json(cls, data):
@@ -116,6 +120,7 @@
                 str(data["sessions_digest"]),
                 data["sessions"],
                 tuple(str(each) for each in data.get("encodings") or ()),
+                int(data.get("newest_version") or 0),
             )
         except (AttributeError, KeyError, TypeError) as error:
             raise ValueError(f"malformed request: {error!r}") from error
@@ -130,6 +135,7 @@
             "sessions_digest": self.sessions_digest,
             "sessions": self.sessions,
             "encodings": self.encodings,
+            "newest_version": self.newest_version,
         }
 
 
@@ -143,7 +149,7 @@
     whether the sender's source or the store may still confirm its tables; None if the
     sender is of a build that does not tell. `is_arriving` tells whether bytes of newer
     rows are on their way to the sender. `age_ms` is the age of its copies, None if it
-    has none or does not tell.
+    has none or does not tell, `newest_version` as in `TablesRequest`.
     """
 
     __slots__ = (
@@ -157,6 +163,7 @@
         "expects_news",
         "is_arriving",
         "age_ms",
+        "newest_version",
     )
 
     def __init__(
@@ -171,6 +178,7 @@
         expects_news=None,
         is_arriving=False,
         age_ms=None,
+        newest_version=0,
     ):
         self.store_ms = store_ms
         self.outage_end_store_ms = outage_end_store_ms
@@ -182,6 +190,7 @@
         self.expects_news = expects_news
         self.is_arriving = is_arriving
         self.age_ms = age_ms
+        self.newest_version = newest_version
 
     @classmethod
     def from_json(cls, data):
@@ -201,6 +210,7 @@
                 data.get("expects_news"),
                 data.get("is_arriving") is True,
                 _number_or_none(data.get("age_ms")),
+                int(data.get("newest_version") or 0),
             )
         except (AttributeError, KeyError, TypeError) as error:
             raise ValueError(f"malformed answer: {error!r}") from error
@@ -221,6 +231,7 @@
             "expects_news": self.expects_news,
             "is_arriving": self.is_arriving,
             "age_ms": self.age_ms,
+            "newest_version": self.newest_version,
         }
 
 
--- a/stoatpath/feeds/relays.py
+++ b/stoatpath/feeds/relays.py
@@ -47,6 +47,13 @@
 # transfers share take 750 ms.
 TRAVEL_SHARE = 0.1
 TRANSFER_SHARE = 0.6
+# An instance that heard of a newer version asks for it elsewhere after this share, and
+# at most so often for one version.
+CATCH_UP_SHARE = 0.1
+MAX_CATCH_UPS = 8
+# Instances that are asked before the store is read. One without news costs a round
+# trip only.
+ASKED_BEFORE_READ = 3
 # Time that any other instance may wait which is asked instead of the source.
 AROUND_SHARE = 0.1
 MIN_HOLD_MS = 50.0
@@ -66,7 +73,9 @@
 
     `source` is the member that is followed, None for the first instance, which reads
     the store. `confirmed_by` names the instance that confirmed the tables last, or is
-    `STORE`. `relayed_answers` counts the answers of other instances.
+    `STORE`. `relayed_answers` counts the answers of other instances. `behind_since_ms`
+    is the clock reading since which this instance knows of a newer version of the lead
+    table than its own, or None.
 
     `followers_by_table` are the `TableFollower`s, in the order in which updates are
     applied. The confirmations of the table `lead` count for the whole. `bound_ms` is
@@ -103,6 +112,9 @@
         "_store_due_ms",
         "_arriving_until_ms",
         "_was_store_overdue",
+        "_heard",
+        "_newest_version",
+        "behind_since_ms",
         "on_era_change",
     )
 
@@ -146,6 +158,9 @@
         self._store_due_ms = NEVER_MS
         self._arriving_until_ms = NEVER_MS
         self._was_store_overdue = False
+        self._heard = asyncio.Event()
+        self._newest_version = 0
+        self.behind_since_ms = None
         self.on_era_change = lambda era: None
         server.register(TABLES_TOPIC, self._handle_request)
         for follower in followers_by_table.values():
@@ -172,7 +187,7 @@
 
     async def run(self):
         """Keep the copies up to date until cancelled."""
-        await asyncio.gather(self._watch_age(), self._run_steps())
+        await asyncio.gather(self._watch_age(), self._run_steps(), self._catch_up())
 
     async def _run_steps(self):
         while True:
@@ -239,7 +254,10 @@
         if source is None:
             await self._clock.sleep_until(now_ms + RESELECT_PERIOD_MS)
             return
-        await self._ask_member(source, now_ms, AROUND_SHARE * self._bound_ms)
+        hold_ms = AROUND_SHARE * self._bound_ms
+        if not await self._ask_member(source, now_ms, hold_ms):
+            # One that expects no news itself answers at once.
+            await self._clock.sleep_until(now_ms + hold_ms)
 
     def _select_any(self, now_ms):
         return self._selector.select_any(now_ms, self._random, self._avoided_zone)
@@ -268,7 +286,7 @@
             self._reject_source(source, answer.detail)
             await self._clock.sleep_until(self._clock.now_ms() + FAILURE_PAUSE_MS)
             return False
-        if self._is_behind(answer):
+        if self._is_behind(answer, is_new):
             self._reject_source(source, "it is behind")
             await self._clock.sleep_until(self._clock.now_ms() + FAILURE_PAUSE_MS)
             return False
@@ -294,6 +312,7 @@
             hold_ms,
             self._sessions.digest(),
             self._sessions_unless(self._source_sessions_digest),
+            newest_version=self.newest_version,
         )
         answer = await self._client.ask(
             source.address,
@@ -316,10 +335,11 @@
         except ValueError as error:
             return Failure(CONNECT_FAILED, str(error))
 
-    def _is_behind(self, answer):
+    def _is_behind(self, answer, is_new):
         """Return whether the source's copy is older than this one by over one poll.
 
-        A source that expects news may be older until it reads the store itself.
+        A source that expects news may be older until it reads the store itself. Of one
+        that does not tell its age, only the first answer counts.
         """
         if not self._lead.copy.is_known:
             return False
@@ -327,6 +347,8 @@
             share = DIRECT_SHARE + SPREAD_SHARE if answer.expects_news else POLL_SHARE
             lag_ms = answer.age_ms - self.copy_age_ms()
             return lag_ms > share * self._bound_ms
+        if not is_new:
+            return False
         update = answer.updates_by_table.get(self._lead_table)
         limit_ms = self._lead.copy.confirmed_store_ms - POLL_SHARE * self._bound_ms
         return update is None or update.confirmed_store_ms < limit_ms
@@ -366,6 +388,8 @@
                     update.confirmed_store_ms, now_ms
                 )
                 follower.apply_update(update, as_of_ms)
+        self._hear(answer.newest_version)
+        self._end_behind()
         is_newer = self._lead.copy.confirmed_store_ms > before_store_ms
         if is_newer:
             self.confirmed_by = source.name
@@ -386,7 +410,7 @@
             due_ms = self._direct_due_ms()
             now_ms = self._clock.now_ms()
             if now_ms >= due_ms:
-                if not self.is_reading_store and await self._ask_once(now_ms):
+                if not self.is_reading_store and await self._ask_before_read():
                     continue
                 self._set_reading_store(True, "no confirmation in time")
                 due_ms = now_ms + CHECK_PERIOD_MS
@@ -398,15 +422,55 @@
                 due_ms = min(due_ms, self._store_due_ms)
             await self._clock.sleep_until(due_ms)
 
-    async def _ask_once(self, now_ms):
-        """Ask one other instance before the store; return whether it had news.
+    @property
+    def newest_version(self):
+        """The newest version of the lead table that this instance has or heard of."""
+        return max(self._newest_version, self._lead.copy.version)
+
+    def _hear(self, version):
+        """Record that another instance knows of a version of the lead table."""
+        if version > self.newest_version:
+            self._newest_version = version
+        if self.behind_since_ms is None and version > self._lead.copy.version:
+            self.behind_since_ms = self._clock.now_ms()
+            self._heard.set()
+
+    def _end_behind(self):
+        if self._lead.copy.version >= self._newest_version:
+            self.behind_since_ms = None
+
+    async def _catch_up(self):
+        """Ask other instances for a version that this one has heard of."""
+        while True:
+            await self._heard.wait()
+            self._heard.clear()
+            for _ in range(MAX_CATCH_UPS):
+                pause_ms = CATCH_UP_SHARE * self._bound_ms
+                await self._clock.sleep_until(self._clock.now_ms() + pause_ms)
+                if self.behind_since_ms is None:
+                    break
+                now_ms = self._clock.now_ms()
+                member = None if self._is_arriving() else self._select_any(now_ms)
+                if member is not None:
+                    await self._ask_member(member, now_ms, 0.0)
+
+    async def _ask_before_read(self):
+        """Ask some instances before the store; return whether one had news.
 
-        Its answer is compressed, and a tenth as large as the store's.
+        Their answers are compressed, and a tenth as large as the store's.
         """
         if self._selector.is_first_of_zone():
             return False
-        member = self._select_any(now_ms)
-        return member is not None and await self._ask_member(member, now_ms, 0.0)
+        start_ms = self._clock.now_ms()
+        for _ in range(ASKED_BEFORE_READ):
+            now_ms = self._clock.now_ms()
+            member = self._select_any(now_ms)
+            # The first that does not answer ends it: the read must not wait longer.
+            if member is None or now_ms >= start_ms + TRAVEL_SHARE * self._bound_ms:
+                return False
+            if await self._ask_member(member, now_ms, 0.0):
+                return True
+        return False
 
     def _direct_due_ms(self):
         """Return when to read the store unless the copies are confirmed before."""
@@ -479,6 +543,7 @@
     def _handle_store_answer(self, version):
         """Pass on an answer of the store; detect polls that missed a change."""
         self.confirmed_by = STORE
+        self._end_behind()
         self._arriving_until_ms = NEVER_MS
         self._extend_store_due(POLL_SHARE * self._bound_ms)
         for follower in self._followers_by_table.values():
@@ -493,6 +558,12 @@
     async def _handle_request(self, message):
         request = TablesRequest.from_json(message)
         self._sessions.merge(request.sessions or {})
+        self._hear(
+            max(
+                request.newest_version,
+                request.versions_by_table.get(self._lead_table, 0),
+            )
+        )
         deadline_ms = self._clock.now_ms() + min(request.wait_ms, MAX_HOLD_MS)
         while not self._has_news(request):
             left_ms = deadline_ms - self._clock.now_ms()
@@ -544,6 +615,7 @@
             self._expects_news(),
             self._is_arriving(),
             self.copy_age_ms() if self._lead.copy.is_known else None,
+            self.newest_version,
         )
 
     def _sessions_unless(self, known_digest):
--- a/stoatpath/measure/relay_models.py
+++ b/stoatpath/measure/relay_models.py
@@ -345,6 +345,8 @@
                     body = encode_json(answer)
                     fleet.bytes_sent += len(body)
                     await asyncio.sleep(PEER_DELAY_MS / 2000)
+                    if fleet.is_silent_to(address, self._name):
+                        await asyncio.sleep(SILENCE_S)
                     await transfer(
                         len(body),
                         fleet.store.links_by_name.get(address),
