Tell how old the rows of an instance are, and how long the last change took

It was not visible which instance held older rows of the operator than others knew of, or how long a change had taken. New metrics tell the versions held and heard of, since when they differ, and the time from the store's first answer with the last change until it was in force; the events tables.behind and tables.change-in-force tell the same. In the model the time told differs by at most 40 ms from the measured one.

--- a/stoatpath/feeds/copies.py
+++ b/stoatpath/feeds/copies.py
@@ -25,7 +25,8 @@
     `version` is the table version from which changes are followed. `confirmed_ms` is a
     clock reading no later than the moment at which the store produced the latest
     answer. Changes after it may be missing. `confirmed_store_ms` is that moment on the
-    store's own clock.
+    store's own clock. `changed_store_ms` is its reading at the first answer with the
+    latest changes of the rows, `NEVER_MS` before a change.
     """
 
     __slots__ = (
@@ -33,6 +34,7 @@
         "version",
         "confirmed_ms",
         "confirmed_store_ms",
+        "changed_store_ms",
         "_removals",
         "_oldest_base_version",
     )
@@ -42,6 +44,7 @@
         self.version = 0
         self.confirmed_ms = NEVER_MS
         self.confirmed_store_ms = NEVER_MS
+        self.changed_store_ms = NEVER_MS
         self._removals = deque()
         self._oldest_base_version = None
 
--- a/stoatpath/feeds/features/propagation.feature
+++ b/stoatpath/feeds/features/propagation.feature
@@ -104,3 +104,8 @@
       | sender   | limit |
       | an asker | 650   |
       | nobody   | 2500  |
+
+  Scenario: Each instance knows how long a change took from the store
+    Given 9 instances with links of 10,100,5 Mbit/s and a bound of 2500 ms
+    When 1400 routes are added and each instance tells how long that took
+    Then each tells the measured time, with an error of at most 40 ms
--- a/stoatpath/feeds/features/steps/propagation_steps.py
+++ b/stoatpath/feeds/features/steps/propagation_steps.py
@@ -230,3 +230,40 @@
 @then("it has the change within {limit:d} ms")
 def step_impl(context, limit):
     assert context.time_ms <= limit, context.time_ms
+
+
+@when("{routes:d} routes are added and each instance tells how long that took")
+def step_impl(context, routes):
+    count, bound_ms, links = context.sizes
+
+    async def main(loop):
+        fleet = ModelFleet(loop, count, 3, bound_ms, links_mbits=links)
+        fleet.start()
+        try:
+            await asyncio.sleep(5)
+            value = build_config_value(routes, 2)
+            version = fleet.store.put(LEAD, "config", value=value)
+            started_s = loop.time()
+            measured_ms = {}
+            while len(measured_ms) < count:
+                for name, each in fleet.instances_by_name.items():
+                    if each.version(LEAD) >= version and name not in measured_ms:
+                        measured_ms[name] = (loop.time() - started_s) * 1000
+                await asyncio.sleep(0.005)
+            return [
+                (
+                    measured_ms[name],
+                    each.followers_by_table[LEAD].change_delay_ms,
+                )
+                for name, each in fleet.instances_by_name.items()
+            ]
+        finally:
+            await fleet.stop()
+
+    context.delays = run_virtually(main)
+
+
+@then("each tells the measured time, with an error of at most {limit:d} ms")
+def step_impl(context, limit):
+    for measured_ms, told_ms in context.delays:
+        assert abs(measured_ms - told_ms) <= limit, context.delays
--- a/stoatpath/feeds/followers.py
+++ b/stoatpath/feeds/followers.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 
-from stoatpath.feeds.copies import TableCopy
+from stoatpath.feeds.copies import NEVER_MS, TableCopy
 from stoatpath.outcomes import is_failure
 from stoatpath.platform.row_stores import RowPage
 from stoatpath.utils import cancel_and_wait
@@ -29,11 +29,13 @@
     called after each answer of the store with the newest version of all its tables,
     `on_failure` after each failed call, and `on_progress` as bytes of an answer arrive.
     `backoff_cap_ms` limits the pause after
-    repeated problems.
+    repeated problems. `change_delay_ms` is the time from the store's first answer with
+    the last change of a known table until `on_changes` had returned, or None.
     """
 
     __slots__ = (
         "copy",
+        "change_delay_ms",
         "is_enabled",
         "on_answer",
         "on_failure",
@@ -66,6 +68,7 @@
         on_changes,
     ):
         self.copy = TableCopy()
+        self.change_delay_ms = None
         self.is_enabled = asyncio.Event()
         self.is_enabled.set()
         self._store = store
@@ -110,6 +113,7 @@
             return
         if not update.is_whole and not self.copy.is_known:
             return
+        was_known = self.copy.is_known
         apply = (
             self.copy.apply_full_read if update.is_whole else (self.copy.apply_changes)
         )
@@ -117,7 +121,10 @@
             update.rows, update.version, as_of_ms, update.confirmed_store_ms
         )
         self._has_gap = False
-        self._report_changes(changes)
+        changed_store_ms = update.changed_store_ms
+        if changed_store_ms is None:
+            changed_store_ms = update.confirmed_store_ms
+        self._report_changes(changes, changed_store_ms, was_known)
 
     def check_version(self, version, max_wait_ms):
         """Replace a long poll that waits on although the store has a newer version.
@@ -161,9 +168,10 @@
         if not isinstance(page, RowPage):
             return self._log_gap(page)
         as_of_ms = self._record_answer(page, sent_ms)
-        self._report_changes(
-            self.copy.apply_changes(page.rows, page.version, as_of_ms, page.store_ms)
+        changes = self.copy.apply_changes(
+            page.rows, page.version, as_of_ms, page.store_ms
         )
+        self._report_changes(changes, page.store_ms)
         self.on_answer(page.version)
         if page.rows:
             await self._clock.sleep_until(self._clock.now_ms() + self._batch_delay_ms)
@@ -218,9 +226,9 @@
                 break
             start_key = page.rows[-1].key + END_OF_KEYS
         self._has_gap = False
-        self._report_changes(
-            self.copy.apply_full_read(rows, version, as_of_ms, as_of_store_ms)
-        )
+        was_known = self.copy.is_known
+        changes = self.copy.apply_full_read(rows, version, as_of_ms, as_of_store_ms)
+        self._report_changes(changes, as_of_store_ms, was_known)
         self.on_answer(version)
         return None
 
@@ -229,9 +237,15 @@
         now_ms = self._clock.now_ms()
         return self._reachability.record_answer(sent_ms, now_ms, page.store_ms)
 
-    def _report_changes(self, changes):
-        if changes:
-            self._on_changes(changes)
+    def _report_changes(self, changes, changed_store_ms, was_known=True):
+        if not changes:
+            return
+        self.copy.changed_store_ms = changed_store_ms
+        self._on_changes(changes)
+        if was_known and changed_store_ms != NEVER_MS:
+            now_ms = self._clock.now_ms()
+            changed_ms = self._reachability.local_ms(changed_store_ms, now_ms)
+            self.change_delay_ms = now_ms - changed_ms
 
     def _log_gap(self, page):
         if not is_failure(page):
--- a/stoatpath/feeds/messages.py
+++ b/stoatpath/feeds/messages.py
@@ -21,16 +21,26 @@
     """Rows of a table that changed since a version, or all of them if `is_whole`.
 
     `version` is the version of the sender's copy, `confirmed_store_ms` the reading of
-    the store's clock at the answer that last confirmed it.
+    the store's clock at the answer that last confirmed it. `changed_store_ms` is that
+    at the first answer with the latest change, None if the sender does not tell.
     """
 
-    __slots__ = ("rows", "version", "confirmed_store_ms", "is_whole")
+    __slots__ = (
+        "rows",
+        "version",
+        "confirmed_store_ms",
+        "is_whole",
+        "changed_store_ms",
+    )
 
-    def __init__(self, rows, version, confirmed_store_ms, is_whole):
+    def __init__(
+        self, rows, version, confirmed_store_ms, is_whole, changed_store_ms=None
+    ):
         self.rows = rows
         self.version = version
         self.confirmed_store_ms = confirmed_store_ms
         self.is_whole = is_whole
+        self.changed_store_ms = changed_store_ms
 
     @classmethod
     def from_copy(cls, copy, known_version):
@@ -42,7 +52,12 @@
         is_whole = rows is None
         if is_whole:
             rows = list(copy.rows_by_key.values())
-        return cls(rows, copy.version, copy.confirmed_store_ms, is_whole)
+        changed_store_ms = copy.changed_store_ms
+        if changed_store_ms == NEVER_MS:
+            changed_store_ms = None
+        return cls(
+            rows, copy.version, copy.confirmed_store_ms, is_whole, changed_store_ms
+        )
 
     @classmethod
     def from_json(cls, data):
@@ -51,8 +66,16 @@
             rows = [_decode_row(row) for row in data["rows"]]
             version = int(data["version"])
             confirmed_store_ms = float(data["confirmed_store_ms"])
-            return cls(rows, version, confirmed_store_ms, data["is_whole"] is True)
-        except (KeyError, TypeError, binascii.Error, zlib.error) as error:
+            changed_store_ms = _number_or_none(data.get("changed_store_ms"))
+            is_whole = data["is_whole"] is True
+            return cls(rows, version, confirmed_store_ms, is_whole, changed_store_ms)
+        except (
+            AttributeError,
+            KeyError,
+            TypeError,
+            binascii.Error,
+            zlib.error,
+        ) as error:
             raise ValueError(f"malformed table update: {error!r}") from error
 
     def to_json(self, encodings=()):
@@ -62,6 +85,7 @@
             "version": self.version,
             "confirmed_store_ms": self.confirmed_store_ms,
             "is_whole": self.is_whole,
+            "changed_store_ms": self.changed_store_ms,
         }
 
 
--- a/stoatpath/feeds/relays.py
+++ b/stoatpath/feeds/relays.py
@@ -115,6 +115,7 @@
         "_heard",
         "_newest_version",
         "behind_since_ms",
+        "_logged_delay_ms",
         "on_era_change",
     )
 
@@ -161,6 +162,7 @@
         self._heard = asyncio.Event()
         self._newest_version = 0
         self.behind_since_ms = None
+        self._logged_delay_ms = None
         self.on_era_change = lambda era: None
         server.register(TABLES_TOPIC, self._handle_request)
         for follower in followers_by_table.values():
@@ -388,6 +390,7 @@
                     update.confirmed_store_ms, now_ms
                 )
                 follower.apply_update(update, as_of_ms)
+        self._log_change()
         self._hear(answer.newest_version)
         self._end_behind()
         is_newer = self._lead.copy.confirmed_store_ms > before_store_ms
@@ -435,6 +438,19 @@
             self.behind_since_ms = self._clock.now_ms()
             self._heard.set()
 
+    def _log_change(self):
+        """Log how long a change of the lead table took, once."""
+        delay_ms = self._lead.change_delay_ms
+        if delay_ms is not self._logged_delay_ms:
+            self._logged_delay_ms = delay_ms
+            logger.info(
+                "tables.change-in-force",
+                extra={
+                    "version": self._lead.copy.version,
+                    "after_ms": round(delay_ms),
+                },
+            )
+
     def _end_behind(self):
         if self._lead.copy.version >= self._newest_version:
             self.behind_since_ms = None
@@ -444,12 +460,21 @@
         while True:
             await self._heard.wait()
             self._heard.clear()
-            for _ in range(MAX_CATCH_UPS):
+            for attempt in range(MAX_CATCH_UPS):
                 pause_ms = CATCH_UP_SHARE * self._bound_ms
                 await self._clock.sleep_until(self._clock.now_ms() + pause_ms)
                 if self.behind_since_ms is None:
                     break
                 now_ms = self._clock.now_ms()
+                if attempt == 0:
+                    logger.info(
+                        "tables.behind",
+                        extra={
+                            "version": self._lead.copy.version,
+                            "newest": self.newest_version,
+                            "behind_ms": round(now_ms - self.behind_since_ms),
+                        },
+                    )
                 member = None if self._is_arriving() else self._select_any(now_ms)
                 if member is not None:
                     await self._ask_member(member, now_ms, 0.0)
@@ -543,6 +568,7 @@
     def _handle_store_answer(self, version):
         """Pass on an answer of the store; detect polls that missed a change."""
         self.confirmed_by = STORE
+        self._log_change()
         self._end_behind()
         self._arriving_until_ms = NEVER_MS
         self._extend_store_due(POLL_SHARE * self._bound_ms)
--- a/stoatpath/gateway_metrics.py
+++ b/stoatpath/gateway_metrics.py
@@ -3,6 +3,7 @@
 from stoatpath.log import dropped_lines
 from stoatpath.metric_sources import quarantine_samples
 from stoatpath.metrics import Sample
+from stoatpath.platform.row_stores import number_of
 
 
 def gateway_samples(gateway):
@@ -133,6 +134,7 @@
             min(1e9, follower.copy.age_ms(now_ms) / 1000),
             belief=name,
         )
+    yield from _version_samples(gateway, now_ms)
     table = gateway.routes.table
     yield Sample.gauge(
         "stoatpath_routes_revision",
@@ -141,6 +143,32 @@
     )
 
 
+def _version_samples(gateway, now_ms):
+    tables = gateway.tables
+    versions = {
+        "held": gateway.operator_rows.copy.version,
+        "newest": tables.newest_version,
+    }
+    for name, version in versions.items():
+        yield Sample.gauge(
+            "stoatpath_operator_version",
+            "Version of the operator's rows, without the era of the store.",
+            number_of(version),
+            version=name,
+        )
+    since_ms = tables.behind_since_ms
+    yield Sample.gauge(
+        "stoatpath_operator_behind_seconds",
+        "Time for which newer rows of the operator are known of but not held.",
+        0 if since_ms is None else (now_ms - since_ms) / 1000,
+    )
+    yield Sample.gauge(
+        "stoatpath_operator_change_seconds",
+        "Time that the last change of the operator took from the store to its effect.",
+        (gateway.operator_rows.change_delay_ms or 0) / 1000,
+    )
+
+
 def _backend_samples(gateway):
     yield Sample.counter(
         "stoatpath_backend_connections_total",
