--- a/features/platform/decoding.feature
+++ b/features/platform/decoding.feature
@@ -58,5 +58,9 @@
   Scenario: Any content of the operator's row decodes to a route table or a failure
     Then any JSON and any bytes decode to a route table or to a failure
 
+  Scenario: Routes that are unchanged are not built again
+    Then decoding rows one after the other gives the same as decoding each alone
+    And an unchanged route is the same object in the next table
+
   Scenario: Any headers of a caller are accepted or refused
     Then any headers are accepted or refused, and no forged one is forwarded
--- a/features/platform/steps/decoding_steps.py
+++ b/features/platform/steps/decoding_steps.py
@@ -14,7 +14,7 @@
 from stoatpath.platform import names
 from stoatpath.platform.boot_files import BootFile
 from stoatpath.platform.caller_heads import CallerHeaderDecoder
-from stoatpath.platform.documents import decode_route_table
+from stoatpath.platform.documents import RouteTableDecoder, decode_route_table
 from stoatpath.standins.deployments import HOST, boot_mapping, sample_config
 from stoatpath.utils import encode_json
 
@@ -151,6 +151,62 @@
     check_property()
 
 
+def describe(value):
+    """Return all fields of a decoded table, comparable by value."""
+    if isinstance(value, (list, tuple)):
+        return [describe(each) for each in value]
+    if isinstance(value, dict):
+        return {key: describe(each) for key, each in value.items()}
+    if hasattr(value, "__slots__"):
+        fields = {name: describe(getattr(value, name)) for name in value.__slots__}
+        return type(value).__name__, fields
+    return value
+
+
+@then("decoding rows one after the other gives the same as decoding each alone")
+def step_impl(context):
+    first = sample_config()["routes"][0]
+    faults = st.sampled_from(
+        [{}, {"prefix": "/a/"}, {"prefix": 1}, {"kind": "?"}, {"service": None}]
+    )
+    routes = st.lists(faults.map(lambda fault: first | fault), max_size=4)
+    scalars = st.one_of(st.none(), st.integers(), st.text(max_size=3))
+    others = st.dictionaries(st.sampled_from(sorted(sample_config())), scalars)
+    rows = st.builds(
+        lambda some, these, has_fault: encode_json(
+            sample_config() | {"routes": these} | (some if has_fault else {})
+        ),
+        others,
+        routes,
+        st.sampled_from([False, False, True]),
+    )
+    rows = st.one_of(rows, st.binary(max_size=8))
+
+    @settings(derandomize=True, deadline=None)
+    @forall(st.lists(rows, min_size=1, max_size=5))
+    def check_property(values):
+        decoder = RouteTableDecoder()
+        for value in values:
+            assert describe(decoder.decode(value)) == describe(
+                decode_route_table(value)
+            )
+
+    check_property()
+
+
+@then("an unchanged route is the same object in the next table")
+def step_impl(context):
+    config = sample_config()
+    decoder = RouteTableDecoder()
+    before = decoder.decode(encode_json(config))
+    config["version"] += 1
+    config["routes"].append(config["routes"][0] | {"prefix": "/added/"})
+    after = decoder.decode(encode_json(config))
+    count = len(before.routes)
+    assert all(one is two for one, two in zip(before.routes, after.routes))
+    assert len(after.routes) == count + 1
+
+
 @then("any headers are accepted or refused, and no forged one is forwarded")
 def step_impl(context):
     heads = CallerHeaderDecoder()
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -179,7 +179,7 @@
         self.store = RowStore.from_address(boot.store_address)
         self.store_era = 0
         self.reachability = Reachability()
-        self.routes = RouteKeeper(documents.decode_route_table)
+        self.routes = RouteKeeper(documents.RouteTableDecoder().decode)
         self.backends = BackendDirectory(documents.decode_backend, self.reachability)
         self.releases = self._build_releases()
         self.quarantine = QuarantineTable(self.clock)
--- a/stoatpath/platform/documents.py
+++ b/stoatpath/platform/documents.py
@@ -1,5 +1,7 @@
 """Decodes the rows that the operator and the replicas write to the store."""
 
+import msgspec
+
 from stoatpath.configuration.routes import (
     AT_MOST_ONCE,
     IDEMPOTENT,
@@ -49,6 +51,46 @@
     return _decode(value, _build_route_table)
 
 
+_fields_decoder = msgspec.json.Decoder(dict[str, msgspec.Raw])
+_routes_decoder = msgspec.json.Decoder(list[msgspec.Raw])
+
+
+class RouteTableDecoder:
+    """Decodes the operator's row; routes that are unchanged are not built again.
+
+    Building 3,000 routes takes 9 to 25 ms of processor time, and more than 50 ms on the
+    smallest instances.
+    """
+
+    __slots__ = ("_routes_by_text",)
+
+    def __init__(self):
+        self._routes_by_text = {}
+
+    def decode(self, value):
+        """Return the `RouteTable` of a row, or a failure, as `decode_route_table`."""
+        routes_by_text = {}
+
+        def build_route(raw):
+            text = bytes(raw)
+            route = self._routes_by_text.get(text)
+            if route is None:
+                route = _build_route(msgspec.json.decode(text))
+            routes_by_text[text] = route
+            return route
+
+        try:
+            fields = _fields_decoder.decode(value)
+            routes = _routes_decoder.decode(fields.pop("routes"))
+            data = {name: msgspec.json.decode(raw) for name, raw in fields.items()}
+            table = _build_route_table(data | {"routes": routes}, build_route)
+        except (*DECODE_ERRORS, msgspec.MsgspecError, RecursionError):
+            # It gives the reason.
+            return decode_route_table(value)
+        self._routes_by_text = routes_by_text
+        return table
+
+
 def decode_backend(key, value):
     """Return the `ListedBackend` of a replica's row, or a failure."""
     return _decode(value, lambda data: _build_backend(key, data))
@@ -107,7 +149,8 @@
         return Failure(BAD_REQUEST, f"the row has an unexpected form: {error!r}")
 
 
-def _build_route_table(data):
+def _build_route_table(data, build_route=None):
+    build_route = build_route or _build_route
     services = [_build_service(each) for each in data["services"]]
     organisations_by_key = {}
     for each in data.get("tenants") or ():
@@ -116,7 +159,7 @@
             organisations_by_key[key] = organisation
     return RouteTable(
         int(data["version"]),
-        [_build_route(each) for each in data["routes"]],
+        [build_route(each) for each in data["routes"]],
         {service.name: service for service in services},
         organisations_by_key,
         bool(data.get("tenants")),
