--- a/stoatpath/feeds/messages.py
+++ b/stoatpath/feeds/messages.py
@@ -21,16 +21,26 @@
     """Rows of a table that changed since a version, or all of them if `is_whole`.
 
     `version` is the version of the sender's copy, `confirmed_store_ms` the reading of
-    the store's clock at the answer that last confirmed it.
+    the store's clock at the answer that last confirmed it. `changed_store_ms` is that
+    at the first answer with the latest change, None if the sender does not tell.
     """
 
-    __slots__ = ("rows", "version", "confirmed_store_ms", "is_whole")
+    __slots__ = (
+        "rows",
+        "version",
+        "confirmed_store_ms",
+        "is_whole",
+        "changed_store_ms",
+    )
 
-    def __init__(self, rows, version, confirmed_store_ms, is_whole):
+    def __init__(
+        self, rows, version, confirmed_store_ms, is_whole, changed_store_ms=None
+    ):
         self.rows = rows
         self.version = version
         self.confirmed_store_ms = confirmed_store_ms
         self.is_whole = is_whole
+        self.changed_store_ms = changed_store_ms
 
     @classmethod
     def from_copy(cls, copy, known_version):
@@ -42,7 +52,12 @@
         is_whole = rows is None
         if is_whole:
             rows = list(copy.rows_by_key.values())
-        return cls(rows, copy.version, copy.confirmed_store_ms, is_whole)
+        changed_store_ms = copy.changed_store_ms
+        if changed_store_ms == NEVER_MS:
+            changed_store_ms = None
+        return cls(
+            rows, copy.version, copy.confirmed_store_ms, is_whole, changed_store_ms
+        )
 
     @classmethod
     def from_json(cls, data):
@@ -51,8 +66,16 @@
             rows = [_decode_row(row) for row in data["rows"]]
             version = int(data["version"])
             confirmed_store_ms = float(data["confirmed_store_ms"])
-            return cls(rows, version, confirmed_store_ms, data["is_whole"] is True)
-        except (KeyError, TypeError, binascii.Error, zlib.error) as error:
+            changed_store_ms = _number_or_none(data.get("changed_store_ms"))
+            is_whole = data["is_whole"] is True
+            return cls(rows, version, confirmed_store_ms, is_whole, changed_store_ms)
+        except (
+            AttributeError,
+            KeyError,
+            TypeError,
+            binascii.Error,
+            zlib.error,
+        ) as error:
             raise ValueError(f"malformed table update: {error!r}") from error
 
     def to_json(self, encodings=()):
@@ -62,6 +85,7 @@
             "version": self.version,
             "confirmed_store_ms": self.confirmed_store_ms,
             "is_whole": self.is_whole,
+            "changed_store_ms": self.changed_store_ms,
         }
 
 
@@ -72,7 +96,8 @@
     by `wait_ms` until the receiver has a newer version, or a confirmation later than
     `confirmed_store_ms` on the store's clock. `sessions_digest` and `sessions` are the
     digest and the wire form of `SharedSessions`; the latter is None if the receiver
-    has them. `encodings` are the encodings of values that the sender understands.
+    has them. `encodings` are the encodings of values that the sender understands,
+    `newest_version` is the newest version of the lead table that it has heard of.
     """
 
     __slots__ = (
@@ -82,6 +107,7 @@
         "sessions_digest",
         "sessions",
         "encodings",
+        "newest_version",
     )
 
     def __init__(
@@ -92,6 +118,7 @@
         sessions_digest="",
         sessions=None,
         encodings=ENCODINGS,
+        newest_version=0,
     ):
         self.versions_by_table = versions_by_table
         self.confirmed_store_ms = confirmed_store_ms
@@ -99,6 +126,7 @@
         self.sessions_digest = sessions_digest
         self.sessions = sessions
         self.encodings = encodings
+        self.newest_version = newest_version
 
     @classmethod
     def from_json(cls, data):
@@ -116,6 +144,7 @@
                 str(data["sessions_digest"]),
                 data["sessions"],
                 tuple(str(each) for each in data.get("encodings") or ()),
+                int(data.get("newest_version") or 0),
             )
         except (AttributeError, KeyError, TypeError) as error:
             raise ValueError(f"malformed request: {error!r}") from error
@@ -130,6 +159,7 @@
             "sessions_digest": self.sessions_digest,
             "sessions": self.sessions,
             "encodings": self.encodings,
+            "newest_version": self.newest_version,
         }
 
 
@@ -142,7 +172,8 @@
     sender stops soon. The sessions are as in `TablesRequest`. `expects_news` tells
     whether the sender's source or the store may still confirm its tables; None if the
     sender is of a build that does not tell. `is_arriving` tells whether bytes of newer
-    rows are on their way to the sender.
+    rows are on their way to the sender. `age_ms` is the age of its copies, None if it
+    has none or does not tell, `newest_version` as in `TablesRequest`.
     """
 
     __slots__ = (
@@ -155,6 +186,8 @@
         "sessions",
         "expects_news",
         "is_arriving",
+        "age_ms",
+        "newest_version",
     )
 
     def __init__(
@@ -168,6 +201,8 @@
         sessions=None,
         expects_news=None,
         is_arriving=False,
+        age_ms=None,
+        newest_version=0,
     ):
         self.store_ms = store_ms
         self.outage_end_store_ms = outage_end_store_ms
@@ -178,6 +213,8 @@
         self.sessions = sessions
         self.expects_news = expects_news
         self.is_arriving = is_arriving
+        self.age_ms = age_ms
+        self.newest_version = newest_version
 
     @classmethod
     def from_json(cls, data):
@@ -196,6 +233,8 @@
                 data["sessions"],
                 data.get("expects_news"),
                 data.get("is_arriving") is True,
+                _number_or_none(data.get("age_ms")),
+                int(data.get("newest_version") or 0),
             )
         except (AttributeError, KeyError, TypeError) as error:
             raise ValueError(f"malformed answer: {error!r}") from error
@@ -215,6 +254,8 @@
             "sessions": self.sessions,
             "expects_news": self.expects_news,
             "is_arriving": self.is_arriving,
+            "age_ms": self.age_ms,
+            "newest_version": self.newest_version,
         }
 
 
--- a/stoatpath/feeds/relays.py
+++ b/stoatpath/feeds/relays.py
@@ -47,6 +47,13 @@
 # transfers share take 750 ms.
 TRAVEL_SHARE = 0.1
 TRANSFER_SHARE = 0.6
+# An instance that heard of a newer version asks for it elsewhere after this share, and
+# at most so often for one version.
+CATCH_UP_SHARE = 0.1
+MAX_CATCH_UPS = 8
+# Instances that are asked before the store is read. One without news costs a round
+# trip only.
+ASKED_BEFORE_READ = 3
 # Time that any other instance may wait which is asked instead of the source.
 AROUND_SHARE = 0.1
 MIN_HOLD_MS = 50.0
@@ -66,7 +73,9 @@
 
     `source` is the member that is followed, None for the first instance, which reads
     the store. `confirmed_by` names the instance that confirmed the tables last, or is
-    `STORE`. `relayed_answers` counts the answers of other instances.
+    `STORE`. `relayed_answers` counts the answers of other instances. `behind_since_ms`
+    is the clock reading since which this instance knows of a newer version of the lead
+    table than its own, or None.
 
     `followers_by_table` are the `TableFollower`s, in the order in which updates are
     applied. The confirmations of the table `lead` count for the whole. `bound_ms` is
@@ -98,10 +107,15 @@
         "_disabled_tables",
         "_asked_name",
         "_asks_any",
+        "_avoided_zone",
         "_news",
         "_store_due_ms",
         "_arriving_until_ms",
         "_was_store_overdue",
+        "_heard",
+        "_newest_version",
+        "behind_since_ms",
+        "_logged_delay_ms",
         "on_era_change",
     )
 
@@ -140,16 +154,22 @@
         self._disabled_tables = set()
         self._asked_name = None
         self._asks_any = False
+        self._avoided_zone = members.local.zone
         self._news = asyncio.Event()
         self._store_due_ms = NEVER_MS
         self._arriving_until_ms = NEVER_MS
         self._was_store_overdue = False
+        self._heard = asyncio.Event()
+        self._newest_version = 0
+        self.behind_since_ms = None
+        self._logged_delay_ms = None
         self.on_era_change = lambda era: None
         server.register(TABLES_TOPIC, self._handle_request)
         for follower in followers_by_table.values():
             follower.is_enabled.clear()
             follower.on_answer = self._handle_store_answer
             follower.on_failure = self._update_followers
+            follower.on_progress = self._record_store_progress
 
     def set_bound(self, bound_ms):
         """Set the time within which each change must be known."""
@@ -169,7 +189,7 @@
 
     async def run(self):
         """Keep the copies up to date until cancelled."""
-        await asyncio.gather(self._watch_age(), self._run_steps())
+        await asyncio.gather(self._watch_age(), self._run_steps(), self._catch_up())
 
     async def _run_steps(self):
         while True:
@@ -206,7 +226,7 @@
         is_due = self._clock.now_ms() >= self._store_due_ms
         return self.is_reading_store and (is_out or is_due)
 
-    def record_store_progress(self):
+    def _record_store_progress(self):
         """Record that bytes of an answer of the store arrive."""
         self._extend_store_due()
         self._record_progress()
@@ -232,14 +252,21 @@
         self._asks_any = not self._asks_any
         source = self._selector.select_regardless()
         if source is None or self._asks_any:
-            source = self._selector.select_any(now_ms, self._random)
+            source = self._select_any(now_ms)
         if source is None:
             await self._clock.sleep_until(now_ms + RESELECT_PERIOD_MS)
             return
-        await self._ask_member(source, now_ms, AROUND_SHARE * self._bound_ms)
+        hold_ms = AROUND_SHARE * self._bound_ms
+        if not await self._ask_member(source, now_ms, hold_ms):
+            # One that expects no news itself answers at once.
+            await self._clock.sleep_until(now_ms + hold_ms)
+
+    def _select_any(self, now_ms):
+        return self._selector.select_any(now_ms, self._random, self._avoided_zone)
 
     async def _ask_member(self, member, now_ms, hold_ms):
         """Ask a member; return whether it confirms the tables more recently."""
+        self._avoided_zone = member.zone
         answer = await self._ask(member, now_ms, hold_ms)
         if is_failure(answer):
             self._reject_source(member, answer.detail)
@@ -261,7 +288,7 @@
             self._reject_source(source, answer.detail)
             await self._clock.sleep_until(self._clock.now_ms() + FAILURE_PAUSE_MS)
             return False
-        if self._is_behind(answer):
+        if self._is_behind(answer, is_new):
             self._reject_source(source, "it is behind")
             await self._clock.sleep_until(self._clock.now_ms() + FAILURE_PAUSE_MS)
             return False
@@ -287,6 +314,7 @@
             hold_ms,
             self._sessions.digest(),
             self._sessions_unless(self._source_sessions_digest),
+            newest_version=self.newest_version,
         )
         answer = await self._client.ask(
             source.address,
@@ -309,16 +337,22 @@
         except ValueError as error:
             return Failure(CONNECT_FAILED, str(error))
 
-    def _is_behind(self, answer):
+    def _is_behind(self, answer, is_new):
         """Return whether the source's copy is older than this one by over one poll.
 
-        An instance that reads the store itself leaves its source more time to get it.
+        A source that expects news may be older until it reads the store itself. Of one
+        that does not tell its age, only the first answer counts.
         """
         if not self._lead.copy.is_known:
             return False
+        if answer.age_ms is not None:
+            share = DIRECT_SHARE + SPREAD_SHARE if answer.expects_news else POLL_SHARE
+            lag_ms = answer.age_ms - self.copy_age_ms()
+            return lag_ms > share * self._bound_ms
+        if not is_new:
+            return False
         update = answer.updates_by_table.get(self._lead_table)
-        share = RESELECT_SHARE if self.is_reading_store else POLL_SHARE
-        limit_ms = self._lead.copy.confirmed_store_ms - share * self._bound_ms
+        limit_ms = self._lead.copy.confirmed_store_ms - POLL_SHARE * self._bound_ms
         return update is None or update.confirmed_store_ms < limit_ms
 
     def _is_source_overdue(self):
@@ -356,6 +390,9 @@
                     update.confirmed_store_ms, now_ms
                 )
                 follower.apply_update(update, as_of_ms)
+        self._log_change()
+        self._hear(answer.newest_version)
+        self._end_behind()
         is_newer = self._lead.copy.confirmed_store_ms > before_store_ms
         if is_newer:
             self.confirmed_by = source.name
@@ -376,7 +413,7 @@
             due_ms = self._direct_due_ms()
             now_ms = self._clock.now_ms()
             if now_ms >= due_ms:
-                if not self.is_reading_store and await self._ask_once(now_ms):
+                if not self.is_reading_store and await self._ask_before_read():
                     continue
                 self._set_reading_store(True, "no confirmation in time")
                 due_ms = now_ms + CHECK_PERIOD_MS
@@ -388,15 +425,77 @@
                 due_ms = min(due_ms, self._store_due_ms)
             await self._clock.sleep_until(due_ms)
 
-    async def _ask_once(self, now_ms):
-        """Ask one other instance before the store; return whether it had news.
+    @property
+    def newest_version(self):
+        """The newest version of the lead table that this instance has or heard of."""
+        return max(self._newest_version, self._lead.copy.version)
+
+    def _hear(self, version):
+        """Record that another instance knows of a version of the lead table."""
+        if version > self.newest_version:
+            self._newest_version = version
+        if self.behind_since_ms is None and version > self._lead.copy.version:
+            self.behind_since_ms = self._clock.now_ms()
+            self._heard.set()
+
+    def _log_change(self):
+        """Log how long a change of the lead table took, once."""
+        delay_ms = self._lead.change_delay_ms
+        if delay_ms is not self._logged_delay_ms:
+            self._logged_delay_ms = delay_ms
+            logger.info(
+                "tables.change-in-force",
+                extra={
+                    "version": self._lead.copy.version,
+                    "after_ms": round(delay_ms),
+                },
+            )
+
+    def _end_behind(self):
+        if self._lead.copy.version >= self._newest_version:
+            self.behind_since_ms = None
 
-        Its answer is compressed, and a tenth as large as the store's.
+    async def _catch_up(self):
+        """Ask other instances for a version that this one has heard of."""
+        while True:
+            await self._heard.wait()
+            self._heard.clear()
+            for attempt in range(MAX_CATCH_UPS):
+                pause_ms = CATCH_UP_SHARE * self._bound_ms
+                await self._clock.sleep_until(self._clock.now_ms() + pause_ms)
+                if self.behind_since_ms is None:
+                    break
+                now_ms = self._clock.now_ms()
+                if attempt == 0:
+                    logger.info(
+                        "tables.behind",
+                        extra={
+                            "version": self._lead.copy.version,
+                            "newest": self.newest_version,
+                            "behind_ms": round(now_ms - self.behind_since_ms),
+                        },
+                    )
+                member = None if self._is_arriving() else self._select_any(now_ms)
+                if member is not None:
+                    await self._ask_member(member, now_ms, 0.0)
+
+    async def _ask_before_read(self):
+        """Ask some instances before the store; return whether one had news.
+
+        Their answers are compressed, and a tenth as large as the store's.
         """
         if self._selector.is_first_of_zone():
             return False
-        member = self._selector.select_any(now_ms, self._random)
-        return member is not None and await self._ask_member(member, now_ms, 0.0)
+        start_ms = self._clock.now_ms()
+        for _ in range(ASKED_BEFORE_READ):
+            now_ms = self._clock.now_ms()
+            member = self._select_any(now_ms)
+            # The first that does not answer ends it: the read must not wait longer.
+            if member is None or now_ms >= start_ms + TRAVEL_SHARE * self._bound_ms:
+                return False
+            if await self._ask_member(member, now_ms, 0.0):
+                return True
+        return False
 
     def _direct_due_ms(self):
         """Return when to read the store unless the copies are confirmed before."""
@@ -469,6 +568,8 @@
     def _handle_store_answer(self, version):
         """Pass on an answer of the store; detect polls that missed a change."""
         self.confirmed_by = STORE
+        self._log_change()
+        self._end_behind()
         self._arriving_until_ms = NEVER_MS
         self._extend_store_due(POLL_SHARE * self._bound_ms)
         for follower in self._followers_by_table.values():
@@ -483,6 +584,12 @@
     async def _handle_request(self, message):
         request = TablesRequest.from_json(message)
         self._sessions.merge(request.sessions or {})
+        self._hear(
+            max(
+                request.newest_version,
+                request.versions_by_table.get(self._lead_table, 0),
+            )
+        )
         deadline_ms = self._clock.now_ms() + min(request.wait_ms, MAX_HOLD_MS)
         while not self._has_news(request):
             left_ms = deadline_ms - self._clock.now_ms()
@@ -533,6 +640,8 @@
             self._sessions_unless(request.sessions_digest),
             self._expects_news(),
             self._is_arriving(),
+            self.copy_age_ms() if self._lead.copy.is_known else None,
+            self.newest_version,
         )
 
     def _sessions_unless(self, known_digest):
