Sums of the fleet's load are fresher, and count less the older they are

An instance now replaces what it had reported by what it knows of its subtree now, and the estimate decays to the mean of the service. A model's pace is compared only once eight answers are known.

--- a/stoatpath/measure/prompt_loads.py
+++ b/stoatpath/measure/prompt_loads.py
@@ -9,6 +9,7 @@
 from collections import Counter
 
 from stoatpath.cascades.confidence import ModelChoice
+from stoatpath.dispatch.messages import AttemptResult
 from stoatpath.measure.events import EventQueue
 from stoatpath.measure.prompt_engines import PromptEngine, PromptJob
 from stoatpath.membership.directories import DirectoryBackend
@@ -79,6 +80,7 @@
 
     `scale` multiplies the rates; `crash_at_ms` is when an engine crashes, or None.
     `make_chooser` builds the chooser of an instance from its zone and generator.
+    `deadline_ms` is the longest time of a request.
     """
 
     __slots__ = (
@@ -86,6 +88,7 @@
         "engines_by_name",
         "instances",
         "counts",
+        "deadline_ms",
         "_random",
         "_scale",
         "_seconds",
@@ -105,13 +108,13 @@
     ):
         self.events = EventQueue()
         self.counts = Counter()
+        self.deadline_ms = float("inf")
         self._random = random.Random(seed)
         self._scale = scale
         self._seconds = seconds
         self._crash_at_ms = crash_at_ms
         self.engines_by_name = {
-            f"engine-{number}": PromptEngine(f"engine-{number}", self.events)
-            for number in range(engines)
+            f"engine-{number}": self._make_engine(number) for number in range(engines)
         }
         self.instances = [
             _Instance(self, f"zone-{number % zones}", zones, make_chooser, seed)
@@ -142,6 +145,17 @@
         """Return the share of the requests of a kind that were answered late."""
         return self.counts[name, "late"] / max(1, self.counts[name, "asked"])
 
+    def record_outcome(self, kind, first_token_ms, elapsed_ms):
+        """Count a complete answer, by the time to its first token."""
+        outcome = "in time" if first_token_ms <= kind.target_ms else "late"
+        self.counts[kind.name, outcome] += 1
+
+    def _make_engine(self, number):
+        return PromptEngine(f"engine-{number}", self.events)
+
+    def _choose_instance(self):
+        return self._random.choice(self.instances)
+
     def _schedule_arrivals(self, kind):
         at_ms = 0.0
         per_ms = kind.per_s * self._scale / MEAN_GROUP_SIZE / 1_000
@@ -159,7 +173,7 @@
         unique_part = f"own-{self._random.random()}"
         _Request(
             self,
-            self._random.choice(self.instances),
+            self._choose_instance(),
             kind,
             prefix,
             unique_part,
@@ -176,9 +190,10 @@
 class _Instance:
     """One instance: its chooser and its view of the backend servers."""
 
-    __slots__ = ("chooser", "backends")
+    __slots__ = ("zone", "chooser", "backends")
 
     def __init__(self, load, zone, zones, make_chooser, seed):
+        self.zone = zone
         self.chooser = make_chooser(zone, random.Random(seed))
         self.backends = [
             DirectoryBackend(
@@ -234,11 +249,15 @@
         backend = chosen.backend
         self._instance.chooser.breakers.record_send(backend.name, now_ms)
         pending_work = [choice.work_for_tokens(kind.shared_tokens + kind.unique_tokens)]
+        if backend.zone != self._instance.zone:
+            self._load.counts["crossed"] += 1
         backend.in_flight += 1
         backend.pending_prompt_work += pending_work[0]
+        first_token_ms = []
 
         def on_first_token(job):
             backend.pending_prompt_work -= pending_work.pop()
+            first_token_ms.append(self._load.events.now_ms)
             if not is_low_confidence and self._first_token_ms is None:
                 self._first_token_ms = self._load.events.now_ms
             return not is_low_confidence
@@ -249,7 +268,10 @@
             if is_low_confidence and not pending_work:
                 self.send(LARGE, False)
             elif job.is_complete:
+                self._observe(choice, backend, now_ms, first_token_ms[0])
                 self._record_outcome()
+            elif self._load.events.now_ms >= self._deadline_ms():
+                self._load.counts[kind.name, "failed"] += 1
             else:
                 self.send(model, is_low_confidence, (backend.name,))
 
@@ -261,9 +283,30 @@
             on_first_token,
             on_end,
         )
-        self._load.engines_by_name[backend.name].accept_job(job)
+        engine = self._load.engines_by_name[backend.name]
+        if self._deadline_ms() < float("inf"):
+            self._load.events.schedule(self._deadline_ms(), engine.cancel, job)
+        engine.accept_job(job)
+
+    def _deadline_ms(self):
+        return self._arrival_ms + self._load.deadline_ms
+
+    def _observe(self, choice, backend, sent_ms, first_token_ms):
+        self._instance.chooser.observe(
+            AttemptResult(
+                backend.name,
+                choice.name,
+                None,
+                None,
+                sent_ms,
+                first_token_ms,
+                self._load.events.now_ms,
+                self._kind.name,
+                self._kind.answer_tokens,
+            )
+        )
 
     def _record_outcome(self):
         first_token_delay_ms = self._first_token_ms - self._arrival_ms
-        outcome = "in time" if first_token_delay_ms <= self._kind.target_ms else "late"
-        self._load.counts[self._kind.name, outcome] += 1
+        elapsed_ms = self._load.events.now_ms - self._arrival_ms
+        self._load.record_outcome(self._kind, first_token_delay_ms, elapsed_ms)
--- a/stoatpath/routing/affinity.py
+++ b/stoatpath/routing/affinity.py
@@ -34,8 +34,9 @@
 FULL_BATCH_COST = 4.0
 # Crossing zones is billed, but is worth it where it saves a tenth of an answer's time.
 FLEET_CROSS_ZONE_COST = 25_000.0
-# A third of an answer's time: the partition may not overload a part of the fleet.
-FLEET_OTHER_PARTITION_COST = 80_000.0
+# More than an answer's time on an idle server, less than on a full one: the partition
+# may not overload a part of the fleet while fast servers of the other part are idle.
+FLEET_OTHER_PARTITION_COST = 400_000.0
 FLEET_FAILURE_COST = 2_500_000.0
 # Many choices are made from the same sums, so each evaluates only a few random servers,
 # of its own zone and of all, besides the preferred one: the least loaded one would get
@@ -91,7 +92,6 @@
         "length_partition",
         "speeds",
         "fleet_loads",
-        "_backends",
         "_zone",
         "_random",
     )
@@ -102,7 +102,6 @@
         self.length_partition = PromptLengthPartition()
         self.speeds = ServerSpeeds()
         self.fleet_loads = None
-        self._backends = None
         self._zone = zone
         self._random = random
 
@@ -111,7 +110,6 @@
 
         `backends` is the directory of backend servers.
         """
-        self._backends = backends
         self.fleet_loads = FleetLoads(instance, backends, self.speeds)
         return self.fleet_loads
 
@@ -120,10 +118,7 @@
         self.breakers.observe(result)
         self.failures.observe(result)
         if self.fleet_loads is not None:
-            backend = self._backends.by_name.get(result.backend)
-            if backend is not None:
-                load, _ = self.fleet_loads.load(backend)
-                self.speeds.observe(result, load, backend.slots)
+            self.fleet_loads.observe(result)
 
     def retain_backends(self, names):
         """Drop the state of all backend servers but the named ones."""
--- a/stoatpath/routing/features/fleet_loads.feature
+++ b/stoatpath/routing/features/fleet_loads.feature
@@ -64,13 +64,13 @@
 
   Scenario: Speeds are learned from the answers of all instances
     Given 40 instances that send streams to servers of speeds 0.7, 0.7 and 1.7
-    When each has seen 6 streams and they exchange tables
+    When each has seen 14 streams and they exchange tables
     Then every instance knows the speeds to within a quarter
 
   Scenario: A slow moment doesn't make a slow server
     Given 40 instances that send streams to servers of speeds 1.0, 1.0 and 1.0
     When the first server is 2.5 times slower for 600 ms
-    Then every instance takes its speed for at least 0.85
+    Then every instance takes its speed for at least 0.8
 
   Scenario: Few answers leave a server at the common speed
     Given 1 instances that send streams to servers of speeds 0.7, 0.7 and 1.7
--- a/stoatpath/routing/features/steps/fleet_load_steps.py
+++ b/stoatpath/routing/features/steps/fleet_load_steps.py
@@ -234,7 +234,7 @@
     answer = {"counted": 1, "count": 2, "age_ms": 5, "sums": report["sums"]}
     many = {number: ServerLoad(1) for number in range(MAX_SERVERS + 1)}
     field, value = {
-        "sums of 257 servers": ("sums", encode_loads(many, MAX_SERVERS + 1)),
+        "sums of 257 servers": ("sums", encode_loads(many)),
         "sums that are not base64": ("sums", "?"),
         "sums that end in an entry": ("sums", base64.b64encode(b"12345").decode()),
         "sums that are a number": ("sums", 7),
@@ -341,6 +341,7 @@
 def step_impl(context):
     # Speeds are relative to what the instances found on average.
     for instance in context.tree.instances:
+        assert instance.loads.has_sums(context.tree.now_ms + 10)
         known = {
             name: instance.loads.speed(backend)
             for name, backend in instance.directory.by_name.items()
@@ -354,11 +355,11 @@
 def step_impl(context):
     tree = context.tree
     tree.run(3)
-    for moment in range(8):
+    for moment in range(20):
         tree.now_ms += 600.0
         for number, instance in enumerate(tree.instances):
-            name = f"s{number % 9}"
-            is_slow = moment == 7 and name == "s0"
+            name = f"s{(number + moment) % 9}"
+            is_slow = moment == 19 and name == "s0"
             end_stream(
                 context, instance, name, tree.now_ms, 600.0, 0.4 if is_slow else 1.0
             )
@@ -368,6 +369,7 @@
 @then("every instance takes its speed for at least {least:f}")
 def step_impl(context, least):
     for instance in context.tree.instances:
+        assert instance.loads.has_sums(context.tree.now_ms + 10)
         speed = instance.loads.speed(instance.directory.by_name["s0"])
         assert speed >= least, speed
 
--- a/stoatpath/routing/fleet_loads.py
+++ b/stoatpath/routing/fleet_loads.py
@@ -2,7 +2,7 @@
 
 A request for tables carries the sums of the sender's subtree, the answer those of the
 fleet. Reports are numbered, and an answer tells which report of the receiver its sums
-contain, so that the receiver subtracts exactly its own part.
+contain. The receiver subtracts exactly that, and adds what it knows of its subtree now.
 """
 
 import logging
@@ -15,12 +15,14 @@
     add_loads,
     decode_loads,
     encode_loads,
+    most_loaded,
     server_id,
 )
 from stoatpath.routing.speeds import speed_of
 
 logger = logging.getLogger(__name__)
 
+NO_LOAD = ServerLoad()
 # The sums of a subtree that is no longer reported expire.
 REPORT_LIFE_MS = 3_000.0
 # Selection by older sums of the fleet is worse than selection without any.
@@ -39,8 +41,13 @@
 # An instance that becomes the first keeps the sums that it had for this long: its
 # followers need some time to find it, or it may soon find a source again.
 TAKE_OVER_MS = 2_000.0
+# A sum tells less the older it is: requests end and prompts are read meanwhile. The
+# estimate decays to the mean of the service's servers with these half-lives.
+IN_FLIGHT_HALF_LIFE_MS = 1_000.0
+WORK_HALF_LIFE_MS = 300.0
 # Sums of the first instance are added up anew at most this often.
 RENEWAL_MS = 100.0
+IDLE_RENEWAL_MS = 1_000.0
 # Sums are sent less often when they are large, and an instance with many followers
 # sends them fewer entries, so that the sums of an instance stay below this rate.
 MIN_PERIOD_MS = 300.0
@@ -62,16 +69,6 @@
         self.loads_by_id = loads_by_id
 
 
-class _Report:
-    """What a report contained: the own loads, and the numbers of followers' reports."""
-
-    __slots__ = ("own_by_id", "numbers_by_name")
-
-    def __init__(self, own_by_id, numbers_by_name):
-        self.own_by_id = own_by_id
-        self.numbers_by_name = numbers_by_name
-
-
 class FleetLoads:
     """The loads of this instance, of its followers, and of the fleet.
 
@@ -94,11 +91,15 @@
         "_reported_ms",
         "_answered_ms_by_name",
         "_fleet_by_id",
+        "_above_by_id",
         "_others_by_id",
-        "_counted",
+        "_means_by_service",
+        "_in_flight_weight",
+        "_work_weight",
         "_as_of_ms",
         "_received_ms",
         "_renewed_ms",
+        "_has_changed",
         "_had_sums",
     )
 
@@ -116,21 +117,35 @@
         self._reported_ms = float("-inf")
         self._answered_ms_by_name = {}
         self._fleet_by_id = {}
+        self._above_by_id = {}
         self._others_by_id = {}
-        self._counted = {}
+        self._means_by_service = {}
+        self._in_flight_weight = 0.0
+        self._work_weight = 0.0
         self._as_of_ms = float("-inf")
         self._received_ms = float("-inf")
         self._renewed_ms = float("-inf")
+        self._has_changed = True
         self._had_sums = False
 
     def age_ms(self, now_ms):
         """Return the mean age of the sums, infinity without any."""
-        self._renew_first(now_ms)
+        pause_ms = RENEWAL_MS if self._has_changed else IDLE_RENEWAL_MS
+        if now_ms - self._renewed_ms >= pause_ms:
+            self._renew(now_ms)
         return max(0.0, now_ms - self._as_of_ms)
 
     def has_sums(self, now_ms):
         """Return whether the loads of the fleet are known well enough."""
-        has_sums = self.age_ms(now_ms) <= SUMS_LIFE_MS
+        age_ms = self.age_ms(now_ms)
+        self._in_flight_weight = 0.5 ** (age_ms / IN_FLIGHT_HALF_LIFE_MS)
+        self._work_weight = 0.5 ** (age_ms / WORK_HALF_LIFE_MS)
+        has_sums = age_ms <= SUMS_LIFE_MS
+        if not has_sums:
+            # The sums are gone; later ones don't build on them.
+            self._above_by_id = {}
+            self._others_by_id = {}
+            self._means_by_service = {}
         if has_sums != self._had_sums:
             self._had_sums = has_sums
             extra = {"are_known": has_sums, "instances": self.instances}
@@ -140,14 +155,19 @@
     def load(self, backend):
         """Return the requests in flight and the pending prompt work of the fleet.
 
-        That of this instance is as of now, that of the others as in the sums.
+        That of this instance is as of now, that of the others is an estimate for the
+        time of the last call of `has_sums`.
         """
-        others = self._others_by_id.get(self._id(backend.name))
-        if others is None:
-            return backend.in_flight, backend.pending_prompt_work
+        others = self._others_by_id.get(self._id(backend.name), NO_LOAD)
+        in_flight, work = self._means_by_service.get(backend.service, (0.0, 0.0))
+        capacity = self.speed(backend) * backend.slots
+        in_flight *= capacity
+        work *= capacity
+        in_flight += self._in_flight_weight * (others.in_flight - in_flight)
+        work += self._work_weight * (others.work - work)
         return (
-            others.in_flight + backend.in_flight,
-            others.work + backend.pending_prompt_work,
+            in_flight + backend.in_flight,
+            work + backend.pending_prompt_work,
         )
 
     def speed(self, backend):
@@ -155,6 +175,12 @@
         load = self._fleet_by_id.get(self._id(backend.name))
         return 1.0 if load is None else speed_of(load.expected_ms, load.observed_ms)
 
+    def observe(self, result):
+        """Learn the speed of a backend server from an `AttemptResult`."""
+        backend = self._backends.by_name.get(result.backend)
+        if backend is not None:
+            self._speeds.observe(result, self.load(backend)[0], backend.slots)
+
     def retain_backends(self, names):
         """Drop the state of all backend servers but the named ones."""
         for name in self._ids_by_name.keys() - names:
@@ -165,12 +191,12 @@
         message = {"from": self._instance}
         own_by_id = self._own_by_id(now_ms)
         loads_by_id, count, age_ms = self._sum_subtree(own_by_id, now_ms)
+        loads_by_id = most_loaded(loads_by_id, MAX_SERVERS)
         if not _is_due(now_ms, self._reported_ms, len(loads_by_id)):
             return message
         self._reported_ms = now_ms
         self._last_number += 1
-        numbers = {name: each.number for name, each in self._subtrees_by_name.items()}
-        self._reports_by_number[self._last_number] = _Report(own_by_id, numbers)
+        self._reports_by_number[self._last_number] = loads_by_id
         if len(self._reports_by_number) > MAX_KEPT_REPORTS:
             self._reports_by_number.popitem(last=False)
         message["number"] = self._last_number
@@ -195,6 +221,7 @@
             self._reject(error)
             return
         self._drop_expired(now_ms)
+        self._has_changed = True
         known = self._subtrees_by_name.get(name)
         if known is not None and number <= known.number:
             return
@@ -209,7 +236,11 @@
 
         `request` is what the request carried, None from an older build.
         """
-        if not isinstance(request, dict) or not self.has_sums(now_ms):
+        if not isinstance(request, dict):
+            return None
+        if self._has_changed:
+            self._renew(now_ms)
+        if not self.has_sums(now_ms):
             return None
         name = request.get("from")
         if not isinstance(name, str):
@@ -221,11 +252,14 @@
             self._answered_ms_by_name[name] = now_ms
         followers = max(1, len(self._subtrees_by_name))
         limit = MAX_ANSWER_BYTES_PER_S / (followers * ENTRY_CHARS)
+        subtree = self._subtrees_by_name.get(name)
         return {
-            "counted": self._counted.get(name),
+            "counted": None if subtree is None else subtree.number,
             "count": self.instances,
             "age_ms": round(self.age_ms(now_ms)),
-            "sums": encode_loads(self._fleet_by_id, min(MAX_SERVERS, int(limit))),
+            "sums": encode_loads(
+                most_loaded(self._fleet_by_id, min(MAX_SERVERS, int(limit)))
+            ),
         }
 
     def receive_answer(self, message, now_ms):
@@ -243,33 +277,47 @@
         except (ValueError, KeyError, TypeError) as error:
             self._reject(error)
             return
-        own_by_id = {} if report is None else report.own_by_id
-        self._counted = {} if report is None else report.numbers_by_name
-        self._fleet_by_id = fleet_by_id
-        self._others_by_id = _subtract(fleet_by_id, own_by_id)
+        self._above_by_id = _subtract(fleet_by_id, report or {})
         self._received_ms = now_ms
+        self._has_changed = True
         self._as_of_ms = now_ms - age_ms
         self.instances = count
 
-    def _renew_first(self, now_ms):
-        """Add up the sums of the first instance, from its own and its followers'."""
-        if not self.is_first or now_ms - self._renewed_ms < RENEWAL_MS:
-            return
-        if now_ms - self._received_ms < TAKE_OVER_MS:
-            return
+    def _renew(self, now_ms):
+        """Add up the sums of the fleet, with what followers have reported since."""
         self._renewed_ms = now_ms
+        self._has_changed = False
         own_by_id = self._own_by_id(now_ms)
-        fleet_by_id, self.instances, age_ms = self._sum_subtree(own_by_id, now_ms)
-        self._counted = {
-            name: each.number for name, each in self._subtrees_by_name.items()
-        }
-        self._fleet_by_id = fleet_by_id
+        subtree_by_id, count, age_ms = self._sum_subtree(own_by_id, now_ms)
+        # An instance that has become the first keeps the sums it had for a while.
+        if self.is_first and now_ms - self._received_ms >= TAKE_OVER_MS:
+            self._above_by_id = {}
+            self.instances = count
+            # Alone it knows no more than its own requests.
+            is_alone = not self._subtrees_by_name
+            self._as_of_ms = float("-inf") if is_alone else now_ms - age_ms
         self._others_by_id = {}
+        add_loads(self._others_by_id, self._above_by_id)
         for subtree in self._subtrees_by_name.values():
             add_loads(self._others_by_id, subtree.loads_by_id)
-        # Alone it knows no more than its own requests.
-        is_alone = not self._subtrees_by_name
-        self._as_of_ms = float("-inf") if is_alone else now_ms - age_ms
+        self._fleet_by_id = subtree_by_id
+        add_loads(self._fleet_by_id, self._above_by_id)
+        self._update_means()
+
+    def _update_means(self):
+        """Update the load of others for each slot at speed 1, by service."""
+        totals_by_service = {}
+        for name, backend in self._backends.by_name.items():
+            totals = totals_by_service.setdefault(backend.service, [0.0, 0.0, 0.0])
+            load = self._others_by_id.get(self._id(name), NO_LOAD)
+            totals[0] += load.in_flight
+            totals[1] += load.work
+            totals[2] += self.speed(backend) * backend.slots
+        self._means_by_service = {
+            service: (in_flight / capacity, work / capacity)
+            for service, (in_flight, work, capacity) in totals_by_service.items()
+            if capacity > 0
+        }
 
     def _sum_subtree(self, own_by_id, now_ms):
         """Return the loads, the number of instances and their mean age in ms."""
@@ -322,16 +370,13 @@
         return each_id
 
 
-def _subtract(fleet_by_id, own_by_id):
-    """Return the loads of the other instances, never below zero."""
+def _subtract(fleet_by_id, reported_by_id):
+    """Return the loads without those that were reported, never below zero."""
     return {
         each_id: (
-            fleet
-            if each_id not in own_by_id
-            else ServerLoad(
-                max(0, fleet.in_flight - own_by_id[each_id].in_flight),
-                max(0.0, fleet.work - own_by_id[each_id].work),
-            )
+            fleet.without(reported_by_id[each_id])
+            if each_id in reported_by_id
+            else fleet
         )
         for each_id, fleet in fleet_by_id.items()
     }
--- a/stoatpath/routing/load_sums.py
+++ b/stoatpath/routing/load_sums.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import heapq
 import math
 import struct
 
@@ -52,6 +53,15 @@
         self.expected_ms += other.expected_ms
         self.observed_ms += other.observed_ms
 
+    def without(self, other):
+        """Return this load without a part of it, nowhere below zero."""
+        return ServerLoad(
+            max(0, self.in_flight - other.in_flight),
+            max(0.0, self.work - other.work),
+            max(0.0, self.expected_ms - other.expected_ms),
+            max(0.0, self.observed_ms - other.observed_ms),
+        )
+
 
 def add_loads(loads_by_id, others_by_id):
     """Add the loads of `others_by_id` to `loads_by_id`."""
@@ -62,14 +72,15 @@
         load.add(other)
 
 
-def encode_loads(loads_by_id, limit=MAX_SERVERS):
-    """Return the wire form of the loads of at most `limit` backend servers.
+def most_loaded(loads_by_id, limit):
+    """Return the loads of at most `limit` backend servers, the most loaded ones."""
+    if len(loads_by_id) <= limit:
+        return loads_by_id
+    return dict(heapq.nlargest(limit, loads_by_id.items(), key=_order))
 
-    Those with the most requests come first, then those with the most observed time.
-    """
-    items = loads_by_id.items()
-    if len(loads_by_id) > limit:
-        items = sorted(items, key=_order, reverse=True)[:limit]
+
+def encode_loads(loads_by_id):
+    """Return the wire form of loads."""
     packed = b"".join(
         _ENTRY.pack(
             each_id,
@@ -78,7 +89,7 @@
             _encode_logarithm(load.expected_ms / _TIME_UNIT_MS),
             _encode_logarithm(load.observed_ms / _TIME_UNIT_MS),
         )
-        for each_id, load in items
+        for each_id, load in loads_by_id.items()
     )
     return base64.b64encode(packed).decode()
 
--- a/stoatpath/routing/speeds.py
+++ b/stoatpath/routing/speeds.py
@@ -9,6 +9,9 @@
 # The speed counts as 1 until answers took about this long; a shorter time can lie
 # within a slow moment.
 PRIOR_MS = 1_500.0
+# Answers that make the mean pace of a model known; earlier ones would be compared
+# mostly with themselves.
+MIN_REFERENCE_ANSWERS = 8
 # Shorter streams tell little of the pace.
 MIN_EVENTS = 8
 MIN_SPEED = 0.25
@@ -58,6 +61,8 @@
         if reference is None:
             reference = self._references_by_key[key] = _Times(now_ms)
         reference.add(amount * slowdown, observed_ms, now_ms)
+        if reference.count < MIN_REFERENCE_ANSWERS:
+            return
         expected_ms = amount * slowdown * reference.observed_ms / reference.expected_ms
         times = self._times_by_name.get(result.backend)
         if times is None:
@@ -79,11 +84,15 @@
 
 
 class _Times:
-    """An expected and an observed time that decay with `HALF_LIFE_MS`."""
+    """An expected and an observed time that decay with `HALF_LIFE_MS`.
+
+    `count` is the number of answers, which does not decay.
+    """
 
-    __slots__ = ("expected_ms", "observed_ms", "_updated_ms")
+    __slots__ = ("expected_ms", "observed_ms", "count", "_updated_ms")
 
     def __init__(self, now_ms):
+        self.count = 0
         self.expected_ms = 0.0
         self.observed_ms = 0.0
         self._updated_ms = now_ms
@@ -96,6 +105,7 @@
 
     def add(self, expected_ms, observed_ms, now_ms):
         self.decay(now_ms)
+        self.count += 1
         self.expected_ms += expected_ms
         self.observed_ms += observed_ms
 
