Choices in a small service are spread by noise; features of the selection

In a service of three servers with six slots, every instance compared all servers by the same sums, and the least loaded one got the requests of all. The estimated load now varies at random by as much as the sums are uncertain at their age, in services of up to six servers.

--- a/stoatpath/measure/experiments.py
+++ b/stoatpath/measure/experiments.py
@@ -9,6 +9,7 @@
     "control": "stoatpath.measure.control_traffic",
     "decision-costs": "stoatpath.measure.decision_costs",
     "placement": "stoatpath.measure.placements",
+    "fleet-load": "stoatpath.measure.fleet_loads",
     "fairness": "stoatpath.measure.fairness",
     "lookups": "stoatpath.measure.lookup_strategies",
     "overload": "stoatpath.measure.overloads",
--- a/stoatpath/measure/fleet_loads.py
+++ b/stoatpath/measure/fleet_loads.py
@@ -10,32 +10,53 @@
 from stoatpath.feeds.sources import SourceSelector
 from stoatpath.measure.prompt_engines import BatchingEngine
 from stoatpath.measure.prompt_loads import KINDS, PromptLoad
-from stoatpath.measure.seed_statistics import percentile
+from stoatpath.measure.reports import Figure, Report
+from stoatpath.measure.seed_statistics import mean, percentile
 from stoatpath.membership.members import MemberTable
 from stoatpath.membership.messages import LIVE, Member
 from stoatpath.routing.affinity import AffinityChooser
 
+# Instances, engines and seeds; the large fleets take minutes for each.
+FLEETS = ((7, 9, 20), (59, 60, 20), (195, 200, 3), (544, 560, 1))
+WAYS = ("own", "sums", "oracle")
+# A rate at which about one in ten requests is late by the own load alone.
+SCALE = 0.8
 SPEEDS = (0.7, 0.7, 1.7)
 ENGINES_OF_KINDS = 9
 ZONES = 4
 EXCHANGE_MS = 500.0
 DEADLINE_MS = 20_000.0
 ZONE_DEMAND_SWING = 0.55
+# Larger fleets are sampled by the oracle, which would take hours otherwise.
+MAX_ORACLE_SAMPLE = 200
+# Few choices are made so long after the last arrival.
+EXCHANGES_END_MS = 5_000.0
 # Requests that arrive sooner find no sums and cold prompt caches.
 WARM_UP_MS = 5_000.0
+UNITS_BY_FIGURE = {
+    "first_p50": "ms",
+    "first_p95": "ms",
+    "first_p99": "ms",
+    "end_p50": "ms",
+    "end_p95": "ms",
+    "end_p99": "ms",
+    "late": "of asked",
+    "missed": "of asked",
+    "busiest": "of mean",
+    "read": "of prompt tokens",
+    "crossed": "of attempts",
+    "credit": "of owed",
+}
 
 
 class OracleLoads:
     """The exact load and speed of each engine, with the interface of `FleetLoads`."""
 
-    __slots__ = ("_engines_by_name", "_pending_by_name")
+    __slots__ = ("_engines_by_name", "_counts")
 
-    def __init__(self, engines_by_name, instances):
+    def __init__(self, engines_by_name, counts):
         self._engines_by_name = engines_by_name
-        self._pending_by_name = {
-            name: [each.backends[index] for each in instances]
-            for index, name in enumerate(engines_by_name)
-        }
+        self._counts = counts
 
     def observe(self, result):
         """Learn nothing."""
@@ -46,10 +67,13 @@
 
     def load(self, backend):
         """Return the open requests and the pending prompt work."""
-        pending = self._pending_by_name[backend.name]
-        work = sum(each.pending_prompt_work for each in pending)
+        work = self._counts["pending", backend.name]
         return self._engines_by_name[backend.name].open_requests, work
 
+    def is_small(self, service):
+        """Return False: nothing is uncertain."""
+        return False
+
     def speed(self, backend):
         """Return the speed of the engine, without its slow moments."""
         return self._engines_by_name[backend.name].speed
@@ -61,7 +85,10 @@
     __slots__ = ()
 
     def _sample(self, eligible, preferred):
-        return eligible
+        if len(eligible) <= MAX_ORACLE_SAMPLE:
+            return eligible
+        sample = self._random.sample(eligible, MAX_ORACLE_SAMPLE)
+        return sample if preferred is None else [preferred, *sample]
 
 
 class FleetLoad(PromptLoad):
@@ -97,7 +124,7 @@
             instance.chooser._random = random.Random(f"{seed} {number}")
             self._instances_by_zone.setdefault(instance.zone, []).append(instance)
         if way == "oracle":
-            loads = OracleLoads(self.engines_by_name, self.instances)
+            loads = OracleLoads(self.engines_by_name, self.counts)
             for instance in self.instances:
                 instance.chooser.fleet_loads = loads
         if way == "sums":
@@ -129,7 +156,7 @@
         figures["late"] = late / asked
         figures["missed"] = failed / asked
         figures["busiest"] = max(shares) * len(shares) / sum(shares)
-        figures["read"] = sum(each.prefill_tokens for each in engines) / prompts
+        figures["read"] = sum(each.prefill_tokens for each in engines) / max(1, prompts)
         sends = sum(each.sends for each in engines)
         figures["crossed"] = self.counts["crossed"] / sends
         figures["credit"] = self.credit()
@@ -181,6 +208,8 @@
         now_ms = self.events.now_ms
         for link in self._sources:
             link.exchange(now_ms)
+        if now_ms > self._seconds * 1_000 + EXCHANGES_END_MS:
+            return
         self.events.schedule(now_ms + EXCHANGE_MS, self._exchange)
 
 
@@ -210,3 +239,43 @@
             self._loads.receive_answer(answer, now_ms)
         self._report = self._loads.build_report(now_ms)
         self._source.receive_report(self._report, now_ms)
+
+
+def list_trials(seed):
+    """Return all combinations of fleet, way and seed, the longest first."""
+    return [
+        (instances, engines, way, seed + offset)
+        for instances, engines, seeds in reversed(FLEETS)
+        for way in WAYS
+        for offset in range(seeds)
+    ]
+
+
+def run_trial(trial):
+    """Return the trial and its figures."""
+    instances, engines, way, seed = trial
+    load = FleetLoad(seed, way, engines, instances, SCALE)
+    load.run()
+    return trial, load.figures()
+
+
+def summarise(seed, results):
+    """Return the means over all seeds."""
+    figures = []
+    for instances, _, _ in FLEETS:
+        for way in WAYS:
+            group = [
+                result
+                for trial, result in results
+                if trial[0] == instances and trial[2] == way
+            ]
+            for name, unit in UNITS_BY_FIGURE.items():
+                value = mean([each[name] for each in group])
+                title = f"{name}, {instances} instances, {way}"
+                figures.append(Figure(title, round(value, 4), unit))
+    return Report("fleet-load", seed, figures, [])
+
+
+def run(seed):
+    """Run all trials one after the other."""
+    return summarise(seed, [run_trial(trial) for trial in list_trials(seed)])
--- a/stoatpath/measure/prompt_loads.py
+++ b/stoatpath/measure/prompt_loads.py
@@ -11,7 +11,7 @@
 from stoatpath.cascades.confidence import ModelChoice
 from stoatpath.dispatch.messages import AttemptResult
 from stoatpath.measure.events import EventQueue
-from stoatpath.measure.prompt_engines import PromptEngine, PromptJob
+from stoatpath.measure.prompt_engines import SLOTS, PromptEngine, PromptJob
 from stoatpath.membership.directories import DirectoryBackend
 from stoatpath.membership.messages import ListedBackend
 from stoatpath.outcomes import is_failure
@@ -198,7 +198,7 @@
         self.backends = [
             DirectoryBackend(
                 ListedBackend(
-                    name, SERVICE, name, f"zone-{number % zones}", "v1", 32, False
+                    name, SERVICE, name, f"zone-{number % zones}", "v1", SLOTS, False
                 ),
                 0.0,
             )
@@ -253,9 +253,12 @@
             self._load.counts["crossed"] += 1
         backend.in_flight += 1
         backend.pending_prompt_work += pending_work[0]
+        counts = self._load.counts
+        counts["pending", backend.name] += pending_work[0]
         first_token_ms = []
 
         def on_first_token(job):
+            counts["pending", backend.name] -= pending_work[0]
             backend.pending_prompt_work -= pending_work.pop()
             first_token_ms.append(self._load.events.now_ms)
             if not is_low_confidence and self._first_token_ms is None:
@@ -264,6 +267,7 @@
 
         def on_end(job):
             backend.in_flight -= 1
+            counts["pending", backend.name] -= sum(pending_work)
             backend.pending_prompt_work -= sum(pending_work)
             if is_low_confidence and not pending_work:
                 self.send(LARGE, False)
--- a/stoatpath/routing/affinity.py
+++ b/stoatpath/routing/affinity.py
@@ -3,7 +3,7 @@
 from stoatpath.outcomes import NO_BACKEND, Failure
 from stoatpath.routing.breakers import CircuitBreakers
 from stoatpath.routing.failure_rates import FailureRates
-from stoatpath.routing.fleet_loads import FleetLoads
+from stoatpath.routing.fleet_loads import SMALL_SERVICE_SERVERS, FleetLoads
 from stoatpath.routing.length_partitions import PromptLengthPartition
 from stoatpath.routing.messages import Candidate, Choice
 from stoatpath.routing.speeds import ServerSpeeds
@@ -34,9 +34,6 @@
 FULL_BATCH_COST = 4.0
 # Crossing zones is billed, but is worth it where it saves a tenth of an answer's time.
 FLEET_CROSS_ZONE_COST = 25_000.0
-# More than an answer's time on an idle server, less than on a full one: the partition
-# may not overload a part of the fleet while fast servers of the other part are idle.
-FLEET_OTHER_PARTITION_COST = 400_000.0
 FLEET_FAILURE_COST = 2_500_000.0
 # Many choices are made from the same sums, so each evaluates only a few random servers,
 # of its own zone and of all, besides the preferred one: the least loaded one would get
@@ -154,15 +151,15 @@
         has_sums = self.fleet_loads is not None and self.fleet_loads.has_sums(now_ms)
         if has_sums:
             candidates = self._sample(eligible, preferred)
-            cost_of, partition_cost = self._fleet_cost, FLEET_OTHER_PARTITION_COST
+            cost_of = self._fleet_cost
         else:
             candidates = self._select_evaluated(eligible, preferred)
-            cost_of, partition_cost = self._cost, OTHER_PARTITION_COST
+            cost_of = self._cost
         evaluated = []
         for backend in candidates:
             cost = cost_of(backend, query, preferred, now_ms)
             if backend.name in avoided:
-                cost += partition_cost
+                cost += OTHER_PARTITION_COST
             # Equal costs are common; a random fraction breaks the ties.
             evaluated.append((cost + self._random.random(), backend))
         evaluated.sort(key=_cost_of)
@@ -181,6 +178,8 @@
 
     def _sample(self, eligible, preferred):
         """Return a few random candidates of this zone and of all, and the preferred."""
+        if len(eligible) <= SMALL_SERVICE_SERVERS:
+            return eligible
         same_zone = [each for each in eligible if each.zone == self._zone]
         sample = self._random.sample(
             same_zone, min(len(same_zone), SAMPLED_SAME_ZONE)
@@ -256,6 +255,9 @@
         one to end.
         """
         in_flight, work = self.fleet_loads.load(backend)
+        if self.fleet_loads.is_small(backend.service):
+            deviation = self.fleet_loads.deviation(in_flight)
+            in_flight = max(0.0, self._random.gauss(in_flight, deviation))
         slots = max(1, backend.slots)
         slowdown = 1.0 + FULL_BATCH_COST * min(in_flight, slots) / slots
         queued = max(0.0, in_flight + 1 - slots) / slots
--- a/stoatpath/routing/fleet_loads.py
+++ b/stoatpath/routing/fleet_loads.py
@@ -6,7 +6,8 @@
 """
 
 import logging
-from collections import OrderedDict
+import math
+from collections import Counter, OrderedDict
 
 from stoatpath.routing.load_sums import (
     ENTRY_CHARS,
@@ -45,6 +46,9 @@
 # estimate decays to the mean of the service's servers with these half-lives.
 IN_FLIGHT_HALF_LIFE_MS = 1_000.0
 WORK_HALF_LIFE_MS = 300.0
+# In a service of up to so many servers every choice compares all, and the least loaded
+# in the sums would get the requests of all instances.
+SMALL_SERVICE_SERVERS = 6
 # Sums of the first instance are added up anew at most this often.
 RENEWAL_MS = 100.0
 IDLE_RENEWAL_MS = 1_000.0
@@ -94,6 +98,7 @@
         "_above_by_id",
         "_others_by_id",
         "_means_by_service",
+        "_servers_by_service",
         "_in_flight_weight",
         "_work_weight",
         "_as_of_ms",
@@ -120,6 +125,7 @@
         self._above_by_id = {}
         self._others_by_id = {}
         self._means_by_service = {}
+        self._servers_by_service = {}
         self._in_flight_weight = 0.0
         self._work_weight = 0.0
         self._as_of_ms = float("-inf")
@@ -170,6 +176,17 @@
             work + backend.pending_prompt_work,
         )
 
+    def is_small(self, service):
+        """Return whether a service has so few servers that all are compared."""
+        return self._servers_by_service.get(service, 0) <= SMALL_SERVICE_SERVERS
+
+    def deviation(self, in_flight):
+        """Return the standard deviation of estimated requests in flight.
+
+        It is that of random arrivals, less what the sums tell at their age.
+        """
+        return math.sqrt(max(0.5, in_flight) * (1.0 - self._in_flight_weight**2))
+
     def speed(self, backend):
         """Return the speed of a backend server, 1 for the common or an unknown one."""
         load = self._fleet_by_id.get(self._id(backend.name))
@@ -307,17 +324,20 @@
     def _update_means(self):
         """Update the load of others for each slot at speed 1, by service."""
         totals_by_service = {}
+        servers_by_service = Counter()
         for name, backend in self._backends.by_name.items():
             totals = totals_by_service.setdefault(backend.service, [0.0, 0.0, 0.0])
             load = self._others_by_id.get(self._id(name), NO_LOAD)
             totals[0] += load.in_flight
             totals[1] += load.work
             totals[2] += self.speed(backend) * backend.slots
+            servers_by_service[backend.service] += 1
         self._means_by_service = {
             service: (in_flight / capacity, work / capacity)
             for service, (in_flight, work, capacity) in totals_by_service.items()
             if capacity > 0
         }
+        self._servers_by_service = servers_by_service
 
     def _sum_subtree(self, own_by_id, now_ms):
         """Return the loads, the number of instances and their mean age in ms."""
