--- a/stoatpath/feeds/messages.py
+++ b/stoatpath/feeds/messages.py
@@ -98,6 +98,7 @@
     digest and the wire form of `SharedSessions`; the latter is None if the receiver
     has them. `encodings` are the encodings of values that the sender understands,
     `newest_version` is the newest version of the lead table that it has heard of.
+    `loads` are load sums (`FleetLoads`), None from older builds.
     """
 
     __slots__ = (
@@ -108,6 +109,7 @@
         "sessions",
         "encodings",
         "newest_version",
+        "loads",
     )
 
     def __init__(
@@ -119,6 +121,7 @@
         sessions=None,
         encodings=ENCODINGS,
         newest_version=0,
+        loads=None,
     ):
         self.versions_by_table = versions_by_table
         self.confirmed_store_ms = confirmed_store_ms
@@ -127,6 +130,7 @@
         self.sessions = sessions
         self.encodings = encodings
         self.newest_version = newest_version
+        self.loads = loads
 
     @classmethod
     def from_json(cls, data):
@@ -145,6 +149,7 @@
                 data["sessions"],
                 tuple(str(each) for each in data.get("encodings") or ()),
                 int(data.get("newest_version") or 0),
+                data.get("loads"),
             )
         except (AttributeError, KeyError, TypeError) as error:
             raise ValueError(f"malformed request: {error!r}") from error
@@ -160,6 +165,7 @@
             "sessions": self.sessions,
             "encodings": self.encodings,
             "newest_version": self.newest_version,
+            "loads": self.loads,
         }
 
 
@@ -173,7 +179,7 @@
     whether the sender's source or the store may still confirm its tables; None if the
     sender is of a build that does not tell. `is_arriving` tells whether bytes of newer
     rows are on their way to the sender. `age_ms` is the age of its copies, None if it
-    has none or does not tell, `newest_version` as in `TablesRequest`.
+    has none or does not tell, `newest_version` and `loads` as in `TablesRequest`.
     """
 
     __slots__ = (
@@ -188,6 +194,7 @@
         "is_arriving",
         "age_ms",
         "newest_version",
+        "loads",
     )
 
     def __init__(
@@ -203,6 +210,7 @@
         is_arriving=False,
         age_ms=None,
         newest_version=0,
+        loads=None,
     ):
         self.store_ms = store_ms
         self.outage_end_store_ms = outage_end_store_ms
@@ -215,6 +223,7 @@
         self.is_arriving = is_arriving
         self.age_ms = age_ms
         self.newest_version = newest_version
+        self.loads = loads
 
     @classmethod
     def from_json(cls, data):
@@ -235,6 +244,7 @@
                 data.get("is_arriving") is True,
                 _number_or_none(data.get("age_ms")),
                 int(data.get("newest_version") or 0),
+                data.get("loads"),
             )
         except (AttributeError, KeyError, TypeError) as error:
             raise ValueError(f"malformed answer: {error!r}") from error
@@ -256,6 +266,7 @@
             "is_arriving": self.is_arriving,
             "age_ms": self.age_ms,
             "newest_version": self.newest_version,
+            "loads": self.loads,
         }
 
 
--- a/stoatpath/feeds/relays.py
+++ b/stoatpath/feeds/relays.py
@@ -82,7 +82,8 @@
     the time within which each change must be known. `sessions` are `SharedSessions`,
     which travel with the tables in both directions. Until `first_read_ms`, a clock
     reading, the store is not read, so that instances which start together find each
-    other. `on_era_change` is called when another instance tells of a later era of the
+    other. `fleet_loads` are `FleetLoads`, which travel in the same messages, or None.
+    `on_era_change` is called when another instance tells of a later era of the
     store, before its rows are applied.
     """
 
@@ -117,6 +118,7 @@
         "behind_since_ms",
         "_logged_delay_ms",
         "on_era_change",
+        "fleet_loads",
     )
 
     def __init__(
@@ -164,6 +166,7 @@
         self.behind_since_ms = None
         self._logged_delay_ms = None
         self.on_era_change = lambda era: None
+        self.fleet_loads = None
         server.register(TABLES_TOPIC, self._handle_request)
         for follower in followers_by_table.values():
             follower.is_enabled.clear()
@@ -202,6 +205,8 @@
             await self._ask_around(now_ms)
             return
         source = self._selector.select(now_ms)
+        if self.fleet_loads is not None:
+            self.fleet_loads.is_first = source is None
         if source is None and now_ms < self._first_read_ms:
             await self._clock.sleep_until(now_ms + JOIN_CHECK_PERIOD_MS)
             return
@@ -315,6 +320,7 @@
             self._sessions.digest(),
             self._sessions_unless(self._source_sessions_digest),
             newest_version=self.newest_version,
+            loads=self.fleet_loads and self.fleet_loads.build_report(now_ms),
         )
         answer = await self._client.ask(
             source.address,
@@ -333,6 +339,8 @@
                 self._record_progress()
             self._sessions.merge(answer.sessions or {})
             self._source_sessions_digest = answer.sessions_digest
+            if self.fleet_loads is not None:
+                self.fleet_loads.receive_answer(answer.loads, self._clock.now_ms())
             return answer
         except ValueError as error:
             return Failure(CONNECT_FAILED, str(error))
@@ -590,6 +598,8 @@
                 request.versions_by_table.get(self._lead_table, 0),
             )
         )
+        if self.fleet_loads is not None:
+            self.fleet_loads.receive_report(request.loads, self._clock.now_ms())
         deadline_ms = self._clock.now_ms() + min(request.wait_ms, MAX_HOLD_MS)
         while not self._has_news(request):
             left_ms = deadline_ms - self._clock.now_ms()
@@ -642,6 +652,8 @@
             self._is_arriving(),
             self.copy_age_ms() if self._lead.copy.is_known else None,
             self.newest_version,
+            self.fleet_loads
+            and self.fleet_loads.build_answer(request.loads, self._clock.now_ms()),
         )
 
     def _sessions_unless(self, known_digest):
