Failed tasks start again, and a malformed message or row leaves the rest as it was

Cause: an error in a task of a gateway, router or controller ended that task until the next restart; only the gateway logged it. A row that raised lost the other rows of the same read, a configuration with a list as prefix answered every request with 500, and a quarantine with a count of 2^64 - 1 stopped the event loop (2**count).

Parts of a task end together. Rows, peer answers and counts are checked when they are decoded.

--- a/stoatpath/controllers.py
+++ b/stoatpath/controllers.py
@@ -1,7 +1,5 @@
 """Assembles one controller process, which serves operators."""
 
-import asyncio
-
 from stoatpath.clock import Clock
 from stoatpath.configuration.listeners import OperatorListener
 from stoatpath.explanations.finders import ExplanationFinder
@@ -80,14 +78,14 @@
         """Start all tasks and listen."""
         await self.node.start()
         await self.rollouts.read()
-        coroutines = (
-            self.leases.run(),
-            self.rollouts.run(),
-            self._count_reporter.run(),
-            self.rollout_keeper.run(),
-            self.placement.run(),
-        )
-        self._tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
+        runs_by_name = {
+            "leases": self.leases.run,
+            "rollouts": self.rollouts.run,
+            "counts": self._count_reporter.run,
+            "rollout-decisions": self.rollout_keeper.run,
+            "placement": self.placement.run,
+        }
+        self._tasks = self.node.supervisor.start(runs_by_name)
         await self.metrics.start(self.settings.metrics_listen_address)
         await self.listener.start(self.settings.operator_listen_address)
 
--- a/stoatpath/feeds/followers.py
+++ b/stoatpath/feeds/followers.py
@@ -213,8 +213,23 @@
         return self._reachability.record_answer(sent_ms, now_ms, page.store_ms)
 
     def _report_changes(self, changes):
-        if changes:
+        """Pass on changes; one that raises is left out, and the others are applied.
+
+        The copy already has all of them, so no later read would bring them again.
+        """
+        if not changes:
+            return
+        try:
             self._on_changes(changes)
+            return
+        except Exception:
+            logger.exception("store.changes-failed", extra={"table": self._table})
+        for change in changes:
+            try:
+                self._on_changes([change])
+            except Exception:
+                extra = {"table": self._table, "row": change.key}
+                logger.exception("store.row-failed", extra=extra)
 
     def _log_gap(self, page):
         if not is_failure(page):
--- a/stoatpath/feeds/relays.py
+++ b/stoatpath/feeds/relays.py
@@ -145,7 +145,9 @@
 
     async def run(self):
         """Keep the copies up to date until cancelled."""
-        await asyncio.gather(self._watch_age(), self._run_steps())
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._watch_age())
+            tasks.create_task(self._run_steps())
 
     async def _run_steps(self):
         while True:
--- a/stoatpath/gateway_metrics.py
+++ b/stoatpath/gateway_metrics.py
@@ -1,7 +1,7 @@
 """The metrics of a gateway, read from its components at each scrape."""
 
 from stoatpath.log import dropped_lines
-from stoatpath.metric_sources import quarantine_samples
+from stoatpath.metric_sources import quarantine_samples, supervisor_samples
 from stoatpath.metrics import Sample
 
 
@@ -14,6 +14,7 @@
         *_process_samples(gateway),
         *_store_samples(gateway, now_ms),
         *_backend_samples(gateway),
+        *supervisor_samples(gateway.supervisor),
         Sample.gauge(
             "stoatpath_ready", "Whether requests can be served.", gateway.is_ready()
         ),
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -1,6 +1,5 @@
 """Assembles a gateway: the router process that runs on the users' platform."""
 
-import asyncio
 import logging
 import random
 
@@ -56,10 +55,12 @@
 from stoatpath.quarantine.reporters import CrashReporter
 from stoatpath.quarantine.storages import QUARANTINE_TABLE, QuarantineStorage
 from stoatpath.readiness import ReadyServer
+from stoatpath.replacements import Replacements
 from stoatpath.rollouts.release_keepers import ReleaseKeeper
 from stoatpath.rollouts.releases import ReleaseRegistry
 from stoatpath.routing.affinity import AffinityChooser
 from stoatpath.sessions.releases import SessionReleases
+from stoatpath.supervisors import Supervisor
 from stoatpath.utils import cancel_and_wait
 
 logger = logging.getLogger(__name__)
@@ -167,6 +168,8 @@
         "peer_client",
         "gossip",
         "tables",
+        "supervisor",
+        "replacements",
         "_members_known_at_ms",
         "_tasks",
     )
@@ -256,6 +259,8 @@
         )
         seeds = [seed for seed in boot.peer_seeds if seed != boot.peer_address]
         self.gossip.contacts.add_seed_addresses(seeds)
+        self.supervisor = Supervisor(self.clock, self.random)
+        self.replacements = Replacements(self, self.is_ready, self.random)
         self._members_known_at_ms = self.clock.now_ms() + MEMBERS_KNOWN_AFTER_MS
         join_ms = FIRST_START_JOIN_MS if boot.is_first_start else JOIN_MS
         self.tables = TableRelay(
@@ -426,19 +431,18 @@
         await self.backend_client.start()
         await self.peer_server.start(self.boot.peer_address)
         self.members.local.address = self.peer_server.address
-        coroutines = (
-            self._run_gossip(),
-            self.tables.run(),
-            self.operator_rows.run(),
-            self.server_rows.run(),
-            self.status_rows.run(),
-            self.quarantine_rows.run(),
-            self.releases.run(),
-            self._run_maintenance(),
-        )
-        self._tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
-        for task in self._tasks:
-            task.add_done_callback(_log_task_failure)
+        runs_by_name = {
+            "gossip": self._run_gossip,
+            "tables": self.tables.run,
+            "operator-rows": self.operator_rows.run,
+            "server-rows": self.server_rows.run,
+            "status-rows": self.status_rows.run,
+            "quarantine-rows": self.quarantine_rows.run,
+            "releases": self.releases.run,
+            "maintenance": self._run_maintenance,
+            "replacements": self.replacements.run,
+        }
+        self._tasks = self.supervisor.start(runs_by_name)
         await self.listener.start(self.boot.front_address)
         await self.ready_server.start(self.boot.ready_address)
         if metrics_address is not None:
@@ -505,7 +509,7 @@
         """
         has_table = self.routes.table is not None
         is_fresh = self.guard.is_fresh or not self.boot.fails_closed
-        is_leaving = self.listener.is_leaving
+        is_leaving = self.listener.is_leaving or self.replacements.is_yielding
         has_backends = bool(self.backends.by_name) and not self._is_partitioned()
         return has_table and is_fresh and has_backends and not is_leaving
 
@@ -643,9 +647,3 @@
 
 def _log_unreadable(key, failure):
     logger.warning("store.row-unreadable", extra={"row": key, "why": failure.detail})
-
-
-def _log_task_failure(task):
-    """Log the error that ended a task; it is not started again."""
-    if not task.cancelled() and task.exception() is not None:
-        logger.critical("gateway.task-failed", exc_info=task.exception())
--- a/stoatpath/membership/gossip.py
+++ b/stoatpath/membership/gossip.py
@@ -89,16 +89,20 @@
 
     async def run(self):
         """Probe and gossip until cancelled."""
-        push_task = asyncio.create_task(self._push_on_request())
         try:
-            while True:
-                started_ms = self._clock.now_ms()
-                self._start_job(self.run_round())
-                await self._clock.sleep_until(started_ms + self._period_ms)
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._push_on_request())
+                tasks.create_task(self._run_rounds())
         finally:
-            for job in [push_task, *self._jobs]:
+            for job in self._jobs:
                 job.cancel()
-            await asyncio.gather(push_task, *self._jobs, return_exceptions=True)
+            await asyncio.gather(*self._jobs, return_exceptions=True)
+
+    async def _run_rounds(self):
+        while True:
+            started_ms = self._clock.now_ms()
+            self._start_job(self.run_round())
+            await self._clock.sleep_until(started_ms + self._period_ms)
 
     async def run_round(self):
         """Probe one member, and contact one that is dead or was never reached."""
--- a/stoatpath/membership/messengers.py
+++ b/stoatpath/membership/messengers.py
@@ -22,7 +22,7 @@
 # Limit of the optional topics of one message; a single topic may exceed it alone.
 MAX_TOPICS_BYTES = 1_500
 MAX_TOPIC_BYTES = 16_000
-UNREADABLE = (AttributeError, KeyError, TypeError, ValueError)
+UNREADABLE = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)
 
 
 class Messenger:
--- a/stoatpath/membership/peers.py
+++ b/stoatpath/membership/peers.py
@@ -24,7 +24,7 @@
 
 PEER_TIMEOUT_MS = 1_000
 MAX_PEER_BODY_BYTES = 8 * 1024 * 1024
-UNREADABLE = (AttributeError, KeyError, TypeError, ValueError)
+UNREADABLE = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)
 
 __all__ = ["PeerClient", "PeerServer", "PeerSigner"]
 
@@ -159,8 +159,8 @@
             return Failure(CONNECT_FAILED, detail, Outcome.UNKNOWN)
         answer = decode_json(body)
         is_signed = self._signer.verify(answer_topic(topic), body, signature, nonce)
-        if not is_signed or answer is None:
-            detail = f"{topic}: an answer that is not signed or not JSON"
+        if not is_signed or not isinstance(answer, dict):
+            detail = f"{topic}: an answer that is not signed or no JSON object"
             return Failure(CONNECT_FAILED, detail, Outcome.UNKNOWN)
         return answer
 
--- a/stoatpath/metric_sources.py
+++ b/stoatpath/metric_sources.py
@@ -37,6 +37,22 @@
     return samples
 
 
+def supervisor_samples(supervisor):
+    """Return the samples of the tasks that a process runs until it stops."""
+    for task, count in supervisor.failures_by_task.items():
+        yield Sample.counter(
+            "stoatpath_task_failures_total",
+            "Errors that ended a task; it was started again.",
+            count,
+            task=task,
+        )
+    yield Sample.gauge(
+        "stoatpath_tasks_failing",
+        "Tasks that have kept failing for 30 s.",
+        len(supervisor.lasting_failures()),
+    )
+
+
 def quarantine_samples(router):
     """Return the samples of the quarantine of a router or a gateway."""
     return [
@@ -95,6 +111,7 @@
                 state=state,
             )
         )
+    samples += supervisor_samples(node.supervisor)
     return samples + _platform_samples(node)
 
 
--- a/stoatpath/nodes.py
+++ b/stoatpath/nodes.py
@@ -20,6 +20,7 @@
 from stoatpath.services.instance_lists import InstanceList
 from stoatpath.services.objects import ObjectStore
 from stoatpath.services.tables import Table
+from stoatpath.supervisors import Supervisor
 from stoatpath.tls import TlsContexts
 from stoatpath.utils import cancel_and_wait
 
@@ -49,6 +50,7 @@
         "peer_client",
         "gossip",
         "topic",
+        "supervisor",
         "_has_tried_instance_list",
         "_tasks",
     )
@@ -96,6 +98,7 @@
         self.gossip.add_topic(self.topic)
         self.follower.count_members = lambda: len(self.members.peers()) + 1
         self.peer_server.register(STATUS_TOPIC, self._handle_status_request)
+        self.supervisor = Supervisor(clock, random.Random())
         self._has_tried_instance_list = asyncio.Event()
         self._tasks = []
 
@@ -109,15 +112,14 @@
         await self.peer_server.start(self.settings.peer_listen_address)
         self.members.local.address = self.peer_server.address
         await self.follower.poll()
-        coroutines = (
-            self.follower.run(),
-            self.topic.run(),
-            self._push_changes(),
-            self.gossip.run(),
-            self.tls.run(self.clock),
-            self._run_instance_reads(),
-        )
-        self._tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
+        runs_by_name = {
+            "configuration": self.follower.run,
+            "fetches": self.topic.run,
+            "changes": self._push_changes,
+            "gossip": self.gossip.run,
+            "tls": lambda: self.tls.run(self.clock),
+            "instances": self._run_instance_reads,
+        }
         if self.role == ACCEPTING_ROLE and self.archive is not None:
             keeper = HistoryKeeper(
                 self.store,
@@ -127,7 +129,8 @@
                 self.clock,
                 self.settings.history_kept_revisions,
             )
-            self._tasks.append(asyncio.create_task(keeper.run()))
+            runs_by_name["history"] = keeper.run
+        self._tasks = self.supervisor.start(runs_by_name)
 
     async def wait_for_peers(self):
         """Return after the first read of the instance list and one gossip round.
--- a/stoatpath/platform/documents.py
+++ b/stoatpath/platform/documents.py
@@ -1,5 +1,7 @@
 """Decodes the rows that the operator and the replicas write to the store."""
 
+import math
+
 from stoatpath.configuration.routes import (
     AT_MOST_ONCE,
     IDEMPOTENT,
@@ -41,7 +43,7 @@
 DEFAULT_BODY_BYTES = 4_194_304
 DEFAULT_HEAD_TIMEOUT_MS = 3_000
 DEFAULT_IDLE_TIMEOUT_MS = 15_000
-DECODE_ERRORS = (AttributeError, KeyError, TypeError, ValueError)
+DECODE_ERRORS = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)
 
 
 def decode_route_table(value):
@@ -111,9 +113,12 @@
     services = [_build_service(each) for each in data["services"]]
     organisations_by_key = {}
     for each in data.get("tenants") or ():
-        organisation = RoutedOrganisation(each["name"], each.get("priority"))
+        priority = each.get("priority")
+        organisation = RoutedOrganisation(
+            _require_text(each["name"]), None if priority is None else int(priority)
+        )
         for key in each.get("api_keys") or ():
-            organisations_by_key[key] = organisation
+            organisations_by_key[_require_text(key)] = organisation
     return RouteTable(
         int(data["version"]),
         [_build_route(each) for each in data["routes"]],
@@ -128,7 +133,11 @@
     # Only services of model replicas have `engine`.
     models = (data.get("engine") or {}).get("models") or ()
     return RoutedService(
-        data["name"], {each["name"]: float(each.get("cost", 0)) for each in models}
+        _require_text(data["name"]),
+        {
+            _require_text(each["name"]): _require_finite(each.get("cost", 0))
+            for each in models
+        },
     )
 
 
@@ -136,22 +145,24 @@
     # `traffic_split` takes precedence over `service`.
     shares = data.get("traffic_split") or ()
     weights_by_service = {
-        each["service"]: each["weight"] for each in shares if each["weight"] > 0
+        _require_text(each["service"]): _require_finite(each["weight"])
+        for each in shares
+        if each["weight"] > 0
     }
     return Route(
-        data["name"],
-        data["host"].lower(),
-        data["prefix"],
+        _require_text(data["name"]),
+        _require_text(data["host"]).lower(),
+        _require_text(data["prefix"]),
         REPEATS_BY_KIND[data["kind"]],
-        float(data["timeout_ms"]),
-        float(data.get("target_latency_ms") or data["timeout_ms"]),
+        _require_finite(data["timeout_ms"]),
+        _require_finite(data.get("target_latency_ms") or data["timeout_ms"]),
         int(data.get("priority") or 0),
-        weights_by_service or {data["service"]: 1},
+        weights_by_service or {_require_text(data["service"]): 1},
         max(1, int(data.get("max_attempts") or 1)),
         bool(data.get("public", False)),
         bool(data.get("resumable", False)),
         # `sizes` lists models, smallest first.
-        tuple(data.get("sizes") or ()),
+        tuple(_require_text(each) for each in data.get("sizes") or ()),
     )
 
 
@@ -159,8 +170,8 @@
     return CallerLimits(
         int(data.get("max_header_bytes") or DEFAULT_HEAD_BYTES),
         int(data.get("max_body_bytes") or DEFAULT_BODY_BYTES),
-        float(data.get("header_timeout_ms") or DEFAULT_HEAD_TIMEOUT_MS),
-        float(data.get("idle_timeout_ms") or DEFAULT_IDLE_TIMEOUT_MS),
+        _require_finite(data.get("header_timeout_ms") or DEFAULT_HEAD_TIMEOUT_MS),
+        _require_finite(data.get("idle_timeout_ms") or DEFAULT_IDLE_TIMEOUT_MS),
     )
 
 
@@ -189,7 +200,7 @@
     return ReleaseOrder(
         _require_text(data["service"]),
         _require_text(data["to"]),
-        float(data["duration_s"]) * 1_000,
+        _require_finite(data["duration_s"]) * 1_000,
         number_of(row.version),
         era_of(row.version),
     )
@@ -201,7 +212,7 @@
         _require_text(data["to"]),
         STATES_BY_WORD[data["state"]],
         int(data["order"]),
-        float(data["started_ms"]),
+        _require_finite(data["started_ms"]),
         str(data.get("by", "")),
         str(data.get("reason", "")),
         row.version,
@@ -212,3 +223,10 @@
     if not isinstance(value, str) or not value:
         raise ValueError(f"expected a text, not {value!r}")
     return value
+
+
+def _require_finite(value):
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"expected a finite number, not {value!r}")
+    return number
--- a/stoatpath/quarantine/messages.py
+++ b/stoatpath/quarantine/messages.py
@@ -3,6 +3,9 @@
 MAX_NAME_CHARS = 200
 MAX_PARTS = 64
 MAX_TIME_LEFT_MS = 86_400_000.0
+# Durations double with each repeat up to a limit that is reached far earlier. Without a
+# limit on a received count, 2**count stopped the event loop of each instance.
+MAX_REPEATS = 32
 # Begins the name of a whole request, which its digest follows; no prompt part has it.
 WHOLE_REQUEST = "request:"
 
@@ -136,7 +139,7 @@
             decode_name(data["part"]),
             version,
             now_ms + decode_time_left_ms(data["left_ms"]),
-            max(0, repeats),
+            min(MAX_REPEATS, max(0, repeats)),
             data["lifted"] is True,
         )
 
--- a/stoatpath/routers.py
+++ b/stoatpath/routers.py
@@ -1,6 +1,5 @@
 """Assembles one router process from its components."""
 
-import asyncio
 import math
 import random
 
@@ -43,6 +42,7 @@
 from stoatpath.quarantine.exchanges import QuarantineExchange
 from stoatpath.quarantine.quarantines import QuarantineTable
 from stoatpath.quarantine.reporters import CrashReporter
+from stoatpath.replacements import Replacements
 from stoatpath.rollouts.assigners import VersionAssigner
 from stoatpath.rollouts.nodes import RolloutNode, RolloutSampling
 from stoatpath.routing.choosers import LeastTimeChooser
@@ -101,6 +101,7 @@
         "pipeline",
         "listener",
         "metrics",
+        "replacements",
         "_tasks",
     )
 
@@ -168,6 +169,7 @@
         self.pipeline = Pipeline(self)
         self.listener = Listener(self, self.pipeline)
         self.metrics = MetricsServer(lambda: router_samples(self))
+        self.replacements = Replacements(self.node, self.is_ready, rng)
         self._tasks = []
 
     @classmethod
@@ -188,21 +190,22 @@
         self.rate_exchange.count_instances()
         await self.pins.hand_over()
         await self.rollouts.read()
-        coroutines = (
-            self.watcher.run(),
-            self.claims.run(),
-            self.sweeper.run(),
-            self.outbox.run(),
-            self.holder.run(),
-            self.rate_exchange.run(),
-            self.archive.run(),
-            self.pins.run(),
-            self._run_capacity_updates(),
-            self._run_cleanup(),
-            self.rollouts.run(),
-            self.sampling.reporter.run(),
-        )
-        self._tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
+        runs_by_name = {
+            "backends": self.watcher.run,
+            "claims": self.claims.run,
+            "sweeper": self.sweeper.run,
+            "billing": self.outbox.run,
+            "mirrors": self.holder.run,
+            "rates": self.rate_exchange.run,
+            "answers": self.archive.run,
+            "pins": self.pins.run,
+            "capacities": self._run_capacity_updates,
+            "cleanup": self._run_cleanup,
+            "rollouts": self.rollouts.run,
+            "ratings": self.sampling.reporter.run,
+            "replacements": self.replacements.run,
+        }
+        self._tasks = self.node.supervisor.start(runs_by_name)
         await self.metrics.start(self.settings.metrics_listen_address)
         await self.listener.start(self.settings.listen_address)
 
@@ -213,9 +216,13 @@
         return is_clean
 
     def is_ready(self):
-        """Return whether requests can be served: known routes and backend slots."""
+        """Return whether requests can be served: known routes and backend slots.
+
+        A router whose tasks keep failing is not ready while others are.
+        """
         has_backends = any(each.slots for each in self.backends.by_name.values())
-        return self.follower.snapshot.revision > 0 and has_backends
+        is_known = self.follower.snapshot.revision > 0 and has_backends
+        return is_known and not self.replacements.is_yielding
 
     def addresses(self):
         """Return the listening addresses by the kind of client."""
