--- a/stoatpath/feeds/followers.py
+++ b/stoatpath/feeds/followers.py
@@ -241,12 +241,29 @@
         if not changes:
             return
         self.copy.changed_store_ms = changed_store_ms
-        self._on_changes(changes)
+        self._apply_changes(changes)
         if was_known and changed_store_ms != NEVER_MS:
             now_ms = self._clock.now_ms()
             changed_ms = self._reachability.local_ms(changed_store_ms, now_ms)
             self.change_delay_ms = now_ms - changed_ms
 
+    def _apply_changes(self, changes):
+        """Pass on changes; one that raises is left out, and the others are applied.
+
+        The copy already has all of them, so no later read would bring them again.
+        """
+        try:
+            self._on_changes(changes)
+            return
+        except Exception:
+            logger.exception("store.changes-failed", extra={"table": self._table})
+        for change in changes:
+            try:
+                self._on_changes([change])
+            except Exception:
+                extra = {"table": self._table, "row": change.key}
+                logger.exception("store.row-failed", extra=extra)
+
     def _log_gap(self, page):
         if not is_failure(page):
             logger.info("store.history-gone", extra={"table": self._table})
--- a/stoatpath/platform/documents.py
+++ b/stoatpath/platform/documents.py
@@ -1,5 +1,7 @@
 """Decodes the rows that the operator and the replicas write to the store."""
 
+import math
+
 import msgspec
 
 from stoatpath.configuration.routes import (
@@ -51,7 +53,7 @@
 MAX_COLD_START_S = 600.0
 MAX_COLD_START_PER_S = 1e6
 MAX_LOGGED_CHARS = 40
-DECODE_ERRORS = (AttributeError, KeyError, TypeError, ValueError)
+DECODE_ERRORS = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)
 
 
 def decode_route_table(value):
@@ -172,11 +174,14 @@
     services = [_build_service(each) for each in data["services"]]
     organisations_by_key = {}
     for each in data.get("tenants") or ():
+        priority = each.get("priority")
         organisation = RoutedOrganisation(
-            each["name"], each.get("priority"), _decode_regions(each)
+            _require_text(each["name"]),
+            None if priority is None else int(priority),
+            _decode_regions(each),
         )
         for key in each.get("api_keys") or ():
-            organisations_by_key[key] = organisation
+            organisations_by_key[_require_text(key)] = organisation
     return RouteTable(
         int(data["version"]),
         [build_route(each) for each in data["routes"]],
@@ -194,8 +199,11 @@
     cold_start_s = _read_number(data, "cold_start_s", MAX_COLD_START_S, unreadable)
     per_s = _read_number(data, "coldstart_per_s", MAX_COLD_START_PER_S, unreadable)
     return RoutedService(
-        data["name"],
-        {each["name"]: float(each.get("cost", 0)) for each in models},
+        _require_text(data["name"]),
+        {
+            _require_text(each["name"]): _require_finite(each.get("cost", 0))
+            for each in models
+        },
         (cold_start_s or 0.0) * 1_000,
         per_s or 0.0,
         unreadable,
@@ -206,22 +214,24 @@
     # `traffic_split` takes precedence over `service`.
     shares = data.get("traffic_split") or ()
     weights_by_service = {
-        each["service"]: each["weight"] for each in shares if each["weight"] > 0
+        _require_text(each["service"]): _require_finite(each["weight"])
+        for each in shares
+        if each["weight"] > 0
     }
     return Route(
-        data["name"],
-        data["host"].lower(),
-        data["prefix"],
+        _require_text(data["name"]),
+        _require_text(data["host"]).lower(),
+        _require_text(data["prefix"]),
         REPEATS_BY_KIND[data["kind"]],
-        float(data["timeout_ms"]),
-        float(data.get("target_latency_ms") or data["timeout_ms"]),
+        _require_finite(data["timeout_ms"]),
+        _require_finite(data.get("target_latency_ms") or data["timeout_ms"]),
         int(data.get("priority") or 0),
-        weights_by_service or {data["service"]: 1},
+        weights_by_service or {_require_text(data["service"]): 1},
         max(1, int(data.get("max_attempts") or 1)),
         bool(data.get("public", False)),
         bool(data.get("resumable", False)),
         # `sizes` lists models, smallest first.
-        tuple(data.get("sizes") or ()),
+        tuple(_require_text(each) for each in data.get("sizes") or ()),
         _decode_regions(data),
     )
 
@@ -244,8 +254,8 @@
     return CallerLimits(
         int(data.get("max_header_bytes") or DEFAULT_HEAD_BYTES),
         int(data.get("max_body_bytes") or DEFAULT_BODY_BYTES),
-        float(data.get("header_timeout_ms") or DEFAULT_HEAD_TIMEOUT_MS),
-        float(data.get("idle_timeout_ms") or DEFAULT_IDLE_TIMEOUT_MS),
+        _require_finite(data.get("header_timeout_ms") or DEFAULT_HEAD_TIMEOUT_MS),
+        _require_finite(data.get("idle_timeout_ms") or DEFAULT_IDLE_TIMEOUT_MS),
     )
 
 
@@ -280,7 +290,7 @@
     return ReleaseOrder(
         _require_text(data["service"]),
         _require_text(data["to"]),
-        float(data["duration_s"]) * 1_000,
+        _require_finite(data["duration_s"]) * 1_000,
         number_of(row.version),
         era_of(row.version),
     )
@@ -292,7 +302,7 @@
         _require_text(data["to"]),
         STATES_BY_WORD[data["state"]],
         int(data["order"]),
-        float(data["started_ms"]),
+        _require_finite(data["started_ms"]),
         str(data.get("by", "")),
         str(data.get("reason", "")),
         row.version,
@@ -315,3 +325,10 @@
     if not isinstance(value, str) or not value:
         raise ValueError(f"expected a text, not {value!r}")
     return value
+
+
+def _require_finite(value):
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"expected a finite number, not {value!r}")
+    return number
