--- a/stoatpath/cascades/confidence.py
+++ b/stoatpath/cascades/confidence.py
@@ -130,6 +130,7 @@
         """Return `RelayedResult` or a failure."""
         router = self._router
         router.retry_budget.record_request(request.service.name)
+        router.extra_work.record_request(request)
         problem = router.quarantine.check(request)
         if problem is not None:
             self._record_decision(request, "quarantine", problem.detail)
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -182,27 +182,32 @@
 
     async def _send_with_hedge(self, state, attempt):
         first = self._send(state, attempt)
-        delay_ms = self._policy.hedge_delay_ms(state.request, state.sent_count)
+        delay_ms = self._policy.hedge_delay_ms(
+            state.request, state.version, state.sent_count, state.min_confidence
+        )
         if delay_ms is None:
             return await first
-        hedge = Hedge(attempt, lambda: self._make_hedge(state))
+        hedge = Hedge(attempt, lambda: self._make_hedge(state), _is_unsure)
         return await hedge.run(first, delay_ms / 1000)
 
     def _make_hedge(self, state):
         """Return the coroutine of a hedged attempt, or None when not allowed."""
         if state.relay is not None and state.relay.has_begun:
             return None
-        choice = self._select_backend(state, only_permitted=True)
-        if is_failure(choice) or self._check_guard(state) is not None:
+        if _ends_backends(state.request) or self._check_guard(state) is not None:
             return None
-        if choice.backend.name in state.tried_names:
-            # It already runs the first attempt; a second one there would end later.
+        choice = self._select_backend(state, only_permitted=True)
+        if is_failure(choice) or choice.backend.name in state.tried_names:
+            # One that was tried runs the first attempt; a second one there would end
+            # later.
             return None
-        if not self._router.retry_budget.try_spend_on_hedge(state.request.service.name):
+        if not self._policy.try_spend_on_hedge(state.request, choice.backend):
             return None
         self._router.send_gate.try_acquire(choice.backend.name)
         self._record_decision(state.request, "hedge", "slow to begin")
-        return self._send(state, self._build_attempt(state, choice.backend))
+        attempt = self._build_attempt(state, choice.backend)
+        attempt.is_hedge = True
+        return self._send(state, attempt)
 
     async def _acquire_backend(self, state):
         """Select a backend server and acquire the permit to send to it.
@@ -267,7 +272,12 @@
         return answer
 
     def _abandon(self, state, attempt, exchange, started_ms):
-        """Keep an exchange for a moment whose caller has left, then end it."""
+        """Keep an exchange for a moment whose caller has left, then end it.
+
+        The loser of a hedge ends in the same way.
+        """
+        attempt.is_abandoned = True
+        self._policy.record_abandoned(state.request)
         watch = asyncio.get_running_loop().create_task(
             self._watch_abandoned(state, attempt, exchange, started_ms)
         )
@@ -297,7 +307,8 @@
         failure = answer if is_failure(answer) else None
         first_byte_ms = attempt.deadlines and attempt.deadlines.first_byte_ms
         if first_byte_ms is not None:
-            self._policy.record_first_byte(request, first_byte_ms - started_ms)
+            elapsed_ms = first_byte_ms - started_ms
+            self._policy.record_first_byte(request, state.version, elapsed_ms)
         if failure is not None:
             self._record_decision(
                 request,
@@ -339,6 +350,8 @@
         )
 
     def _record_answer(self, state, attempt, started_ms, first_byte_ms):
+        if attempt.is_hedge:
+            self._policy.record_hedge_win(state.request)
         now_ms = self._clock.now_ms()
         began_ms = now_ms if first_byte_ms is None else first_byte_ms
         self._record_decision(
@@ -411,6 +424,11 @@
     return has_crashed or request.lost_beginnings >= MAX_LOST_RUNS
 
 
+def _is_unsure(failure):
+    """Return whether a failure is an answer that a larger model is to replace."""
+    return failure.reason is UNSURE_ANSWER
+
+
 def _elapsed_ms(started_ms, ended_ms):
     return None if ended_ms is None else round(ended_ms - started_ms, 1)
 
--- a/stoatpath/dispatch/engine_policies.py
+++ b/stoatpath/dispatch/engine_policies.py
@@ -84,7 +84,7 @@
             limit_ms += EXPECTED_TIME_FACTOR * expected_ms
         return self._clock.now_ms() + limit_ms
 
-    def hedge_delay_ms(self, request, sent_count):
+    def hedge_delay_ms(self, request, version, sent_count, min_confidence):
         """Return the delay before a hedged attempt, or None to send none."""
         if not request.is_repeatable or sent_count > 1:
             return None
@@ -95,7 +95,17 @@
             return None
         return max(self._router.settings.hedge_min_ms, p95_ms)
 
-    def record_first_byte(self, request, elapsed_ms):
+    def try_spend_on_hedge(self, request, backend):
+        """Spend a part of the retry budget on a hedge; return whether it is allowed."""
+        return self._router.retry_budget.try_spend_on_hedge(request.service.name)
+
+    def record_abandoned(self, request):
+        """Do nothing: routers count no runs."""
+
+    def record_hedge_win(self, request):
+        """Do nothing: routers count no hedges."""
+
+    def record_first_byte(self, request, version, elapsed_ms):
         """Record the time to the first byte of one attempt."""
         key = (request.service.name, request.is_stream)
         self._first_byte_times.record(key, elapsed_ms)
--- a/stoatpath/dispatch/event_relays.py
+++ b/stoatpath/dispatch/event_relays.py
@@ -3,7 +3,7 @@
 from stoatpath.callers.relay_messages import RelayedAnswer
 from stoatpath.dispatch.checks import broken_answer
 from stoatpath.dispatch.deadlines import ABANDONED_MS
-from stoatpath.outcomes import CALLER_GONE, Failure, Outcome
+from stoatpath.outcomes import CALLER_GONE, SUPERSEDED, Failure, Outcome
 
 # Ends of an event with the line endings that backend servers use.
 EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
@@ -14,15 +14,16 @@
 class EventRelay:
     """Writes one streamed answer of unparsed events to the caller, over all attempts.
 
-    The head (status and headers) is the first attempt's. `on_claimed` is part of the
-    interface for hedges and unused, since these streams are not hedged. Once
-    `is_abandoned` is true, nothing more is written.
+    The head (status and headers) is the first attempt's. The first attempt whose head
+    is accepted claims the relay; `on_claimed` is called with it. Once `is_abandoned` is
+    true, nothing more is written.
     """
 
-    __slots__ = ("_stream", "on_claimed", "is_abandoned")
+    __slots__ = ("_stream", "_owner", "on_claimed", "is_abandoned")
 
     def __init__(self, stream):
         self._stream = stream
+        self._owner = None
         self.on_claimed = None
         self.is_abandoned = False
 
@@ -45,6 +46,19 @@
         """Write nothing more: the caller has left."""
         self.is_abandoned = True
 
+    def claim(self, attempt):
+        """Return whether an attempt may write; the first one becomes the owner."""
+        if self._owner is None:
+            self._owner = attempt
+            if self.on_claimed is not None:
+                self.on_claimed(attempt)
+        return self._owner is attempt
+
+    def release(self, attempt):
+        """Let another attempt write after this one has ended."""
+        if self._owner is attempt:
+            self._owner = None
+
     async def begin(self, head):
         """Write the head unless an earlier attempt did; return a failure or None."""
         if self._stream.has_begun or self.is_abandoned:
@@ -64,6 +78,16 @@
 
     `on_first_event` is called with the request when its first event has arrived.
     """
+    relay = attempt.relay
+    if not relay.claim(attempt):
+        return Failure(SUPERSEDED, "another attempt answers", Outcome.UNKNOWN)
+    try:
+        return await _relay_events(attempt, head, content, deadlines, on_first_event)
+    finally:
+        relay.release(attempt)
+
+
+async def _relay_events(attempt, head, content, deadlines, on_first_event):
     relay = attempt.relay
     start = relay.last_event_id or attempt.request.last_event_id
     splitter = EventSplitter(start)
--- a/stoatpath/dispatch/hedges.py
+++ b/stoatpath/dispatch/hedges.py
@@ -11,14 +11,16 @@
 
     `make_hedge` returns the coroutine of the hedged attempt, or None when none may
     be sent. The first complete answer wins; for a streamed answer, the attempt that
-    writes the first event.
+    claims the relay. A failure for which `is_final` returns true settles the request
+    as an answer does.
     """
 
-    __slots__ = ("_attempt", "_make_hedge", "_hedge_task", "_timer")
+    __slots__ = ("_attempt", "_make_hedge", "_is_final", "_hedge_task", "_timer")
 
-    def __init__(self, attempt, make_hedge):
+    def __init__(self, attempt, make_hedge, is_final=lambda failure: False):
         self._attempt = attempt
         self._make_hedge = make_hedge
+        self._is_final = is_final
         self._hedge_task = None
         self._timer = None
 
@@ -31,7 +33,7 @@
             relay.on_claimed = self._end_loser
         try:
             result = await first
-            if self._hedge_task is None or not is_failure(result):
+            if self._hedge_task is None or self._settles(result):
                 return result
             return await self._await_hedge(result)
         finally:
@@ -43,6 +45,8 @@
 
     async def _await_hedge(self, failure):
         answer = await self._hedge_task
+        if is_failure(answer) and self._is_final(answer):
+            return answer
         return failure.combined_with(answer) if is_failure(answer) else answer
 
     def _start_hedge(self):
@@ -53,9 +57,12 @@
         self._hedge_task.add_done_callback(self._on_hedge_done)
 
     def _on_hedge_done(self, task):
-        if not task.cancelled() and not is_failure(task.result()):
+        if not task.cancelled() and self._settles(task.result()):
             self._attempt.supersede()
 
+    def _settles(self, result):
+        return not is_failure(result) or self._is_final(result)
+
     def _end_loser(self, winner):
         """End the attempt that did not write the first event of the stream."""
         if winner is not self._attempt:
--- a/stoatpath/dispatch/messages.py
+++ b/stoatpath/dispatch/messages.py
@@ -12,7 +12,8 @@
     `needs_fresh_connection` asks for a new connection; `was_pooled` says that a
     possibly idle one was used. `min_confidence` is the confidence that the head of an
     answer must state, or None. `events` is the number of events of a relayed stream
-    that arrived; `RelaySender` counts those with an identifier.
+    that arrived; `RelaySender` counts those with an identifier. `is_hedge` is true for
+    an extra send beside another attempt, `is_abandoned` once nobody awaits its answer.
     """
 
     __slots__ = (
@@ -28,6 +29,8 @@
         "deadlines",
         "min_confidence",
         "events",
+        "is_hedge",
+        "is_abandoned",
     )
 
     def __init__(
@@ -45,6 +48,8 @@
         self.deadlines = None
         self.min_confidence = None
         self.events = 0
+        self.is_hedge = False
+        self.is_abandoned = False
 
     @property
     def has_begun(self):
--- a/stoatpath/dispatch/relay_policies.py
+++ b/stoatpath/dispatch/relay_policies.py
@@ -1,6 +1,12 @@
 """Attempt rules for backend servers whose bodies a gateway relays without parsing."""
 
 from stoatpath.dispatch.event_relays import EventRelay
+from stoatpath.dispatch.extra_work import (
+    LIMIT_SPENT,
+    NO_ROOM,
+    NOT_ALLOWED,
+    RETRY_BUDGET_SPENT,
+)
 from stoatpath.dispatch.latencies import FirstByteTimes
 from stoatpath.routing.affinity import AffinityQuery
 
@@ -11,6 +17,11 @@
 MIN_FIRST_BYTE_TIMEOUT_MS = 2_000.0
 HEDGE_MIN_MS = 25.0
 HEDGE_P95_FACTOR = 1.5
+# With a limit on extra work, a request is sent a second time when half of the time to
+# its latency objective has passed: the second attempt can then still begin in time.
+EXTRA_SEND_TARGET_SHARE = 0.5
+# Extra sends go only to backend servers with at least a quarter of their slots free.
+EXTRA_SEND_MAX_LOAD_SHARE = 0.75
 
 
 class RelayPolicy:
@@ -82,20 +93,70 @@
         """Return the time by which the first byte must arrive."""
         return first_byte_deadline_ms(request, self._clock.now_ms())
 
-    def hedge_delay_ms(self, request, sent_count):
-        """Return the delay before a hedged attempt, or None to send none."""
-        if request.is_stream or not request.is_repeatable or sent_count > 1:
+    def hedge_delay_ms(self, request, version, sent_count, min_confidence):
+        """Return the delay before a hedged attempt, or None to send none.
+
+        A later stage of the cascade may need one more run than the two attempts.
+        """
+        is_extra_allowed = self._router.extra_work.is_set
+        if not request.is_repeatable or sent_count > 1:
             return None
-        if request.route.max_attempts - request.run_count < 2:
+        if request.is_stream and not is_extra_allowed:
             return None
-        p95_ms = self._first_byte_times.p95_ms(request.route.name)
+        runs = 2 if min_confidence is None else 3
+        if request.route.max_attempts - request.run_count < runs:
+            return None
+        p95_ms = self._first_byte_times.p95_ms((request.route.name, version.name))
         if p95_ms is None:
             return None
-        return max(HEDGE_MIN_MS, HEDGE_P95_FACTOR * p95_ms)
-
-    def record_first_byte(self, request, elapsed_ms):
+        if not is_extra_allowed:
+            return max(HEDGE_MIN_MS, HEDGE_P95_FACTOR * p95_ms)
+        due_ms = request.arrived_ms + EXTRA_SEND_TARGET_SHARE * request.route.target_ms
+        return max(HEDGE_MIN_MS, p95_ms, due_ms - self._clock.now_ms())
+
+    def try_spend_on_hedge(self, request, backend):
+        """Spend parts of the budgets on a hedge; return whether it is allowed."""
+        retry_budget = self._router.retry_budget
+        extra_work = self._router.extra_work
+        if not extra_work.is_set:
+            return retry_budget.try_spend_on_hedge(request.service.name)
+        refusal = self._check_extra_send(request, backend)
+        if refusal is None and not extra_work.try_spend(request):
+            refusal = LIMIT_SPENT
+        if refusal is None and not retry_budget.try_spend_on_hedge(
+            request.service.name
+        ):
+            refusal = RETRY_BUDGET_SPENT
+        if refusal is not None:
+            extra_work.refuse(refusal)
+        return refusal is None
+
+    def record_abandoned(self, request):
+        """Count an attempt whose answer nobody awaits: it may have run."""
+        request.run_count += 1
+
+    def record_hedge_win(self, request):
+        """Count a hedge that answered first."""
+        self._router.extra_work.record_win(request)
+
+    def _check_extra_send(self, request, backend):
+        """Return why a backend server gets no extra send, or None."""
+        chooser = self._router.chooser
+        if request.lost_runs or request.crashes:
+            return NOT_ALLOWED
+        is_limited = self._router.send_gate.limit_per_s(backend.name) is not None
+        if is_limited or chooser.breakers.is_open(backend.name, self._clock.now_ms()):
+            return NOT_ALLOWED
+        in_flight = backend.in_flight
+        if chooser.fleet_loads is not None:
+            in_flight, _ = chooser.fleet_loads.load(backend)
+        if in_flight > EXTRA_SEND_MAX_LOAD_SHARE * backend.slots:
+            return NO_ROOM
+        return None
+
+    def record_first_byte(self, request, version, elapsed_ms):
         """Record the time to the first byte of one attempt."""
-        self._first_byte_times.record(request.route.name, elapsed_ms)
+        self._first_byte_times.record((request.route.name, version.name), elapsed_ms)
 
 
 def first_byte_deadline_ms(request, now_ms):
--- a/stoatpath/dispatch/relay_senders.py
+++ b/stoatpath/dispatch/relay_senders.py
@@ -73,7 +73,8 @@
         finally:
             watch.stop()
             pending.end()
-        if not is_failure(result) or result.outcome is not Outcome.NOT_RUN:
+        may_have_run = not is_failure(result) or result.outcome is not Outcome.NOT_RUN
+        if may_have_run and not attempt.is_abandoned:
             request.run_count += 1
         return result
 
--- a/stoatpath/dispatch/window_budgets.py
+++ b/stoatpath/dispatch/window_budgets.py
@@ -11,7 +11,7 @@
 BUCKET_MS = 250.0
 
 
-class _Window:
+class SlidingWindow:
     """Requests and extra sends of one service in time buckets, oldest first."""
 
     __slots__ = ("requests", "extras", "_buckets")
@@ -22,6 +22,7 @@
         self._buckets = deque()
 
     def add(self, requests, extras, now_ms):
+        """Count requests, or their tokens, and extra ones."""
         bucket = now_ms // BUCKET_MS
         if not self._buckets or self._buckets[-1][0] != bucket:
             self._buckets.append([bucket, 0, 0])
@@ -31,6 +32,7 @@
         self.extras += extras
 
     def expire(self, oldest_ms):
+        """Drop the buckets that end by a clock reading."""
         while self._buckets and (self._buckets[0][0] + 1) * BUCKET_MS <= oldest_ms:
             _, requests, extras = self._buckets.popleft()
             self.requests -= requests
@@ -91,6 +93,6 @@
         return self.remaining(service) >= 1.0 + reserve and self.try_spend(service)
 
     def _window(self, service):
-        window = self._windows_by_service.setdefault(service, _Window())
+        window = self._windows_by_service.setdefault(service, SlidingWindow())
         window.expire(self._clock.now_ms() - self._window_ms)
         return window
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -23,6 +23,7 @@
 from stoatpath.configuration.route_keepers import RouteKeeper
 from stoatpath.dispatch.attempt_statistics import AttemptStatistics
 from stoatpath.dispatch.attempts import AttemptRunner
+from stoatpath.dispatch.extra_work import ExtraWorkLimit
 from stoatpath.dispatch.relay_policies import RelayPolicy
 from stoatpath.dispatch.relay_senders import RelaySender
 from stoatpath.dispatch.window_budgets import WindowBudget
@@ -132,6 +133,7 @@
         "rates",
         "outbox",
         "retry_budget",
+        "extra_work",
         "chooser",
         "backend_client",
         "send_gate",
@@ -167,9 +169,10 @@
         "_tasks",
     )
 
-    def __init__(self, boot, clock, rng):
+    def __init__(self, boot, clock, rng, extra_work_share=0.0):
         self.boot = boot
         self.clock = clock
+        self.extra_work = ExtraWorkLimit(extra_work_share, clock)
         self.random = rng
         self.ring = RequestLog(clock)
         self.store = RowStore.from_address(boot.store_address)
@@ -192,9 +195,9 @@
         self._tasks = []
 
     @classmethod
-    def from_boot(cls, boot, clock=None, rng=None):
+    def from_boot(cls, boot, clock=None, rng=None, extra_work_share=0.0):
         """Build a gateway that is not yet started."""
-        return cls(boot, clock or Clock(), rng or random.Random())
+        return cls(boot, clock or Clock(), rng or random.Random(), extra_work_share)
 
     def _build_releases(self):
         return ReleaseKeeper(
--- a/stoatpath/measure/limit_models.py
+++ b/stoatpath/measure/limit_models.py
@@ -158,7 +158,7 @@
         """Return None: any request may be sent."""
         return None
 
-    def hedge_delay_ms(self, request, sent_count):
+    def hedge_delay_ms(self, request, version, sent_count, min_confidence):
         """Return None: no hedges."""
         return None
 
--- a/stoatpath/tools/gateway.py
+++ b/stoatpath/tools/gateway.py
@@ -31,10 +31,18 @@
     "boot", None, f"Settings file; else the one that ${BOOT_VARIABLE} names."
 )
 flags.DEFINE_integer("metrics_port", 7340, "Port of the metrics; 0 takes a free one.")
+flags.DEFINE_float(
+    "extra_work_share",
+    0.0,
+    "Share of requests, and of their tokens, that may be sent a second time against "
+    "slow answers, by service; 0 sends no stream twice.",
+    lower_bound=0.0,
+    upper_bound=0.5,
+)
 flags.DEFINE_bool("check", False, "Check the settings and exit.")
 flags.DEFINE_string("deploy", None, "Deploy file to check beside the settings.")
 flags.DEFINE_bool("version", False, "Print the version and exit.")
-show_flags("boot", "metrics_port", "check", "deploy", "version")
+show_flags("boot", "metrics_port", "extra_work_share", "check", "deploy", "version")
 
 
 def main(argv):
@@ -49,7 +57,8 @@
         print(f"{PROGRAM}: {boot.detail}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
     log.setup(PROGRAM, boot.instance, handler=log.BoundedHandler(sys.stdout.fileno()))
-    return uvloop.run(_serve(Gateway.from_boot(boot)))
+    gateway = Gateway.from_boot(boot, extra_work_share=FLAGS.extra_work_share)
+    return uvloop.run(_serve(gateway))
 
 
 def _check():
