--- a/stoatpath/dispatch/messages.py
+++ b/stoatpath/dispatch/messages.py
@@ -16,7 +16,8 @@
     returns a failure or None; `is_withheld` is true once such a check has refused the
     attempt. `events` is the number of events of a relayed stream that arrived;
     `RelaySender` counts those with an identifier. `send_by_ms` is the time by which the
-    connection must be open: the permit to send expires then.
+    connection must be open: the permit to send expires then. `is_hedge` is true for an
+    extra send beside another attempt, `is_abandoned` once nobody awaits its answer.
     """
 
     __slots__ = (
@@ -36,6 +37,8 @@
         "events",
         "send_by_ms",
         "connect_timeout_ms",
+        "is_hedge",
+        "is_abandoned",
     )
 
     def __init__(
@@ -57,6 +60,8 @@
         self.events = 0
         self.send_by_ms = float("inf")
         self.connect_timeout_ms = None
+        self.is_hedge = False
+        self.is_abandoned = False
 
     @property
     def has_begun(self):
