--- a/features/logs/request_traces.feature
+++ b/features/logs/request_traces.feature
@@ -15,6 +15,12 @@
     When the trace of the request is rendered
     Then it has no event about the store
 
+  # Guards against a refusal whose cause, a drain of long ago, the trace does not name.
+  Scenario: The trace of a request that was refused since all zones are drained
+    Given a log with a drain that began 60 s before a request was refused
+    When the trace of the request is rendered
+    Then it has the event zones.drained, and its cause refers to that event
+
   Scenario: The log line of a request has its route and the age of the configuration
     Given a deployment whose request log is recorded
     When a booking is sent
--- a/features/logs/steps/request_trace_steps.py
+++ b/features/logs/steps/request_trace_steps.py
@@ -23,12 +23,12 @@
     return json.dumps({"time": time, "instance": instance, **fields})
 
 
-def request_ended_line(second):
+def request_ended_line(second, reason="stale-configuration"):
     return log_line(
         second,
         event="request.ended",
         request_id=REQUEST_ID,
-        reason="stale-configuration",
+        reason=reason,
         took_ms=1.0,
         decisions=[],
         outcome="not-run",
@@ -79,10 +79,18 @@
     context.trace = "\n".join(render_trace(read_trace(REQUEST_ID, [context.path])))
 
 
-@then("it has the event store.lost, and its cause refers to that event")
+@given("a log with a drain that began 60 s before a request was refused")
 def step_impl(context):
+    drained = {"event": "zones.drained", "zone": "z0"}
+    write_log(
+        context, [log_line(5, **drained), request_ended_line(65, "zones-drained")]
+    )
+
+
+@then("it has the event {event}, and its cause refers to that event")
+def step_impl(context, event):
     cause, _, events = context.trace.partition("\n")
-    assert "store.lost" in cause and "store.lost" in events, context.trace
+    assert event in cause and event in events, context.trace
 
 
 @then("it has the event store.regained and no event store.lost")
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -603,7 +603,7 @@
 
     def _update_capacities(self):
         self.gate.set_capacities(slots_by_service(self.eligible, self.send_gate))
-        if self.eligible.evacuations.drained_zones():
+        if self.eligible.evacuations.has_any():
             self.gate.refuse_waiting(self.eligible.build_waiting_check())
 
 
--- a/stoatpath/zones/backends.py
+++ b/stoatpath/zones/backends.py
@@ -68,8 +68,12 @@
 
     def excluded(self, request):
         """Return pairs of a backend server that it must not reach and the reason."""
+        regions = regions_of(request)
+        if not self.filter.excludes_any(regions):
+            # Each attempt asks, and a search of the directory takes time.
+            return []
         backends = self._directory.of_service(request.service.name)
-        return self.filter.split(backends, regions_of(request))[1]
+        return self.filter.split(backends, regions)[1]
 
     def exclusion_reason(self, request, backend):
         """Return why a request must not be sent to a backend server now, or None."""
--- a/stoatpath/zones/eligibility.py
+++ b/stoatpath/zones/eligibility.py
@@ -22,6 +22,10 @@
         self._regions_by_zone = regions_by_zone
         self._own_region = own_region
 
+    def excludes_any(self, regions):
+        """Return whether backend servers may be excluded at all."""
+        return regions is not None or self._evacuations.has_any()
+
     def exclusion_reason(self, backend, regions):
         """Return why a request must not reach a backend server, or None.
 
@@ -34,7 +38,7 @@
 
         The latter are pairs of a backend server and the reason.
         """
-        if regions is None and not self._evacuations.drained_zones():
+        if not self.excludes_any(regions):
             return backends, []
         eligible, excluded = [], []
         # There are thousands of backend servers, but few zones.
--- a/stoatpath/zones/evacuations.py
+++ b/stoatpath/zones/evacuations.py
@@ -40,6 +40,10 @@
         """Return whether a zone is drained."""
         return zone in self._drained_ms_by_zone
 
+    def has_any(self):
+        """Return whether any zone is drained."""
+        return bool(self._drained_ms_by_zone)
+
     def drained_ms(self, zone):
         """Return since when a zone is drained, or None."""
         return self._drained_ms_by_zone.get(zone)
--- a/stoatpath/zones/features/drains.feature
+++ b/stoatpath/zones/features/drains.feature
@@ -198,6 +198,7 @@
     Then admission has 24 slots of each service
     When the operator drains z0
     Then admission has 8 slots of each service
+    And the metrics have 1 drained zones with 4 backend servers
     When the operator drains z1
     Then admission has 0 slots of each service
     When the operator returns z0
--- a/stoatpath/zones/features/steps/drain_steps.py
+++ b/stoatpath/zones/features/steps/drain_steps.py
@@ -11,6 +11,7 @@
 
 from stoatpath.dispatch.messages import AttemptResult
 from stoatpath.dispatch.relay_policies import RelayPolicy
+from stoatpath.gateway_metrics import gateway_samples
 from stoatpath.outcomes import CONNECT_FAILED
 from stoatpath.platform.backend_calls import BackendClient
 from stoatpath.platform.documents import STATES_BY_WORD
@@ -491,3 +492,11 @@
     assert {each.capacity for each in loads} == {slots}, [
         (each.pool, each.capacity) for each in loads
     ]
+
+
+@then("the metrics have {zones:d} drained zones with {count:d} backend servers")
+def step_impl(context, zones, count):
+    samples = gateway_samples(context.fleet.gateways[0])
+    values = {each.name: each.value for each in samples}
+    assert values["stoatpath_drained_zones"] == zones
+    assert values["stoatpath_drained_backends"] == count
