Let an issuer of a cold server go on while other members come and go

Cause: any change of the known members held back all permits for 1.12 s, also where the issuer of a backend server stayed the same. Change: only an issuer that another preceded waits; a later row ends what was told.

--- a/stoatpath/backpressure/cold_shares.py
+++ b/stoatpath/backpressure/cold_shares.py
@@ -9,6 +9,7 @@
 
 from stoatpath.backpressure.permits import MAX_WAIT_MS, PermitGrant
 from stoatpath.membership.messages import DEAD, LEAVING, LIVE, SUSPECT
+from stoatpath.utils import rendezvous_first
 
 # Permits for cold backend servers expire this long after they were requested. The
 # connection must be open by then.
@@ -29,33 +30,49 @@
 RETURN_FACTOR = 4.0
 
 
+def permit_key(backend):
+    """Return the key by which the issuer of a backend server is selected."""
+    return f"permits/{backend}"
+
+
 class ViewJudge:
     """Judges how much of a bound this instance may issue, by its view of the others.
 
     `has_seeds` tells whether the settings name other instances.
     """
 
-    __slots__ = ("_members", "_has_seeds", "_settled_at_ms", "_names", "_changed_ms")
+    __slots__ = ("_members", "_has_seeds", "_settled_at_ms", "_names", "_earlier")
 
     def __init__(self, members, has_seeds, now_ms):
         self._members = members
         self._has_seeds = has_seeds
         self._settled_at_ms = now_ms + SETTLE_MS
-        self._names = None
-        self._changed_ms = now_ms
+        self._names = []
+        # Pairs of names in force earlier and when they ceased to be.
+        self._earlier = deque([([], now_ms)])
 
     def observe_names(self, names, now_ms):
         """Record the instances among which the issuers are selected."""
-        if names != self._names:
-            self._names = names
-            self._changed_ms = now_ms
+        if names == self._names:
+            return
+        self._earlier.append((self._names, now_ms))
+        self._names = names
+        while self._earlier and self._earlier[0][1] < now_ms - WINDOW_MS:
+            self._earlier.popleft()
 
-    def open_from_ms(self):
-        """Return from when this instance may issue.
+    def open_from_ms(self, backend, now_ms):
+        """Return from when this instance may issue for a backend server.
 
         Whoever issued before the view changed may have granted all permits of a window.
         """
-        return self._changed_ms + WINDOW_MS
+        local_name = self._members.local.name
+        open_from_ms = float("-inf")
+        for names, ended_ms in self._earlier:
+            if now_ms < ended_ms + WINDOW_MS and (
+                not names or rendezvous_first(permit_key(backend), names) != local_name
+            ):
+                open_from_ms = max(open_from_ms, ended_ms + WINDOW_MS)
+        return open_from_ms
 
     def quota(self, bound, excluded, now_ms):
         """Return the permits to grant in any window, of a bound on one second.
--- a/stoatpath/backpressure/cold_starts.py
+++ b/stoatpath/backpressure/cold_starts.py
@@ -40,10 +40,11 @@
     """What is known of one backend server; all times are clock readings.
 
     `row_end_ms` is the end of the cold time by its entry, `told_end_ms` by another
-    instance, which also named `told_per_s`. It counts as started at `started_ms` and
-    as returned with its zone at `returned_ms`. `failed_ms` is the last failed
-    connection since the last entry, `answered_ms` the first answer after it. `since_ms`
-    is since when the current cold time is known, other than by a failed connection.
+    instance, which also named `told_per_s` at `told_ms`. It counts as started at
+    `started_ms` and as returned with its zone at `returned_ms`. `failed_ms` is the last
+    failed connection since the last entry, `answered_ms` the first answer after it.
+    `since_ms` is since when the current cold time is known, other than by a failed
+    connection.
     """
 
     __slots__ = (
@@ -52,6 +53,7 @@
         "row_end_ms",
         "told_end_ms",
         "told_per_s",
+        "told_ms",
         "started_ms",
         "returned_ms",
         "failed_ms",
@@ -72,6 +74,7 @@
         self.row_end_ms = NEVER_MS
         self.told_end_ms = NEVER_MS
         self.told_per_s = None
+        self.told_ms = NEVER_MS
         self.started_ms = NEVER_MS
         self.failed_ms = None
         self.answered_ms = None
@@ -153,6 +156,8 @@
             server.row_end_ms = (
                 ends_ms if left_ms > 0.0 else min(server.row_end_ms, ends_ms)
             )
+            if left_ms == 0.0 and now_ms >= server.told_ms + ROW_DELAY_MS:
+                server.told_end_ms = min(server.told_end_ms, now_ms)
         elif change in (ADDED, RESTARTED):
             server.started_ms = now_ms
             why = BY_START
@@ -213,6 +218,7 @@
         if told_end_ms > known_end_ms + MERGE_TOLERANCE_MS:
             server.told_end_ms = told_end_ms
             server.told_per_s = per_s
+            server.told_ms = now_ms
             self._watch(name, BY_INSTANCE, now_ms)
 
     def has_any(self):
--- a/stoatpath/backpressure/exchanges.py
+++ b/stoatpath/backpressure/exchanges.py
@@ -13,6 +13,7 @@
     COLD_LIFETIME_MS,
     ViewJudge,
     WindowIssuer,
+    permit_key,
 )
 from stoatpath.backpressure.cold_starts import ColdStartTable, decode_knowledge
 from stoatpath.backpressure.permits import MAX_WAIT_MS, PermitGrant, PermitIssuer
@@ -306,7 +307,7 @@
         later_quota = quota = self._view.quota(bound, excluded, now_ms)
         if self._cold.is_spreading(backend, now_ms):
             quota = min(quota, PROBE_QUOTA)
-        open_from_ms = self._view.open_from_ms()
+        open_from_ms = self._view.open_from_ms(backend, now_ms)
         free = self._windows.available(backend, quota, open_from_ms, now_ms)
         if free == 0:
             return self._windows.refuse(
@@ -335,7 +336,7 @@
         local = self._members.local
         if not names:
             return None
-        first = rendezvous_first(f"permits/{backend}", names)
+        first = rendezvous_first(permit_key(backend), names)
         return None if first == local.name else self._members.by_name[first]
 
     def _issuer_names(self):
--- a/stoatpath/backpressure/features/cold_starts.feature
+++ b/stoatpath/backpressure/features/cold_starts.feature
@@ -23,6 +23,8 @@
       | without rows, until it had time to warm up    | first 0 at 0, failed at 1000, answered at 2000  | 20,20,40       | 1999,4999,5000      |
       | an answer to an earlier request tells nothing | first 0 at 0, failed at 1000, answered late at 1100 | 20         | 60000               |
       | another instance says so                      | first 0 at 0, told 2000 at 1000                 | 20,40          | 2999,3000           |
+      | a later row ends what another instance told   | first 0 at 0, told 3000 at 1000, renewed 0 at 2100 | 20,40,none | 2099,2100,4100      |
+      | a row soon after may be from before it        | first 0 at 0, told 3000 at 1000, renewed 0 at 1900 | 20         | 3999                |
       | another instance tells what is known          | first 2000 at 0, told 1990 at 100               | 40             | 2000                |
 
   Scenario Outline: No bound applies where <what>
@@ -100,6 +102,16 @@
       | half of the others failed long ago      | 90  | 3    | 3      | 0        | 18    |
       | most of the others failed long ago      | 90  | 2    | 4      | 0        | 0     |
 
+  Scenario Outline: An instance issues no sooner than a window after <what> issued
+    Given an instance that knew <before> and then <after>, of which it issues
+    Then it may issue <ms> ms after the change
+
+    Examples:
+      | what               | before | after | ms   |
+      | another one        | b      | c     | 1120 |
+      | nobody known       | nobody | c     | 1120 |
+      | itself, as ever    | c      | nobody | 0  |
+
   Scenario: An instance that is alone by its settings issues the whole bound
     Given an instance whose settings name no others
     Then it issues 20 of a bound of 20
--- a/stoatpath/backpressure/features/steps/cold_steps.py
+++ b/stoatpath/backpressure/features/steps/cold_steps.py
@@ -257,6 +257,21 @@
     assert context.quota == quota, context.quota
 
 
+@given("an instance that knew {before} and then {after}, of which it issues")
+def step_impl(context, before, after):
+    judge = ViewJudge(MemberTable(gateway_member("a")), True, 0.0)
+    if before != "nobody":
+        judge.observe_names(["a", before], 1.0)
+    judge.observe_names(["a"] if after == "nobody" else ["a", after], 9_000.0)
+    context.judge = judge
+
+
+@then("it may issue {wait:d} ms after the change")
+def step_impl(context, wait):
+    open_from_ms = max(9_000.0, context.judge.open_from_ms(NAME, 9_000.0))
+    assert open_from_ms == 9_000.0 + wait, open_from_ms
+
+
 @given("an instance whose settings name no others")
 def step_impl(context):
     judge = ViewJudge(MemberTable(gateway_member("local")), False, 0.0)
