Suspect a zone of which two backend servers fail without an answer between

Change: two failed connections without an answer make the other servers of the zone, or of the service, need permits until their next rows.

--- a/stoatpath/backpressure/cold_starts.py
+++ b/stoatpath/backpressure/cold_starts.py
@@ -24,6 +24,9 @@
 # knowledge only if it differs by more.
 MERGE_TOLERANCE_MS = 500.0
 MAX_COLD_MS = 600_000.0
+# Failed servers of a zone or a service, without an answer of another one meanwhile,
+# from which all of it count as failed. Few instances try each before all return.
+FAILED_TOGETHER = 2
 MAX_PER_S = 1e6
 MAX_REMEMBERED_TEXTS = 100
 NEVER_MS = float("-inf")
@@ -112,6 +115,7 @@
         "_slack",
         "_services_by_name",
         "_watched",
+        "_failed_names_by_scope",
         "_unreadable_texts",
     )
 
@@ -119,6 +123,7 @@
         self.by_name = {}
         self._services_by_name = {}
         self._watched = set()
+        self._failed_names_by_scope = {}
         self._unreadable_texts = set()
         self.set_bound(over, slack)
 
@@ -186,9 +191,13 @@
         server = self.by_name.get(name)
         if server is None or self._parameters(server) is None:
             return
-        server.failed_ms = now_ms
-        server.answered_ms = None
-        self._watch(name, BY_FAILURE, now_ms)
+        self._record_failure(name, server, now_ms)
+        for scope in _scopes(server):
+            failed = self._failed_names_by_scope.setdefault(scope, set())
+            is_new = name not in failed
+            failed.add(name)
+            if is_new and len(failed) >= FAILED_TOGETHER:
+                self._suspect_scope(scope, now_ms)
 
     def observe_pause(self, now_ms):
         """Record that this process stood still: any backend server may be new."""
@@ -201,7 +210,11 @@
     def observe_answer(self, name, sent_ms, now_ms):
         """Record the answer to a request sent at `sent_ms`."""
         server = self.by_name.get(name)
-        if server is None or server.failed_ms is None:
+        if server is None:
+            return
+        for scope in _scopes(server):
+            self._failed_names_by_scope.pop(scope, None)
+        if server.failed_ms is None:
             return
         if server.answered_ms is None and sent_ms > server.failed_ms:
             server.answered_ms = now_ms
@@ -287,6 +300,17 @@
             del self.by_name[name]
             self._watched.discard(name)
 
+    def _record_failure(self, name, server, now_ms):
+        server.failed_ms = now_ms
+        server.answered_ms = None
+        self._watch(name, BY_FAILURE, now_ms)
+
+    def _suspect_scope(self, scope, now_ms):
+        """Take all backend servers of a zone or a service for failed."""
+        for name, server in self.by_name.items():
+            if scope in _scopes(server) and server.failed_ms is None:
+                self._record_failure(name, server, now_ms)
+
     def _parameters(self, server):
         """Return the cold time in ms and the rate of a backend server, or None."""
         service = self._services_by_name.get(server.service)
@@ -336,6 +360,11 @@
             logger.warning("backends.cold-time-unreadable", extra=extra)
 
 
+def _scopes(server):
+    """Return the keys of the zone and of the service of a backend server."""
+    return (server.service, server.zone), (server.service, None)
+
+
 def decode_knowledge(data):
     """Return the cold time left in ms and the rate that a message states, or None.
 
--- a/stoatpath/backpressure/features/cold_starts.feature
+++ b/stoatpath/backpressure/features/cold_starts.feature
@@ -155,6 +155,18 @@
     When its row is removed and returns unchanged
     Then it has a limit, a hold-off and an open circuit
 
+  Scenario Outline: Two failed servers of a zone make its others suspect, <case>
+    Given servers a, b and c in zone 1 and d in zone 2 of a service with cold times
+    When <events>, in this order
+    Then these have a limit: <limited>
+
+    Examples:
+      | case                               | events                     | limited |
+      | one failure tells of one           | fails a                    | a       |
+      | a zone                             | fails a, fails b           | a,b,c,d |
+      | an answer between                  | fails a, answers c, fails b | a,b    |
+      | an answer of another zone between  | fails a, answers d, fails b | a,b,c  |
+
   Scenario: A process that stood still takes all backend servers for cold until their rows
     Given a fixture whose gate has not been maintained for 3 s
     When a request is about to be sent
--- a/stoatpath/backpressure/features/steps/cold_steps.py
+++ b/stoatpath/backpressure/features/steps/cold_steps.py
@@ -553,6 +553,31 @@
     assert state_of(fixture) == (False, False, False)
 
 
+@given("servers a, b and c in zone 1 and d in zone 2 of a service with cold times")
+def step_impl(context):
+    context.cold = cold_table()
+    for name in "abcd":
+        zone = "zone-2" if name == "d" else "zone-1"
+        entry = ListedBackend(name, SERVICE, "", zone, "v1", 8, False, 1, 0.0)
+        context.cold.observe_entry(entry, FIRST_TABLE, 0.0)
+
+
+@when("{events}, in this order")
+def step_impl(context, events):
+    for now_ms, event in enumerate(events.split(", "), 1):
+        what, name = event.split()
+        if what == "fails":
+            context.cold.observe_failure(name, float(now_ms))
+        else:
+            context.cold.observe_answer(name, now_ms - 0.5, float(now_ms))
+
+
+@then("these have a limit: {limited}")
+def step_impl(context, limited):
+    found = [name for name in "abcd" if context.cold.limit_per_s(name, 10.0)]
+    assert found == limited.split(","), found
+
+
 @given("a fixture whose gate has not been maintained for 3 s")
 def step_impl(context):
     fixture = context.fixture = Fixture()
