--- a/stoatpath/backpressure/cold_starts.py
+++ b/stoatpath/backpressure/cold_starts.py
@@ -24,6 +24,9 @@
 # knowledge only if it differs by more.
 MERGE_TOLERANCE_MS = 500.0
 MAX_COLD_MS = 600_000.0
+# Failed servers of a zone or a service, without an answer of another one meanwhile,
+# from which all of it count as failed. Few instances try each before all return.
+FAILED_TOGETHER = 2
 MAX_PER_S = 1e6
 MAX_REMEMBERED_TEXTS = 100
 NEVER_MS = float("-inf")
@@ -40,10 +43,11 @@
     """What is known of one backend server; all times are clock readings.
 
     `row_end_ms` is the end of the cold time by its entry, `told_end_ms` by another
-    instance, which also named `told_per_s`. It counts as started at `started_ms` and
-    as returned with its zone at `returned_ms`. `failed_ms` is the last failed
-    connection since the last entry, `answered_ms` the first answer after it. `since_ms`
-    is since when the current cold time is known, other than by a failed connection.
+    instance, which also named `told_per_s` at `told_ms`. It counts as started at
+    `started_ms` and as returned with its zone at `returned_ms`. `failed_ms` is the last
+    failed connection since the last entry, `answered_ms` the first answer after it.
+    `since_ms` is since when the current cold time is known, other than by a failed
+    connection.
     """
 
     __slots__ = (
@@ -52,6 +56,7 @@
         "row_end_ms",
         "told_end_ms",
         "told_per_s",
+        "told_ms",
         "started_ms",
         "returned_ms",
         "failed_ms",
@@ -72,6 +77,7 @@
         self.row_end_ms = NEVER_MS
         self.told_end_ms = NEVER_MS
         self.told_per_s = None
+        self.told_ms = NEVER_MS
         self.started_ms = NEVER_MS
         self.failed_ms = None
         self.answered_ms = None
@@ -109,6 +115,7 @@
         "_slack",
         "_services_by_name",
         "_watched",
+        "_failed_names_by_scope",
         "_unreadable_texts",
     )
 
@@ -116,6 +123,7 @@
         self.by_name = {}
         self._services_by_name = {}
         self._watched = set()
+        self._failed_names_by_scope = {}
         self._unreadable_texts = set()
         self.set_bound(over, slack)
 
@@ -153,6 +161,8 @@
             server.row_end_ms = (
                 ends_ms if left_ms > 0.0 else min(server.row_end_ms, ends_ms)
             )
+            if left_ms == 0.0 and now_ms >= server.told_ms + ROW_DELAY_MS:
+                server.told_end_ms = min(server.told_end_ms, now_ms)
         elif change in (ADDED, RESTARTED):
             server.started_ms = now_ms
             why = BY_START
@@ -181,9 +191,13 @@
         server = self.by_name.get(name)
         if server is None or self._parameters(server) is None:
             return
-        server.failed_ms = now_ms
-        server.answered_ms = None
-        self._watch(name, BY_FAILURE, now_ms)
+        self._record_failure(name, server, now_ms)
+        for scope in _scopes(server):
+            failed = self._failed_names_by_scope.setdefault(scope, set())
+            is_new = name not in failed
+            failed.add(name)
+            if is_new and len(failed) >= FAILED_TOGETHER:
+                self._suspect_scope(scope, now_ms)
 
     def observe_pause(self, now_ms):
         """Record that this process stood still: any backend server may be new."""
@@ -196,7 +210,11 @@
     def observe_answer(self, name, sent_ms, now_ms):
         """Record the answer to a request sent at `sent_ms`."""
         server = self.by_name.get(name)
-        if server is None or server.failed_ms is None:
+        if server is None:
+            return
+        for scope in _scopes(server):
+            self._failed_names_by_scope.pop(scope, None)
+        if server.failed_ms is None:
             return
         if server.answered_ms is None and sent_ms > server.failed_ms:
             server.answered_ms = now_ms
@@ -213,6 +231,7 @@
         if told_end_ms > known_end_ms + MERGE_TOLERANCE_MS:
             server.told_end_ms = told_end_ms
             server.told_per_s = per_s
+            server.told_ms = now_ms
             self._watch(name, BY_INSTANCE, now_ms)
 
     def has_any(self):
@@ -281,6 +300,17 @@
             del self.by_name[name]
             self._watched.discard(name)
 
+    def _record_failure(self, name, server, now_ms):
+        server.failed_ms = now_ms
+        server.answered_ms = None
+        self._watch(name, BY_FAILURE, now_ms)
+
+    def _suspect_scope(self, scope, now_ms):
+        """Take all backend servers of a zone or a service for failed."""
+        for name, server in self.by_name.items():
+            if scope in _scopes(server) and server.failed_ms is None:
+                self._record_failure(name, server, now_ms)
+
     def _parameters(self, server):
         """Return the cold time in ms and the rate of a backend server, or None."""
         service = self._services_by_name.get(server.service)
@@ -330,6 +360,11 @@
             logger.warning("backends.cold-time-unreadable", extra=extra)
 
 
+def _scopes(server):
+    """Return the keys of the zone and of the service of a backend server."""
+    return (server.service, server.zone), (server.service, None)
+
+
 def decode_knowledge(data):
     """Return the cold time left in ms and the rate that a message states, or None.
 
--- a/stoatpath/backpressure/features/cold_starts.feature
+++ b/stoatpath/backpressure/features/cold_starts.feature
@@ -23,6 +23,8 @@
       | without rows, until it had time to warm up    | first 0 at 0, failed at 1000, answered at 2000  | 20,20,40       | 1999,4999,5000      |
       | an answer to an earlier request tells nothing | first 0 at 0, failed at 1000, answered late at 1100 | 20         | 60000               |
       | another instance says so                      | first 0 at 0, told 2000 at 1000                 | 20,40          | 2999,3000           |
+      | a later row ends what another instance told   | first 0 at 0, told 3000 at 1000, renewed 0 at 2100 | 20,40,none | 2099,2100,4100      |
+      | a row soon after may be from before it        | first 0 at 0, told 3000 at 1000, renewed 0 at 1900 | 20         | 3999                |
       | another instance tells what is known          | first 2000 at 0, told 1990 at 100               | 40             | 2000                |
 
   Scenario Outline: No bound applies where <what>
@@ -100,6 +102,16 @@
       | half of the others failed long ago      | 90  | 3    | 3      | 0        | 18    |
       | most of the others failed long ago      | 90  | 2    | 4      | 0        | 0     |
 
+  Scenario Outline: An instance issues no sooner than a window after <what> issued
+    Given an instance that knew <before> and then <after>, of which it issues
+    Then it may issue <ms> ms after the change
+
+    Examples:
+      | what               | before | after | ms   |
+      | another one        | b      | c     | 1120 |
+      | nobody known       | nobody | c     | 1120 |
+      | itself, as ever    | c      | nobody | 0  |
+
   Scenario: An instance that is alone by its settings issues the whole bound
     Given an instance whose settings name no others
     Then it issues 20 of a bound of 20
@@ -143,6 +155,18 @@
     When its row is removed and returns unchanged
     Then it has a limit, a hold-off and an open circuit
 
+  Scenario Outline: Two failed servers of a zone make its others suspect, <case>
+    Given servers a, b and c in zone 1 and d in zone 2 of a service with cold times
+    When <events>, in this order
+    Then these have a limit: <limited>
+
+    Examples:
+      | case                               | events                     | limited |
+      | one failure tells of one           | fails a                    | a       |
+      | a zone                             | fails a, fails b           | a,b,c,d |
+      | an answer between                  | fails a, answers c, fails b | a,b    |
+      | an answer of another zone between  | fails a, answers d, fails b | a,b,c  |
+
   Scenario: A process that stood still takes all backend servers for cold until their rows
     Given a fixture whose gate has not been maintained for 3 s
     When a request is about to be sent
--- a/stoatpath/backpressure/features/steps/cold_steps.py
+++ b/stoatpath/backpressure/features/steps/cold_steps.py
@@ -257,6 +257,21 @@
     assert context.quota == quota, context.quota
 
 
+@given("an instance that knew {before} and then {after}, of which it issues")
+def step_impl(context, before, after):
+    judge = ViewJudge(MemberTable(gateway_member("a")), True, 0.0)
+    if before != "nobody":
+        judge.observe_names(["a", before], 1.0)
+    judge.observe_names(["a"] if after == "nobody" else ["a", after], 9_000.0)
+    context.judge = judge
+
+
+@then("it may issue {wait:d} ms after the change")
+def step_impl(context, wait):
+    open_from_ms = max(9_000.0, context.judge.open_from_ms(NAME, 9_000.0))
+    assert open_from_ms == 9_000.0 + wait, open_from_ms
+
+
 @given("an instance whose settings name no others")
 def step_impl(context):
     judge = ViewJudge(MemberTable(gateway_member("local")), False, 0.0)
@@ -538,6 +553,31 @@
     assert state_of(fixture) == (False, False, False)
 
 
+@given("servers a, b and c in zone 1 and d in zone 2 of a service with cold times")
+def step_impl(context):
+    context.cold = cold_table()
+    for name in "abcd":
+        zone = "zone-2" if name == "d" else "zone-1"
+        entry = ListedBackend(name, SERVICE, "", zone, "v1", 8, False, 1, 0.0)
+        context.cold.observe_entry(entry, FIRST_TABLE, 0.0)
+
+
+@when("{events}, in this order")
+def step_impl(context, events):
+    for now_ms, event in enumerate(events.split(", "), 1):
+        what, name = event.split()
+        if what == "fails":
+            context.cold.observe_failure(name, float(now_ms))
+        else:
+            context.cold.observe_answer(name, now_ms - 0.5, float(now_ms))
+
+
+@then("these have a limit: {limited}")
+def step_impl(context, limited):
+    found = [name for name in "abcd" if context.cold.limit_per_s(name, 10.0)]
+    assert found == limited.split(","), found
+
+
 @given("a fixture whose gate has not been maintained for 3 s")
 def step_impl(context):
     fixture = context.fixture = Fixture()
