--- a/stoatpath/gateway_metrics.py
+++ b/stoatpath/gateway_metrics.py
@@ -1,7 +1,7 @@
 """The metrics of a gateway, read from its components at each scrape."""
 
 from stoatpath.log import dropped_lines
-from stoatpath.metric_sources import quarantine_samples
+from stoatpath.metric_sources import fleet_load_samples, quarantine_samples
 from stoatpath.metrics import Sample
 
 
@@ -185,6 +185,7 @@
         gateway.forwarder.forwarded,
     )
     yield from quarantine_samples(gateway)
+    yield from fleet_load_samples(gateway)
     counts_by_state = {"usable": 0, "leaving": 0}
     for backend in gateway.backends.by_name.values():
         counts_by_state["leaving" if backend.is_leaving else "usable"] += 1
--- a/stoatpath/metric_sources.py
+++ b/stoatpath/metric_sources.py
@@ -37,6 +37,44 @@
     return samples
 
 
+def fleet_load_samples(gateway):
+    """Return the samples of the sums over all instances, of a gateway."""
+    loads = gateway.chooser.fleet_loads
+    age_ms = loads.age_ms(gateway.clock.now_ms())
+    backends = gateway.backends.by_name.values()
+    own = sum(backend.in_flight for backend in backends)
+    speeds = [loads.speed(backend) for backend in backends] or [1.0]
+    yield Sample.gauge(
+        "stoatpath_load_sums_age_seconds",
+        "Mean age of the known load of the fleet.",
+        min(1e9, age_ms / 1000),
+    )
+    yield Sample.gauge(
+        "stoatpath_load_sums_instances",
+        "Instances whose load is in the sums, with this one.",
+        loads.instances,
+    )
+    yield Sample.counter(
+        "stoatpath_load_sums_rejected_total",
+        "Malformed sums of other instances that were ignored.",
+        loads.rejected,
+    )
+    for scope, count in (("own", own), ("fleet", own + loads.others_in_flight())):
+        yield Sample.gauge(
+            "stoatpath_backend_requests",
+            "Requests at backend servers, of this instance and by the sums of all.",
+            count,
+            scope=scope,
+        )
+    for rank, speed in (("slowest", min(speeds)), ("fastest", max(speeds))):
+        yield Sample.gauge(
+            "stoatpath_backend_speed",
+            "Learned speed of a backend server, 1 for the common one.",
+            round(speed, 3),
+            rank=rank,
+        )
+
+
 def quarantine_samples(router):
     """Return the samples of the quarantine of a router or a gateway."""
     return [
--- a/stoatpath/routing/features/fleet_loads.feature
+++ b/stoatpath/routing/features/fleet_loads.feature
@@ -59,7 +59,7 @@
 
   Scenario: At 2,800 backend servers the sums stay within their bytes
     Given an instance with 8 followers, and requests at 2800 backend servers
-    Then its messages carry at most 17000 bytes of sums a second
+    Then its messages carry at most 23000 bytes of sums a second
     And a report carries the 256 with the most requests
 
   Scenario: Speeds are learned from the answers of all instances
--- a/stoatpath/routing/fleet_loads.py
+++ b/stoatpath/routing/fleet_loads.py
@@ -7,7 +7,7 @@
 
 import logging
 import math
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 
 from stoatpath.routing.load_sums import (
     ENTRY_CHARS,
@@ -19,7 +19,6 @@
     most_loaded,
     server_id,
 )
-from stoatpath.routing.speeds import speed_of
 
 logger = logging.getLogger(__name__)
 
@@ -52,12 +51,14 @@
 # Sums of the first instance are added up anew at most this often.
 RENEWAL_MS = 100.0
 IDLE_RENEWAL_MS = 1_000.0
+# Means of services change slowly, and take milliseconds with thousands of servers.
+MEANS_PERIOD_MS = 900.0
 # Sums are sent less often when they are large, and an instance with many followers
 # sends them fewer entries, so that the sums of an instance stay below this rate.
 MIN_PERIOD_MS = 300.0
 LARGE_PERIOD_MS = 900.0
 LARGE_SERVERS = 128
-MAX_ANSWER_BYTES_PER_S = 12_000.0
+MAX_ANSWER_BYTES_PER_S = 16_000.0
 
 
 class _Subtree:
@@ -104,6 +105,9 @@
         "_as_of_ms",
         "_received_ms",
         "_renewed_ms",
+        "_means_ms",
+        "_encoded",
+        "_reported_servers",
         "_has_changed",
         "_had_sums",
     )
@@ -131,6 +135,9 @@
         self._as_of_ms = float("-inf")
         self._received_ms = float("-inf")
         self._renewed_ms = float("-inf")
+        self._means_ms = float("-inf")
+        self._encoded = None
+        self._reported_servers = 0
         self._has_changed = True
         self._had_sums = False
 
@@ -176,6 +183,10 @@
             work + backend.pending_prompt_work,
         )
 
+    def others_in_flight(self):
+        """Return the requests in flight of all other instances, as in the sums."""
+        return sum(load.in_flight for load in self._others_by_id.values())
+
     def is_small(self, service):
         """Return whether a service has so few servers that all are compared."""
         return self._servers_by_service.get(service, 0) <= SMALL_SERVICE_SERVERS
@@ -190,7 +201,7 @@
     def speed(self, backend):
         """Return the speed of a backend server, 1 for the common or an unknown one."""
         load = self._fleet_by_id.get(self._id(backend.name))
-        return 1.0 if load is None else speed_of(load.expected_ms, load.observed_ms)
+        return 1.0 if load is None else load.speed
 
     def observe(self, result):
         """Learn the speed of a backend server from an `AttemptResult`."""
@@ -206,12 +217,13 @@
     def build_report(self, now_ms):
         """Return what a request for tables carries: the sums of this subtree."""
         message = {"from": self._instance}
+        if not _is_due(now_ms, self._reported_ms, self._reported_servers):
+            return message
         own_by_id = self._own_by_id(now_ms)
         loads_by_id, count, age_ms = self._sum_subtree(own_by_id, now_ms)
         loads_by_id = most_loaded(loads_by_id, MAX_SERVERS)
-        if not _is_due(now_ms, self._reported_ms, len(loads_by_id)):
-            return message
         self._reported_ms = now_ms
+        self._reported_servers = len(loads_by_id)
         self._last_number += 1
         self._reports_by_number[self._last_number] = loads_by_id
         if len(self._reports_by_number) > MAX_KEPT_REPORTS:
@@ -267,18 +279,23 @@
             return None
         if name in self._subtrees_by_name:
             self._answered_ms_by_name[name] = now_ms
-        followers = max(1, len(self._subtrees_by_name))
-        limit = MAX_ANSWER_BYTES_PER_S / (followers * ENTRY_CHARS)
         subtree = self._subtrees_by_name.get(name)
         return {
             "counted": None if subtree is None else subtree.number,
             "count": self.instances,
             "age_ms": round(self.age_ms(now_ms)),
-            "sums": encode_loads(
-                most_loaded(self._fleet_by_id, min(MAX_SERVERS, int(limit)))
-            ),
+            "sums": self._encode_fleet(),
         }
 
+    def _encode_fleet(self):
+        """Return the wire form of the fleet's sums, the same for all followers."""
+        if self._encoded is None:
+            followers = max(1, len(self._subtrees_by_name))
+            limit = int(MAX_ANSWER_BYTES_PER_S / (followers * ENTRY_CHARS))
+            loads_by_id = most_loaded(self._fleet_by_id, min(MAX_SERVERS, limit))
+            self._encoded = encode_loads(loads_by_id)
+        return self._encoded
+
     def receive_answer(self, message, now_ms):
         """Take the sums of the fleet; malformed ones are counted and ignored."""
         if message is None or self.is_first:
@@ -319,25 +336,34 @@
             add_loads(self._others_by_id, subtree.loads_by_id)
         self._fleet_by_id = subtree_by_id
         add_loads(self._fleet_by_id, self._above_by_id)
-        self._update_means()
+        self._encoded = None
+        if now_ms - self._means_ms >= MEANS_PERIOD_MS:
+            self._means_ms = now_ms
+            self._update_means()
 
     def _update_means(self):
         """Update the load of others for each slot at speed 1, by service."""
         totals_by_service = {}
-        servers_by_service = Counter()
         for name, backend in self._backends.by_name.items():
-            totals = totals_by_service.setdefault(backend.service, [0.0, 0.0, 0.0])
-            load = self._others_by_id.get(self._id(name), NO_LOAD)
-            totals[0] += load.in_flight
-            totals[1] += load.work
-            totals[2] += self.speed(backend) * backend.slots
-            servers_by_service[backend.service] += 1
+            totals = totals_by_service.get(backend.service)
+            if totals is None:
+                totals = totals_by_service[backend.service] = [0, 0.0, 0.0, 0]
+            each_id = self._ids_by_name.get(name) or self._id(name)
+            others = self._others_by_id.get(each_id)
+            if others is not None:
+                totals[0] += others.in_flight
+                totals[1] += others.work
+            fleet = self._fleet_by_id.get(each_id)
+            totals[2] += backend.slots * (1.0 if fleet is None else fleet.speed)
+            totals[3] += 1
         self._means_by_service = {
             service: (in_flight / capacity, work / capacity)
-            for service, (in_flight, work, capacity) in totals_by_service.items()
+            for service, (in_flight, work, capacity, _) in totals_by_service.items()
             if capacity > 0
         }
-        self._servers_by_service = servers_by_service
+        self._servers_by_service = {
+            service: totals[3] for service, totals in totals_by_service.items()
+        }
 
     def _sum_subtree(self, own_by_id, now_ms):
         """Return the loads, the number of instances and their mean age in ms."""
--- a/stoatpath/routing/load_sums.py
+++ b/stoatpath/routing/load_sums.py
@@ -8,6 +8,8 @@
 
 from xxhash import xxh3_64_intdigest
 
+from stoatpath.routing.speeds import speed_of
+
 MAX_SERVERS = 256
 # A hash of the name, the requests in flight, and three logarithms: pending prompt
 # work, expected and observed time. Names would triple the size.
@@ -46,6 +48,11 @@
         self.expected_ms = expected_ms
         self.observed_ms = observed_ms
 
+    @property
+    def speed(self):
+        """Return the speed of the backend server, 1 for the common speed."""
+        return speed_of(self.expected_ms, self.observed_ms)
+
     def add(self, other):
         """Add the load from other instances."""
         self.in_flight += other.in_flight
