--- a/stoatpath/gateway_metrics.py
+++ b/stoatpath/gateway_metrics.py
@@ -1,7 +1,11 @@
 """The metrics of a gateway, read from its components at each scrape."""
 
 from stoatpath.log import dropped_lines
-from stoatpath.metric_sources import quarantine_samples, supervisor_samples
+from stoatpath.metric_sources import (
+    fleet_load_samples,
+    quarantine_samples,
+    supervisor_samples,
+)
 from stoatpath.metrics import Sample
 from stoatpath.platform.row_stores import number_of
 
@@ -239,6 +243,7 @@
         "Backend servers in drained zones.",
         len(gateway.eligible.drained()),
     )
+    yield from fleet_load_samples(gateway)
     counts_by_state = {"usable": 0, "leaving": 0}
     for backend in gateway.backends.by_name.values():
         counts_by_state["leaving" if backend.is_leaving else "usable"] += 1
