Streams make progress by whole events; callers that take nothing are given up

Cause: any byte extended the deadline of a stream, so that one that dripped bytes or comments lasted until the request's deadline; the timer of a silent stream could be armed for later than its deadline; a caller that read slowly let its backend server count as silent, and could hold an answer without a limit.

Change: only whole events extend the deadline, writes to the caller don't count, the timer starts anew if it would fire too late, and a connection that takes less than 10 KB of a waiting answer in 5 s is ended.

--- a/features/resilience/steps/malformed_steps.py
+++ b/features/resilience/steps/malformed_steps.py
@@ -523,12 +523,12 @@
 
 
 ANSWERS = [
-    b"HTTP/1.1 200 OK\r\nX-Stoatpath-Attempt-Id: ID\r\nX-Stoatpath-Seal: s\r\n"
+    b"HTTP/1.1 200 OK\r\nX-Stoatpath-Attempt-Id: ID\r\nX-Stoatpath-Replica-Seal: s\r\n"
     b"Server-Limit: 5\r\nServer-Leaving: 0\r\nServer-Brittle: 9\r\n"
     b"X-Stoatpath-Confidence: 3\r\nContent-Length: 2\r\n\r\nok",
     b"HTTP/1.1 503 Busy\r\nX-Stoatpath-Attempt-Id: ID\r\nRetry-After: 1\r\n"
     b"X-Stoatpath-Not-Executed: 1\r\nServer-Limit: 5\r\nContent-Length: 0\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nX-Stoatpath-Attempt-Id: ID\r\nX-Stoatpath-Seal: s\r\n"
+    b"HTTP/1.1 200 OK\r\nX-Stoatpath-Attempt-Id: ID\r\nX-Stoatpath-Replica-Seal: s\r\n"
     b"Transfer-Encoding: chunked\r\nConnection: X-A\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 ]
 
--- a/stoatpath/callers/connections.py
+++ b/stoatpath/callers/connections.py
@@ -6,6 +6,7 @@
 
 import array
 import fcntl
+import logging
 import termios
 from http import HTTPStatus
 
@@ -24,8 +25,15 @@
 )
 from stoatpath.utils import new_id
 
+logger = logging.getLogger(__name__)
+
 MAX_HEADERS = 100
 LINGERING_TIME_S = 2.0
+# A caller that takes less than this of an answer that waits for it is given up. That is
+# 16 kbit/s; a caller that reads a byte now and then would hold an answer of up to 8 MB,
+# or a stream and its backend server, for as long as it likes.
+WRITE_CHECK_S = 5.0
+MIN_TAKEN_BYTES = 10_000
 # Callers connect to send; the bytes follow the connection within a round trip.
 FIRST_BYTES_S = 0.2
 HEAD_FIELD = "headers"
@@ -74,6 +82,8 @@
         "_head_timer",
         "_head_bytes",
         "_has_received_head",
+        "_write_timer",
+        "_waiting_bytes",
     )
 
     def __init__(self, server, **options):
@@ -83,6 +93,8 @@
         self._head_timer = None
         self._head_bytes = 0
         self._has_received_head = False
+        self._write_timer = None
+        self._waiting_bytes = 0
 
     @property
     def is_leaving(self):
@@ -123,8 +135,45 @@
         if len(self._server.connections) > limits.max_connections:
             self._refuse(Failure(OVERLOADED, "too many connections"))
 
+    def pause_writing(self):
+        """Watch how much the caller takes while answers wait for it."""
+        super().pause_writing()
+        if self._write_timer is None:
+            self._watch_writing()
+
+    def resume_writing(self):
+        """Stop watching: the caller has taken nearly all of it."""
+        super().resume_writing()
+        self._end_write_watch()
+
+    def _watch_writing(self):
+        # The transport counts what waits; what is written meanwhile isn't known, but
+        # writers wait while it is paused.
+        self._waiting_bytes = self.transport.get_write_buffer_size()
+        self._write_timer = self._loop.call_later(WRITE_CHECK_S, self._check_writing)
+
+    def _check_writing(self):
+        self._write_timer = None
+        if self.transport is None:
+            return
+        taken = self._waiting_bytes - self.transport.get_write_buffer_size()
+        if taken >= MIN_TAKEN_BYTES:
+            self._watch_writing()
+            return
+        logger.info(
+            "callers.stalled",
+            extra={"taken": taken, "waiting": self.transport.get_write_buffer_size()},
+        )
+        self.transport.abort()
+
+    def _end_write_watch(self):
+        if self._write_timer is not None:
+            self._write_timer.cancel()
+            self._write_timer = None
+
     def connection_lost(self, exc):
-        """Cancel the head timer: no more bytes will arrive."""
+        """Cancel the timers: no more bytes will arrive, and none are taken."""
+        self._end_write_watch()
         self.reset_head()
         super().connection_lost(exc)
 
--- a/stoatpath/dispatch/deadlines.py
+++ b/stoatpath/dispatch/deadlines.py
@@ -11,7 +11,10 @@
     """An async context manager that raises TimeoutError at the first deadline.
 
     Received bytes only store a new deadline; the single timer compares it when it
-    fires. `last_received_ms` is when the last bytes arrived, initially the start.
+    fires, and is started anew only if that would be too late. In a stream only whole
+    events extend it, so that one that stalls and drips bytes or comments ends as a
+    silent one does. `last_received_ms` is when the last bytes arrived, initially the
+    start.
     `first_byte_ms` is when the first ones did, or None. After a time-out `is_silent`
     says that the connection was idle for too long or its backend server unreachable,
     not that the total time ran out; `is_superseded` that another attempt answered.
@@ -24,6 +27,7 @@
         "_between_bytes_ms",
         "_timeout",
         "_timer",
+        "_timer_due_ms",
         "_loop",
         "_is_open",
         "last_received_ms",
@@ -42,6 +46,7 @@
         self._loop = asyncio.get_running_loop()
         self._timeout = asyncio.timeout(None)
         self._timer = None
+        self._timer_due_ms = float("inf")
         self._is_open = False
         self.last_received_ms = clock.now_ms()
         self.first_byte_ms = None
@@ -66,6 +71,30 @@
         if self.first_byte_ms is None:
             self.first_byte_ms = now_ms
         self._next_byte_deadline_ms = now_ms + self._between_bytes_ms
+        self._advance_timer(now_ms)
+
+    def record_partial(self):
+        """Record received bytes that are no progress: the deadline stays."""
+        now_ms = self._clock.now_ms()
+        self.last_received_ms = now_ms
+        if self.first_byte_ms is None:
+            self.first_byte_ms = now_ms
+
+    async def write_to_caller(self, write):
+        """Await a write to the caller, during which no bytes are expected.
+
+        Nothing is read while the caller does not take what was read before, so that
+        time says nothing of the backend server.
+        """
+        began_ms = self._clock.now_ms()
+        deadline_ms = self._next_byte_deadline_ms
+        self._next_byte_deadline_ms = float("inf")
+        try:
+            return await write
+        finally:
+            now_ms = self._clock.now_ms()
+            self._next_byte_deadline_ms = deadline_ms + now_ms - began_ms
+            self._advance_timer(now_ms)
 
     def abort_unreachable(self):
         """End the exchange because its backend server is unreachable."""
@@ -85,8 +114,15 @@
         self.is_superseded = True
         self._expire()
 
+    def _advance_timer(self, now_ms):
+        """Start the timer anew if it would fire only after the next deadline."""
+        if self._is_open and self._next_byte_deadline_ms < self._timer_due_ms:
+            self._timer.cancel()
+            self._start_timer(now_ms)
+
     def _start_timer(self, now_ms):
         next_ms = min(self._total_deadline_ms, self._next_byte_deadline_ms)
+        self._timer_due_ms = next_ms
         self._timer = self._loop.call_later(
             max(0.0, next_ms - now_ms) / 1000, self._on_timer
         )
--- a/stoatpath/dispatch/event_relays.py
+++ b/stoatpath/dispatch/event_relays.py
@@ -8,6 +8,7 @@
 # Ends of an event with the line endings that backend servers use.
 EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
 ID_FIELD = b"id:"
+DATA_FIELD = b"data"
 MAX_EVENT_BYTES = 1024 * 1024
 
 
@@ -72,13 +73,18 @@
         relay.abandon()
         deadlines.end_within(ABANDONED_MS)
     while chunk := await content.readany():
-        deadlines.record_bytes()
+        whole_before = splitter.whole_events
         events = splitter.feed(chunk)
+        if splitter.whole_events > whole_before:
+            deadlines.record_bytes()
+        else:
+            deadlines.record_partial()
         if events:
             if not attempt.events and on_first_event is not None:
                 on_first_event(attempt.request)
             attempt.events = splitter.events
-            caller_failure = await relay.write(events, splitter.last_event_id)
+            write = relay.write(events, splitter.last_event_id)
+            caller_failure = await deadlines.write_to_caller(write)
             if caller_failure is not None:
                 return caller_failure
         if splitter.problem is not None:
@@ -92,13 +98,21 @@
     """Splits the bytes of one attempt into events and checks their sequence.
 
     Event identifiers are consecutive integers. The first must follow the event after
-    which the attempt was asked to resume.
+    which the attempt was asked to resume. `whole_events` counts also events without an
+    identifier, but no comments.
     """
 
-    __slots__ = ("events", "last_event_id", "problem", "_partial_event")
+    __slots__ = (
+        "events",
+        "whole_events",
+        "last_event_id",
+        "problem",
+        "_partial_event",
+    )
 
     def __init__(self, last_event_id):
         self.events = 0
+        self.whole_events = 0
         self.last_event_id = last_event_id
         self.problem = None
         self._partial_event = b""
@@ -129,6 +143,7 @@
         """Return whether an event is next in sequence or has no identifier."""
         event_id = _read_id(event)
         if event_id is None:
+            self.whole_events += _has_data(event)
             return True
         expected = int(self.last_event_id or 0) + 1
         if event_id != expected:
@@ -138,6 +153,7 @@
             return False
         self.last_event_id = str(event_id)
         self.events += 1
+        self.whole_events += 1
         return True
 
 
@@ -159,6 +175,11 @@
     return min(ends) if ends else None
 
 
+def _has_data(event):
+    """Return whether an event is more than comments and empty lines."""
+    return any(line.startswith(DATA_FIELD) for line in event.splitlines())
+
+
 def _read_id(event):
     """Return the identifier of an event, None if absent, -1 if not a number."""
     for line in event.splitlines():
--- a/stoatpath/dispatch/streams.py
+++ b/stoatpath/dispatch/streams.py
@@ -133,15 +133,19 @@
     async def _read(self, content, deadlines):
         partial_event = b""
         while chunk := await content.readany():
-            deadlines.record_bytes()
             *events, partial_event = (partial_event + chunk).split(EVENT_END)
+            if all(not each or each.startswith(COMMENT_PREFIX) for each in events):
+                deadlines.record_partial()
+            else:
+                deadlines.record_bytes()
             if len(partial_event) > MAX_EVENT_BYTES:
                 return broken_answer(f"an event is larger than {MAX_EVENT_BYTES} bytes")
             new_events, has_ended = self._parse_events(events)
             if new_events:
                 if not self._relay.claim(self._attempt):
                     return broken_answer("another attempt answers")
-                caller_failure = await self._relay.write(new_events)
+                write = self._relay.write(new_events)
+                caller_failure = await deadlines.write_to_caller(write)
                 if caller_failure is not None:
                     return caller_failure
             if self._problem is not None:
