Test that drained requests are refused before they wait, and that traces say why

Cause: on a scratch copy without the refusal at the start of a request no scenario failed, since the end of the wait caught the same requests within 0.3 s.

Change: the scenario also checks that none of them came to wait for a slot; another checks that traces list the excluded backend servers as "zone drained".

--- a/stoatpath/zones/features/drains.feature
+++ b/stoatpath/zones/features/drains.feature
@@ -7,6 +7,7 @@
     And callers send 30 <route> requests through each gateway
     Then all of them are answered with 200
     And the backend servers of z0 got none of them
+    And their traces name a backend server of z0 as "zone drained"
     When the operator returns z0
     And callers send 30 <route> requests through each gateway
     Then the backend servers of z0 got some of them
@@ -26,6 +27,7 @@
     And callers send 5 look requests through each gateway
     And callers send 5 chat requests through each gateway
     Then all of them are refused with 503 and a time to retry, within 0.3 s
+    And none of them came to wait for a slot
     And the backend servers of z0 got none of them
     And the backend servers of z1 got none of them
     And the gateways are ready
--- a/stoatpath/zones/features/steps/drain_steps.py
+++ b/stoatpath/zones/features/steps/drain_steps.py
@@ -136,6 +136,25 @@
         assert response.took_s <= seconds, response.took_s
 
 
+@then('their traces name a backend server of {zone} as "{reason}"')
+def step_impl(context, zone, reason):
+    names = {each.name for each in context.fleet.replicas(zone)}
+    ends = context.log.ends("completed")
+    assert len(ends) == len(context.fleet.responses)
+    for decisions in ends:
+        route = next(each for each in decisions if each["step"] == "route")
+        reasons = {each["name"]: each["verdict"] for each in route["candidates"]}
+        assert any(reasons.get(name) == reason for name in names), reasons
+
+
+@then("none of them came to wait for a slot")
+def step_impl(context):
+    ends = context.log.ends("zones-drained")
+    assert len(ends) == len(context.fleet.responses)
+    for decisions in ends:
+        assert [each["step"] for each in decisions] == ["read", "body", "zones"]
+
+
 @then("the gateways are ready")
 def step_impl(context):
     assert all(each.is_ready() for each in context.fleet.gateways)
--- a/stoatpath/zones/features/steps/logs.py
+++ b/stoatpath/zones/features/steps/logs.py
@@ -34,6 +34,14 @@
             for decision in record.decisions
         ]
 
+    def ends(self, reason):
+        """Return the decisions about each request that ended for a reason."""
+        return [
+            record.decisions
+            for record in self.records
+            if record.getMessage() == "request.ended" and record.reason == reason
+        ]
+
     def close(self):
         logger = logging.getLogger("stoatpath")
         logger.removeHandler(self)
