The delay of a change is recorded by the relay, which has a clock

A follower without a clock failed when a relayed change was applied (relays.feature, "No order of updates from others takes a copy back"). The relay now records the delay of the lead table.

--- a/stoatpath/feeds/features/propagation.feature
+++ b/stoatpath/feeds/features/propagation.feature
@@ -27,6 +27,11 @@
       | missing   |
       | null      |
 
+  Scenario: Messages of builds from before this work are read
+    Given a copy with a row of 1400 routes
+    When a request and an answer lack all fields that were added
+    Then they are read, and tell nothing of these fields
+
   Scenario Outline: A value with <fault> is rejected as malformed
     Given a compressed row with <fault>
     Then the update is rejected as malformed
--- a/stoatpath/feeds/features/steps/propagation_steps.py
+++ b/stoatpath/feeds/features/steps/propagation_steps.py
@@ -92,6 +92,32 @@
     assert [len(row) for row in rows] == [count]
 
 
+@when("a request and an answer lack all fields that were added")
+def step_impl(context):
+    request = TablesRequest({TABLE: 3}, 1.0, 0.0).to_json()
+    for name in ("encodings", "newest_version"):
+        del request[name]
+    answer = build_answer(context.copy).to_json()
+    for name in ("expects_news", "is_arriving", "age_ms", "newest_version"):
+        del answer[name]
+    del answer["tables"][TABLE]["changed_store_ms"]
+    context.request = TablesRequest.from_json(request)
+    context.answer = TablesAnswer.from_json(answer)
+
+
+@then("they are read, and tell nothing of these fields")
+def step_impl(context):
+    assert context.request.versions_by_table == {TABLE: 3}
+    assert context.request.encodings == ()
+    assert context.request.newest_version == 0
+    answer = context.answer
+    (row,) = answer.updates_by_table[TABLE].rows
+    assert row.value == context.value
+    assert answer.expects_news is None and answer.age_ms is None
+    assert not answer.is_arriving and answer.newest_version == 0
+    assert answer.updates_by_table[TABLE].changed_store_ms is None
+
+
 @given("a compressed row with {fault}")
 def step_impl(context, fault):
     compressed = zlib.compress(b"x" * 10_000)
@@ -253,7 +279,7 @@
             return [
                 (
                     measured_ms[name],
-                    each.followers_by_table[LEAD].change_delay_ms,
+                    each.relay.change_delay_ms,
                 )
                 for name, each in fleet.instances_by_name.items()
             ]
--- a/stoatpath/feeds/followers.py
+++ b/stoatpath/feeds/followers.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 
-from stoatpath.feeds.copies import NEVER_MS, TableCopy
+from stoatpath.feeds.copies import TableCopy
 from stoatpath.outcomes import is_failure
 from stoatpath.platform.row_stores import RowPage
 from stoatpath.utils import cancel_and_wait
@@ -28,14 +28,11 @@
     `batch_delay_ms`, so that one call returns a series of changes. `on_answer` is
     called after each answer of the store with the newest version of all its tables,
     `on_failure` after each failed call, and `on_progress` as bytes of an answer arrive.
-    `backoff_cap_ms` limits the pause after
-    repeated problems. `change_delay_ms` is the time from the store's first answer with
-    the last change of a known table until `on_changes` had returned, or None.
+    `backoff_cap_ms` limits the pause after repeated problems.
     """
 
     __slots__ = (
         "copy",
-        "change_delay_ms",
         "is_enabled",
         "on_answer",
         "on_failure",
@@ -68,7 +65,6 @@
         on_changes,
     ):
         self.copy = TableCopy()
-        self.change_delay_ms = None
         self.is_enabled = asyncio.Event()
         self.is_enabled.set()
         self._store = store
@@ -113,7 +109,6 @@
             return
         if not update.is_whole and not self.copy.is_known:
             return
-        was_known = self.copy.is_known
         apply = (
             self.copy.apply_full_read if update.is_whole else (self.copy.apply_changes)
         )
@@ -124,7 +119,7 @@
         changed_store_ms = update.changed_store_ms
         if changed_store_ms is None:
             changed_store_ms = update.confirmed_store_ms
-        self._report_changes(changes, changed_store_ms, was_known)
+        self._report_changes(changes, changed_store_ms)
 
     def check_version(self, version, max_wait_ms):
         """Replace a long poll that waits on although the store has a newer version.
@@ -226,9 +221,8 @@
                 break
             start_key = page.rows[-1].key + END_OF_KEYS
         self._has_gap = False
-        was_known = self.copy.is_known
         changes = self.copy.apply_full_read(rows, version, as_of_ms, as_of_store_ms)
-        self._report_changes(changes, as_of_store_ms, was_known)
+        self._report_changes(changes, as_of_store_ms)
         self.on_answer(version)
         return None
 
@@ -237,15 +231,10 @@
         now_ms = self._clock.now_ms()
         return self._reachability.record_answer(sent_ms, now_ms, page.store_ms)
 
-    def _report_changes(self, changes, changed_store_ms, was_known=True):
-        if not changes:
-            return
-        self.copy.changed_store_ms = changed_store_ms
-        self._on_changes(changes)
-        if was_known and changed_store_ms != NEVER_MS:
-            now_ms = self._clock.now_ms()
-            changed_ms = self._reachability.local_ms(changed_store_ms, now_ms)
-            self.change_delay_ms = now_ms - changed_ms
+    def _report_changes(self, changes, changed_store_ms):
+        if changes:
+            self.copy.changed_store_ms = changed_store_ms
+            self._on_changes(changes)
 
     def _log_gap(self, page):
         if not is_failure(page):
--- a/stoatpath/feeds/relays.py
+++ b/stoatpath/feeds/relays.py
@@ -75,7 +75,8 @@
     the store. `confirmed_by` names the instance that confirmed the tables last, or is
     `STORE`. `relayed_answers` counts the answers of other instances. `behind_since_ms`
     is the clock reading since which this instance knows of a newer version of the lead
-    table than its own, or None.
+    table than its own, or None. `change_delay_ms` is the time from the store's first
+    answer with the last change of that table until it was in force here, or None.
 
     `followers_by_table` are the `TableFollower`s, in the order in which updates are
     applied. The confirmations of the table `lead` count for the whole. `bound_ms` is
@@ -115,7 +116,8 @@
         "_heard",
         "_newest_version",
         "behind_since_ms",
-        "_logged_delay_ms",
+        "change_delay_ms",
+        "_last_changed_store_ms",
         "on_era_change",
     )
 
@@ -162,7 +164,8 @@
         self._heard = asyncio.Event()
         self._newest_version = 0
         self.behind_since_ms = None
-        self._logged_delay_ms = None
+        self.change_delay_ms = None
+        self._last_changed_store_ms = NEVER_MS
         self.on_era_change = lambda era: None
         server.register(TABLES_TOPIC, self._handle_request)
         for follower in followers_by_table.values():
@@ -390,7 +393,7 @@
                     update.confirmed_store_ms, now_ms
                 )
                 follower.apply_update(update, as_of_ms)
-        self._log_change()
+        self._record_change()
         self._hear(answer.newest_version)
         self._end_behind()
         is_newer = self._lead.copy.confirmed_store_ms > before_store_ms
@@ -438,18 +441,25 @@
             self.behind_since_ms = self._clock.now_ms()
             self._heard.set()
 
-    def _log_change(self):
-        """Log how long a change of the lead table took, once."""
-        delay_ms = self._lead.change_delay_ms
-        if delay_ms is not self._logged_delay_ms:
-            self._logged_delay_ms = delay_ms
-            logger.info(
-                "tables.change-in-force",
-                extra={
-                    "version": self._lead.copy.version,
-                    "after_ms": round(delay_ms),
-                },
-            )
+    def _record_change(self):
+        """Record how long a change of the known lead table took, once."""
+        before_ms = self._last_changed_store_ms
+        changed_store_ms = self._lead.copy.changed_store_ms
+        if changed_store_ms == before_ms:
+            return
+        self._last_changed_store_ms = changed_store_ms
+        if before_ms == NEVER_MS:
+            return
+        now_ms = self._clock.now_ms()
+        changed_ms = self._reachability.local_ms(changed_store_ms, now_ms)
+        self.change_delay_ms = now_ms - changed_ms
+        logger.info(
+            "tables.change-in-force",
+            extra={
+                "version": self._lead.copy.version,
+                "after_ms": round(self.change_delay_ms),
+            },
+        )
 
     def _end_behind(self):
         if self._lead.copy.version >= self._newest_version:
@@ -568,7 +578,7 @@
     def _handle_store_answer(self, version):
         """Pass on an answer of the store; detect polls that missed a change."""
         self.confirmed_by = STORE
-        self._log_change()
+        self._record_change()
         self._end_behind()
         self._arriving_until_ms = NEVER_MS
         self._extend_store_due(POLL_SHARE * self._bound_ms)
--- a/stoatpath/gateway_metrics.py
+++ b/stoatpath/gateway_metrics.py
@@ -165,7 +165,7 @@
     yield Sample.gauge(
         "stoatpath_operator_change_seconds",
         "Time that the last change of the operator took from the store to its effect.",
-        (gateway.operator_rows.change_delay_ms or 0) / 1000,
+        (tables.change_delay_ms or 0) / 1000,
     )
 
 
