--- a/stoatpath/feeds/features/relays.feature
+++ b/stoatpath/feeds/features/relays.feature
@@ -89,3 +89,13 @@
     Given a deployment of 4 gateways that have the address of one
     Then they all follow one reader in the end
     And all of them know a change of the configuration
+
+  Scenario: The load of all instances travels with the tables
+    Given 59 instances in 4 availability zones, with a bound of 2500 ms
+    When each has 2 requests at a backend server for 6 s
+    Then all of them count 118 requests there, with sums younger than 2500 ms
+
+  Scenario: Instances of an older build neither send nor need load sums
+    Given 20 instances in 2 availability zones, with a bound of 2500 ms
+    When 5 of them are of an older build, and each has 2 requests at a backend server
+    Then all have the tables, and none counts more than 40 requests there
--- a/stoatpath/feeds/features/steps/relay_steps.py
+++ b/stoatpath/feeds/features/steps/relay_steps.py
@@ -13,9 +13,12 @@
 from stoatpath.feeds.sources import SourceSelector
 from stoatpath.measure.relay_models import ModelFleet
 from stoatpath.measure.virtual_loops import run_virtually
+from stoatpath.membership.directories import DirectoryBackend
 from stoatpath.membership.members import MemberTable
-from stoatpath.membership.messages import LIVE, Member
+from stoatpath.membership.messages import LIVE, ListedBackend, Member
 from stoatpath.platform.row_stores import StoredRow
+from stoatpath.routing.fleet_loads import FleetLoads
+from stoatpath.routing.speeds import ServerSpeeds
 from stoatpath.standins.deployments import Deployment
 
 FANOUT = 8
@@ -507,3 +510,71 @@
 @then("all of them know a change of the configuration")
 def step_impl(context):
     context.loop.run_until_complete(context.deployment.update_config())
+
+
+class OneBackend:
+    """A directory of one backend server, at which there are two requests."""
+
+    def __init__(self):
+        entry = ListedBackend("s0", "desk-assist", "", "zone-0", "v1", 32, False)
+        backend = DirectoryBackend(entry, 0.0)
+        backend.in_flight = 2
+        self.by_name = {"s0": backend}
+
+
+def share_loads(fleet, excluded=()):
+    """Let instances send the sums of their loads with the tables."""
+    for name, instance in fleet.instances_by_name.items():
+        if name not in excluded:
+            loads = FleetLoads(name, OneBackend(), ServerSpeeds())
+            instance.relay.fleet_loads = loads
+
+
+def count_requests(instance):
+    """Return the requests that an instance counts, and the age of its sums in ms."""
+    loads = instance.relay.fleet_loads
+    age_ms = loads.age_ms(instance.clock.now_ms())
+    return loads.others_in_flight() + 2, age_ms
+
+
+@when("each has {count:d} requests at a backend server for {seconds:d} s")
+def step_impl(context, count, seconds):
+    async def scenario(fleet):
+        share_loads(fleet)
+        await asyncio.sleep(seconds)
+        return [count_requests(each) for each in fleet.instances_by_name.values()]
+
+    context.counted = context.run.play(scenario)
+
+
+@then("all of them count {count:d} requests there, with sums younger than {most:d} ms")
+def step_impl(context, count, most):
+    assert {counted for counted, _ in context.counted} == {count}, context.counted
+    assert max(age_ms for _, age_ms in context.counted) < most, context.counted
+
+
+@when(
+    "{count:d} of them are of an older build, and each has 2 requests at a "
+    "backend server"
+)
+def step_impl(context, count):
+    async def scenario(fleet):
+        old = set(list(fleet.instances_by_name)[::4][:count])
+        share_loads(fleet, old)
+        await asyncio.sleep(6.0)
+        version = fleet.store.put("op", "config")
+        late_ms = await fleet.time_to_all("op", version, LIMIT_MS)
+        counted = [
+            count_requests(each)[0]
+            for name, each in fleet.instances_by_name.items()
+            if name not in old
+        ]
+        return late_ms, counted
+
+    context.late_ms, context.counted = context.run.play(scenario)
+
+
+@then("all have the tables, and none counts more than {most:d} requests there")
+def step_impl(context, most):
+    assert context.late_ms is not None and context.late_ms <= context.run.bound_ms
+    assert max(context.counted) <= most, context.counted
