What allows a request to be sent is checked again when its connection is open

Cause: keys, releases, permits, pauses and deadlines were checked when a backend server was chosen. Opening the connection takes up to half a second, or as long as the process is paused, and then the request was sent on what had been true before. A retry counted in a window of the budget could leave in a later one.

Change: a check runs on the open connection before the first byte, on the gateway and the router. A request that may not be sent there any more goes elsewhere as permission-expired, not run. A retry that leaves 250 ms late is counted again.

--- a/stoatpath/commands/request_traces.py
+++ b/stoatpath/commands/request_traces.py
@@ -45,6 +45,8 @@
     "for now; look for backends.limit",
     "overloaded": "more requests waited than the instance lets wait",
     "deadline-unreachable": "its turn would have come after its deadline",
+    "permission-expired": "what allowed it to be sent had ended when a connection was "
+    "open, and there was no further try; the line's detail names it",
     "refused-by-backend": "every backend server that was tried refused it unrun, and "
     "the retry budget or its deadline allowed no further try",
     "connect-failed": "no connection to a backend server could be made",
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -3,7 +3,8 @@
 import asyncio
 import logging
 
-from stoatpath.backpressure.gates import LIMIT_REACHED
+from stoatpath.backpressure.exchanges import PERMIT_LIFETIME_MS
+from stoatpath.backpressure.gates import HELD_OFF, LIMIT_REACHED
 from stoatpath.dispatch.deadlines import ABANDONED_MS
 from stoatpath.dispatch.engine_policies import EnginePolicy
 from stoatpath.dispatch.hedges import Hedge
@@ -18,8 +19,10 @@
     BACKENDS_LIMITED,
     BROKEN_ANSWER,
     FOREIGN_ANSWER,
+    PERMISSION_EXPIRED,
     SILENT_CONNECTION,
     SUPERSEDED,
+    TIMED_OUT,
     UNSURE_ANSWER,
     Failure,
     Outcome,
@@ -35,6 +38,12 @@
 MAX_PERMIT_REQUESTS = 3
 MAX_LISTED_WITHHELD = 4
 LEAVING = "leaving"
+NO_CANDIDATE = "no candidate"
+# A connection within an availability zone is open sooner. Later than that, roll-outs
+# and lists of backend servers may have changed.
+RESELECT_AFTER_MS = 20.0
+# An extra send counts in the window in which it leaves; a later one counts again.
+RECOUNT_AFTER_MS = 250.0
 CONNECTION_FAULTS = (BROKEN_ANSWER, FOREIGN_ANSWER, SILENT_CONNECTION)
 
 
@@ -157,6 +166,38 @@
             self._record_decision(state.request, "guard", problem.detail)
         return problem
 
+    def _check_last(self, state, backend, selected_ms):
+        """Return why a selected backend server must not get the request any more.
+
+        Return None if it may. It is called when the connection is open.
+        """
+        request = state.request
+        now_ms = self._clock.now_ms()
+        if request.deadline_ms <= now_ms:
+            return Failure(TIMED_OUT, "the deadline passed before sending")
+        problem = self._check_guard(state)
+        if problem is not None:
+            return problem
+        gate = self._router.send_gate
+        took_ms = now_ms - selected_ms
+        reason = None
+        if backend.is_leaving:
+            reason = LEAVING
+        elif gate.hold_offs.until_ms(backend.name) > now_ms:
+            reason = HELD_OFF
+        elif took_ms >= PERMIT_LIFETIME_MS and gate.limit_per_s(backend.name):
+            reason = LIMIT_REACHED
+        elif took_ms >= RESELECT_AFTER_MS and not self._is_candidate(state, backend):
+            reason = NO_CANDIDATE
+        if reason is None:
+            return None
+        detail = f"{reason}, {took_ms:.0f} ms after it was chosen"
+        return Failure(PERMISSION_EXPIRED, detail)
+
+    def _is_candidate(self, state, backend):
+        backends = self._policy.candidates(state.request, state.version, state.relay)
+        return any(each.name == backend.name for each in backends)
+
     async def _wait_for_retry(self, state, failure, retries):
         request = state.request
         if state.relay is not None and state.relay.is_abandoned:
@@ -178,7 +219,10 @@
         if retry_at_ms >= request.deadline_ms:
             return False
         await self._clock.sleep_until(retry_at_ms)
-        return True
+        if self._clock.now_ms() - retry_at_ms < RECOUNT_AFTER_MS:
+            return True
+        # The process was paused.
+        return self._router.retry_budget.try_spend(request.service.name)
 
     async def _send_with_hedge(self, state, attempt):
         first = self._send(state, attempt)
@@ -244,6 +288,8 @@
             state.relay,
         )
         attempt.min_confidence = state.min_confidence
+        selected_ms = self._clock.now_ms()
+        attempt.last_check = lambda: self._check_last(state, backend, selected_ms)
         attempt.needs_fresh_connection = backend.name in state.fresh_retry_names
         return attempt
 
--- a/stoatpath/dispatch/connections.py
+++ b/stoatpath/dispatch/connections.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from stoatpath.dispatch.last_checks import CheckedRequest
 from stoatpath.dispatch.response_handlers import use_checked_handler
 
 logger = logging.getLogger(__name__)
@@ -132,6 +133,7 @@
     use_checked_handler(connector)
     session = aiohttp.ClientSession(
         connector=connector,
+        request_class=CheckedRequest,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=OMITTED_HEADERS,
         timeout=aiohttp.ClientTimeout(
--- a/stoatpath/dispatch/exchanges.py
+++ b/stoatpath/dispatch/exchanges.py
@@ -2,6 +2,7 @@
 
 import aiohttp
 
+from stoatpath.dispatch.last_checks import NotSent
 from stoatpath.outcomes import (
     BROKEN_ANSWER,
     CONNECT_FAILED,
@@ -25,6 +26,8 @@
             return await exchange
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         return Failure(CONNECT_FAILED, type(error).__name__)
+    except NotSent as error:
+        return error.failure
     except TimeoutError:
         return _timeout_failure(deadlines)
     except (aiohttp.ClientError, OSError, ValueError) as error:
--- a/stoatpath/dispatch/messages.py
+++ b/stoatpath/dispatch/messages.py
@@ -12,7 +12,8 @@
     `needs_fresh_connection` asks for a new connection; `was_pooled` says that a
     possibly idle one was used. `min_confidence` is the confidence that the head of an
     answer must state, or None. `events` is the number of events of a relayed stream
-    that arrived; `RelaySender` counts those with an identifier.
+    that arrived; `RelaySender` counts those with an identifier. `last_check` returns
+    why it must no longer be sent, or None; it is called before its first byte leaves.
     """
 
     __slots__ = (
@@ -28,6 +29,7 @@
         "deadlines",
         "min_confidence",
         "events",
+        "last_check",
     )
 
     def __init__(
@@ -45,6 +47,7 @@
         self.deadlines = None
         self.min_confidence = None
         self.events = 0
+        self.last_check = None
 
     @property
     def has_begun(self):
--- a/stoatpath/dispatch/relay_senders.py
+++ b/stoatpath/dispatch/relay_senders.py
@@ -5,6 +5,7 @@
 from stoatpath.dispatch.deadlines import ExchangeDeadlines
 from stoatpath.dispatch.event_relays import relay_events
 from stoatpath.dispatch.exchanges import read_body, run_exchange
+from stoatpath.dispatch.last_checks import use_last_check
 from stoatpath.dispatch.liveness import LivenessWatch
 from stoatpath.outcomes import (
     BACKEND_ERROR,
@@ -81,6 +82,7 @@
         request = attempt.request
         sent_ms = self._clock.now_ms()
         remaining_ms = request.deadline_ms - sent_ms
+        use_last_check(attempt.last_check)
         request.was_sent = True
         async with self._calls.open(attempt, remaining_ms) as response:
             pending.end()
--- a/stoatpath/dispatch/senders.py
+++ b/stoatpath/dispatch/senders.py
@@ -12,6 +12,7 @@
 from stoatpath.dispatch.connections import ConnectionPools
 from stoatpath.dispatch.deadlines import ExchangeDeadlines
 from stoatpath.dispatch.exchanges import read_body, run_exchange
+from stoatpath.dispatch.last_checks import use_last_check
 from stoatpath.dispatch.messages import Answer
 from stoatpath.dispatch.streams import EventReader
 from stoatpath.lookups.cache_control import parse_cache_ttl_s
@@ -113,6 +114,7 @@
         }
         if request.content_type:
             headers["Content-Type"] = request.content_type
+        use_last_check(attempt.last_check)
         request.was_sent = True
         sent_ms = self._clock.now_ms()
         call = cohort.session.request(
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -9,6 +9,7 @@
 from stoatpath.backpressure.messages import BackendSignals, decode_hold_off_ms
 from stoatpath.callers.relay_messages import AnswerHead
 from stoatpath.dispatch.connections import accepts_connections
+from stoatpath.dispatch.last_checks import CheckedRequest
 from stoatpath.dispatch.response_handlers import use_checked_handler
 from stoatpath.platform import names
 
@@ -67,6 +68,7 @@
         use_checked_handler(connector)
         self._session = aiohttp.ClientSession(
             connector=connector,
+            request_class=CheckedRequest,
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=SKIPPED_AUTO_HEADERS,
