A pause of the process or of the caller is no silence of a backend server

Cause: while a caller took nothing, nothing was read, and the backend server was probed as if it were silent; after a pause of the process, timers fire before what arrived in that time is read.

Change: no probes during a write to the caller; a timer that fires 250 ms late leaves 500 ms to read.

Result: the 4 scenarios of silence.feature pass.

--- a/stoatpath/dispatch/deadlines.py
+++ b/stoatpath/dispatch/deadlines.py
@@ -5,6 +5,10 @@
 # Time for which a connection to a backend server stays open after the caller has left,
 # to learn what the backend server says or whether it ends.
 ABANDONED_MS = 200.0
+# A timer that fires later than this tells that the process was paused. Bytes may have
+# arrived in that time; they are read within the grace.
+LATE_TIMER_MS = 250.0
+PAUSE_GRACE_MS = 500.0
 
 
 class ExchangeDeadlines:
@@ -18,6 +22,7 @@
     `first_byte_ms` is when the first ones did, or None. After a time-out `is_silent`
     says that the connection was idle for too long or its backend server unreachable,
     not that the total time ran out; `is_superseded` that another attempt answered.
+    `is_writing` is true while a write to the caller keeps anything from being read.
     """
 
     __slots__ = (
@@ -34,6 +39,7 @@
         "first_byte_ms",
         "is_silent",
         "is_superseded",
+        "is_writing",
     )
 
     def __init__(
@@ -52,6 +58,7 @@
         self.first_byte_ms = None
         self.is_silent = False
         self.is_superseded = False
+        self.is_writing = False
 
     async def __aenter__(self):
         await self._timeout.__aenter__()
@@ -89,9 +96,11 @@
         began_ms = self._clock.now_ms()
         deadline_ms = self._next_byte_deadline_ms
         self._next_byte_deadline_ms = float("inf")
+        self.is_writing = True
         try:
             return await write
         finally:
+            self.is_writing = False
             now_ms = self._clock.now_ms()
             self._next_byte_deadline_ms = deadline_ms + now_ms - began_ms
             self._advance_timer(now_ms)
@@ -130,6 +139,11 @@
     def _on_timer(self):
         now_ms = self._clock.now_ms()
         is_total_expired = now_ms >= self._total_deadline_ms
+        if now_ms >= self._timer_due_ms + LATE_TIMER_MS and not is_total_expired:
+            grace_ms = min(PAUSE_GRACE_MS, self._between_bytes_ms)
+            self._next_byte_deadline_ms = max(
+                self._next_byte_deadline_ms, now_ms + grace_ms
+            )
         self.is_silent = now_ms >= self._next_byte_deadline_ms and not is_total_expired
         if self.is_silent or is_total_expired:
             self._expire()
--- a/stoatpath/dispatch/liveness.py
+++ b/stoatpath/dispatch/liveness.py
@@ -44,6 +44,10 @@
         self._timer = loop.call_later(delay_ms / 1000, self._check_silence)
 
     def _check_silence(self):
+        if self._deadlines.is_writing:
+            # Nothing is read while the caller does not take what was read before.
+            self._schedule_check(PROBE_AFTER_SILENCE_MS)
+            return
         silent_ms = self._clock.now_ms() - self._deadlines.last_received_ms
         if silent_ms < PROBE_AFTER_SILENCE_MS:
             self._schedule_check(PROBE_AFTER_SILENCE_MS - silent_ms)
