Instances with failing tasks don't yield to each other

Cause: two instances whose tasks keep failing asked each other at the same time, both were still ready, and both stopped saying so until the next check. The scenario All gateways have a task that keeps failing failed once for that (5 of 200 samples without a ready one).

Change: an instance with a lasting failure of its own answers that it isn't ready to replace.

--- a/features/resilience/steps/task_steps.py
+++ b/features/resilience/steps/task_steps.py
@@ -405,7 +405,9 @@
             pair = await start_pair(deployment)
             for each in pair:
                 each._tasks += each.supervisor.start({"releases": fail})
-            await wait_until(lambda: not all(each.is_ready() for each in pair))
+            await wait_until(
+                lambda: all(each.supervisor.lasting_failures() for each in pair)
+            )
             for _ in range(200):
                 context.both_unready += not any(each.is_ready() for each in pair)
                 await asyncio.sleep(0.01)
--- a/stoatpath/replacements.py
+++ b/stoatpath/replacements.py
@@ -64,4 +64,7 @@
         return 2 * ready > len(asked)
 
     async def _handle_question(self, message):
-        return {"is_ready": bool(self._is_ready())}
+        # An instance whose own tasks keep failing is no replacement: two that ask each
+        # other at the same time would both yield.
+        is_sound = not self._node.supervisor.lasting_failures()
+        return {"is_ready": is_sound and bool(self._is_ready())}
