--- a/features/platform/steps/relaying_steps.py
+++ b/features/platform/steps/relaying_steps.py
@@ -424,7 +424,9 @@
     context.add_cleanup(context.socket.close)
 
 
-@then("the peer may be silent for {seconds:d} s, by keep-alive and by unacknowledged data")
+@then(
+    "the peer may be silent for {seconds:d} s, by keep-alive and by unacknowledged data"
+)
 def step_impl(context, seconds):
     idle, interval, count, unacknowledged_ms = (
         context.socket.getsockopt(socket.IPPROTO_TCP, option)
--- a/features/site/steps/quarantine_steps.py
+++ b/features/site/steps/quarantine_steps.py
@@ -98,7 +98,9 @@
 
 
 def last_lookups(context, is_poison):
-    sent = [each for each in context.lookups if (each.path == context.path) == is_poison]
+    sent = [
+        each for each in context.lookups if (each.path == context.path) == is_poison
+    ]
     from_ms = max(each.sent_ms for each in sent) - TAIL_MS
     return [each for each in sent if each.sent_ms >= from_ms]
 
--- a/stoatpath/dispatch/messages.py
+++ b/stoatpath/dispatch/messages.py
@@ -12,12 +12,13 @@
     (`CompletionRelay`) or the identifier of the last one (`EventRelay`).
     `needs_fresh_connection` asks for a new connection; `was_pooled` says that a
     possibly idle one was used. `min_confidence` is the confidence that the head of an
-    answer must state, or None. `check_send` is called with the connection open and
-    returns a failure or None; `is_withheld` is true once such a check has refused the
-    attempt. `events` is the number of events of a relayed stream that arrived;
-    `RelaySender` counts those with an identifier. `send_by_ms` is the time by which the
-    connection must be open: the permit to send expires then. `is_hedge` is true for an
-    extra send beside another attempt, `is_abandoned` once nobody awaits its answer.
+    answer must state, or None. `last_check` returns why it must no longer be sent, or
+    None; it is called with the connection open, before its first byte leaves.
+    `is_withheld` is true once a drained zone or a region has ruled it out. `events` is
+    the number of events of a relayed stream that arrived; `RelaySender` counts those
+    with an identifier. `send_by_ms` is the time by which the connection must be open:
+    the permit to send expires then. `is_hedge` is true for an extra send beside another
+    attempt, `is_abandoned` once nobody awaits its answer.
     """
 
     __slots__ = (
@@ -32,13 +33,13 @@
         "was_pooled",
         "deadlines",
         "min_confidence",
-        "check_send",
         "is_withheld",
         "events",
         "send_by_ms",
         "connect_timeout_ms",
         "is_hedge",
         "is_abandoned",
+        "last_check",
     )
 
     def __init__(
@@ -55,13 +56,13 @@
         self.was_pooled = False
         self.deadlines = None
         self.min_confidence = None
-        self.check_send = None
         self.is_withheld = False
         self.events = 0
         self.send_by_ms = float("inf")
         self.connect_timeout_ms = None
         self.is_hedge = False
         self.is_abandoned = False
+        self.last_check = None
 
     @property
     def has_begun(self):
--- a/stoatpath/dispatch/relay_senders.py
+++ b/stoatpath/dispatch/relay_senders.py
@@ -5,8 +5,8 @@
 from stoatpath.dispatch.deadlines import ExchangeDeadlines
 from stoatpath.dispatch.event_relays import relay_events
 from stoatpath.dispatch.exchanges import read_body, run_exchange
+from stoatpath.dispatch.last_checks import use_last_check
 from stoatpath.dispatch.liveness import LivenessWatch
-from stoatpath.dispatch.send_checks import SendRefused
 from stoatpath.outcomes import (
     BACKEND_ERROR,
     REFUSED_BY_BACKEND,
@@ -63,8 +63,7 @@
         request = attempt.request
         if request.deadline_ms <= self._clock.now_ms():
             return Failure(TIMED_OUT, "the deadline passed before sending")
-        attempt.check_send = lambda: self._check(attempt)
-        problem = attempt.check_send()
+        problem = self._check(attempt)
         if problem is not None:
             return problem
         if attempt.send_by_ms <= self._clock.now_ms():
@@ -82,8 +81,6 @@
         try:
             exchange = self._exchange(attempt, deadlines, pending)
             result = await run_exchange(exchange, deadlines)
-        except SendRefused as refused:
-            result = refused.failure
         finally:
             watch.stop()
             pending.end()
@@ -98,12 +95,20 @@
         attempt.is_withheld = problem is not None
         return problem
 
+    def _check_last(self, attempt):
+        """Return the failure of an attempt whose connection is open, or None."""
+        problem = self._check(attempt)
+        if problem is None and attempt.last_check is not None:
+            problem = attempt.last_check()
+        return problem
+
     async def _exchange(self, attempt, deadlines, pending):
         request = attempt.request
         sent_ms = self._clock.now_ms()
         remaining_ms = request.deadline_ms - sent_ms
         if attempt.send_by_ms < float("inf"):
             attempt.connect_timeout_ms = max(1.0, attempt.send_by_ms - sent_ms)
+        use_last_check(lambda: self._check_last(attempt))
         request.was_sent = True
         async with self._calls.open(attempt, remaining_ms) as response:
             pending.end()
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -9,8 +9,8 @@
 from stoatpath.backpressure.messages import BackendSignals, decode_hold_off_ms
 from stoatpath.callers.relay_messages import AnswerHead
 from stoatpath.dispatch.connections import accepts_connections
+from stoatpath.dispatch.last_checks import CheckedRequest
 from stoatpath.dispatch.response_handlers import use_checked_handler
-from stoatpath.dispatch.send_checks import CheckedRequest, check_before_send
 from stoatpath.platform import names
 
 EVENT_STREAM = "text/event-stream"
@@ -68,9 +68,9 @@
         use_checked_handler(connector)
         self._session = aiohttp.ClientSession(
             connector=connector,
+            request_class=CheckedRequest,
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
-            request_class=CheckedRequest,
             skip_auto_headers=SKIPPED_AUTO_HEADERS,
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=CONNECT_TIMEOUT_MS / 1000
@@ -96,7 +96,6 @@
     def _open(self, attempt, headers):
         request = attempt.request
         self.calls += 1
-        check_before_send(attempt.check_send)
         connect_ms = CONNECT_TIMEOUT_MS
         if attempt.connect_timeout_ms is not None:
             connect_ms = min(connect_ms, attempt.connect_timeout_ms)
--- a/stoatpath/replacements.py
+++ b/stoatpath/replacements.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from stoatpath.membership.messages import LIVE
 from stoatpath.outcomes import is_failure
 
 logger = logging.getLogger(__name__)
@@ -51,7 +52,9 @@
 
     async def _are_others_ready(self):
         members = self._node.members
-        peers = members.peers(members.local.role)
+        peers = [
+            each for each in members.peers(members.local.role) if each.state == LIVE
+        ]
         asked = self._random.sample(peers, min(MAX_ASKED, len(peers)))
         ready = 0
         for peer in asked:
@@ -61,4 +64,7 @@
         return 2 * ready > len(asked)
 
     async def _handle_question(self, message):
-        return {"is_ready": bool(self._is_ready())}
+        # An instance whose own tasks keep failing is no replacement: two that ask each
+        # other at the same time would both yield.
+        is_sound = not self._node.supervisor.lasting_failures()
+        return {"is_ready": is_sound and bool(self._is_ready())}
