A limit on second attempts against slow answers

Cause: a repeatable request whose backend server is slow waits for its time limit; streams were never hedged. Off by default.

--- a/features/resilience/steps/stop_steps.py
+++ b/features/resilience/steps/stop_steps.py
@@ -266,7 +266,9 @@
     async def _open(self):
         try:
             return await open_connection(self.address)
-        except ConnectionRefusedError:
+        except (ConnectionRefusedError, ConnectionResetError):
+            # As the listener closes, the kernel resets connections that are being set
+            # up. Nothing has been sent on them.
             self.is_over = True
             return None, None
 
--- a/features/resilience/tasks.feature
+++ b/features/resilience/tasks.feature
@@ -25,7 +25,7 @@
   Scenario: A part of a task that fails ends the others, so that none runs twice
     Given a table relay whose check of ages fails once
     When it is run under a supervisor
-    Then one check of ages and one series of steps are running
+    Then one check of ages, one series of steps and one of versions are running
 
   Scenario: The failing tasks of a router run again
     Given a router whose watcher of backend servers fails once
--- a/stoatpath/dispatch/extra_work.py
+++ b/stoatpath/dispatch/extra_work.py
@@ -17,14 +17,14 @@
     Both are counted by service in a sliding window. Each instance applies the share to
     its own requests, so it holds for all instances together. `share` is from 0 to 0.5;
     0 means that operators have set no limit, so that no stream is sent twice.
-    `sent_by_service` and `won_by_service` count extra sends and those that answered
-    first, `refused_by_reason` those that were not made.
+    `sent` and `won` count extra sends and those that answered first,
+    `refused_by_reason` those that were not made.
     """
 
     __slots__ = (
         "share",
-        "sent_by_service",
-        "won_by_service",
+        "sent",
+        "won",
         "refused_by_reason",
         "_clock",
         "_requests_by_service",
@@ -33,8 +33,8 @@
 
     def __init__(self, share, clock):
         self.share = share
-        self.sent_by_service = {}
-        self.won_by_service = {}
+        self.sent = 0
+        self.won = 0
         self.refused_by_reason = dict.fromkeys(REASONS, 0)
         self._clock = clock
         self._requests_by_service = {}
@@ -62,14 +62,12 @@
         now_ms = self._clock.now_ms()
         requests.add(0, 1, now_ms)
         tokens.add(0, added_tokens, now_ms)
-        name = request.service.name
-        self.sent_by_service[name] = self.sent_by_service.get(name, 0) + 1
+        self.sent += 1
         return True
 
-    def record_win(self, request):
+    def record_win(self):
         """Count an extra send that answered first."""
-        name = request.service.name
-        self.won_by_service[name] = self.won_by_service.get(name, 0) + 1
+        self.won += 1
 
     def refuse(self, reason):
         """Count an extra send that was not made."""
--- /dev/null
+++ b/stoatpath/dispatch/features/extra_work.feature
@@ -0,0 +1,44 @@
+Feature: Requests that begin late are sent a second time within the operators' limit
+
+  # Guards against an instance that spends more than its share in some window.
+  Scenario: Second attempts stay within the share of requests and of tokens
+    Given a limit of 0.1 on extra work
+    When requests of any size and second attempts come in any order
+    Then no window holds more second attempts or tokens than the share
+
+  # Load: one backend server in a slow moment. Guards against a stream that waits for it
+  # although another server is free, and against events of both attempts.
+  Scenario: A stream that begins late is answered by a second attempt
+    Given two backend servers, of which the first one begins after 5 s
+    When a stream is requested with a limit of 0.5 on extra work
+    Then its events come from the second one, each once
+    And the attempt at the first one was cancelled within 500 ms
+    And the request counts as run twice
+
+  # Guards against streams that are sent twice where operators have set no limit.
+  Scenario: Without a limit a stream is not sent a second time
+    Given two backend servers, of which the first one begins after 1 s
+    When a stream is requested with a limit of 0 on extra work
+    Then its events come from the first one, each once
+
+  # Guards against an answer of low confidence that waits for the other attempt.
+  Scenario: An unsure answer of the second attempt settles the stage
+    Given two backend servers, of which the first one begins after 5 s
+    And the second one is unsure
+    When a stream is requested with a limit of 0.5 on extra work
+    Then the stage ends as "unsure-answer" within 1 s
+
+  # Guards against second attempts that take room or work that others need.
+  Scenario Outline: No second attempt is made when <case>
+    Given two backend servers, of which the first one begins after 1 s
+    And <case>
+    When a stream is requested with a limit of 0.5 on extra work
+    Then its events come from the first one, each once
+    And "<reason>" was counted
+
+    Examples:
+      | case                                | reason             |
+      | the second one is nearly full       | no-room            |
+      | the second one names a limit        | not-allowed        |
+      | the retry budget is spent           | retry-budget-spent |
+      | the share is used                   | limit-spent        |
--- a/stoatpath/dispatch/relay_policies.py
+++ b/stoatpath/dispatch/relay_policies.py
@@ -150,7 +150,7 @@
 
     def record_hedge_win(self, request):
         """Count a hedge that answered first."""
-        self._router.extra_work.record_win(request)
+        self._router.extra_work.record_win()
 
     def _check_extra_send(self, request, backend):
         """Return why a backend server gets no extra send, or None."""
--- a/stoatpath/gateway_metrics.py
+++ b/stoatpath/gateway_metrics.py
@@ -2,6 +2,7 @@
 
 from stoatpath.log import dropped_lines
 from stoatpath.metric_sources import (
+    extra_work_samples,
     fleet_load_samples,
     quarantine_samples,
     supervisor_samples,
@@ -244,6 +245,7 @@
         len(gateway.eligible.drained()),
     )
     yield from fleet_load_samples(gateway)
+    yield from extra_work_samples(gateway.extra_work)
     counts_by_state = {"usable": 0, "leaving": 0}
     for backend in gateway.backends.by_name.values():
         counts_by_state["leaving" if backend.is_leaving else "usable"] += 1
--- a/stoatpath/metric_sources.py
+++ b/stoatpath/metric_sources.py
@@ -91,6 +91,22 @@
         )
 
 
+def extra_work_samples(extra_work):
+    """Return the samples of second attempts against slow answers."""
+    for name, help_text, count in (
+        ("sent", "Second attempts against slow answers.", extra_work.sent),
+        ("won", "Second attempts that answered first.", extra_work.won),
+    ):
+        yield Sample.counter(f"stoatpath_extra_work_{name}_total", help_text, count)
+    for reason, count in extra_work.refused_by_reason.items():
+        yield Sample.counter(
+            "stoatpath_extra_work_refused_total",
+            "Second attempts that were not made.",
+            count,
+            reason=reason,
+        )
+
+
 def quarantine_samples(router):
     """Return the samples of the quarantine of a router or a gateway."""
     return [
--- a/stoatpath/zones/features/steps/drain_steps.py
+++ b/stoatpath/zones/features/steps/drain_steps.py
@@ -232,7 +232,7 @@
         context.add_cleanup(patch.stop)
 
 
-def hedge_once(policy, request, sent_count):
+def hedge_once(policy, request, version, sent_count, min_confidence):
     return HEDGE_MS if sent_count == 1 else None
 
 
