--- a/stoatpath/routing/affinity.py
+++ b/stoatpath/routing/affinity.py
@@ -35,6 +35,9 @@
 # Crossing zones is billed, but is worth it where it saves a tenth of an answer's time.
 FLEET_CROSS_ZONE_COST = 25_000.0
 FLEET_FAILURE_COST = 2_500_000.0
+# An instance of a smaller fleet sees a large part of each server's work itself, as it is
+# now; sums are up to two seconds old.
+MIN_INSTANCES_FOR_SUMS = 20
 # Many choices are made from the same sums, so each evaluates only a few random servers,
 # of its own zone and of all, besides the preferred one: the least loaded one would get
 # the requests of all instances until its load is in the sums.
@@ -153,8 +156,7 @@
         """Return pairs of cost and backend server, sorted, and the preferred one."""
         avoided = self._names_to_avoid(query, eligible, now_ms)
         preferred = self._find_preferred(query, eligible, avoided)
-        has_sums = self.fleet_loads is not None and self.fleet_loads.has_sums(now_ms)
-        if has_sums:
+        if self._uses_sums(now_ms):
             candidates = self._sample(eligible, preferred)
             cost_of = self._fleet_cost
         else:
@@ -181,6 +183,13 @@
             sample if preferred is None or preferred in sample else [preferred, *sample]
         )
 
+    def _uses_sums(self, now_ms):
+        """Return whether candidates are compared by the load of the whole fleet."""
+        loads = self.fleet_loads
+        if loads is None or not loads.has_sums(now_ms):
+            return False
+        return loads.instances >= MIN_INSTANCES_FOR_SUMS
+
     def _sample(self, eligible, preferred):
         """Return a few random candidates of this zone and of all, and the preferred."""
         if len(eligible) <= SMALL_SERVICE_SERVERS:
--- a/stoatpath/routing/features/fleet_selection.feature
+++ b/stoatpath/routing/features/fleet_selection.feature
@@ -12,6 +12,7 @@
       | the home has 9 requests of others                | go to home |
       | the home is full, by sums that are 6 s old       | go to home |
       | the home is full, by a message of an older build | go to home |
+      | the home is full, by the sums of 9 instances     | go to home |
 
   Scenario: Fast backend servers get more than slow ones
     Given 20 backend servers with 32 slots, of which each has 16 requests of other instances
--- a/stoatpath/routing/features/steps/fleet_selection_steps.py
+++ b/stoatpath/routing/features/steps/fleet_selection_steps.py
@@ -42,7 +42,7 @@
     sums = {server_id(name): load for name, load in context.loads_by_name.items()}
     answer = {
         "counted": None,
-        "count": 59,
+        "count": context.instances,
         "age_ms": context.age_ms,
         "sums": encode_loads(sums),
     }
@@ -73,6 +73,7 @@
         for name in context.directory.by_name
     }
     context.age_ms = 600
+    context.instances = 59
     context.has_field = True
     context.failing = None
     context.home = find_home(context)
@@ -93,6 +94,7 @@
     context.loads_by_name[context.home].in_flight = 32
     context.age_ms = 6_000 if "old" in source else 600
     context.has_field = "older build" not in source
+    context.instances = 9 if "9 instances" in source else 59
 
 
 @when("half of each zone is known to run at {fast:f} and the others at {slow:f}")
