--- a/stoatpath/routing/affinity.py
+++ b/stoatpath/routing/affinity.py
@@ -35,8 +35,8 @@
 # Crossing zones is billed, but is worth it where it saves a tenth of an answer's time.
 FLEET_CROSS_ZONE_COST = 25_000.0
 FLEET_FAILURE_COST = 2_500_000.0
-# An instance of a smaller fleet sees a large part of each server's work itself, as it is
-# now; sums are up to two seconds old.
+# An instance of a smaller fleet sees a large part of each server's work itself, as it
+# is now; sums are up to two seconds old.
 MIN_INSTANCES_FOR_SUMS = 20
 # Many choices are made from the same sums, so each evaluates only a few random servers,
 # of its own zone and of all, besides the preferred one: the least loaded one would get
