--- a/review/build.sh
+++ b/review/build.sh
@@ -6,7 +6,7 @@
 PYTHONDONTWRITEBYTECODE=1 python3 - <<'PYTHON'
 import glob
 
-for path in sorted(glob.glob("review/standins/*.py") + glob.glob("review/*/*.py")):
+for path in sorted(glob.glob("review/*.py") + glob.glob("review/*/*.py")):
     with open(path, encoding="utf-8") as file:
         compile(file.read(), path, "exec")
 PYTHON
--- a/review/standins/harness.py
+++ b/review/harness.py
@@ -16,7 +16,7 @@
 import tempfile
 import time
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 COMMAND = ["python3", "-m", "stoatpath.tools.gateway"]
 HOST = "desk.example"
 GRACE_S = 8.0
