--- a/features/logs/request_traces.feature
+++ b/features/logs/request_traces.feature
@@ -25,3 +25,14 @@
     Given a deployment whose request log is recorded
     When a booking is sent
     Then its log line has the route, the service, the timeout, the revision and its age
+
+  # Guards against logs that can't tell an answer that was cut from one that ended.
+  Scenario Outline: The log line of a request tells how the end of its answer was known
+    Given a deployment whose request log is recorded
+    When <request>
+    Then its log line says <whether> that the answer ended with its connection
+
+    Examples:
+      | request                                                 | whether |
+      | a booking is sent                                       | nowhere |
+      | a booking is sent whose answer ends with its connection | once    |
--- a/features/logs/steps/request_trace_steps.py
+++ b/features/logs/steps/request_trace_steps.py
@@ -11,6 +11,7 @@
 
 from stoatpath.commands.request_traces import read_trace, render_trace
 from stoatpath.standins.deployments import CALLER_KEY, HOST, PLAIN_SERVICE, Deployment
+from stoatpath.standins.faults import Fault
 
 REQUEST_ID = "request-1"
 TIME_FORMAT = "2026-01-01T10:{:02d}:{:02d}+00:00"
@@ -127,9 +128,20 @@
 
 @when("a booking is sent")
 def step_impl(context):
+    send_one_booking([])
+
+
+@when("a booking is sent whose answer ends with its connection")
+def step_impl(context):
+    send_one_booking([Fault("serve", "unframed")])
+
+
+def send_one_booking(faults):
     async def send_booking():
         deployment = Deployment()
-        await deployment.start(models=0)
+        await deployment.start(models=0, plain=1)
+        for fault in faults:
+            deployment.replicas_by_name["p0"].faults.add(fault)
         headers = {
             "Host": HOST,
             "Authorization": f"Bearer {CALLER_KEY}",
@@ -147,12 +159,22 @@
     asyncio.run(send_booking())
 
 
-@then("its log line has the route, the service, the timeout, the revision and its age")
-def step_impl(context):
+def logged_decisions(context):
     (record,) = [
         each for each in context.handler.records if each.request_id == REQUEST_ID
     ]
-    first = record.decisions[0]
+    return record.decisions
+
+
+@then("its log line says {whether} that the answer ended with its connection")
+def step_impl(context, whether):
+    (answer,) = [each for each in logged_decisions(context) if each["step"] == "answer"]
+    assert answer.get("unframed", False) == (whether == "once"), answer
+
+
+@then("its log line has the route, the service, the timeout, the revision and its age")
+def step_impl(context):
+    first = logged_decisions(context)[0]
     assert first["step"] == "read", first
     assert (first["route"], first["service"]) == ("book", PLAIN_SERVICE), first
     assert first["organisation"] == "harbour", first
--- a/stoatpath/callers/relay_messages.py
+++ b/stoatpath/callers/relay_messages.py
@@ -206,7 +206,8 @@
     if the answer has the header that shows that the backend server itself answered,
     `is_not_executed` if the backend server did not run the request, and
     `is_misdirected` if another process answered at this address. `is_encoded` is true
-    if the answer has a `Content-Encoding`. `confidence` is the model's confidence in
+    if the answer has a `Content-Encoding`, `is_unframed` if its body has neither a
+    length nor chunks and ends with its connection. `confidence` is the model's confidence in
     its answer, from 0 to 100, or None. `signals` are `BackendSignals`. `answered_by` is
     the backend server that another instance names, or "". `headers` are the end-to-end
     headers as pairs.
@@ -219,6 +220,7 @@
         "is_not_executed",
         "is_misdirected",
         "is_encoded",
+        "is_unframed",
         "is_event_stream",
         "confidence",
         "signals",
@@ -234,6 +236,7 @@
         is_not_executed,
         is_misdirected,
         is_encoded,
+        is_unframed,
         is_event_stream,
         confidence,
         signals,
@@ -246,6 +249,7 @@
         self.is_not_executed = is_not_executed
         self.is_misdirected = is_misdirected
         self.is_encoded = is_encoded
+        self.is_unframed = is_unframed
         self.is_event_stream = is_event_stream
         self.confidence = confidence
         self.signals = signals
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -382,6 +382,7 @@
                 detail=failure.detail,
                 began_after_ms=_elapsed_ms(started_ms, first_byte_ms),
                 events=attempt.events,
+                **_framing_details(attempt),
             )
             if failure.reason is SUPERSEDED or attempt.is_withheld:
                 return
@@ -425,6 +426,7 @@
             began_after_ms=round(began_ms - started_ms, 1),
             lasted_ms=round(now_ms - began_ms, 1),
             events=attempt.events,
+            **_framing_details(attempt),
         )
 
     def _select_backend(self, state, only_permitted=False):
@@ -496,6 +498,10 @@
     return failure.reason is UNSURE_ANSWER
 
 
+def _framing_details(attempt):
+    return {"unframed": True} if attempt.is_unframed else {}
+
+
 def _elapsed_ms(started_ms, ended_ms):
     return None if ended_ms is None else round(ended_ms - started_ms, 1)
 
--- a/stoatpath/dispatch/messages.py
+++ b/stoatpath/dispatch/messages.py
@@ -18,7 +18,8 @@
     the number of events of a relayed stream that arrived; `RelaySender` counts those
     with an identifier. `send_by_ms` is the time by which the connection must be open:
     the permit to send expires then. `is_hedge` is true for an extra send beside another
-    attempt, `is_abandoned` once nobody awaits its answer.
+    attempt, `is_abandoned` once nobody awaits its answer. `is_unframed` is true for an
+    answer whose body ends with its connection.
     """
 
     __slots__ = (
@@ -39,6 +40,7 @@
         "connect_timeout_ms",
         "is_hedge",
         "is_abandoned",
+        "is_unframed",
         "last_check",
     )
 
@@ -62,6 +64,7 @@
         self.connect_timeout_ms = None
         self.is_hedge = False
         self.is_abandoned = False
+        self.is_unframed = False
         self.last_check = None
 
     @property
--- a/stoatpath/dispatch/relay_senders.py
+++ b/stoatpath/dispatch/relay_senders.py
@@ -118,6 +118,7 @@
             deadlines.record_bytes()
             request.release = attempt.backend.release
             head = self._decode_head(response)
+            attempt.is_unframed = head.is_unframed
             self._observe_signals(attempt, head, sent_ms)
             problem = _check_head(attempt, head)
             if problem is not None:
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -33,6 +33,7 @@
 MAX_LIMIT_PER_S = 1e6
 MAX_CONFIDENCE = 100.0
 MAX_LOGGED_CHARS = 40
+BODILESS_STATUSES = (204, 304)
 DROPPED_HEADERS = names.HOP_HEADERS | {names.ANSWERED_BY.lower()}
 SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 # Not forwarded: the router sets these itself for each request, or consumes them.
@@ -139,6 +140,7 @@
         names.NOT_EXECUTED in headers,
         response.status == names.MISDIRECTED_STATUS,
         "Content-Encoding" in headers,
+        _is_unframed(response),
         headers.get("Content-Type", "").startswith(EVENT_STREAM),
         _decode_confidence(headers.get(names.CONFIDENCE)),
         _decode_signals(response.status, headers),
@@ -151,6 +153,17 @@
     )
 
 
+def _is_unframed(response):
+    """Return whether a body ends with its connection (RFC 9112, section 6.3)."""
+    if response.method == "HEAD" or response.status in BODILESS_STATUSES:
+        return False
+    headers = response.headers
+    codings = ",".join(headers.getall("Transfer-Encoding", ())).lower().split(",")
+    if codings[-1].strip() == "chunked":
+        return False
+    return "Content-Length" not in headers or codings != [""]
+
+
 def name_backend(head, backend):
     """Add the name of the backend server to the head of a forwarded answer."""
     head.headers.append((names.ANSWERED_BY, backend.name))
