--- a/stoatpath/callers/relay_messages.py
+++ b/stoatpath/callers/relay_messages.py
@@ -207,10 +207,10 @@
     `is_not_executed` if the backend server did not run the request, and
     `is_misdirected` if another process answered at this address. `is_encoded` is true
     if the answer has a `Content-Encoding`, `is_unframed` if its body has neither a
-    length nor chunks and ends with its connection. `confidence` is the model's confidence in
-    its answer, from 0 to 100, or None. `signals` are `BackendSignals`. `answered_by` is
-    the backend server that another instance names, or "". `headers` are the end-to-end
-    headers as pairs.
+    length nor chunks and ends with its connection. `confidence` is the model's
+    confidence in its answer, from 0 to 100, or None. `signals` are `BackendSignals`.
+    `answered_by` is the backend server that another instance names, or "". `headers`
+    are the end-to-end headers as pairs.
     """
 
     __slots__ = (
