A gateway that stops answers requests behind another one

A caller that sends two requests at once on a connection got an answer to the first only, once the gateway was stopping (or the router: they share the listener).

Cause: each answer of a stopping instance said "close", and aiohttp then drops what it has read behind it.

Change: an answer says "close" if no other request has been read on its connection.

Evidence: features/resilience/late_requests.feature, "Two requests come at once on a kept connection": failed before (the second had no answer), passes now.

--- a/stoatpath/callers/connections.py
+++ b/stoatpath/callers/connections.py
@@ -102,9 +102,12 @@
         self._waiting_bytes = 0
 
     @property
-    def is_leaving(self):
-        """Return whether the connection is to be closed after its response."""
-        return self._server.is_leaving
+    def is_last_answer(self):
+        """Return whether the connection is to be closed after the current response.
+
+        If the instance stops, it is, but requests that have followed are answered.
+        """
+        return self._server.is_leaving and not self._messages
 
     @property
     def is_idle(self):
--- a/stoatpath/callers/listeners.py
+++ b/stoatpath/callers/listeners.py
@@ -178,7 +178,7 @@
             response = await self._handle(request, request_id)
         finally:
             self._unregister_request(registered_id)
-        if self.is_leaving:
+        if request.protocol.is_last_answer:
             response.force_close()
         return response
 
--- a/stoatpath/callers/relays.py
+++ b/stoatpath/callers/relays.py
@@ -241,7 +241,7 @@
         """Send the response head, with the status and headers of a backend server."""
         self.response = web.StreamResponse(status=head.status, headers=head.headers)
         self.response.enable_chunked_encoding()
-        if self._request.protocol.is_leaving:
+        if self._request.protocol.is_last_answer:
             self.response.force_close()
         self.begun_ms = self._clock.now_ms()
         await self.response.prepare(self._request)
--- a/stoatpath/callers/streams.py
+++ b/stoatpath/callers/streams.py
@@ -74,7 +74,7 @@
     async def _start_response(self):
         self.response = web.StreamResponse(headers=self._headers)
         self.response.content_type = EVENT_STREAM
-        if self._request.protocol.is_leaving:
+        if self._request.protocol.is_last_answer:
             self.response.force_close()
         self.has_begun = True
         await self.response.prepare(self._request)
