What a stopping gateway can't end is refused or answered, not cut

Callers lost requests that were open when the grace period of a gateway ended: their connections were reset without an answer, kept ones too, also of requests that had waited for a slot, or for their own body, and were passed on a moment before.

Causes: whether a request can end in time was asked only as its head arrived, not as it was sent; what was open at the end was reset; and the times of a stop were absolute, so that in a grace period below 6 s all of it, with short requests as well, ended before its last sixth.

Change: `StopTimes` holds the times of a stop, as shares of a short grace period. The same check is made as a head arrives, as a body is complete, for what waits for a slot, and as a request that hasn't run is sent to a backend server or an instance, and once more when the connection is open. Deadlines given to backend servers and other instances are limited to the end. What is still open then is answered, with 503 if it wasn't sent, 502 otherwise, and isn't sent afterwards; streams that have begun are cut.

--- a/features/resilience/steps/late_request_steps.py
+++ b/features/resilience/steps/late_request_steps.py
@@ -184,7 +184,8 @@
 
 
 @given(
-    "a gateway with a grace period of {grace:g} s, whose backend servers take {delay:g} s"
+    "a gateway with a grace period of {grace:g} s, "
+    "whose backend servers take {delay:g} s"
 )
 def step_impl(context, grace, delay):
     use_deployment(context)
@@ -364,7 +365,7 @@
     "of the stop"
 )
 def step_impl(context, served, seconds):
-    statuses = sorted(sent.status for sent in context.sents)
+    statuses = sorted(sent.status or 0 for sent in context.sents)
     refused = len(context.sents) - served
     assert statuses == served * [200] + refused * [503], context.sents
     for sent in context.sents:
--- a/stoatpath/callers/listeners.py
+++ b/stoatpath/callers/listeners.py
@@ -10,7 +10,7 @@
 from stoatpath.callers.completions import CompletionInterface
 from stoatpath.callers.connections import CallerServer, ConnectionLimits
 from stoatpath.callers.statistics import RequestStatistics
-from stoatpath.outcomes import is_failure
+from stoatpath.outcomes import SHUTTING_DOWN, Failure, Outcome, is_failure
 from stoatpath.utils import new_id
 
 logger = logging.getLogger(__name__)
@@ -22,6 +22,35 @@
 TAKE_OVER_TIMEOUT_S = 1.0
 
 
+class OpenRequest:
+    """A request in flight, as it arrived.
+
+    `parsed` is what it was parsed to, None before, `stream` the writer of its events or
+    None. `limit` is the time-out that ends it.
+    """
+
+    __slots__ = ("request", "parsed", "stream", "limit")
+
+    def __init__(self, request):
+        self.request = request
+        self.parsed = None
+        self.stream = None
+        self.limit = asyncio.timeout(None)
+
+    def end(self):
+        """End it now; it isn't sent any more."""
+        if self.parsed is not None:
+            self.parsed.has_caller_left = True
+        self.limit.reschedule(asyncio.get_running_loop().time())
+
+    def build_failure(self):
+        """Return the failure of a request that the stop of the instance ended."""
+        detail = "the instance stopped before the request had ended"
+        if self.parsed is not None and self.parsed.was_sent:
+            return Failure(SHUTTING_DOWN, detail, Outcome.UNKNOWN)
+        return Failure(SHUTTING_DOWN, detail)
+
+
 class Listener:
     """Reads caller requests and writes the results of the pipeline.
 
@@ -157,11 +186,22 @@
         """Close the connections without an unanswered request."""
         self._server.close_idle()
 
+    def end_requests(self):
+        """Answer all requests in flight with a failure; nothing more is sent for them.
+
+        Streams that have begun are cut, so that callers see that they are incomplete.
+        """
+        for registered_id, opened in list(self.open_by_id.items()):
+            self._router.ring.record_decision(
+                registered_id, "stop", "the grace period is over"
+            )
+            opened.end()
+
     def abort_requests(self):
         """Abort the connections of all requests in flight: callers see a failure."""
-        for request in list(self.open_by_id.values()):
-            if request.transport is not None:
-                request.transport.abort()
+        for opened in list(self.open_by_id.values()):
+            if opened.request.transport is not None:
+                opened.request.transport.abort()
 
     async def _serve(self, request):
         probe = self._interface.answer_probe(request)
@@ -173,17 +213,18 @@
         registered_id = (
             request_id if request_id not in self.open_by_id else new_id("req")
         )
-        self._register_request(registered_id, request)
+        opened = OpenRequest(request)
+        self._register_request(registered_id, opened)
         try:
-            response = await self._handle(request, request_id)
+            response = await self._handle_until_end(opened, request_id)
         finally:
             self._unregister_request(registered_id)
         if request.protocol.is_last_answer:
             response.force_close()
         return response
 
-    def _register_request(self, registered_id, request):
-        self.open_by_id[registered_id] = request
+    def _register_request(self, registered_id, opened):
+        self.open_by_id[registered_id] = opened
         self._idle.clear()
 
     def _unregister_request(self, registered_id):
@@ -191,14 +232,35 @@
         if not self.open_by_id:
             self._idle.set()
 
-    async def _handle(self, request, request_id):
+    async def _handle_until_end(self, opened, request_id):
+        """Return the response; that of a failure if `end_requests` is called."""
+        try:
+            async with opened.limit:
+                return await self._handle(opened, request_id)
+        except TimeoutError:
+            if not opened.limit.expired():
+                raise
+        failure = opened.build_failure()
+        if opened.parsed is None:
+            self.statistics.record_refusal(failure)
+            return self._interface.render_failure(failure, request_id)
+        now_ms = self._router.clock.now_ms()
+        self.statistics.record_result(opened.parsed, failure, now_ms)
+        if opened.stream is not None and opened.stream.has_begun:
+            return await self._end_stream(opened.stream, failure)
+        return self._interface.render_failure(failure, request_id)
+
+    async def _handle(self, opened, request_id):
+        request = opened.request
         parsed = await self._interface.read(request, request_id)
         if is_failure(parsed):
             self.statistics.record_refusal(parsed)
             return self._interface.render_failure(parsed, request_id)
+        opened.parsed = parsed
         stream = None
         if parsed.is_stream:
             stream = self._interface.open_stream(request, parsed)
+            opened.stream = stream
         result = await self._pipeline.serve(parsed, stream)
         self.statistics.record_result(parsed, result, self._router.clock.now_ms())
         if stream is not None and stream.has_begun:
--- a/stoatpath/callers/relays.py
+++ b/stoatpath/callers/relays.py
@@ -10,7 +10,6 @@
     BAD_REQUEST,
     NOT_FOUND,
     OVERLOADED,
-    SHUTTING_DOWN,
     UNAUTHENTICATED,
     Failure,
     Outcome,
@@ -28,17 +27,12 @@
     """Matches requests to the current routes and relays answers unchanged.
 
     `router` provides the routes, the clock and the decision ring; `header_decoder`
-    decodes request headers, whose names the platform defines. Requests that arrive
-    after the clock reading `accept_until_ms` are refused, and so are those that arrive
-    after `accept_all_until_ms` and whose deadline is later than `end_by_ms`: the
-    process may end before they do.
+    decodes request headers, whose names the platform defines. Requests that might not
+    end before a process that stops are refused by its `StopTimes`.
     """
 
     __slots__ = (
         "bodies",
-        "accept_until_ms",
-        "accept_all_until_ms",
-        "end_by_ms",
         "_router",
         "_header_decoder",
     )
@@ -49,9 +43,6 @@
 
     def __init__(self, router, header_decoder, bodies):
         self.bodies = bodies
-        self.accept_until_ms = float("inf")
-        self.accept_all_until_ms = float("inf")
-        self.end_by_ms = float("inf")
         self._router = router
         self._header_decoder = header_decoder
 
@@ -69,6 +60,8 @@
         parsed = self._parse_request(request, request_id, arrived_ms)
         if not is_failure(parsed):
             body = await self.bodies.read(request)
+            if not is_failure(body):
+                body = self._check_complete(body, parsed)
             if not is_failure(body):
                 parsed.body = body.data
                 body.release_with(parsed)
@@ -141,8 +134,11 @@
                     UNAUTHENTICATED, "the key is not known", "Authorization"
                 )
         timeout_ms = self._header_decoder.timeout_ms(request.headers, route.timeout_ms)
-        if not self._can_end(arrived_ms, arrived_ms + timeout_ms):
-            return Failure(SHUTTING_DOWN, "the instance stops before it could end")
+        problem = self._router.stop_times.check_arrival(
+            arrived_ms, arrived_ms + timeout_ms
+        )
+        if problem is not None:
+            return problem
         if self.bodies.memory.is_full():
             self.bodies.memory.refusals += 1
             return Failure(OVERLOADED, "it holds too many bytes for others")
@@ -172,11 +168,15 @@
             self._header_decoder.forwarded_runs(request.headers),
         )
 
-    def _can_end(self, arrived_ms, deadline_ms):
-        """Return whether a request certainly ends before the process does."""
-        if arrived_ms > self.accept_until_ms:
-            return False
-        return arrived_ms <= self.accept_all_until_ms or deadline_ms <= self.end_by_ms
+    def _check_complete(self, body, parsed):
+        """Return the body, or a failure if it was complete too late to begin."""
+        problem = self._router.stop_times.check_first_send(
+            self._router.clock.now_ms(), parsed.deadline_ms
+        )
+        if problem is None:
+            return body
+        body.release()
+        return problem
 
     def _record_read(
         self, request_id, route, service, organisation, timeout_ms, prompt
--- a/stoatpath/dispatch/relay_policies.py
+++ b/stoatpath/dispatch/relay_policies.py
@@ -56,7 +56,8 @@
     def check_send(self, request, version):
         """Return the failure of an attempt that must not be sent, or None."""
         problem = self._router.guard.check_send(request, version)
-        return problem or self._router.quarantine.check(request)
+        problem = problem or self._router.quarantine.check(request)
+        return problem or self._check_stop(request)
 
     def candidates(self, request, version, relay):
         """Return the backend servers with a release that may run the request.
@@ -88,7 +89,7 @@
 
     def may_run_again(self, request):
         """Return whether the route allows another run."""
-        return request.may_run_again
+        return request.may_run_again and self._check_stop(request) is None
 
     def route_name(self, request):
         """Return the label by which answers are counted."""
@@ -167,6 +168,9 @@
             return NO_ROOM
         return None
 
+    def _check_stop(self, request):
+        return self._router.stop_times.check_send(self._clock.now_ms(), request)
+
     def record_first_byte(self, request, version, elapsed_ms):
         """Record the time to the first byte of one attempt."""
         self._first_byte_times.record((request.route.name, version.name), elapsed_ms)
--- a/stoatpath/dispatch/relay_senders.py
+++ b/stoatpath/dispatch/relay_senders.py
@@ -25,7 +25,8 @@
     of the backend server to one for another instance. `gate` is the `SendGate`.
     `on_answered` is called with a request when the first event of its answer, or all of
     it, has arrived. `check_send` returns the failure of a request that must not be sent
-    to a backend server now, or None. `memory` is the `MemoryAccount`.
+    to a backend server now, or None. `memory` is the `MemoryAccount`. `stop_times`,
+    `StopTimes`, limit the deadlines.
     """
 
     __slots__ = (
@@ -37,6 +38,7 @@
         "_on_answered",
         "_check_send",
         "_memory",
+        "_stop_times",
     )
 
     def __init__(
@@ -49,6 +51,7 @@
         on_answered,
         check_send,
         memory,
+        stop_times,
     ):
         self._clock = clock
         self._calls = calls
@@ -58,11 +61,13 @@
         self._on_answered = on_answered
         self._check_send = check_send
         self._memory = memory
+        self._stop_times = stop_times
 
     async def send(self, attempt):
         """Return an answer, or a failure with the outcome of the execution."""
         request = attempt.request
-        if request.deadline_ms <= self._clock.now_ms():
+        deadline_ms = self._stop_times.limit(request.deadline_ms)
+        if deadline_ms <= self._clock.now_ms():
             return Failure(TIMED_OUT, "the deadline passed before sending")
         problem = self._check(attempt)
         if problem is not None:
@@ -71,7 +76,7 @@
             return Failure(REFUSED_BY_BACKEND, "the permit expired before sending")
         deadlines = ExchangeDeadlines(
             self._clock,
-            request.deadline_ms,
+            deadline_ms,
             attempt.first_byte_deadline_ms,
             silence_limit_ms(request),
         )
@@ -108,7 +113,7 @@
     async def _exchange(self, attempt, deadlines, pending):
         request = attempt.request
         sent_ms = self._clock.now_ms()
-        remaining_ms = request.deadline_ms - sent_ms
+        remaining_ms = self._stop_times.limit(request.deadline_ms) - sent_ms
         if attempt.send_by_ms < float("inf"):
             attempt.connect_timeout_ms = max(1.0, attempt.send_by_ms - sent_ms)
         use_last_check(lambda: self._check_last(attempt))
--- a/stoatpath/forwarding/features/steps/forwarder_steps.py
+++ b/stoatpath/forwarding/features/steps/forwarder_steps.py
@@ -8,6 +8,7 @@
 from stoatpath.clock import ManualClock
 from stoatpath.forwarding.forwarders import Forwarder
 from stoatpath.outcomes import Failure, Outcome
+from stoatpath.stop_times import StopTimes
 
 REASONS = {
     reason.name: reason
@@ -38,6 +39,7 @@
         clock=ManualClock(),
         retry_budget=SimpleNamespace(try_spend=lambda service: True),
         eligible=SimpleNamespace(allows_peer=lambda request, peer: repeats != "bound"),
+        stop_times=StopTimes(),
     )
     peers = SimpleNamespace(can_forward=lambda service, is_stream, allows: allows(None))
     context.forwarder = Forwarder(router, peers, None, None)
--- a/stoatpath/forwarding/forwarders.py
+++ b/stoatpath/forwarding/forwarders.py
@@ -64,6 +64,8 @@
             return False
         if self._clock.now_ms() >= request.deadline_ms:
             return False
+        if self._check_stop(request) is not None:
+            return False
         if failure.outcome is Outcome.NOT_RUN and not request.run_count:
             return True
         return self._try_repeat(request, failure)
@@ -77,6 +79,7 @@
         )
         for number, peer in enumerate(peers[:MAX_FORWARDS], start=1):
             problem = self._router.quarantine.check(request)
+            problem = problem or self._check_stop(request)
             if problem is not None:
                 return worst or problem
             answer = await self._send(request, relay, peer, number)
@@ -109,7 +112,10 @@
             first_byte_ms = first_byte_deadline_ms(request, self._clock.now_ms())
         attempt = Attempt(request, None, peer, number, first_byte_ms, relay)
         deadlines = ExchangeDeadlines(
-            self._clock, request.deadline_ms, first_byte_ms, silence_limit_ms(request)
+            self._clock,
+            self._router.stop_times.limit(request.deadline_ms),
+            first_byte_ms,
+            silence_limit_ms(request),
         )
         attempt.deadlines = deadlines
         answer = await run_exchange(self._exchange(attempt, deadlines), deadlines)
@@ -127,8 +133,9 @@
         return answer
 
     async def _exchange(self, attempt, deadlines):
-        remaining_ms = attempt.request.deadline_ms - self._clock.now_ms()
-        use_last_check(lambda: _check_caller(attempt.request))
+        deadline_ms = self._router.stop_times.limit(attempt.request.deadline_ms)
+        remaining_ms = deadline_ms - self._clock.now_ms()
+        use_last_check(lambda: self._check_last(attempt.request))
         attempt.request.was_sent = True
         async with self._calls.forward(attempt, remaining_ms) as response:
             deadlines.record_bytes()
@@ -146,6 +153,15 @@
                 response.close()
             return answer
 
+    def _check_last(self, request):
+        """Return why a request must not be sent on an open connection, or None."""
+        if request.has_caller_left:
+            return Failure(CALLER_GONE, "the caller left before it was sent")
+        return self._check_stop(request)
+
+    def _check_stop(self, request):
+        return self._router.stop_times.check_send(self._clock.now_ms(), request)
+
     def _check_head(self, attempt, head):
         """Return the failure of an answer that must not be passed on, or None."""
         request_id = attempt.request.request_id
@@ -163,10 +179,3 @@
         if head.signals.hold_off_ms is None:
             return None
         return self._clock.now_ms() + head.signals.hold_off_ms
-
-
-def _check_caller(request):
-    """Return the failure of a request whose caller has left, or None."""
-    if not request.has_caller_left:
-        return None
-    return Failure(CALLER_GONE, "the caller left before it was sent")
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -55,6 +55,7 @@
 from stoatpath.rollouts.releases import ReleaseRegistry
 from stoatpath.routing.affinity import AffinityChooser
 from stoatpath.sessions.releases import SessionReleases
+from stoatpath.stop_times import StopTimes
 from stoatpath.supervisors import Supervisor
 from stoatpath.utils import cancel_and_wait
 from stoatpath.zones.backends import EligibleBackends
@@ -136,6 +137,7 @@
         "operator_orders",
         "releases",
         "guard",
+        "stop_times",
         "rates",
         "outbox",
         "retry_budget",
@@ -200,6 +202,7 @@
         )
         self._build_followers()
         self._build_peers()
+        self.stop_times = StopTimes()
         self.guard = RouteGuard(self.routes, boot.fails_closed, boot.revoke_ms, clock)
         self._build_request_path()
         self.ready_server = ReadyServer(self.is_ready)
@@ -351,6 +354,7 @@
             self.quarantine_exchange.record_answered,
             self.eligible.check_send,
             self.memory,
+            self.stop_times,
         )
         self.attempts = AttemptRunner(self, self.random, RelayPolicy(self))
         self.attempts.abandoned_observers.append(self.crash_reporter.observe)
@@ -407,8 +411,8 @@
         """Return until when this instance takes requests that others forward."""
         return Acceptance(
             self.listener.address,
-            self.interface.accept_until_ms,
-            self.interface.accept_all_until_ms,
+            self.stop_times.accept_until_ms,
+            self.stop_times.accept_all_until_ms,
         )
 
     def _build_quarantine(self):
