Requests that outlast the shutdown of a router are answered

A request may last up to MAX_TIMEOUT_MS (600 s by default), the shutdown of a router up to SHUTDOWN_TIMEOUT_MS (120 s); what was open then was reset without an answer.

Cause: the same as at gateways: after the deadline the connections were closed.

Change: at the deadline, all open requests are answered (503, with the outcome not-run or unknown), and aren't sent afterwards; streams that have begun are cut, as before.

Evidence: features/shutdown/shutdown.feature, "A request that outlasts the shutdown time is answered": failed before (the connection was closed), passes now; the folder passes (7).

--- a/features/shutdown/shutdown.feature
+++ b/features/shutdown/shutdown.feature
@@ -38,3 +38,9 @@
     Given a router process with a stream of 60 seconds open
     When it is sent SIGTERM with a shutdown timeout of 1 second
     Then it exits with 1, and the stream has no end marker
+
+  # Guards against requests that are cut without an answer at the end of a shutdown.
+  Scenario: A request that outlasts the shutdown time is answered
+    Given a router process with a stream of 60 seconds open
+    When it is sent SIGTERM with a shutdown timeout of 1 second, and an unstreamed one
+    Then it exits with 1, and the unstreamed one is answered with 503, outcome unknown
--- a/features/shutdown/steps/shutdown_steps.py
+++ b/features/shutdown/steps/shutdown_steps.py
@@ -211,10 +211,10 @@
     asyncio.run(run())
 
 
-async def read_stream(context, router):
-    """Read a stream into the context until it ends or fails."""
+def open_chat(context, client, router, is_stream):
+    """Send a chat completion of `context.seconds` seconds."""
     tokens = context.seconds * 100
-    body = chat("desk-assist", "Summarise.", stream=True, max_tokens=tokens)
+    body = chat("desk-assist", "Summarise.", stream=is_stream, max_tokens=tokens)
     name = "foreshore-officers"
     headers = {
         "Authorization": f"Bearer {name}.{name}-sample-secret",
@@ -222,8 +222,13 @@
         "Stoatpath-Timeout-Ms": "120000",
     }
     url = f"http://{router.address}/v1/chat/completions"
+    return client.post(url, json=body, headers=headers)
+
+
+async def read_stream(context, router):
+    """Read a stream into the context until it ends or fails."""
     async with aiohttp.ClientSession() as client:
-        async with client.post(url, json=body, headers=headers) as response:
+        async with open_chat(context, client, router, is_stream=True) as response:
             context.request_id = response.headers["Stoatpath-Request-Id"]
             try:
                 async for chunk in response.content.iter_any():
@@ -262,3 +267,28 @@
 def step_impl(context):
     assert context.exit_code == 1, (context.exit_code, context.output)
     assert DONE_EVENT not in context.body
+
+
+@when("it is sent SIGTERM with a shutdown timeout of 1 second, and an unstreamed one")
+def step_impl(context):
+    async def ask(router):
+        async with aiohttp.ClientSession() as client:
+            async with open_chat(context, client, router, is_stream=False) as response:
+                return response.status, response.headers["Stoatpath-Outcome"]
+
+    async def work(router):
+        answer = asyncio.create_task(ask(router))
+        await asyncio.sleep(SETTLE_TIME_S)
+        router.send(signal.SIGTERM)
+        context.answer = await answer
+
+    run_with_open_stream(context, work, SHUTDOWN_TIMEOUT_MS=1_000)
+
+
+@then(
+    "it exits with {code:d}, and the unstreamed one is answered with {status:d}, "
+    "outcome {outcome}"
+)
+def step_impl(context, code, status, outcome):
+    assert context.exit_code == code, (context.exit_code, context.output)
+    assert context.answer == (status, outcome), context.answer
--- a/stoatpath/shutdowns.py
+++ b/stoatpath/shutdowns.py
@@ -5,6 +5,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Time for the answers to requests that have not ended at the deadline.
+LAST_ANSWERS_MS = 500.0
+
 
 class PendingWork:
     """The work that stopping now would cut off or lose."""
@@ -46,12 +49,11 @@
         await self._announce_leaving()
         await self._clock.sleep_until(now_ms + settings.balancer_lag_ms)
         await self._router.listener.stop_accepting()
-        steps = (
-            ("requests", self._finish_requests),
-            ("pins", self._hand_over_pins),
-            ("records", self._write_records),
-        )
-        results = [await self._run_until_deadline(name, step) for name, step in steps]
+        results = [await self._run_until_deadline("requests", self._finish_requests)]
+        if not all(results):
+            await self._answer_open()
+        steps = (("pins", self._hand_over_pins), ("records", self._write_records))
+        results += [await self._run_until_deadline(name, step) for name, step in steps]
         logger.info("shutdown.finished", extra={"is_clean": all(results)})
         return all(results)
 
@@ -65,6 +67,18 @@
         await self._router.listener.drain()
         await self._router.pipeline.drain()
 
+    async def _answer_open(self):
+        """Answer the requests that have not ended with a failure."""
+        listener = self._router.listener
+        listener.end_requests()
+        try:
+            async with asyncio.timeout(LAST_ANSWERS_MS / 1000):
+                await listener.drain()
+        except TimeoutError:
+            logger.warning(
+                "shutdown.unanswered", extra={"open": len(listener.open_by_id)}
+            )
+
     async def _hand_over_pins(self):
         while self._router.pins.needs_hand_over():
             if not await self._router.pins.hand_over_all():
