--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -62,3 +62,20 @@
     When callers send look requests to these, 10 a second for 2 s
     Then all are answered with 503 within 1 s each
     And all gateways are ready within 2 s
+
+  # Guards against requests that are cut by a gateway that stops, on either side of a
+  # forward.
+  Scenario Outline: <which> stop, and the requests that are forwarded take longer
+    Given 3 gateways that know each other, 2 model and 2 plain replicas
+    And 1 gateways are cut off from all replicas, whose connections are refused
+    When callers send look requests to these, 10 a second for 2 s
+    And replicas take 30 s for requests on book, which has a time limit of 20 s
+    And <which> are told to stop, with a grace period of 3 s, and book requests come
+    Then each is answered, and with 503 only if it never ran
+    And no request ran twice, or began to run in the second half of a grace period
+    And replicas were given no time beyond the end of the gateways that stop
+
+    Examples:
+      | which      |
+      | the others |
+      | these      |
--- a/features/platform/steps/forwarding_steps.py
+++ b/features/platform/steps/forwarding_steps.py
@@ -6,7 +6,7 @@
 import aiohttp
 from backpressure_steps import FleetFixture
 from behave import given, then, when
-from callers import wait_until
+from callers import request_headers, send_request, wait_until
 
 from stoatpath.clock import Clock
 from stoatpath.platform.backend_calls import CONNECT_TIMEOUT_MS, BackendClient
@@ -242,3 +242,112 @@
     for _, took_ms, response in context.sent:
         assert response.status == status, response.status
         assert took_ms <= 1000 * seconds, took_ms
+
+
+@when(
+    "replicas take {delay:d} s for requests on {route}, "
+    "which has a time limit of {limit:d} s"
+)
+def step_impl(context, delay, route, limit):
+    deployment = context.fleet.deployment
+    limits = {"timeout_ms": 1000 * limit}
+    routes = [
+        each | limits if each["name"] == route else each
+        for each in deployment.config["routes"]
+    ]
+    revision = deployment.config["version"] + 1
+    deployment.config = deployment.config | {"routes": routes, "version": revision}
+    for replica in deployment.replicas_by_name.values():
+        replica.delay_ms = 1000.0 * delay
+
+    async def work():
+        await deployment.store.put("op", "config", deployment.config)
+        for gateway in deployment.gateways:
+            routes_now = gateway.routes
+            assert await wait_until(lambda: routes_now.table.revision == revision)
+
+    context.fleet.run(work())
+
+
+@when(
+    "{which} are told to stop, with a grace period of {seconds:d} s, "
+    "and {route} requests come"
+)
+def step_impl(context, which, seconds, route):
+    is_cut = which == "these"
+    gateways = context.fleet.deployment.gateways
+    stopping = [each for each in gateways if (each in context.cut_gateways) == is_cut]
+    context.late = []
+
+    async def send(number):
+        headers = request_headers(route, f"late-{number}")
+        del headers["X-Stoatpath-Deadline-Ms"]
+        gateway = context.cut_gateways[0]
+        response = await send_request(gateway, route, headers=headers)
+        context.late.append((headers["X-Stoatpath-Attempt-Id"], response))
+
+    async def work():
+        for gateway in stopping:
+            gateway.boot.grace_ms = 1000 * seconds
+        context.stopped_ms = Clock().now_ms()
+        context.grace_ms = 1000 * seconds
+        stops = [asyncio.create_task(each.stop()) for each in stopping]
+        sends = []
+        while not all(each.done() for each in stops):
+            sends.append(asyncio.create_task(send(len(sends))))
+            await asyncio.sleep(PAUSE_S)
+        await asyncio.gather(*sends)
+        await asyncio.gather(*stops)
+
+    context.fleet.run(work())
+    for gateway in stopping:
+        gateways.remove(gateway)
+
+
+@then("each is answered, and with 503 only if it never ran")
+def step_impl(context):
+    arrived_ids = {each for each, _ in late_arrivals(context)}
+    statuses = [response.status for _, response in context.late]
+    print(statuses)
+    # A gateway that has ended refuses connections.
+    refused = [
+        (request_id, response.body)
+        for request_id, response in context.late
+        if response.status == 0 and b"ClientConnectorError" not in response.body
+    ]
+    assert not refused, refused
+    for request_id, response in context.late:
+        if response.status == 503:
+            assert request_id not in arrived_ids, request_id
+    assert 502 in statuses or 504 in statuses, statuses
+
+
+def late_arrivals(context):
+    """Return the requests that reached replicas since the stop, and when."""
+    return [
+        (request_id, arrived_ms)
+        for replica in context.fleet.deployment.replicas_by_name.values()
+        for arrived_ms, request_id in replica.arrivals
+        if request_id.startswith("attempt-late-")
+    ]
+
+
+@then("no request ran twice, or began to run in the second half of a grace period")
+def step_impl(context):
+    arrivals = late_arrivals(context)
+    assert arrivals and len(arrivals) == len(dict(arrivals)), arrivals
+    half_ms = context.stopped_ms + context.grace_ms / 2
+    late = [each for each in arrivals if each[1] > half_ms]
+    assert not late, late
+
+
+@then("replicas were given no time beyond the end of the gateways that stop")
+def step_impl(context):
+    arrived_ms_by_id = dict(late_arrivals(context))
+    for replica in context.fleet.deployment.replicas_by_name.values():
+        for run in replica.runs:
+            if run.request_id not in arrived_ms_by_id:
+                continue
+            given_ms = int(run.headers["X-Stoatpath-Deadline-Ms"])
+            end_ms = arrived_ms_by_id[run.request_id] + given_ms
+            assert end_ms <= context.stopped_ms + context.grace_ms, run.request_id
