--- a/features/resilience/late_requests.feature
+++ b/features/resilience/late_requests.feature
@@ -62,3 +62,10 @@
       | gets SIGTERM and SIGHUP  |
       | is paused for 1 s        |
       | is paused until its end  |
+
+  # Guards against attempts that begin late in a grace period without regard to its end.
+  Scenario: A stream is carried on late in a grace period
+    Given a gateway with a grace period of 3 s, whose backend servers take 30 s
+    When a chat stream comes 0.1 s after the stop began, and breaks off after 9 events
+    Then it was carried on by another backend server, and then visibly cut
+    And both were given no time beyond the end of the gateway
--- a/features/resilience/steps/late_request_steps.py
+++ b/features/resilience/steps/late_request_steps.py
@@ -11,6 +11,7 @@
 
 from stoatpath.clock import Clock
 from stoatpath.standins.deployments import CALLER_KEY, HOST, LLM_SERVICE, Deployment
+from stoatpath.standins.faults import Fault
 from stoatpath.standins.replicas import SEAL_HEADER, ReplicaStandin
 from stoatpath.utils import cancel_and_wait
 
@@ -503,3 +504,66 @@
     assert (first.status, second.status) == (200, 200), context.sents
     assert "\r\nconnection: close" in second.headers, second
     assert "\r\nconnection: close" not in first.headers, first
+
+
+@when(
+    "a chat stream comes 0.1 s after the stop began, "
+    "and breaks off after {events:d} events"
+)
+def step_impl(context, events):
+    deployment = context.deployment
+    gateway = deployment.gateways[0]
+
+    async def work():
+        await add_model_replica(deployment)
+        for replica in deployment.replicas_by_name.values():
+            replica.faults.add(Fault("serve", f"cut-{events}"))
+        context.began_ms = Clock().now_ms()
+        stop = asyncio.create_task(gateway.stop())
+        await asyncio.sleep(0.1)
+        reader, writer = await open_connection(gateway.listener.address)
+        writer.write(Sent(0, "chat", "new").head())
+        context.received = await read_all(reader)
+        writer.transport.abort()
+        await stop
+
+    context.loop.run_until_complete(work())
+    deployment.gateways.clear()
+
+
+async def add_model_replica(deployment):
+    replica = await deployment.add_replica("m1", LLM_SERVICE)
+    replica.events = 1_000
+    replica.event_ms = EVENT_MS
+    await deployment.wait_until_in_sync()
+
+
+async def read_all(reader):
+    received = b""
+    try:
+        while chunk := await reader.read(65_536):
+            received += chunk
+    except ConnectionError:
+        pass
+    return received
+
+
+@then("it was carried on by another backend server, and then visibly cut")
+def step_impl(context):
+    replicas = context.deployment.replicas_by_name
+    starts = {name: replicas[name].runs for name in ("m0", "m1")}
+    assert [len(runs) for runs in starts.values()] == [1, 1], starts
+    ids = [line for line in context.received.split(b"\n") if line.startswith(b"id: ")]
+    assert ids == [f"id: {each + 1}".encode() for each in range(len(ids))], ids
+    assert len(ids) > 9, ids
+    assert not context.received.endswith(b"0\r\n\r\n")
+
+
+@then("both were given no time beyond the end of the gateway")
+def step_impl(context):
+    end_ms = context.began_ms + context.grace_ms
+    for name in ("m0", "m1"):
+        replica = context.deployment.replicas_by_name[name]
+        arrived_ms, _ = replica.arrivals[-1]
+        given_ms = int(replica.runs[-1].headers["X-Stoatpath-Deadline-Ms"])
+        assert arrived_ms + given_ms <= end_ms, (name, given_ms)
