--- a/features/resilience/late_requests.feature
+++ b/features/resilience/late_requests.feature
@@ -60,6 +60,7 @@
       | event                    |
       | gets no other signal     |
       | gets SIGTERM and SIGHUP  |
+      | gets a config without the route book |
       | is paused for 1 s        |
       | is paused until its end  |
 
--- a/features/resilience/steps/late_request_steps.py
+++ b/features/resilience/steps/late_request_steps.py
@@ -447,7 +447,9 @@
             context.began_ms = Clock().now_ms()
             process.process.send_signal(signal.SIGTERM)
             ended = asyncio.create_task(process.process.wait())
-            disturb = asyncio.create_task(disturb_process(context, process, event))
+            disturb = asyncio.create_task(
+                disturb_process(context, deployment, process, event)
+            )
             async with asyncio.timeout(context.grace_ms / 1_000 + 3):
                 await load.send_until(ended.done)
             context.took_ms = Clock().now_ms() - context.began_ms
@@ -463,12 +465,19 @@
     asyncio.run(work())
 
 
-async def disturb_process(context, process, event):
+async def disturb_process(context, deployment, process, event):
     """Do to a process what `event` says, from 1 s after its SIGTERM on."""
     await asyncio.sleep(1.0)
     if event == "gets SIGTERM and SIGHUP":
         process.process.send_signal(signal.SIGTERM)
         process.process.send_signal(signal.SIGHUP)
+    if event == "gets a config without the route book":
+        routes = [
+            each for each in deployment.config["routes"] if each["name"] != "book"
+        ]
+        revision = deployment.config["version"] + 1
+        config = deployment.config | {"routes": routes, "version": revision}
+        await deployment.store.put("op", "config", config)
     if event.startswith("is paused"):
         process.process.send_signal(signal.SIGSTOP)
         # In its last 450 ms it should have answered and be ending.
@@ -492,6 +501,7 @@
         context.sents = [Sent(number, "book", "kept") for number in range(2)]
         context.writer.write(b"".join(sent.head() for sent in context.sents))
         await read_answers(context.reader, context.sents)
+        context.writer.transport.abort()
         await stop
 
     context.loop.run_until_complete(work())
