An answer without length and chunks is whole only if nothing speaks against it

What callers saw: streams that ended as complete before their last event, and plain answers with a part of their body and its length, when the backend server answered without length and chunks and its process ended, or its connection was closed, within the answer.

Cause: such an answer ends with its connection, and a process that is killed closes its connections as one that has finished does. aiohttp reports both as the end of the body, and the gateway passed that end on with a last chunk or a Content-Length, which vouch for more than the backend server had said. Class: an absence (no more bytes) taken for a statement.

Change: at the end of such an answer the backend server is asked who it is (its load report with `born`, or its health path), on a connection of its own. If it doesn't answer as the process that the answer came from, the attempt has failed like one that was cut: it is tried again, resumed, or broken off. If it does, a stream that can be resumed is resumed after its last event, at the same backend server or another, within the usual budgets; it is complete once nothing follows. If nobody can say what follows, it ends as it stands. A plain answer is passed on as it came, without a length; until it is complete the caller's connection is set to be reset if the process ends. Streams keep their chunks: a client of aiohttp takes a reset for the end of a body without chunks. Instances frame what they forward and say so in a header.

Weighed: breaking off always (no caller of such a backend server would ever get a whole answer); believing a running process without resuming (a faulty process or a proxy that closes within a stream is not seen); resuming without asking (nothing for plain answers). Remaining: a plain answer, and a stream that can't be resumed, that a running process ends early; nothing can tell it from a whole one.

Checks that were changed: relaying.feature allowed one run for an unframed chat stream; the resumed attempt that proves its end is a second one. The raw backend servers of silence.feature sent their streams without chunks and accepted no connections at the end, as a killed process; they now send chunks, with the same assertions.

--- a/features/platform/relaying.feature
+++ b/features/platform/relaying.feature
@@ -49,7 +49,7 @@
       | chat  | cut          | 200    | 2    |
       | chat  | skip         | 200    | 2    |
       | chat  | reset-before | 200    | 1    |
-      | chat  | unframed     | 200    | 1    |
+      | chat  | unframed     | 200    | 2    |
       | chat  | unframed-cut | 200    | 2    |
 
     Examples: a stream that can't be resumed runs once
--- /dev/null
+++ b/features/platform/unframed.feature
@@ -0,0 +1,87 @@
+Feature: An answer without length and chunks is complete only if nothing speaks against it
+
+  # Guards against streams that end as complete before their last event: a process that
+  # is killed closes its connections as one that has finished does.
+  Scenario Outline: A stream that can be resumed ends with its connection: <fault>
+    Given a deployment
+    And the next execution has fault <fault>
+    When a caller reads all bytes of the response to a chat request
+    Then the caller got a complete response with chunks and events 1 to 5
+    And the request ran at most 2 times
+
+    Examples:
+      | fault            |
+      | unframed         |
+      | unframed-cut     |
+      | unframed-short   |
+      | unframed-crash   |
+      | unframed-restart |
+
+  Scenario Outline: All streams of a service end with their connections: <fault>
+    Given a deployment
+    And all later executions have fault <fault>
+    When a caller reads all bytes of the response to a chat request
+    Then the caller got a complete response with chunks and events 1 to 5
+    And the request ran at most <runs> times
+
+    Examples:
+      | fault          | runs |
+      | unframed       | 2    |
+      | unframed-short | 3    |
+
+  # Guards against streams that break off although their last event was delivered.
+  Scenario Outline: A stream ends with its connection, and the rest is answered with <next>
+    Given a deployment
+    And the next execution has fault unframed
+    And all later executions have fault <next>
+    When a caller reads all bytes of the response to a chat request
+    Then the caller got a complete response with chunks and events 1 to 5
+
+    Examples:
+      | next         |
+      | status-400   |
+      | status-409   |
+      | status-500   |
+      | shed         |
+      | reset-before |
+      | reset-after  |
+      | short        |
+
+  # Guards against a stream that ends as complete although more of it was seen.
+  Scenario: A stream ends with its connection early, and its rest is cut
+    Given a deployment
+    And the next execution has fault unframed-short
+    And the next execution has fault cut-1
+    And all later executions have fault reset-after
+    When a caller reads all bytes of the response to a chat request
+    Then the caller got an incomplete response with events 1 to 4
+
+  # Guards against answers that look whole although their process ended within them, and
+  # against lengths that vouch for an end that nobody knows.
+  Scenario Outline: A <route> request whose answer ends with its connection: <fault>
+    Given a deployment
+    And the next execution has fault <fault>
+    When a caller reads all bytes of the response to a <route> request
+    Then the caller got <response>
+    And the request ran at most <runs> times
+
+    Examples:
+      | route | fault            | response                                          | runs |
+      | tell  | unframed         | a complete response with chunks and events 1 to 5 | 1    |
+      | tell  | unframed-crash   | an incomplete response with events 1 to 3         | 1    |
+      | tell  | unframed-restart | an incomplete response with events 1 to 3         | 1    |
+      | book  | unframed         | a response that ended with its connection         | 1    |
+      | book  | unframed-short   | a response that ended with its connection         | 1    |
+      | book  | unframed-crash   | a response with status 502                        | 1    |
+      | look  | unframed         | a response that ended with its connection         | 1    |
+      | look  | unframed-crash   | a whole response                                  | 2    |
+      | sum   | unframed-restart | a whole response                                  | 2    |
+
+  Scenario: The answer to a forwarded request ends with its connection
+    Given 3 gateways that know each other, 2 model and 2 plain replicas
+    And 2 gateways are cut off from all replicas, whose connections are refused
+    When callers send look requests to these, 10 a second for 1 s
+    And one of these gets a look request whose executions have fault unframed
+    Then the caller got a response that ended with its connection
+    When one of these gets a chat request whose executions have fault unframed
+    Then the caller got a complete response with chunks and events 1 to 5
--- a/features/resilience/steps/silence_steps.py
+++ b/features/resilience/steps/silence_steps.py
@@ -13,6 +13,15 @@
 from task_steps import replace, wait_until
 
 LARGE_EVENTS = 1_200
+STREAM_FIELDS = (
+    b"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+    b"Connection: close\r\n\r\n"
+)
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def encode_chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
 
 
 async def read_stream(context, act):
@@ -64,11 +73,11 @@
         prefix = b"X-Stoatpath-Attempt-Id"
         echo = [each for each in head.split(b"\r\n") if each.startswith(prefix)][0]
         start = b"HTTP/1.1 200 OK\r\nX-Stoatpath-Replica-Seal: s\r\n" + echo
-        start += b"\r\nContent-Type: text/event-stream\r\n"
-        connection.sendall(start + b"Connection: close\r\n\r\n")
+        connection.sendall(start + STREAM_FIELDS)
         for number in range(1, 9):
-            connection.sendall(b"id: %d\ndata: %d\n\n" % (number, number))
+            connection.sendall(encode_chunk(b"id: %d\ndata: %d\n\n" % (number, number)))
             time.sleep(gap / 1000)
+        connection.sendall(LAST_CHUNK)
 
     def handle(connection):
         with connection:
@@ -153,11 +162,12 @@
             prefix = b"X-Stoatpath-Attempt-Id"
             echo = [each for each in head.split(b"\r\n") if each.startswith(prefix)][0]
             start = b"HTTP/1.1 200 OK\r\nX-Stoatpath-Replica-Seal: s\r\n" + echo
-            start += b"\r\nContent-Type: text/event-stream\r\n"
-            writer.write(start + b"Connection: close\r\n\r\n")
+            writer.write(start + STREAM_FIELDS)
             for number in range(1, LARGE_EVENTS + 1):
-                writer.write(b"id: %d\ndata: %s\n\n" % (number, b"x" * 20_000))
+                event = b"id: %d\ndata: %s\n\n" % (number, b"x" * 20_000)
+                writer.write(encode_chunk(event))
                 await writer.drain()
+            writer.write(LAST_CHUNK)
         except (OSError, asyncio.IncompleteReadError, IndexError):
             pass
         finally:
--- a/stoatpath/configuration/routes.py
+++ b/stoatpath/configuration/routes.py
@@ -27,7 +27,8 @@
     """A service that routes point to; `cost_by_model` is per 1,000 tokens.
 
     Its backend servers are cold for `cold_start_ms` after their start, 0 for never, and
-    then take `cold_start_per_s` requests a second, 0 for any number. `unreadable` lists
+    then take `cold_start_per_s` requests a second, 0 for any number. `health_path` is
+    where they answer who they are, "" if the operator names none. `unreadable` lists
     the optional fields that can't be decoded.
     """
 
@@ -38,6 +39,7 @@
         "cold_start_ms",
         "cold_start_per_s",
         "unreadable",
+        "health_path",
     )
 
     def __init__(
@@ -47,6 +49,7 @@
         cold_start_ms=0.0,
         cold_start_per_s=0.0,
         unreadable=(),
+        health_path="",
     ):
         self.name = name
         self.kind = MODEL_SERVICE if cost_by_model else PLAIN_SERVICE
@@ -54,6 +57,7 @@
         self.cold_start_ms = cold_start_ms
         self.cold_start_per_s = cold_start_per_s
         self.unreadable = unreadable
+        self.health_path = health_path
 
 
 class RoutedOrganisation:
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -24,6 +24,7 @@
     SILENT_CONNECTION,
     SUPERSEDED,
     TIMED_OUT,
+    UNPROVEN_END,
     UNSURE_ANSWER,
     ZONES_DRAINED,
     Failure,
@@ -61,6 +62,7 @@
         "fresh_retry_names",
         "sent_count",
         "worst_failure",
+        "unproven_answer",
     )
 
     def __init__(self, request, version, relay, min_confidence):
@@ -72,14 +74,21 @@
         self.fresh_retry_names = set()
         self.sent_count = 0
         self.worst_failure = None
+        self.unproven_answer = None
 
     def record_failure(self, attempt, failure):
         """Record a failed attempt.
 
         After a fault of a pooled connection the backend server may be tried once more
-        on a fresh connection: the pooled one may have been stale.
+        on a fresh connection: the pooled one may have been stale. One that may have
+        ended a stream has its prompt, and may be asked for the rest.
         """
         name = attempt.backend.name
+        if attempt.events:
+            self.unproven_answer = None
+        if failure.reason is UNPROVEN_END:
+            self.unproven_answer = failure.answer
+            self.tried_names.discard(name)
         if attempt.was_pooled and failure.reason in CONNECTION_FAULTS:
             self.fresh_retry_names.add(name)
             self.tried_names.discard(name)
@@ -135,7 +144,11 @@
         relay = self._policy.open_relay(request, stream)
         state = _RequestState(request, version, relay, min_confidence)
         try:
-            return await self._run_attempts(state)
+            answer = await self._run_attempts(state)
+            if is_failure(answer) and state.unproven_answer is not None:
+                # Nothing was found that follows its last event.
+                return state.unproven_answer
+            return answer
         except asyncio.CancelledError:
             if relay is not None:
                 relay.abandon()
@@ -386,7 +399,7 @@
             )
             if failure.reason is SUPERSEDED or attempt.is_withheld:
                 return
-            if failure.reason is UNSURE_ANSWER:
+            if failure.reason in (UNPROVEN_END, UNSURE_ANSWER):
                 # The backend server worked as it should: no failure for breakers.
                 failure = None
         else:
--- a/stoatpath/dispatch/event_relays.py
+++ b/stoatpath/dispatch/event_relays.py
@@ -20,11 +20,12 @@
     true, nothing more is written.
     """
 
-    __slots__ = ("_stream", "_owner", "on_claimed", "is_abandoned")
+    __slots__ = ("_stream", "_owner", "_unproven_end", "on_claimed", "is_abandoned")
 
     def __init__(self, stream):
         self._stream = stream
         self._owner = None
+        self._unproven_end = None
         self.on_claimed = None
         self.is_abandoned = False
 
@@ -43,6 +44,15 @@
         """Return the identifier of the event after which to resume."""
         return self.last_event_id
 
+    def is_end_confirmed(self):
+        """Return whether an attempt that resumed after an end brought no more events.
+
+        Call it at each end that may as well have been a cut.
+        """
+        is_confirmed = self._unproven_end == self.last_event_id
+        self._unproven_end = self.last_event_id
+        return is_confirmed
+
     def abandon(self):
         """Write nothing more: the caller has left."""
         self.is_abandoned = True
--- a/stoatpath/dispatch/last_checks.py
+++ b/stoatpath/dispatch/last_checks.py
@@ -34,6 +34,7 @@
 def use_last_check(check):
     """Set the check of requests that the running task sends from now on.
 
-    `check` returns a failure or None. An exchange runs in a task of its own.
+    `check` returns a failure or None; None in its place ends the checks. An exchange
+    runs in a task of its own.
     """
     _check.set(check)
--- a/stoatpath/dispatch/relay_senders.py
+++ b/stoatpath/dispatch/relay_senders.py
@@ -10,8 +10,10 @@
 from stoatpath.outcomes import (
     REFUSED_BY_BACKEND,
     TIMED_OUT,
+    UNPROVEN_END,
     UNSURE_ANSWER,
     WRONG_PROCESS,
+    AnsweredFailure,
     Failure,
     Outcome,
     is_failure,
@@ -136,8 +138,32 @@
             )
             if is_failure(answer):
                 response.close()
+            elif attempt.is_unframed:
+                return await self._check_end(attempt, answer)
             return answer
 
+    async def _check_end(self, attempt, answer):
+        """Return an answer that ended with its connection, or a failure.
+
+        A process that ends closes its connections as one that has finished an answer
+        does. One that still runs has ended the answer, unless it is faulty or something
+        between cut the connection: a stream that can be resumed is complete if nothing
+        follows its last event.
+        """
+        request = attempt.request
+        use_last_check(None)
+        if not await self._calls.is_running(attempt.backend, request.service):
+            return broken_answer(
+                "it ended with its connection, and its process is gone"
+            )
+        is_relayed = attempt.relay is not None and answer.body is None
+        if not is_relayed or not request.is_repeatable:
+            return answer
+        if attempt.relay.is_end_confirmed():
+            return answer
+        detail = f"it ended with its connection after {attempt.events} events"
+        return AnsweredFailure(UNPROVEN_END, detail, Outcome.UNKNOWN, answer)
+
     def _observe_signals(self, attempt, head, sent_ms):
         """Record the signals of the backend server, unless another process answered."""
         request_id = attempt.request.request_id
--- a/stoatpath/dispatch/retries.py
+++ b/stoatpath/dispatch/retries.py
@@ -8,6 +8,7 @@
     PERMISSION_EXPIRED,
     REFUSED_BY_BACKEND,
     SILENT_CONNECTION,
+    UNPROVEN_END,
     WRONG_PROCESS,
     ZONES_DRAINED,
     Outcome,
@@ -31,6 +32,7 @@
     PERMISSION_EXPIRED,
     REFUSED_BY_BACKEND,
     SILENT_CONNECTION,
+    UNPROVEN_END,
     WRONG_PROCESS,
     # Of a hedge that was not sent, beside a first attempt that may be repeated.
     ZONES_DRAINED,
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -1,17 +1,25 @@
 """Sends requests to backend servers and decodes the heads of their answers."""
 
+import asyncio
+import logging
 import math
 import socket
+from http import HTTPStatus
 
 import aiohttp
 from yarl import URL
 
 from stoatpath.backpressure.messages import BackendSignals, decode_hold_off_ms
 from stoatpath.callers.relay_messages import AnswerHead
+from stoatpath.configuration.routes import MODEL_SERVICE
 from stoatpath.dispatch.connections import accepts_connections
 from stoatpath.dispatch.last_checks import CheckedRequest
 from stoatpath.dispatch.response_handlers import use_checked_handler
 from stoatpath.platform import names
+from stoatpath.platform.fields import read_integer
+from stoatpath.utils import decode_json
+
+logger = logging.getLogger(__name__)
 
 EVENT_STREAM = "text/event-stream"
 # A round trip between availability zones takes 3 ms. TCP retransmits a lost SYN only
@@ -34,7 +42,16 @@
 MAX_CONFIDENCE = 100.0
 MAX_LOGGED_CHARS = 40
 BODILESS_STATUSES = (204, 304)
-DROPPED_HEADERS = names.HOP_HEADERS | {names.ANSWERED_BY.lower()}
+DROPPED_HEADERS = names.HOP_HEADERS | {
+    names.ANSWERED_BY.lower(),
+    names.UNFRAMED.lower(),
+}
+# A process is asked who it is as soon as its connection has ended, and has a slot of
+# its own for the answer at most. Its address is not reused within twice that time.
+IDENTITY_TIMEOUT_MS = 1_000
+# A backend server resets connections beyond those that it takes.
+IDENTITY_CALLS = 2
+MAX_REPORT_BYTES = 65_536
 SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 # Not forwarded: the router sets these itself for each request, or consumes them.
 REPLACED_HEADERS = frozenset(
@@ -104,19 +121,9 @@
         connect_ms = CONNECT_TIMEOUT_MS
         if attempt.connect_timeout_ms is not None:
             connect_ms = min(connect_ms, attempt.connect_timeout_ms)
-        host, _, port = attempt.backend.address.rpartition(":")
-        # As a whole path, the target is sent as it came: parsed, an empty query and a
-        # fragment would be lost.
-        url = URL.build(
-            scheme="http",
-            host=host.strip("[]"),
-            port=int(port),
-            path=request.path,
-            encoded=True,
-        )
         return self._session.request(
             request.method,
-            url,
+            _build_url(attempt.backend.address, request.path),
             headers=headers,
             data=request.body or None,
             allow_redirects=False,
@@ -128,6 +135,66 @@
         self.calls += 1
         return await accepts_connections(address, CONNECT_TIMEOUT_MS)
 
+    async def is_running(self, backend, service):
+        """Return whether the listed process of a backend server answers.
+
+        One that was started again in its place, under its name or another, is told from
+        it by what it says of itself.
+        """
+        for _ in range(IDENTITY_CALLS):
+            try:
+                async with asyncio.timeout(IDENTITY_TIMEOUT_MS / 1000):
+                    return await self._ask_identity(backend, service)
+            except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+                why = type(error).__name__
+        logger.info("backends.not-running", extra={"backend": backend.name, "why": why})
+        return False
+
+    async def _ask_identity(self, backend, service):
+        self.calls += 1
+        path = service.health_path
+        if service.kind == MODEL_SERVICE:
+            path = names.REPORT_PATH
+        if not path:
+            return await self.is_reachable(backend.address)
+        async with self._session.get(
+            _build_url(backend.address, path),
+            headers={names.EXPECT_REPLICA: backend.name},
+            allow_redirects=False,
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=CONNECT_TIMEOUT_MS / 1000
+            ),
+        ) as response:
+            name = response.headers.get(names.REPLICA_ID, backend.name)
+            if response.status == names.MISDIRECTED_STATUS or name != backend.name:
+                return False
+            if path != names.REPORT_PATH or response.status != HTTPStatus.OK:
+                # One that has no room rejects the question without its name.
+                return True
+            report = decode_json(await response.content.read(MAX_REPORT_BYTES))
+            return _may_be_born(report, backend.entry.born)
+
+
+def _build_url(address, target):
+    """Return the URL of a target, which is sent as it came.
+
+    Parsed, an empty query and a fragment would be lost.
+    """
+    host, _, port = address.rpartition(":")
+    return URL.build(
+        scheme="http",
+        host=host.strip("[]"),
+        port=int(port),
+        path=target,
+        encoded=True,
+    )
+
+
+def _may_be_born(report, born):
+    """Return whether a report may be of the process that was born at a time in ms."""
+    reported = read_integer(report, "born", 0, default=None)
+    return born is None or reported is None or reported == born
+
 
 def decode_head(response):
     """Return the `AnswerHead` of a response."""
@@ -140,7 +207,7 @@
         names.NOT_EXECUTED in headers,
         response.status == names.MISDIRECTED_STATUS,
         "Content-Encoding" in headers,
-        _is_unframed(response),
+        _is_unframed(response) or names.UNFRAMED in headers,
         headers.get("Content-Type", "").startswith(EVENT_STREAM),
         _decode_confidence(headers.get(names.CONFIDENCE)),
         _decode_signals(response.status, headers),
@@ -165,8 +232,14 @@
 
 
 def name_backend(head, backend):
-    """Add the name of the backend server to the head of a forwarded answer."""
+    """Add the name of the backend server to the head of a forwarded answer.
+
+    Between instances each answer has a length or chunks; that it had none is added too.
+    """
     head.headers.append((names.ANSWERED_BY, backend.name))
+    if head.is_unframed:
+        head.headers.append((names.UNFRAMED, "1"))
+        head.is_unframed = False
 
 
 def forwarded_headers(headers):
--- a/stoatpath/platform/documents.py
+++ b/stoatpath/platform/documents.py
@@ -1,5 +1,7 @@
 """Decodes the rows that the operator and the replicas write to the store."""
 
+import re
+
 import msgspec
 
 from stoatpath.configuration.routes import (
@@ -65,6 +67,7 @@
 # No server runs more requests at once.
 MAX_SLOTS = 100_000
 MAX_LOGGED_CHARS = 40
+PATH = re.compile("/[!-~]*")
 DECODE_ERRORS = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)
 
 
@@ -220,6 +223,7 @@
         (cold_start_s or 0.0) * 1_000,
         per_s or 0.0,
         unreadable,
+        _read_path(data, "health_path", unreadable),
     )
 
 
@@ -328,6 +332,17 @@
     )
 
 
+def _read_path(data, name, unreadable):
+    """Return an optional path, or ""; list what can't be decoded."""
+    value = data.get(name)
+    if value is None:
+        return ""
+    if isinstance(value, str) and PATH.fullmatch(value):
+        return value
+    unreadable.append(f"{name}: {describe(value)}")
+    return ""
+
+
 def _read_number(data, name, largest, unreadable):
     """Return an optional number from 0, or None; list what can't be decoded."""
     value = data.get(name)
--- a/stoatpath/platform/names.py
+++ b/stoatpath/platform/names.py
@@ -11,6 +11,9 @@
 # Path of the readiness check of the platform.
 READY_PATH = "/-/readyz"
 
+# Path of the load report of a model replica, which needs no slot.
+REPORT_PATH = "/-/report"
+
 # Headers that callers send.
 ATTEMPT_ID = "X-Stoatpath-Attempt-Id"
 DEADLINE_MS = "X-Stoatpath-Deadline-Ms"
@@ -24,6 +27,8 @@
 FORWARDED = "Stoatpath-Forwarded"
 # Set in the answer to it: the name of the backend server that gave it.
 ANSWERED_BY = "Stoatpath-Answered-By"
+# Set in the same answer if its body ended with the connection to the backend server.
+UNFRAMED = "Stoatpath-Unframed"
 KEY_SCHEME = "Bearer "
 ANY_MODEL = "*"
 
@@ -47,6 +52,7 @@
 )
 
 # Headers of a replica's answer. The seal shows that the replica itself answered.
+REPLICA_ID = "X-Stoatpath-Replica-Id"
 SEAL = "X-Stoatpath-Replica-Seal"
 NOT_EXECUTED = "X-Stoatpath-Not-Executed"
 CONFIDENCE = "X-Stoatpath-Confidence"
--- a/stoatpath/standins/replicas.py
+++ b/stoatpath/standins/replicas.py
@@ -9,6 +9,9 @@
 stream: `cut` (disconnected within an event, after some whole ones), `skip` (an event is
 missing), `stall`, `endless-event`, `unframed` (it ends with its connection) and
 `unframed-cut` (the same, within an event), `cut-N` (disconnected after N whole events).
+Of both: `unframed-short` (closed after some whole events, or half of the body) and
+`unframed-crash` (the same, and the replica ends as a killed process does) and
+`unframed-restart` (the same, and another process is in its place at once).
 In place of a stream: `status-N` (an answer with a body), `events-N` (a stream with this
 status and an event without identifier) and `short` (a body shorter than its length).
 """
@@ -16,6 +19,7 @@
 import asyncio
 import socket
 import struct
+import time
 
 from aiohttp import web
 
@@ -29,6 +33,18 @@
 PROMPT_HEADER = "X-Stoatpath-Prompt-Prefix"
 CRASH_AFTER_S = 0.02
 ENDLESS_BLOCK_BYTES = 65_536
+RAW_KINDS = (
+    "half",
+    "unframed",
+    "unframed-reset",
+    "unframed-short",
+    "unframed-crash",
+    "unframed-restart",
+    "garbage",
+    "extra",
+)
+HEALTH_PATH = "/healthz"
+IDENTITY_PATHS = (HEALTH_PATH, "/-/report")
 ENDLESS_KINDS = ("endless-body", "endless-head", "endless-interim", "endless-chunk")
 FAILED_BODY = b'{"error": "the request failed"}'
 FAILED_EVENT = b"event: error\ndata: the request failed\n\n"
@@ -63,8 +79,9 @@
     whose prompt has the part `poison_part` ends the replica as it begins: all
     connections are dropped, and `on_crash` is called with the replica. So does any
     request for the path `poison_path`, before the head of its answer. It runs `room`
-    requests at once and rejects others. With `max_rejections_per_s` it says that it is
-    brittle, and `falls_ms` are the times at which more rejections would have ended it.
+    requests at once and rejects others. `born` is the Unix time of its start in ms.
+    With `max_rejections_per_s` it says that it is brittle, and `falls_ms` are the times
+    at which more rejections would have ended it.
     """
 
     __slots__ = (
@@ -88,6 +105,7 @@
         "rejections_ms",
         "falls_ms",
         "_running",
+        "born",
         "endless_bytes",
         "confidence_by_model",
         "events",
@@ -118,6 +136,7 @@
         self.rejections_ms = []
         self.falls_ms = []
         self._running = 0
+        self.born = int(time.time() * 1_000)
         self.endless_bytes = 0
         self.confidence_by_model = {}
         self.events = 5
@@ -161,11 +180,14 @@
             "state": state,
             "cold_left_ms": 0,
             "sequence": 1,
+            "born": self.born,
             **changes,
         }
 
     async def _serve(self, request):
         self._transports.add(request.transport)
+        if request.path in IDENTITY_PATHS:
+            return self._tell_identity(request)
         self.received_count += 1
         self.arrivals.append(
             (Clock().now_ms(), request.headers.get(ATTEMPT_ID_HEADER, ""))
@@ -208,6 +230,14 @@
         finally:
             self._running -= 1
 
+    def _tell_identity(self, request):
+        headers = {"X-Stoatpath-Replica-Id": self.name}
+        if request.headers.get("X-Stoatpath-Expect-Replica", self.name) != self.name:
+            return web.Response(status=421, headers=headers)
+        if request.path == HEALTH_PATH:
+            return web.Response(headers=headers)
+        return web.json_response({"running": self._running, "born": self.born})
+
     def _record_rejection(self):
         """Record a rejection, and a fall after too many of them in a second."""
         now_ms = Clock().now_ms()
@@ -256,7 +286,8 @@
         if "text/event-stream" in request.headers.get("Accept", ""):
             return await self._stream(request, kind, headers)
         body = f"{self.name} answers {run.request_id}".encode()
-        if kind in ("half", "unframed", "unframed-reset", "garbage", "extra"):
+        if kind in RAW_KINDS:
+            await self._end_before_close(kind)
             return await _write_raw(request, kind, headers, body)
         return web.Response(body=body, headers=headers)
 
@@ -306,14 +337,22 @@
         lines = [f"{name}: {value}\r\n" for name, value in headers.items()]
         transport.write("".join(["HTTP/1.1 200 OK\r\n", *lines, "\r\n"]).encode())
         for number in range(start + 1, self.events + 1):
-            if number > start + CUT_AFTER_EVENTS and kind == "unframed-cut":
-                transport.write(f"id: {number}\nda".encode())
+            if number > start + CUT_AFTER_EVENTS and kind != "unframed":
+                if kind == "unframed-cut":
+                    transport.write(f"id: {number}\nda".encode())
                 break
             transport.write(f"id: {number}\ndata: {number}\n\n".encode())
             await asyncio.sleep(self.event_ms / 1000)
+        await self._end_before_close(kind)
         transport.close()
         return web.Response()
 
+    async def _end_before_close(self, kind):
+        if kind == "unframed-crash":
+            await self.stop_listening()
+        if kind == "unframed-restart":
+            self.born += 1
+
     async def _write_endlessly(self, request, start, part):
         """Write `start`, then `part` until the other side closes the connection."""
         transport = request.transport
