One rule tells whether a cut of an answer can be detected

The gateway's decoder of heads had a rule of its own for answers without length and chunks beside `is_truncation_detectable` of the router's interface, which refuses such answers.

--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -12,6 +12,7 @@
 from stoatpath.backpressure.messages import BackendSignals, decode_hold_off_ms
 from stoatpath.callers.relay_messages import AnswerHead
 from stoatpath.configuration.routes import MODEL_SERVICE
+from stoatpath.dispatch.checks import is_truncation_detectable
 from stoatpath.dispatch.connections import accepts_connections
 from stoatpath.dispatch.last_checks import CheckedRequest
 from stoatpath.dispatch.response_handlers import use_checked_handler
@@ -41,7 +42,6 @@
 MAX_LIMIT_PER_S = 1e6
 MAX_CONFIDENCE = 100.0
 MAX_LOGGED_CHARS = 40
-BODILESS_STATUSES = (204, 304)
 DROPPED_HEADERS = names.HOP_HEADERS | {
     names.ANSWERED_BY.lower(),
     names.UNFRAMED.lower(),
@@ -200,6 +200,7 @@
     """Return the `AnswerHead` of a response."""
     headers = response.headers
     dropped = _connection_header_names(headers) | DROPPED_HEADERS
+    is_framed = is_truncation_detectable(response.method, response)
     return AnswerHead(
         response.status,
         headers.get(names.ATTEMPT_ID),
@@ -207,7 +208,7 @@
         names.NOT_EXECUTED in headers,
         response.status == names.MISDIRECTED_STATUS,
         "Content-Encoding" in headers,
-        _is_unframed(response) or names.UNFRAMED in headers,
+        not is_framed or names.UNFRAMED in headers,
         headers.get("Content-Type", "").startswith(EVENT_STREAM),
         _decode_confidence(headers.get(names.CONFIDENCE)),
         _decode_signals(response.status, headers),
@@ -220,17 +221,6 @@
     )
 
 
-def _is_unframed(response):
-    """Return whether a body ends with its connection (RFC 9112, section 6.3)."""
-    if response.method == "HEAD" or response.status in BODILESS_STATUSES:
-        return False
-    headers = response.headers
-    codings = ",".join(headers.getall("Transfer-Encoding", ())).lower().split(",")
-    if codings[-1].strip() == "chunked":
-        return False
-    return "Content-Length" not in headers or codings != [""]
-
-
 def name_backend(head, backend):
     """Add the name of the backend server to the head of a forwarded answer.
 
