--- a/features/platform/resumption.feature
+++ b/features/platform/resumption.feature
@@ -82,8 +82,9 @@
     Then the caller got an incomplete response with events 1 to 3 only
 
     Examples:
-      | next       |
-      | status-409 |
-      | status-200 |
-      | events-500 |
-      | status-500 |
+      | next                |
+      | status-409          |
+      | status-200          |
+      | events-500          |
+      | status-500          |
+      | head-chunks-close-1 |
--- a/stoatpath/standins/replicas.py
+++ b/stoatpath/standins/replicas.py
@@ -14,18 +14,19 @@
 `unframed-restart` (the same, and another process is in its place at once).
 In place of a stream: `status-N` (an answer with a body), `events-N` (a stream with this
 status and an event without identifier) and `short` (a body shorter than its length).
+Of any answer: `head-LAYOUT-END-N` (it stops N bytes before the end of its head, see
+`write_cut_head`).
 """
 
 import asyncio
-import socket
-import struct
 import time
 
 from aiohttp import web
 
 from stoatpath.clock import Clock
+from stoatpath.standins.cut_heads import write_cut_head
 from stoatpath.standins.faults import FaultTable
-from stoatpath.standins.servers import StandinServer, drop_connection
+from stoatpath.standins.servers import StandinServer, drop_connection, reset_connection
 
 SILENCE_S = 30.0
 CUT_AFTER_EVENTS = 3
@@ -283,7 +284,12 @@
             headers["Content-Encoding"] = "gzip"
         if kind in ENDLESS_KINDS:
             return await self._write_endlessly(request, *_endless_parts(kind, headers))
-        if "text/event-stream" in request.headers.get("Accept", ""):
+        is_stream = "text/event-stream" in request.headers.get("Accept", "")
+        if kind.startswith("head-"):
+            if is_stream:
+                headers["Content-Type"] = "text/event-stream"
+            return await write_cut_head(request, kind, headers, len(FAILED_BODY))
+        if is_stream:
             return await self._stream(request, kind, headers)
         body = f"{self.name} answers {run.request_id}".encode()
         if kind in RAW_KINDS:
@@ -406,11 +412,7 @@
         request.transport.write(head + b"x" * len(body))
     await asyncio.sleep(0.01)
     if kind == "unframed-reset":
-        # With a linger time of 0 s, the socket is closed by a TCP reset.
-        linger = struct.pack("ii", 1, 0)
-        connection = request.transport.get_extra_info("socket")
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        request.transport.abort()
+        reset_connection(request)
     else:
         request.transport.close()
     return web.Response()
--- a/stoatpath/standins/servers.py
+++ b/stoatpath/standins/servers.py
@@ -1,7 +1,12 @@
 """The HTTP server that all stand-ins use."""
 
+import socket
+import struct
+
 from aiohttp import web
 
+# With a linger time of 0 s, a socket is closed by a TCP reset.
+NO_LINGER = struct.pack("ii", 1, 0)
 MAX_BODY_BYTES = 64 * 1024 * 1024
 
 
@@ -47,3 +52,12 @@
     """Close the TCP connection of a request at once, without a response."""
     if request.transport is not None:
         request.transport.abort()
+
+
+def reset_connection(request):
+    """Close the TCP connection of a request with a reset, whatever was written."""
+    if request.transport is None or request.transport.is_closing():
+        return
+    connection = request.transport.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    request.transport.abort()
