Other readers: messages that stop within their head are none

The same cause was looked for at all readers of the project.

Read, not tested: orders and cancellations to engines, load reports and readiness (they use the same client or server classes, and a lost one has no effect that a failed one has not). No code of the project parses heads itself.

--- a/stoatpath/callers/features/bad_requests.feature
+++ b/stoatpath/callers/features/bad_requests.feature
@@ -109,3 +109,14 @@
     Given a listener that has stopped
     When a connection from its backlog is accepted, with a request
     Then the connection is closed without an answer
+
+  # Guards against requests that run though only a part of them has come.
+  Scenario Outline: A request with <framing> is cut at each byte, and its caller closes
+    Given a listener with small limits
+    When a request with <framing> is cut at each byte, and its caller closes
+    Then none of them runs, and the whole one does
+
+    Examples:
+      | framing  |
+      | a length |
+      | chunks   |
--- a/stoatpath/callers/features/steps/bad_request_steps.py
+++ b/stoatpath/callers/features/steps/bad_request_steps.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from bad_requests import CASES, MAX_HEAD_BYTES, completion, request
+from bad_requests import CASES, MAX_HEAD_BYTES, chunked, completion, request
 from behave import given, then, when
 from hypothesis import given as forall, settings, strategies as st
 from listeners import (
@@ -309,3 +309,31 @@
 @then("the request is answered 200")
 def step_impl(context):
     assert context.written.startswith(b"HTTP/1.1 200 "), context.written[:80]
+
+
+@when("a request with {framing} is cut at each byte, and its caller closes")
+def step_impl(context, framing):
+    whole = VALID_REQUEST
+    if framing == "chunks":
+        whole = chunked([completion()[:20], completion()[20:]])
+
+    async def work(listener, pipeline):
+        host, _, port = listener.address.rpartition(":")
+        for size in range(len(whole)):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(whole[:size])
+            writer.write_eof()
+            async with asyncio.timeout(REPLY_TIMEOUT_S):
+                await reader.read()
+            writer.close()
+        context.served_of_cut = list(pipeline.served)
+        context.reply = await exchange(listener.address, whole)
+        context.served = list(pipeline.served)
+
+    asyncio.run(with_listener(work))
+
+
+@then("none of them runs, and the whole one does")
+def step_impl(context):
+    assert context.served_of_cut == [], len(context.served_of_cut)
+    assert context.reply.status == 200 and len(context.served) == 1
