--- a/features/platform/relaying.feature
+++ b/features/platform/relaying.feature
@@ -68,6 +68,24 @@
       | sum   | error        | 200    | 2    |
       | sum   | half         | 200    | 2    |
 
+  # Guards against callers that wait until their deadline for the rest of a body of which
+  # a part can't be read.
+  Scenario Outline: A <route> request whose first answer is garbled within its body
+    Given a deployment
+    And the next execution has fault garbled
+    When a caller sends a <route> request
+    Then the caller gets <status> within 800 ms
+    And the request ran at most <runs> times
+    And a successful response has the replica seal and the complete body
+
+    Examples:
+      | route | status | runs |
+      | look  | 200    | 2    |
+      | sum   | 200    | 2    |
+      | chat  | 200    | 2    |
+      | book  | 502    | 1    |
+      | tell  | 0      | 1    |
+
   # With one replica of the model service there is none to hedge to.
   Scenario Outline: A low-confidence response to a <route> request runs <models>
     Given a deployment with 1 model replica
--- a/features/platform/steps/relaying_steps.py
+++ b/features/platform/steps/relaying_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import gzip
 import socket
+import time
 import zlib
 from collections import Counter
 from unittest import mock
@@ -159,7 +160,16 @@
 @when("a caller sends a {route} request")
 def step_impl(context, route):
     fixture = context.fixture
+    context.sent_s = time.monotonic()
     fixture.response = fixture.run(send_request(fixture.gateway, route))
+    context.answered_s = time.monotonic()
+
+
+@then("the caller gets {status:d} within {limit:d} ms")
+def step_impl(context, status, limit):
+    context.execute_steps(f"Then the caller gets {status}")
+    took_ms = 1000 * (context.answered_s - context.sent_s)
+    assert took_ms <= limit, took_ms
 
 
 @when("a caller sends a look request with forged headers")
--- a/stoatpath/standins/replicas.py
+++ b/stoatpath/standins/replicas.py
@@ -15,7 +15,7 @@
 In place of a stream: `status-N` (an answer with a body), `events-N` (a stream with this
 status and an event without identifier) and `short` (a body shorter than its length).
 Of any answer: `head-LAYOUT-END-N` (it stops N bytes before the end of its head, see
-`write_cut_head`).
+`write_cut_head`) and `garbled` (bytes that are no chunk follow a part of its body).
 """
 
 import asyncio
@@ -33,6 +33,8 @@
 ATTEMPT_ID_HEADER = "X-Stoatpath-Attempt-Id"
 PROMPT_HEADER = "X-Stoatpath-Prompt-Prefix"
 CRASH_AFTER_S = 0.02
+GARBLED_AFTER_S = 0.02
+GARBLED_BYTES = b"this is no chunk\r\n"
 ENDLESS_BLOCK_BYTES = 65_536
 RAW_KINDS = (
     "half",
@@ -289,9 +291,11 @@
             if is_stream:
                 headers["Content-Type"] = "text/event-stream"
             return await write_cut_head(request, kind, headers, len(FAILED_BODY))
+        body = f"{self.name} answers {run.request_id}".encode()
+        if kind == "garbled":
+            return await _write_garbled(request, headers, is_stream, body)
         if is_stream:
             return await self._stream(request, kind, headers)
-        body = f"{self.name} answers {run.request_id}".encode()
         if kind in RAW_KINDS:
             await self._end_before_close(kind)
             return await _write_raw(request, kind, headers, body)
@@ -396,6 +400,24 @@
     return b"", b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
+async def _write_garbled(request, headers, is_stream, body):
+    """Write a part of a body in a chunk, then bytes that are none; don't close."""
+    part = body[: len(body) // 2]
+    if is_stream:
+        headers |= {"Content-Type": "text/event-stream"}
+        start = int(request.headers.get("Last-Event-Id", 0))
+        numbers = range(start + 1, start + CUT_AFTER_EVENTS + 1)
+        part = b"".join(b"id: %d\ndata: %d\n\n" % (each, each) for each in numbers)
+    response = web.StreamResponse(headers=headers)
+    response.enable_chunked_encoding()
+    await response.prepare(request)
+    await response.write(part)
+    await asyncio.sleep(GARBLED_AFTER_S)
+    request.transport.write(GARBLED_BYTES)
+    await asyncio.sleep(SILENCE_S)
+    return response
+
+
 async def _write_raw(request, kind, headers, body):
     """Write a response to the transport, malformed or misframed as `kind` requires."""
     if kind == "garbage":
