A gateway that fails within a stream breaks it off

Callers would get the head and the body of an error within the chunks of the stream ("HTTP/1.1 500 ..." where a chunk is due), on the same connection.

Cause: `CallerConnection.handle_error` renders an error for any exception of a handler; aiohttp's own refuses to once bytes of the response have been sent. It replaces that method since errors have a body of their own.

Change: the connection is aborted if bytes were sent; aiohttp's write of the error then ends with ConnectionError, as for a caller who has left. The exception is logged as before.

Looked at the other ends of a response: `_refuse` writes only while the head of a request is awaited, `_end_stream` aborts on failure, a cancelled handler writes nothing.

--- a/features/platform/resumption.feature
+++ b/features/platform/resumption.feature
@@ -60,6 +60,14 @@
       | short      |
       | shed       |
 
+  # Guards against the head of an error within a stream, and against its end as complete.
+  Scenario: A gateway fails in the middle of a stream
+    Given a deployment
+    And its backend servers pause 20 ms between events
+    And the gateway fails internally once a stream has begun
+    When a caller reads the bytes of the response to a chat request
+    Then the caller got an incomplete response with events 1 to 1 only
+
   Scenario Outline: A stream that fails before it has begun is answered with <status>
     Given a deployment
     And all later executions have fault <fault>
--- a/features/platform/steps/resumption_steps.py
+++ b/features/platform/steps/resumption_steps.py
@@ -1,11 +1,13 @@
 """Steps about streams that are cut and resumed."""
 
 import asyncio
+from unittest import mock
 
 from behave import given, then, when
 from callers import request_headers
 from relaying_steps import event_ids, raw_request
 
+from stoatpath.dispatch.event_relays import EventRelay
 from stoatpath.standins.faults import Fault, FaultTable
 
 READ_TIMEOUT_S = 15
@@ -81,3 +83,22 @@
     assert event_ids(response) == list(range(1, last + 1)), response.body
     expected = [f"id: {number}\ndata: {number}\n\n" for number in range(1, last + 1)]
     assert response.body == "".join(expected).encode(), response.body
+
+
+@given("its backend servers pause {pause:d} ms between events")
+def step_impl(context, pause):
+    for replica in context.fixture.replicas():
+        replica.event_ms = float(pause)
+
+
+@given("the gateway fails internally once a stream has begun")
+def step_impl(context):
+    write = EventRelay.write
+
+    async def write_once(relay, *arguments):
+        await write(relay, *arguments)
+        raise RuntimeError("a fault of the gateway")
+
+    patch = mock.patch.object(EventRelay, "write", write_once)
+    patch.start()
+    context.add_cleanup(patch.stop)
--- a/stoatpath/callers/connections.py
+++ b/stoatpath/callers/connections.py
@@ -221,11 +221,18 @@
             failure = _build_parse_failure(exc)
         else:
             self.log_exception("caller.handler-failed", exc_info=exc)
+            if request.writer.output_size > 0:
+                # Another response would be read as a part of the one that has begun.
+                self._abort_begun()
             failure = Failure(INTERNAL, "the router failed", Outcome.UNKNOWN)
         response = render_failure(failure, new_id("req"), 0.0)
         response.force_close()
         return response
 
+    def _abort_begun(self):
+        if self.transport is not None:
+            self.transport.abort()
+
     def log_exception(self, *args, **options):
         """Log an exception, unless it is an invalid body: that has been answered."""
         if not isinstance(options.get("exc_info"), web.RequestPayloadError):
