Only the winner of a hedge writes to a stream, and its end is the result

With `--extra_work_share` (off by default) streams joined the events of two runs, as [b1 1, b2 1, b1 2, b2 2, ...] or [b2 1, b2 2, b2 3, b1 1, b1 2, b1 3] where rule ORDER wants one run, and a stream whose hedge had lost was not resumed after a cut.

Cause: one class, three places. The loser of a hedge is watched for 200 ms (`AttemptRunner._abandon`) and could still claim the caller's stream: in a cascade each stage has a relay of its own on it, so that the loser of the smaller model's stage and the larger model's attempt both wrote; after a cut it took the relay of the same stage. An attempt that turned out unsure just as the other one began to write settled the stage, or ended that other one. And a request whose winner was cut awaited the cancelled task of the loser: the CancelledError ended the request as if its caller had left.

Change: an attempt that nobody awaits can't claim or write (`EventRelay`, and `CompletionRelay`, which is built alike); `Hedge` remembers the winner, and its result is that of the request.

The fake sender there writes without an `EventSplitter`, which catches some of these joins, not those of a loser that begins before the first event of the other attempt. Looked elsewhere: forwarded requests are not hedged; a forward after failed attempts has a relay of its own too, which the rule for abandoned attempts covers.

--- a/stoatpath/dispatch/event_relays.py
+++ b/stoatpath/dispatch/event_relays.py
@@ -48,7 +48,12 @@
         self.is_abandoned = True
 
     def claim(self, attempt):
-        """Return whether an attempt may write; the first one becomes the owner."""
+        """Return whether an attempt may write; the first one becomes the owner.
+
+        The loser of a hedge may not: other attempts have gone on without it.
+        """
+        if attempt.is_abandoned and not self.is_abandoned:
+            return False
         if self._owner is None:
             self._owner = attempt
             if self.on_claimed is not None:
@@ -94,6 +99,8 @@
     splitter = EventSplitter(start)
     if await relay.begin(head) is not None:
         # Whether the backend server gets as far as an event is still worth knowing.
+        if self._owner is not None and self._owner.is_abandoned:
+            return Failure(SUPERSEDED, "another attempt answers", Outcome.UNKNOWN)
         relay.abandon()
         deadlines.end_within(ABANDONED_MS)
     while chunk := await content.readany():
--- a/stoatpath/dispatch/features/extra_work.feature
+++ b/stoatpath/dispatch/features/extra_work.feature
@@ -28,6 +28,39 @@
     When a stream is requested with a limit of 0.5 on extra work
     Then the stage ends as "unsure-answer" within 1 s
 
+  # Guards against streams joined of two runs: the loser of a stage is watched for a
+  # moment, and its answer may begin while a larger model writes.
+  Scenario Outline: The first attempt is unsure, and the second one begins <late> ms later
+    Given two backend servers that begin after 150 ms and <late> ms after that
+    And the first one is unsure
+    When a stream is requested with a limit of 0.5 on extra work, and then a larger model
+    Then the events are those of the larger model, each once
+
+    Examples:
+      | late |
+      | 20   |
+      | 60   |
+      | 150  |
+
+  # Guards against an attempt that is ended, or passed over, while it writes the stream.
+  Scenario Outline: The <winner> attempt begins to write as the <other> one turns out unsure
+    Given two attempts of one stream, of which the <winner> one begins
+    And the <other> one is found unsure at that moment
+    When both run
+    Then the answer is that of the <winner> one, which wasn't superseded
+
+    Examples:
+      | winner | other  |
+      | first  | second |
+      | second | first  |
+
+  # Guards against a loser that takes the stream over from the attempt that resumes it.
+  Scenario: The first attempt is cut, and the loser of the hedge begins after it
+    Given two backend servers that begin after 150 ms and 60 ms after that
+    And the first one is cut after its head
+    When a stream is requested with a limit of 0.5 on extra work
+    Then its events come from the first one, each once
+
   # Guards against second attempts that take room or work that others need.
   Scenario Outline: No second attempt is made when <case>
     Given two backend servers, of which the first one begins after 1 s
--- a/stoatpath/dispatch/features/steps/extra_work_steps.py
+++ b/stoatpath/dispatch/features/steps/extra_work_steps.py
@@ -1,6 +1,7 @@
 """Steps for second attempts of requests that begin late."""
 
 import asyncio
+import functools
 import random
 import time
 from types import SimpleNamespace
@@ -17,12 +18,16 @@
 from stoatpath.clock import Clock
 from stoatpath.configuration.routes import STREAMED, Route, RoutedService
 from stoatpath.dispatch.attempts import AttemptRunner
+from stoatpath.dispatch.event_relays import EventRelay
 from stoatpath.dispatch.extra_work import WINDOW_MS, ExtraWorkLimit
+from stoatpath.dispatch.hedges import Hedge
+from stoatpath.dispatch.messages import Attempt
 from stoatpath.dispatch.relay_policies import RelayPolicy
 from stoatpath.dispatch.window_budgets import WindowBudget
 from stoatpath.membership.directories import DirectoryBackend
 from stoatpath.membership.messages import ListedBackend
 from stoatpath.outcomes import (
+    BROKEN_ANSWER,
     SUPERSEDED,
     UNSURE_ANSWER,
     Failure,
@@ -35,6 +40,8 @@
 TARGET_MS = 200.0
 SLOTS = 8
 EVENTS = 3
+EVENT_S = 0.01
+LARGER_S = 0.05
 
 
 def build_request(tokens=100, request_id="r"):
@@ -86,6 +93,8 @@
     def __init__(self):
         self.has_begun = False
         self.last_event_id = ""
+        self.has_gaps = False
+        self.ends_unnumbered = False
         self.received = []
 
     async def begin(self, head):
@@ -101,6 +110,7 @@
     def __init__(self):
         self.delays_s = {}
         self.unsure = set()
+        self.cut_counts = {}
         self.cancelled_s = {}
 
     async def send(self, attempt):
@@ -130,8 +140,15 @@
         if not attempt.relay.claim(attempt):
             return Failure(SUPERSEDED, "another attempt answers", Outcome.UNKNOWN)
         await attempt.relay.begin(None)
+        if self.cut_counts.get(name):
+            self.cut_counts[name] -= 1
+            self.delays_s[name] = 0.1
+            attempt.relay.release(attempt)
+            return Failure(BROKEN_ANSWER, "cut", Outcome.UNKNOWN)
         for number in range(1, EVENTS + 1):
             await attempt.relay.write(f"{name} {number}", str(number))
+            await asyncio.sleep(EVENT_S)
+        attempt.relay.release(attempt)
         return RelayedAnswer(None, None)
 
 
@@ -258,6 +275,78 @@
     context.changes = []
 
 
+@given("two backend servers that begin after {delay:d} ms and {more:d} ms after that")
+def step_impl(context, delay, more):
+    context.delay_s = delay / 1000
+    # The second attempt is sent half of the latency target after the first one.
+    second_s = (delay + more - TARGET_MS / 2) / 1000
+    context.changes = [lambda fleet: fleet.sender.delays_s.update(b2=second_s)]
+
+
+@given("the first one is unsure")
+def step_impl(context):
+    context.changes.append(lambda fleet: fleet.sender.unsure.add("b1"))
+
+
+@given("the first one is cut after its head")
+def step_impl(context):
+    context.changes.append(lambda fleet: fleet.sender.cut_counts.update(b1=1))
+
+
+@given("two attempts of one stream, of which the {winner} one begins")
+def step_impl(context, winner):
+    relay = EventRelay(FakeStream())
+    context.winner = winner
+    context.superseded = []
+    context.attempts = {}
+    for name in ("first", "second"):
+        attempt = Attempt(build_request(), None, name, 1, 0.0, relay)
+        supersede = functools.partial(context.superseded.append, name)
+        attempt.deadlines = SimpleNamespace(supersede=supersede)
+        context.attempts[name] = attempt
+
+
+@given("the {other} one is found unsure at that moment")
+def step_impl(context, other):
+    context.other = other
+
+
+@when("both run")
+def step_impl(context):
+    async def work():
+        is_claimed = asyncio.Event()
+
+        async def run(name):
+            if name == context.other:
+                await is_claimed.wait()
+                return Failure(UNSURE_ANSWER, "confidence 10", Outcome.UNKNOWN)
+            await asyncio.sleep(EVENT_S)
+            attempt = context.attempts[name]
+            if name == "first":
+                # The other one ends before it can be cancelled.
+                is_claimed.set()
+                await asyncio.sleep(0)
+            assert attempt.relay.claim(attempt)
+            is_claimed.set()
+            await asyncio.sleep(EVENT_S)
+            return name
+
+        def is_unsure(failure):
+            return failure.reason is UNSURE_ANSWER
+
+        first = context.attempts["first"]
+        hedge = Hedge(first, lambda: run("second"), is_unsure)
+        context.result = await hedge.run(run("first"), 0.0)
+
+    asyncio.run(work())
+
+
+@then("the answer is that of the {winner} one, which wasn't superseded")
+def step_impl(context, winner):
+    assert context.result == winner, context.result
+    assert winner not in context.superseded
+
+
 @given("the second one is unsure")
 def step_impl(context):
     context.changes.append(lambda fleet: fleet.sender.unsure.add("b2"))
@@ -294,8 +383,20 @@
     context.changes.append(spend)
 
 
+@when(
+    "a stream is requested with a limit of {share:g} on extra work, "
+    "and then a larger model"
+)
+def step_impl(context, share):
+    request_stream(context, share, has_larger=True)
+
+
 @when("a stream is requested with a limit of {share:g} on extra work")
 def step_impl(context, share):
+    request_stream(context, share)
+
+
+def request_stream(context, share, has_larger=False):
     fleet = context.fleet = Fleet(share)
     fleet.sender.delays_s["b1"] = context.delay_s
     version = SimpleNamespace(
@@ -315,6 +416,14 @@
         context.result = await fleet.run(
             context.request, context.stream, version, needed
         )
+        if has_larger:
+            assert context.result.reason is UNSURE_ANSWER, context.result
+            fleet.sender.unsure.clear()
+            fleet.sender.delays_s["b1"] = LARGER_S
+            fleet.policy.backends = fleet.backends[:1]
+            context.result = await fleet.attempts.run(
+                context.request, version, context.stream
+            )
         context.ended_s = time.monotonic()
         context.took_s = context.ended_s - started_s
         await asyncio.sleep(0.3)
@@ -331,6 +440,13 @@
     assert context.stream.received == expected, context.stream.received
 
 
+@then("the events are those of the larger model, each once")
+def step_impl(context):
+    assert not is_failure(context.result), context.result
+    expected = [f"b1 {number}" for number in range(1, EVENTS + 1)]
+    assert context.stream.received == expected, context.stream.received
+
+
 @then("the attempt at the first one was cancelled within {limit:d} ms")
 def step_impl(context, limit):
     cancelled_s = context.fleet.sender.cancelled_s["b1"]
--- a/stoatpath/dispatch/hedges.py
+++ b/stoatpath/dispatch/hedges.py
@@ -15,13 +15,21 @@
     as an answer does.
     """
 
-    __slots__ = ("_attempt", "_make_hedge", "_is_final", "_hedge_task", "_timer")
+    __slots__ = (
+        "_attempt",
+        "_make_hedge",
+        "_is_final",
+        "_hedge_task",
+        "_winner",
+        "_timer",
+    )
 
     def __init__(self, attempt, make_hedge, is_final=lambda failure: False):
         self._attempt = attempt
         self._make_hedge = make_hedge
         self._is_final = is_final
         self._hedge_task = None
+        self._winner = None
         self._timer = None
 
     async def run(self, first, delay_s):
@@ -33,7 +41,9 @@
             relay.on_claimed = self._end_loser
         try:
             result = await first
-            if self._hedge_task is None or self._settles(result):
+            if self._hedge_task is None or self._winner is self._attempt:
+                return result
+            if self._winner is None and self._settles(result):
                 return result
             return await self._await_hedge(result)
         finally:
@@ -57,7 +67,9 @@
         self._hedge_task.add_done_callback(self._on_hedge_done)
 
     def _on_hedge_done(self, task):
-        if not task.cancelled() and self._settles(task.result()):
+        if task.cancelled() or self._winner is self._attempt:
+            return
+        if self._settles(task.result()):
             self._attempt.supersede()
 
     def _settles(self, result):
@@ -65,6 +77,7 @@
 
     def _end_loser(self, winner):
         """End the attempt that did not write the first event of the stream."""
+        self._winner = winner
         if winner is not self._attempt:
             self._attempt.supersede()
         elif self._hedge_task is not None:
--- a/stoatpath/dispatch/streams.py
+++ b/stoatpath/dispatch/streams.py
@@ -64,7 +64,12 @@
         self._is_disconnected = True
 
     def claim(self, attempt):
-        """Return whether an attempt may write; the first one becomes the owner."""
+        """Return whether an attempt may write; the first one becomes the owner.
+
+        The loser of a hedge may not: other attempts have gone on without it.
+        """
+        if attempt.is_abandoned and not self._is_disconnected:
+            return False
         if self.owner is None:
             self.owner = attempt
             if self.on_claimed is not None:
