Streams are split at any line endings, and their numbers may rise by more than one

Sound streams were broken off, or resumed for nothing: with numbers that rise by more than one or begin with 0, with CR or mixed line endings, with an empty line or a comment after the last event, with a byte order mark.

Cause: the splitter asked for consecutive numbers from 1, for two equal line endings, and took any byte after the last event for a part of one. PROTOCOL asks for "a series of events with increasing ids"; a faulty replica "may truncate a response, send bytes that are not a response, or send additional bytes after a complete response", but leaves out none, and "the replica's status, body and [seal] are returned unchanged". The bytes of one run arrive in order, so a gap in it is the replica's own numbering, no missing piece ("In a stream a piece is missing, comes twice", ORDER). Where a run goes on with another's stream, a gap is a missing piece: it must begin with the next number, unless the stream had gaps before. A run that a caller resumes is one run; its numbers must be greater than the caller's.

Change: `EventSplitter` tells the first event of a resumed run from the others; line endings, byte order marks and the last `id:` line of an event are read as the event stream standard says (WHATWG HTML, 9.2.6). Bytes after the last event that are no event are passed on. An identifier is sent back as it came (leading zeros) in Last-Event-Id. A number of over 4300 digits breaks the stream, not the exchange.

Two checks were wrong and are replaced: opaque.feature took 1, 3 within a run for a missing event, relaying.feature resumed a stream of 1, 2, 4, 5. In their place 1, 3 and 1, 2, 4, 5 are to be passed on unchanged in one run, and a missing event (`late`) is to be seen where runs are joined, in the splitter and through a gateway, as are `again` and `repeat`.

--- a/features/platform/relaying.feature
+++ b/features/platform/relaying.feature
@@ -47,7 +47,6 @@
       | chat  | shed         | 200    | 1    |
       | chat  | error        | 200    | 2    |
       | chat  | cut          | 200    | 2    |
-      | chat  | skip         | 200    | 2    |
       | chat  | reset-before | 200    | 1    |
       | chat  | unframed     | 200    | 1    |
       | chat  | unframed-cut | 200    | 2    |
--- a/features/platform/resumption.feature
+++ b/features/platform/resumption.feature
@@ -43,6 +43,14 @@
       | 3      | wrong-id     |
       | 3      | encoded      |
 
+    Examples: a stream that isn't the rest
+      | events | next         |
+      | 3      | again        |
+      | 3      | late         |
+      | 3      | repeat       |
+      | 1      | again        |
+      | 4      | repeat       |
+
   Scenario Outline: A stream is cut, an attempt gets <next>, and the one after it the rest
     Given a deployment
     And 3 more model replicas
@@ -59,6 +67,24 @@
       | events-500 |
       | short      |
       | shed       |
+      | again      |
+      | late       |
+      | repeat     |
+
+  # Guards against sound streams that are broken off: "a series of events with
+  # increasing ids".
+  Scenario Outline: A stream has numbers of kind <first> in its first run, <later> later
+    Given a deployment
+    And the next execution has fault <first>
+    And all later executions have fault <later>
+    When a caller reads the bytes of the response to a chat request
+    Then the caller got a complete response with the events <events>
+
+    Examples:
+      | first      | later  | events         |
+      | skip       | none   | 1 2 4 5        |
+      | sparse     | none   | 10 20 30 40 50 |
+      | sparse-cut | sparse | 10 20 30 40 50 |
 
   # Guards against the head of an error within a stream, and against its end as complete.
   Scenario: A gateway fails in the middle of a stream
@@ -68,6 +94,31 @@
     When a caller reads the bytes of the response to a chat request
     Then the caller got an incomplete response with events 1 to 1 only
 
+  Scenario Outline: A caller resumes a stream after <last>, and the first run has fault <fault>
+    Given a deployment
+    And the next execution has fault <fault>
+    When a caller resumes a chat request after <last>
+    Then the caller got a <end> response with the events <events>
+
+    Examples:
+      | last    | fault  | end        | events    |
+      | 3       | none   | complete   | 4 5       |
+      | 3       | cut-1  | complete   | 4 5       |
+      | 003     | none   | complete   | 4 5       |
+      | 5       | none   | complete   |           |
+      | 999     | none   | complete   |           |
+      | 0       | none   | complete   | 1 2 3 4 5 |
+      | nothing | none   | complete   | 1 2 3 4 5 |
+      | text    | none   | complete   | 1 2 3 4 5 |
+      | 3       | repeat | complete   | 4 5       |
+      | 3       | again  | complete   | 4 5       |
+
+  Scenario: Two streams with the same attempt identifier at once
+    Given a deployment
+    And its backend servers pause 20 ms between events
+    When two callers send chat requests with the same identifier at once
+    Then each got a complete response with events 1 to 5
+
   Scenario Outline: A stream that fails before it has begun is answered with <status>
     Given a deployment
     And all later executions have fault <fault>
--- a/features/platform/steps/resumption_steps.py
+++ b/features/platform/steps/resumption_steps.py
@@ -31,11 +31,11 @@
             rest = rest[length + 2 :]
 
 
-async def send_raw_stream(gateway):
+async def send_raw_stream(gateway, **extra_headers):
     """Send a chat request on a connection of its own; return a `RawResponse`."""
     host, _, port = gateway.listener.address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
-    headers = request_headers("chat", 1) | {"Content-Length": "4"}
+    headers = request_headers("chat", 1, **extra_headers) | {"Content-Length": "4"}
     headers["Connection"] = "close"
     writer.write(raw_request(headers, "POST /chat/1 HTTP/1.1", b"body"))
     data = b""
@@ -102,3 +102,40 @@
     patch = mock.patch.object(EventRelay, "write", write_once)
     patch.start()
     context.add_cleanup(patch.stop)
+
+
+@when("a caller resumes a chat request after {last}")
+def step_impl(context, last):
+    fixture = context.fixture
+    headers = {} if last == "nothing" else {"Last_Event_Id": last}
+    work = send_raw_stream(fixture.gateway, **headers)
+    context.raw_response = fixture.run(work)
+
+
+@when("two callers send chat requests with the same identifier at once")
+def step_impl(context):
+    async def send_both():
+        sends = [send_raw_stream(context.fixture.gateway) for _ in range(2)]
+        return await asyncio.gather(*sends)
+
+    context.raw_responses = context.fixture.run(send_both())
+
+
+@then("each got a complete response with events 1 to {last:d}")
+def step_impl(context, last):
+    for response in context.raw_responses:
+        assert response.is_complete, response.body
+        assert event_ids(response) == list(range(1, last + 1)), response.body
+
+
+@then("the caller got a complete response with the events {numbers}")
+def step_impl(context, numbers):
+    response = context.raw_response
+    assert response.is_complete, response.body
+    assert event_ids(response) == [int(each) for each in numbers.split()]
+
+
+@then("the caller got a complete response with the events ")
+def step_impl(context):
+    response = context.raw_response
+    assert response.is_complete and response.body == b"", response.body
--- a/stoatpath/callers/relays.py
+++ b/stoatpath/callers/relays.py
@@ -220,10 +220,17 @@
 
     `begun_ms` is the clock reading at which the response head was sent, or None.
     `last_event_id` identifies the last complete event that was sent, "" before the
-    first.
+    first. `has_gaps` is true if the identifiers rose by more than one.
     """
 
-    __slots__ = ("_request", "_clock", "response", "begun_ms", "last_event_id")
+    __slots__ = (
+        "_request",
+        "_clock",
+        "response",
+        "begun_ms",
+        "last_event_id",
+        "has_gaps",
+    )
 
     def __init__(self, request, clock):
         self._request = request
@@ -231,6 +238,7 @@
         self.response = None
         self.begun_ms = None
         self.last_event_id = ""
+        self.has_gaps = False
 
     @property
     def has_begun(self):
--- a/stoatpath/dispatch/event_relays.py
+++ b/stoatpath/dispatch/event_relays.py
@@ -1,14 +1,23 @@
 """Relays the events of a streamed answer without parsing them, over all attempts."""
 
+import re
+
 from stoatpath.callers.relay_messages import RelayedAnswer
 from stoatpath.dispatch.checks import broken_answer
 from stoatpath.dispatch.deadlines import ABANDONED_MS
 from stoatpath.outcomes import CALLER_GONE, SUPERSEDED, Failure, Outcome
 
-# Ends of an event with the line endings that backend servers use.
-EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
+# An event ends with an empty line; a line ends with CR LF, LF or CR (WHATWG HTML,
+# section 9.2.6). A CR before a LF ends no line by itself.
+EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)")
+# The longest match: an end may begin that many bytes before the next chunk.
+MAX_END_BYTES = 4
+BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 ID_FIELD = b"id:"
 DATA_FIELD = b"data"
+COMMENT = b":"
+# Python converts no longer numbers.
+MAX_ID_DIGITS = 4_300
 MAX_EVENT_BYTES = 1024 * 1024
 
 
@@ -43,6 +52,13 @@
         """Return the identifier of the event after which to resume."""
         return self.last_event_id
 
+    def open_splitter(self, request):
+        """Return the `EventSplitter` of an attempt that writes next."""
+        last_event_id = self.last_event_id
+        if not last_event_id:
+            return EventSplitter(request.last_event_id)
+        return EventSplitter(last_event_id, True, self._stream.has_gaps)
+
     def abandon(self):
         """Write nothing more: the caller has left."""
         self.is_abandoned = True
@@ -71,11 +87,17 @@
             return None
         return await _write_to_caller(self._stream.begin(head))
 
-    async def write(self, events, last_event_id):
-        """Write complete events; return a failure if the caller disconnected."""
+    async def write(self, events, last_event_id, has_gaps=False):
+        """Write complete events; return a failure if the caller disconnected.
+
+        The other arguments are those of the `EventSplitter` after them.
+        """
         if self.is_abandoned:
             return Failure(CALLER_GONE, "the caller has left", Outcome.UNKNOWN)
+        if self._owner is not None and self._owner.is_abandoned:
+            return Failure(SUPERSEDED, "another attempt answers", Outcome.UNKNOWN)
         self._stream.last_event_id = last_event_id
+        self._stream.has_gaps = has_gaps
         return await _write_to_caller(self._stream.write(events))
 
 
@@ -95,12 +117,9 @@
 
 async def _relay_events(attempt, head, content, deadlines, on_first_event):
     relay = attempt.relay
-    start = relay.last_event_id or attempt.request.last_event_id
-    splitter = EventSplitter(start)
+    splitter = relay.open_splitter(attempt.request)
     if await relay.begin(head) is not None:
         # Whether the backend server gets as far as an event is still worth knowing.
-        if self._owner is not None and self._owner.is_abandoned:
-            return Failure(SUPERSEDED, "another attempt answers", Outcome.UNKNOWN)
         relay.abandon()
         deadlines.end_within(ABANDONED_MS)
     while chunk := await content.readany():
@@ -114,7 +133,7 @@
             if not attempt.events and on_first_event is not None:
                 on_first_event(attempt.request)
             attempt.events = splitter.events
-            write = relay.write(events, splitter.last_event_id)
+            write = relay.write(events, *splitter.position)
             caller_failure = await deadlines.write_to_caller(write)
             if caller_failure is not None:
                 return caller_failure
@@ -122,14 +141,22 @@
             return splitter.problem
     if splitter.has_partial_event:
         return broken_answer("the stream ended within an event")
+    if splitter.rest:
+        write = relay.write(splitter.rest, *splitter.position)
+        caller_failure = await deadlines.write_to_caller(write)
+        if caller_failure is not None:
+            return caller_failure
     return RelayedAnswer(head, None)
 
 
 class EventSplitter:
     """Splits the bytes of one attempt into events and checks their sequence.
 
-    Event identifiers are consecutive integers. The first must follow the event after
-    which the attempt was asked to resume. `whole_events` counts also events without an
+    Event identifiers are increasing integers ("a series of events with increasing
+    ids", PROTOCOL). They may rise by more than one within a run, whose bytes arrive in
+    order. `is_rest` is true for a run that goes on after an event that an earlier one
+    has sent: its first event must follow that by one, unless the identifiers of the
+    stream have gaps (`has_gaps`). `whole_events` counts also events without an
     identifier, but no comments.
     """
 
@@ -138,55 +165,95 @@
         "whole_events",
         "last_event_id",
         "problem",
+        "has_gaps",
+        "_is_rest",
+        "_is_first",
         "_partial_event",
+        "_searched",
     )
 
-    def __init__(self, last_event_id):
+    def __init__(self, last_event_id, is_rest=False, has_gaps=False):
         self.events = 0
         self.whole_events = 0
         self.last_event_id = last_event_id
         self.problem = None
+        self.has_gaps = has_gaps
+        self._is_rest = is_rest
+        self._is_first = True
         self._partial_event = b""
+        self._searched = 0
 
     @property
     def has_partial_event(self):
         """Return whether an incomplete event is buffered."""
-        return bool(self._partial_event)
+        rest = self._partial_event
+        if self._is_first:
+            rest = rest.removeprefix(BYTE_ORDER_MARK)
+        return any(line and not line.startswith(COMMENT) for line in rest.splitlines())
+
+    @property
+    def position(self):
+        """Return where the events so far end, as the arguments of `write`."""
+        return self.last_event_id, self.has_gaps
+
+    @property
+    def rest(self):
+        """Return the bytes after the last event: part of one, or blank lines."""
+        return self._partial_event
 
     def feed(self, chunk):
         """Return the bytes of the complete events that are in sequence."""
+        if self.problem is not None:
+            return b""
         data = self._partial_event + chunk
-        complete = b""
-        start = 0
-        while (end := _find_end(data, start)) is not None:
-            if not self._accept(data[start:end]):
+        begin = start = 0
+        position = self._searched
+        while (match := EVENT_END.search(data, position)) is not None:
+            if not self._accept(data[start : match.end()]):
                 break
-            complete = data[:end]
-            start = end
+            if self._is_first and self._is_rest and data.startswith(BYTE_ORDER_MARK):
+                # It is allowed only where the caller's stream begins.
+                begin = len(BYTE_ORDER_MARK)
+            self._is_first = False
+            position = start = match.end()
         self._partial_event = data[start:]
+        self._searched = max(0, len(self._partial_event) - MAX_END_BYTES)
         if len(self._partial_event) > MAX_EVENT_BYTES and self.problem is None:
             self.problem = broken_answer(
                 f"an event is larger than {MAX_EVENT_BYTES} bytes"
             )
-        return complete
+        return data[begin:start]
 
     def _accept(self, event):
         """Return whether an event is next in sequence or has no identifier."""
+        if self._is_first:
+            event = event.removeprefix(BYTE_ORDER_MARK)
         event_id = _read_id(event)
         if event_id is None:
             self.whole_events += _has_data(event)
             return True
-        expected = int(self.last_event_id or 0) + 1
-        if event_id != expected:
+        text = event_id.decode("latin-1")
+        number, last = _parse_id(text), _parse_id(self.last_event_id or "0")
+        if number is None:
+            self.problem = broken_answer(f"an event is numbered {text[:20]!r}")
+            return False
+        is_lower = last is None or number <= last
+        if is_lower and self.last_event_id or self._skips(number, last):
             self.problem = broken_answer(
-                f"event {event_id} came in place of {expected}"
+                f"event {text[:20]} came after {self.last_event_id[:20]}"
             )
             return False
-        self.last_event_id = str(event_id)
+        self.has_gaps = self.has_gaps or number > last + 1
+        self.last_event_id = text
         self.events += 1
         self.whole_events += 1
         return True
 
+    def _skips(self, number, last):
+        """Return whether an event is missing between two runs of one stream."""
+        is_joined = self._is_rest and not self.events
+        return is_joined and not self.has_gaps and number != last + 1
+
 
 async def _write_to_caller(write):
     """Return None, or CALLER_GONE if the caller disconnected."""
@@ -197,24 +264,21 @@
     return None
 
 
-def _find_end(data, start):
-    ends = [
-        index + len(terminator)
-        for terminator in EVENT_TERMINATORS
-        if (index := data.find(terminator, start)) >= 0
-    ]
-    return min(ends) if ends else None
-
-
 def _has_data(event):
     """Return whether an event is more than comments and empty lines."""
     return any(line.startswith(DATA_FIELD) for line in event.splitlines())
 
 
 def _read_id(event):
-    """Return the identifier of an event, None if absent, -1 if not a number."""
+    """Return the identifier of an event, None if absent; its last line counts."""
+    event_id = None
     for line in event.splitlines():
         if line.startswith(ID_FIELD):
-            text = line[len(ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else -1
-    return None
+            event_id = line[len(ID_FIELD) :].strip()
+    return event_id
+
+
+def _parse_id(text):
+    """Return the number that an identifier is, or None."""
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_ID_DIGITS
+    return int(text) if is_number else None
--- a/stoatpath/dispatch/features/opaque.feature
+++ b/stoatpath/dispatch/features/opaque.feature
@@ -12,7 +12,7 @@
       | that arrive in parts          | 0     | id: 1\nx \n \nid: 2\n x\n\n        | 1 2    | complete |
       | whose last one is truncated   | 0     | id: 1\nx\n\n id: 2\nx              | 1      | partial  |
       | that resume after an event    | 7     | id: 8\nx\n\n                       | 8      | complete |
-      | of which one is missing       | 0     | id: 1\nx\n\n id: 3\nx\n\n          | 1      | broken   |
+      | that rise by more than one    | 0     | id: 1\nx\n\n id: 3\nx\n\n          | 1 3    | complete |
       | of which one comes twice      | 0     | id: 1\nx\n\n id: 1\nx\n\n          | 1      | broken   |
       | that begin too early          | 7     | id: 7\nx\n\n                       |        | broken   |
       | with a line before the number | 0     | v: 2\nid: 1\nx\n\n                 | 1      | complete |
--- a/stoatpath/standins/replicas.py
+++ b/stoatpath/standins/replicas.py
@@ -9,6 +9,10 @@
 stream: `cut` (disconnected within an event, after some whole ones), `skip` (an event is
 missing), `stall`, `endless-event`, `unframed` (it ends with its connection) and
 `unframed-cut` (the same, within an event), `cut-N` (disconnected after N whole events).
+A stream of other numbers: `late` (one is missing at the start), `again` (from the first
+event, whatever was asked for), `repeat` (from the event that was named), `empty`,
+`sparse` and `sparse-cut` (they rise by 10), `unnumbered` (an event without identifier
+comes first) and `unnumbered-cut` (such an event is the last before the disconnection).
 In place of a stream: `status-N` (an answer with a body), `events-N` (a stream with this
 status and an event without identifier) and `short` (a body shorter than its length).
 """
@@ -31,6 +35,10 @@
 ENDLESS_BLOCK_BYTES = 65_536
 ENDLESS_KINDS = ("endless-body", "endless-head", "endless-interim", "endless-chunk")
 FAILED_BODY = b'{"error": "the request failed"}'
+# In the numbers of a stream: an event without one, and a disconnection.
+UNNUMBERED = "unnumbered"
+CUT = "cut"
+SPARSE_STEP = 10
 FAILED_EVENT = b"event: error\ndata: the request failed\n\n"
 ENDLESS_EVENT = b"3e8\r\n" + 1000 * b"d" + b"\r\n"
 SEAL_HEADER = "X-Stoatpath-Replica-Seal"
@@ -273,6 +281,9 @@
             return await _write_raw(request, raw_kind, headers, FAILED_BODY)
         cut_after = int(number) if name == "cut" else CUT_AFTER_EVENTS
         headers |= {"Content-Type": "text/event-stream"}
+        numbers = _other_numbers(kind, start, self.events)
+        if numbers is not None:
+            return await self._stream_numbers(request, numbers, headers)
         if kind.startswith("unframed"):
             return await self._stream_unframed(request, kind, headers, start)
         response = web.StreamResponse(headers=headers)
@@ -300,6 +311,21 @@
             await response.write_eof()
         return response
 
+    async def _stream_numbers(self, request, numbers, headers):
+        """Write the events with the given numbers."""
+        response = web.StreamResponse(headers=headers)
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        for number in numbers:
+            if number is CUT:
+                drop_connection(request)
+                return response
+            prefix = "" if number is UNNUMBERED else f"id: {number}\n"
+            await response.write(f"{prefix}data: {number}\n\n".encode())
+            await asyncio.sleep(self.event_ms / 1000)
+        await response.write_eof()
+        return response
+
     async def _stream_unframed(self, request, kind, headers, start):
         """Write events without length or chunks, then close the connection."""
         transport = request.transport
@@ -338,6 +364,23 @@
         return self.poison_part in names[:-1]
 
 
+def _other_numbers(kind, start, events):
+    """Return the numbers of a stream that are not the usual ones, or None."""
+    rest = list(range(start + 1, events + 1))
+    sparse = [SPARSE_STEP * number for number in range(1, events + 1)]
+    sparse = [number for number in sparse if number > start]
+    return {
+        "late": rest[1:],
+        "again": list(range(1, events + 1)),
+        "repeat": list(range(max(1, start), events + 1)),
+        "empty": [],
+        "sparse": sparse,
+        "sparse-cut": [*sparse[:CUT_AFTER_EVENTS], CUT],
+        "unnumbered": [UNNUMBERED, *rest],
+        "unnumbered-cut": [*rest[:CUT_AFTER_EVENTS], UNNUMBERED, CUT],
+    }.get(kind)
+
+
 def _endless_parts(kind, headers):
     """Return the start of an answer without end, and what it repeats."""
     lines = [f"{name}: {value}\r\n" for name, value in headers.items()]
