A stream isn't resumed after an event without number

Streams got such an event twice, or one of another run in their middle: a stream that was cut after an event without identifier was resumed after the last one with an identifier, and the next run sent both; a resumed run that began with such an event was passed on.

Cause: `Last-Event-Id` can't name the place of an event without number, and the splitter passed these on in any run.

Change: the caller's stream remembers that its last event had no number; it is then broken off instead of resumed, here and by a forward. A resumed run must begin with a number. Comments are no events, and hinder neither.

--- a/features/platform/resumption.feature
+++ b/features/platform/resumption.feature
@@ -48,6 +48,7 @@
       | 3      | again        |
       | 3      | late         |
       | 3      | repeat       |
+      | 3      | unnumbered   |
       | 1      | again        |
       | 4      | repeat       |
 
@@ -70,6 +71,7 @@
       | again      |
       | late       |
       | repeat     |
+      | unnumbered |
 
   # Guards against sound streams that are broken off: "a series of events with
   # increasing ids".
@@ -86,6 +88,15 @@
       | sparse     | none   | 10 20 30 40 50 |
       | sparse-cut | sparse | 10 20 30 40 50 |
 
+  # Guards against events that come twice: nobody can tell whether another run begins
+  # before or after an event without number.
+  Scenario: A stream is cut after an event without number
+    Given a deployment
+    And the next execution has fault unnumbered-cut
+    When a caller reads the bytes of the response to a chat request
+    Then the caller got an incomplete response, with the last event unnumbered once
+    And the requests ran 1 times
+
   # Guards against the head of an error within a stream, and against its end as complete.
   Scenario: A gateway fails in the middle of a stream
     Given a deployment
--- a/features/platform/steps/resumption_steps.py
+++ b/features/platform/steps/resumption_steps.py
@@ -139,3 +139,16 @@
 def step_impl(context):
     response = context.raw_response
     assert response.is_complete and response.body == b"", response.body
+
+
+@then("the caller got an incomplete response, with the last event unnumbered once")
+def step_impl(context):
+    response = context.raw_response
+    assert not response.is_complete, response.body
+    assert event_ids(response) == [1, 2, 3], response.body
+    assert response.body.endswith(b"data: 3\n\ndata: unnumbered\n\n"), response.body
+
+
+@then("the requests ran {runs:d} times")
+def step_impl(context, runs):
+    assert len(context.fixture.runs()) == runs, len(context.fixture.runs())
--- a/stoatpath/callers/relays.py
+++ b/stoatpath/callers/relays.py
@@ -220,7 +220,8 @@
 
     `begun_ms` is the clock reading at which the response head was sent, or None.
     `last_event_id` identifies the last complete event that was sent, "" before the
-    first. `has_gaps` is true if the identifiers rose by more than one.
+    first. `has_gaps` is true if the identifiers rose by more than one, and
+    `ends_unnumbered` if an event without one came after it.
     """
 
     __slots__ = (
@@ -230,6 +231,7 @@
         "begun_ms",
         "last_event_id",
         "has_gaps",
+        "ends_unnumbered",
     )
 
     def __init__(self, request, clock):
@@ -239,6 +241,7 @@
         self.begun_ms = None
         self.last_event_id = ""
         self.has_gaps = False
+        self.ends_unnumbered = False
 
     @property
     def has_begun(self):
--- a/stoatpath/cascades/confidence.py
+++ b/stoatpath/cascades/confidence.py
@@ -166,7 +166,7 @@
         forwarder = self._router.forwarder
         if not is_failure(result):
             return result
-        if not forwarder.may_forward_after(request, result):
+        if not forwarder.may_forward_after(request, result, stream):
             return result
         forwarded = await forwarder.run(request, stream)
         if forwarded is None:
--- a/stoatpath/dispatch/event_relays.py
+++ b/stoatpath/dispatch/event_relays.py
@@ -52,6 +52,11 @@
         """Return the identifier of the event after which to resume."""
         return self.last_event_id
 
+    @property
+    def is_resumable(self):
+        """Return whether another attempt can go on after what was written."""
+        return not self._stream.ends_unnumbered
+
     def open_splitter(self, request):
         """Return the `EventSplitter` of an attempt that writes next."""
         last_event_id = self.last_event_id
@@ -87,7 +92,7 @@
             return None
         return await _write_to_caller(self._stream.begin(head))
 
-    async def write(self, events, last_event_id, has_gaps=False):
+    async def write(self, events, last_event_id, has_gaps=False, ends_unnumbered=False):
         """Write complete events; return a failure if the caller disconnected.
 
         The other arguments are those of the `EventSplitter` after them.
@@ -98,6 +103,7 @@
             return Failure(SUPERSEDED, "another attempt answers", Outcome.UNKNOWN)
         self._stream.last_event_id = last_event_id
         self._stream.has_gaps = has_gaps
+        self._stream.ends_unnumbered = ends_unnumbered
         return await _write_to_caller(self._stream.write(events))
 
 
@@ -157,7 +163,8 @@
     order. `is_rest` is true for a run that goes on after an event that an earlier one
     has sent: its first event must follow that by one, unless the identifiers of the
     stream have gaps (`has_gaps`). `whole_events` counts also events without an
-    identifier, but no comments.
+    identifier, but no comments. `ends_unnumbered` is true if such an event came last:
+    a run that is resumed would send it again.
     """
 
     __slots__ = (
@@ -166,6 +173,7 @@
         "last_event_id",
         "problem",
         "has_gaps",
+        "ends_unnumbered",
         "_is_rest",
         "_is_first",
         "_partial_event",
@@ -178,6 +186,7 @@
         self.last_event_id = last_event_id
         self.problem = None
         self.has_gaps = has_gaps
+        self.ends_unnumbered = False
         self._is_rest = is_rest
         self._is_first = True
         self._partial_event = b""
@@ -194,7 +203,7 @@
     @property
     def position(self):
         """Return where the events so far end, as the arguments of `write`."""
-        return self.last_event_id, self.has_gaps
+        return self.last_event_id, self.has_gaps, self.ends_unnumbered
 
     @property
     def rest(self):
@@ -230,8 +239,7 @@
             event = event.removeprefix(BYTE_ORDER_MARK)
         event_id = _read_id(event)
         if event_id is None:
-            self.whole_events += _has_data(event)
-            return True
+            return self._accept_unnumbered(event)
         text = event_id.decode("latin-1")
         number, last = _parse_id(text), _parse_id(self.last_event_id or "0")
         if number is None:
@@ -245,10 +253,21 @@
             return False
         self.has_gaps = self.has_gaps or number > last + 1
         self.last_event_id = text
+        self.ends_unnumbered = False
         self.events += 1
         self.whole_events += 1
         return True
 
+    def _accept_unnumbered(self, event):
+        if not _has_data(event):
+            return True
+        if self._is_rest and not self.events:
+            self.problem = broken_answer("a resumed stream begins without a number")
+            return False
+        self.ends_unnumbered = True
+        self.whole_events += 1
+        return True
+
     def _skips(self, number, last):
         """Return whether an event is missing between two runs of one stream."""
         is_joined = self._is_rest and not self.events
--- a/stoatpath/dispatch/features/event_streams.feature
+++ b/stoatpath/dispatch/features/event_streams.feature
@@ -37,6 +37,7 @@
       | the next event               | id: 8\ndata\n\nid: 10\ndata\n\n        | after another run's 7 | 8 10 | complete |
       | a missing event              | id: 9\ndata\n\n                        | after another run's 7 |      | broken   |
       | an event that comes twice    | id: 7\ndata\n\n                        | after another run's 7 |      | broken   |
+      | an event without number      | data: x\n\nid: 8\ndata\n\n             | after another run's 7 |      | broken   |
       | a comment first              | :x\n\nid: 8\ndata\n\n                  | after another run's 7 | 8    | complete |
       | a gap like those before      | id: 12\ndata\n\n                       | after another run's 7 with gaps | 12 | complete |
       | a byte order mark            | \xef\xbb\xbfid: 8\ndata\n\n            | after another run's 7 | 8    | complete |
--- a/stoatpath/dispatch/retries.py
+++ b/stoatpath/dispatch/retries.py
@@ -70,7 +70,7 @@
     if failure.reason not in RETRYABLE_REASONS:
         return False
     if relay is not None and relay.has_begun:
-        return request.is_repeatable and may_resume
+        return request.is_repeatable and may_resume and relay.is_resumable
     return failure.outcome is Outcome.NOT_RUN or request.is_repeatable
 
 
--- a/stoatpath/dispatch/streams.py
+++ b/stoatpath/dispatch/streams.py
@@ -49,6 +49,11 @@
         """Return whether a part of the answer was written to the caller."""
         return bool(self.contents) or self._stream.has_begun
 
+    @property
+    def is_resumable(self):
+        """Return True: events are told apart by their position."""
+        return True
+
     @property
     def resume_from(self):
         """Return the index of the content event from which to resume."""
--- a/stoatpath/forwarding/forwarders.py
+++ b/stoatpath/forwarding/forwarders.py
@@ -58,9 +58,9 @@
             service, request.is_stream, self._peer_check(request)
         )
 
-    def may_forward_after(self, request, failure):
+    def may_forward_after(self, request, failure, stream=None):
         """Return whether a request that failed here may be forwarded."""
-        if not self.is_needed(request):
+        if not self.is_needed(request) or not _is_resumable(stream):
             return False
         if self._clock.now_ms() >= request.deadline_ms:
             return False
@@ -87,7 +87,9 @@
                 continue
             request.lost_runs += answer.reason in LOST_REASONS
             is_lost_again = request.lost_runs >= MAX_LOST_RUNS
-            if is_lost_again or not self._try_repeat(request, answer):
+            if is_lost_again or not _is_resumable(stream):
+                break
+            if not self._try_repeat(request, answer):
                 break
         return worst
 
@@ -165,6 +167,11 @@
         return self._clock.now_ms() + head.signals.hold_off_ms
 
 
+def _is_resumable(stream):
+    """Return whether another attempt can go on after what the caller has."""
+    return stream is None or not stream.ends_unnumbered
+
+
 def _check_caller(request):
     """Return the failure of a request whose caller has left, or None."""
     if not request.has_caller_left:
