A roll-out that has ended doesn't run again in a new era of the store

The state of a roll-out went back from completed or rolled_back to running: when the store had come back from an older copy, the reader of the store wrote its own status over any other, also where it still knew the roll-out as running and another instance had just written its end. The window is that between a write and the reader's next read of the table.

Change: a row by which the known, running roll-out has ended is applied, not overwritten.

Without eras the writes are conditional on the last version that was read, which the reader of that row has applied.

--- a/stoatpath/platform/documents.py
+++ b/stoatpath/platform/documents.py
@@ -139,6 +139,10 @@
         """Return the key of a service's status."""
         return ROLLOUT_PREFIX + service
 
+    def decode_status(self, row):
+        """Return the `ReleaseStatus` of a row, or a failure."""
+        return decode_status(row)
+
     def encode_status(self, status):
         """Return the bytes of a status; the platform defines the first three fields."""
         return encode_json(
--- a/stoatpath/rollouts/features/releases.feature
+++ b/stoatpath/rollouts/features/releases.feature
@@ -215,3 +215,18 @@
     When 100 streams of the new release have 20 ms between events
     And 5 streams of the new release have 55 ms between events
     Then the new release is not suspected
+
+  # Guards against a roll-out that runs again after it has ended.
+  Scenario Outline: In a new era of the store, the roll-out that <known> <stored> there
+    Given a keeper of a roll-out that <known>, in whose store it <stored>
+    When the store has begun a new era, and the keeper confirms its statuses
+    Then the roll-out <after>, and the store was written <writes> times
+
+    Examples:
+      | known           | stored          | after           | writes |
+      | runs            | is completed    | is completed    | 0      |
+      | runs            | was rolled back | was rolled back | 0      |
+      | runs            | runs            | runs            | 0      |
+      | is completed    | runs            | is completed    | 1      |
+      | was rolled back | runs            | was rolled back | 1      |
+      | runs            | is lost         | runs            | 1      |
--- a/stoatpath/rollouts/features/steps/release_steps.py
+++ b/stoatpath/rollouts/features/steps/release_steps.py
@@ -9,6 +9,7 @@
 from stoatpath.clock import ManualClock
 from stoatpath.dispatch.messages import AttemptResult
 from stoatpath.outcomes import BACKEND_ERROR
+from stoatpath.platform.documents import StatusCodec
 from stoatpath.platform.row_stores import Committed, RowPage, StoredRow
 from stoatpath.rollouts.latency_classifiers import (
     CROWDED,
@@ -430,3 +431,39 @@
 @then("it has written its counts at most {most:d} times, and at least once")
 def step_impl(context, most):
     assert 1 <= context.store.writes <= most, context.store.writes
+
+
+@given("a keeper of a roll-out that {known}, in whose store it {stored}")
+def step_impl(context, known, stored):
+    codec = StatusCodec()
+    context.store = SharedRows(0)
+    if stored in STATES:
+        value = codec.encode_status(status(STATES[stored], 20))
+        context.store.rows.append(StoredRow(codec.status_key(SERVICE), 20, value))
+    context.registry = ReleaseRegistry(EXPOSURE)
+    context.registry.apply_order(ReleaseOrder(SERVICE, "v2", DURATION_MS, 7))
+    context.registry.apply_status(status(STATES[known], 8))
+    context.keeper = ReleaseKeeper(
+        "gateway-0",
+        context.registry,
+        context.store,
+        codec,
+        None,
+        None,
+        REACHABILITY,
+        CLOCK,
+        None,
+    )
+
+
+@when("the store has begun a new era, and the keeper confirms its statuses")
+def step_impl(context):
+    context.keeper.restore_statuses()
+    asyncio.run(context.keeper._confirm_statuses())
+
+
+@then("the roll-out {after}, and the store was written {writes:d} times")
+def step_impl(context, after, writes):
+    state = context.registry.state(context.registry.orders_by_service[SERVICE])
+    assert state is STATES[after], state
+    assert context.store.writes == writes, context.store.writes
--- a/stoatpath/rollouts/release_keepers.py
+++ b/stoatpath/rollouts/release_keepers.py
@@ -324,6 +324,9 @@
             reason = self.registry.suspicions_by_service[service]
             await self._write_after_jitter(order, ROLLED_BACK, reason, is_urgent=True)
             return
+            if row is not None:
+                self._apply_later_state(service, row)
+            status = self.registry.statuses_by_service[service]
         await self._publish_counts(order)
         if self._may_complete(order):
             await self._write_after_jitter(order, COMPLETED, "no problem was found")
@@ -341,6 +344,16 @@
         """Write a state after a random delay; urgent ones are written at once."""
         key = (order.service, order.version, state)
         now_ms = self._clock.now_ms()
+    def _apply_later_state(self, service, row):
+        """Apply the status of a row in which the known, running roll-out has ended."""
+        known = self.registry.statuses_by_service[service]
+        stored = self._codec.decode_status(row)
+        if is_failure(stored) or known.state is not RUNNING:
+            return
+        is_same = stored.order_version == known.order_version
+        if is_same and stored.release == known.release:
+            self.apply_status(stored)
+
         wait_ms = 0.0
         if not is_urgent:
             wait_ms = self._random.uniform(0.0, MAX_WRITE_JITTER_MS)
