The status of an order that was written again names its new row

Gateways that started later took the roll-out for open and drove it again; one that was rolled back no longer ruled out the new release there.

Cause: an operator's order that asks for the same in a later era is the known order with a new number; the registry renumbers the status in memory. The row is written once, as the era changes: with the old number if the order is written after that, which load makes likely. And a later gateway copies the table of statuses from an instance that no longer polls it, as no roll-out is open, and that may not have read its own write.

Change: a renumbered status is confirmed in the store like those of a new era; the table of statuses is polled until a status that was written again has been read.

The step "the store holds the status ... again within 10 s" waited for the state and then asked for the number at once. It now asks for both within the same 10 s: the state comes back with the earlier number, and is to be corrected.

--- a/features/platform/eras.feature
+++ b/features/platform/eras.feature
@@ -31,6 +31,20 @@
       | completed   |
       | rolled_back |
 
+  # Guards against roll-outs that run again: a gateway that starts later finds a status
+  # of another order.
+  Scenario Outline: An order is written again after its status <state> was restored
+    Given 3 gateways that know each other, and a copy of the store
+    And a roll-out that is then <state>
+    When the store comes back from the copy, and the order is written again after its status
+    Then the store holds the status <state> again within 10 s
+    And a gateway that starts then has no open roll-out
+
+    Examples:
+      | state       |
+      | completed   |
+      | rolled_back |
+
   Scenario: A backend server that was leaving goes on to leave
     Given 1 gateways that know each other, and a copy of the store
     When backend server p0 begins to leave, and the store comes back from the copy
--- a/features/platform/steps/era_steps.py
+++ b/features/platform/steps/era_steps.py
@@ -128,17 +128,51 @@
     context.fleet.run(work())
 
 
+@when(
+    "the store comes back from the copy, "
+    "and the order is written again after its status"
+)
+def step_impl(context):
+    store = store_of(context)
+
+    async def work():
+        await store.restore(context.copy)
+        await store.put("servers", "unrelated", {})
+        assert await wait_until(lambda: store.value("status", STATUS_KEY), 10)
+        await store.put("op", STATUS_KEY, ORDER)
+
+    context.fleet.run(work())
+
+
+@then("a gateway that starts then has no open roll-out")
+def step_impl(context):
+    fleet = context.fleet
+    seed = fleet.gateways[0].peer_server.address
+
+    async def work():
+        await fleet.deployment.add_gateway("gateway-later", seeds=[seed])
+        await fleet.deployment.wait_until_in_sync()
+        await asyncio.sleep(1.5)
+
+    fleet.run(work())
+    registry = fleet.gateways[-1].releases.registry
+    known = (registry.orders_by_service, registry.statuses_by_service)
+    orders = [(o.version, o.era) for o in known[0].values()]
+    statuses = [(s.state, s.order_version, s.version) for s in known[1].values()]
+    assert orders and not registry.open_orders(), (orders, statuses)
+
+
 @then("the store holds the status {state} again within {seconds:d} s")
 def step_impl(context, state, seconds):
     store = store_of(context)
-    assert context.fleet.run(
-        wait_until(
-            lambda: (store.value("status", STATUS_KEY) or {}).get("state") == state,
-            seconds,
-        )
-    ), store.value("status", STATUS_KEY)
-    written = store.value("status", STATUS_KEY)
-    assert written["order"] == store.version("op", STATUS_KEY), written
+
+    def is_held():
+        status = store.value("status", STATUS_KEY) or {}
+        order = store.version("op", STATUS_KEY)
+        return (status.get("state"), status.get("order")) == (state, order)
+
+    held = context.fleet.run(wait_until(is_held, seconds))
+    assert held, (store.value("status", STATUS_KEY), store.version("op", STATUS_KEY))
 
 
 @then("no gateway has an open roll-out")
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -554,7 +554,7 @@
             if change.row is None:
                 self.releases.status_versions_by_service.pop(service, None)
                 continue
-            self.releases.status_versions_by_service[service] = change.row.version
+            self.releases.record_status_row(service, change.row.version)
             status = documents.decode_status(change.row)
             if is_failure(status):
                 _log_unreadable(change.key, status)
@@ -562,9 +562,13 @@
                 self.releases.apply_status(status)
 
     def _update_status_polling(self):
-        """Poll statuses only while a roll-out is open, since each read has a price."""
+        """Poll statuses only while a roll-out is open, since each read has a price.
+
+        Others copy the table from here, so a status that was written again is read.
+        """
         has_open_orders = bool(self.releases.registry.open_orders())
-        self.tables.set_enabled(names.STATUS_TABLE, has_open_orders)
+        is_polled = has_open_orders or self.releases.has_unread_statuses
+        self.tables.set_enabled(names.STATUS_TABLE, is_polled)
 
     def _remove_reassigned(self, result):
         if result.reason is WRONG_PROCESS:
--- a/stoatpath/rollouts/release_keepers.py
+++ b/stoatpath/rollouts/release_keepers.py
@@ -77,6 +77,7 @@
         "_evidence_versions_by_key",
         "_write_due_ms_by_order",
         "_unconfirmed_services",
+        "_unread_versions_by_service",
     )
 
     def __init__(
@@ -113,6 +114,18 @@
         self._evidence_versions_by_key = {}
         self._write_due_ms_by_order = {}
         self._unconfirmed_services = set()
+        self._unread_versions_by_service = {}
+
+    @property
+    def has_unread_statuses(self):
+        """Return whether a status that was written again has not been read yet."""
+        return bool(self._unread_versions_by_service)
+
+    def record_status_row(self, service, version):
+        """Record the version of a status row that was read."""
+        self.status_versions_by_service[service] = version
+        if version >= self._unread_versions_by_service.get(service, float("inf")):
+            del self._unread_versions_by_service[service]
 
     def restore_statuses(self):
         """Write the known states again where a store of a new era has lost them.
@@ -120,12 +133,19 @@
         Return the services concerned. The reader of the store does so, as all
         instances have the same statuses.
         """
-        self._unconfirmed_services = {
+        services = self.registry.statuses_by_service
+        self._unconfirmed_services = self._confirmable_services(services)
+        return self._unconfirmed_services
+
+    def _confirmable_services(self, services):
+        """Return those of some services whose known status is that of their order."""
+        statuses = self.registry.statuses_by_service
+        return {
             service
-            for service, status in self.registry.statuses_by_service.items()
-            if status.order_version == self._order_version(service)
+            for service in services
+            if service in statuses
+            and statuses[service].order_version == self._order_version(service)
         }
-        return self._unconfirmed_services
 
     def _order_version(self, service):
         order = self.registry.orders_by_service.get(service)
@@ -180,7 +200,13 @@
 
     def apply_order(self, order):
         """Apply an operator's order unless a newer one is known."""
-        if self.registry.apply_order(order):
+        known_version = self._order_version(order.service)
+        is_new = self.registry.apply_order(order)
+        if not is_new and self._order_version(order.service) != known_version:
+            # It was written again in a new era; the status in the store names the row
+            # of an earlier era.
+            self._unconfirmed_services |= self._confirmable_services([order.service])
+        if is_new:
             self._drop_earlier_orders(order)
             self._set_extra_requests(order)
             self._update_open_orders()
@@ -296,9 +322,11 @@
             return
         rows_by_key = {row.key: row for row in page.rows}
         for service in list(self._unconfirmed_services):
-            status = self.registry.statuses_by_service[service]
             key = self._codec.status_key(service)
             row = rows_by_key.get(key)
+            if row is not None:
+                self._apply_later_state(service, row)
+            status = self.registry.statuses_by_service[service]
             value = self._codec.encode_status(status)
             version = 0 if row is None else row.version
             if row is None or row.value != value:
@@ -307,6 +335,7 @@
                 if not isinstance(result, Committed):
                     continue
                 version = result.version
+                self._unread_versions_by_service[service] = version
                 logger.warning(
                     "release.restored",
                     extra={"service": service, "state": status.state},
@@ -315,6 +344,16 @@
             self.status_versions_by_service[service] = version
             self._unconfirmed_services.discard(service)
 
+    def _apply_later_state(self, service, row):
+        """Apply the status of a row in which the known, running roll-out has ended."""
+        known = self.registry.statuses_by_service[service]
+        stored = self._codec.decode_status(row)
+        if is_failure(stored) or known.state is not RUNNING:
+            return
+        is_same = stored.order_version == known.order_version
+        if is_same and stored.release == known.release:
+            self.apply_status(stored)
+
     async def _advance_rollout(self, order):
         service = order.service
         if self.registry.state(order) is None:
@@ -324,9 +363,6 @@
             reason = self.registry.suspicions_by_service[service]
             await self._write_after_jitter(order, ROLLED_BACK, reason, is_urgent=True)
             return
-            if row is not None:
-                self._apply_later_state(service, row)
-            status = self.registry.statuses_by_service[service]
         await self._publish_counts(order)
         if self._may_complete(order):
             await self._write_after_jitter(order, COMPLETED, "no problem was found")
@@ -344,16 +380,6 @@
         """Write a state after a random delay; urgent ones are written at once."""
         key = (order.service, order.version, state)
         now_ms = self._clock.now_ms()
-    def _apply_later_state(self, service, row):
-        """Apply the status of a row in which the known, running roll-out has ended."""
-        known = self.registry.statuses_by_service[service]
-        stored = self._codec.decode_status(row)
-        if is_failure(stored) or known.state is not RUNNING:
-            return
-        is_same = stored.order_version == known.order_version
-        if is_same and stored.release == known.release:
-            self.apply_status(stored)
-
         wait_ms = 0.0
         if not is_urgent:
             wait_ms = self._random.uniform(0.0, MAX_WRITE_JITTER_MS)
