--- a/features/platform/resumption.feature
+++ b/features/platform/resumption.feature
@@ -157,3 +157,32 @@
       | status-200 |
       | events-500 |
       | status-500 |
+
+  # Guards against the end of a gateway that looks like the end of a stream.
+  Scenario Outline: A gateway is <ended> in the middle of a stream
+    Given a deployment
+    And its backend servers pause 400 ms between events
+    When a caller reads a stream, and after event <events> the gateway is <ended>
+    Then the caller got an incomplete response with whole events in order
+
+    Examples:
+      | ended                          | events |
+      | killed                         | 1      |
+      | killed                         | 3      |
+      | stopped, with a grace of 0.8 s | 1      |
+      | stopped, with a grace of 0.8 s | 2      |
+
+  Scenario Outline: The gateway that <part> a stream is <ended> in its middle
+    Given 4 gateways that know each other, 2 model and 2 plain replicas
+    And 2 gateways are cut off from all replicas, whose connections are refused
+    When callers send look requests to these, 10 a second for 1 s
+    And callers send chat requests to these, 10 a second for 1 s
+    And one of these gets a chat request, and the one that <part> it is <ended> meanwhile
+    Then the caller got whole events in order, and all of them in a complete response
+
+    Examples:
+      | part     | ended                          |
+      | forwards | killed                         |
+      | forwards | stopped, with a grace of 0.8 s |
+      | serves   | killed                         |
+      | serves   | stopped, with a grace of 0.8 s |
--- a/features/platform/steps/resumption_steps.py
+++ b/features/platform/steps/resumption_steps.py
@@ -31,8 +31,11 @@
             rest = rest[length + 2 :]
 
 
-async def send_raw_stream(gateway, **extra_headers):
-    """Send a chat request on a connection of its own; return a `RawResponse`."""
+async def send_raw_stream(gateway, on_bytes=lambda data: None, **extra_headers):
+    """Send a chat request on a connection of its own; return a `RawResponse`.
+
+    `on_bytes` is called with all bytes so far whenever some arrive.
+    """
     host, _, port = gateway.listener.address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     headers = request_headers("chat", 1, **extra_headers) | {"Content-Length": "4"}
@@ -43,6 +46,7 @@
         async with asyncio.timeout(READ_TIMEOUT_S):
             while chunk := await reader.read(65_536):
                 data += chunk
+                on_bytes(data)
     except ConnectionError:
         pass
     finally:
@@ -152,3 +156,83 @@
 @then("the requests ran {runs:d} times")
 def step_impl(context, runs):
     assert len(context.fixture.runs()) == runs, len(context.fixture.runs())
+
+
+def end_gateway(gateway, ended):
+    """Return the coroutine that ends a gateway."""
+    if ended == "killed":
+        return gateway.kill()
+    gateway.boot.grace_ms = 1000 * float(ended.split()[-2])
+    return gateway.stop()
+
+
+def is_in_order(response):
+    """Return whether a response has whole events from the first one on."""
+    ids = event_ids(response)
+    expected = [f"id: {number}\ndata: {number}\n\n" for number in ids]
+    body = "".join(expected).encode()
+    return ids == list(range(1, len(ids) + 1)) and response.body == body
+
+
+@when("a caller reads a stream, and after event {event:d} the gateway is {ended}")
+def step_impl(context, event, ended):
+    fixture = context.fixture
+
+    async def work():
+        seen = asyncio.Event()
+
+        def look(data):
+            if f"id: {event}\n".encode() in data:
+                seen.set()
+
+        stream = asyncio.create_task(send_raw_stream(fixture.gateway, look))
+        await seen.wait()
+        await end_gateway(fixture.gateway, ended)
+        return await stream
+
+    context.raw_response = fixture.run(work())
+
+
+@when(
+    "one of these gets a chat request, "
+    "and the one that {part} it is {ended} meanwhile"
+)
+def step_impl(context, part, ended):
+    fleet = context.fleet
+    replicas = fleet.deployment.replicas_by_name.values()
+    first = context.cut_gateways[0]
+    others = [each for each in fleet.gateways if each not in context.cut_gateways]
+    for replica in replicas:
+        replica.event_ms = 400.0
+
+    async def work():
+        seen = asyncio.Event()
+
+        def look(data):
+            if b"id: 2\n" in data:
+                seen.set()
+
+        stream = asyncio.create_task(send_raw_stream(first, look))
+        await seen.wait()
+        serving = [each for each in others if each.listener.open_by_id]
+        assert len(serving) == 1, serving
+        await end_gateway(first if part == "forwards" else serving[0], ended)
+        return await stream
+
+    context.raw_response = fleet.run(work())
+
+
+@then("the caller got an incomplete response with whole events in order")
+def step_impl(context):
+    response = context.raw_response
+    assert not response.is_complete, response.body
+    assert response.status == 200 and is_in_order(response), response.body
+
+
+@then("the caller got whole events in order, and all of them in a complete response")
+def step_impl(context):
+    response = context.raw_response
+    assert response.status == 200 and is_in_order(response), response.body
+    assert event_ids(response)[:2] == [1, 2], response.body
+    if response.is_complete:
+        assert len(event_ids(response)) == 5, response.body
