--- a/features/platform/resumption.feature
+++ b/features/platform/resumption.feature
@@ -43,6 +43,15 @@
       | 3      | wrong-id     |
       | 3      | encoded      |
 
+    Examples: a stream that isn't the rest
+      | events | next         |
+      | 3      | again        |
+      | 3      | late         |
+      | 3      | repeat       |
+      | 3      | unnumbered   |
+      | 1      | again        |
+      | 4      | repeat       |
+
   Scenario Outline: A stream is cut, an attempt gets <next>, and the one after it the rest
     Given a deployment
     And 3 more model replicas
@@ -59,6 +68,67 @@
       | events-500 |
       | short      |
       | shed       |
+      | again      |
+      | late       |
+      | repeat     |
+      | unnumbered |
+
+  # Guards against sound streams that are broken off: "a series of events with
+  # increasing ids".
+  Scenario Outline: A stream has numbers of kind <first> in its first run, <later> later
+    Given a deployment
+    And the next execution has fault <first>
+    And all later executions have fault <later>
+    When a caller reads the bytes of the response to a chat request
+    Then the caller got a complete response with the events <events>
+
+    Examples:
+      | first      | later  | events         |
+      | skip       | none   | 1 2 4 5        |
+      | sparse     | none   | 10 20 30 40 50 |
+      | sparse-cut | sparse | 10 20 30 40 50 |
+
+  # Guards against events that come twice: nobody can tell whether another run begins
+  # before or after an event without number.
+  Scenario: A stream is cut after an event without number
+    Given a deployment
+    And the next execution has fault unnumbered-cut
+    When a caller reads the bytes of the response to a chat request
+    Then the caller got an incomplete response, with the last event unnumbered once
+    And the requests ran 1 times
+
+  # Guards against the head of an error within a stream, and against its end as complete.
+  Scenario: A gateway fails in the middle of a stream
+    Given a deployment
+    And its backend servers pause 20 ms between events
+    And the gateway fails internally once a stream has begun
+    When a caller reads the bytes of the response to a chat request
+    Then the caller got an incomplete response with events 1 to 1 only
+
+  Scenario Outline: A caller resumes a stream after <last>, and the first run has fault <fault>
+    Given a deployment
+    And the next execution has fault <fault>
+    When a caller resumes a chat request after <last>
+    Then the caller got a <end> response with the events <events>
+
+    Examples:
+      | last    | fault  | end        | events    |
+      | 3       | none   | complete   | 4 5       |
+      | 3       | cut-1  | complete   | 4 5       |
+      | 003     | none   | complete   | 4 5       |
+      | 5       | none   | complete   |           |
+      | 999     | none   | complete   |           |
+      | 0       | none   | complete   | 1 2 3 4 5 |
+      | nothing | none   | complete   | 1 2 3 4 5 |
+      | text    | none   | complete   | 1 2 3 4 5 |
+      | 3       | repeat | complete   | 4 5       |
+      | 3       | again  | complete   | 4 5       |
+
+  Scenario: Two streams with the same attempt identifier at once
+    Given a deployment
+    And its backend servers pause 20 ms between events
+    When two callers send chat requests with the same identifier at once
+    Then each got a complete response with events 1 to 5
 
   Scenario Outline: A stream that fails before it has begun is answered with <status>
     Given a deployment
@@ -88,3 +158,32 @@
       | events-500          |
       | status-500          |
       | head-chunks-close-1 |
+
+  # Guards against the end of a gateway that looks like the end of a stream.
+  Scenario Outline: A gateway is <ended> in the middle of a stream
+    Given a deployment
+    And its backend servers pause 400 ms between events
+    When a caller reads a stream, and after event <events> the gateway is <ended>
+    Then the caller got an incomplete response with whole events in order
+
+    Examples:
+      | ended                          | events |
+      | killed                         | 1      |
+      | killed                         | 3      |
+      | stopped, with a grace of 0.8 s | 1      |
+      | stopped, with a grace of 0.8 s | 2      |
+
+  Scenario Outline: The gateway that <part> a stream is <ended> in its middle
+    Given 4 gateways that know each other, 2 model and 2 plain replicas
+    And 2 gateways are cut off from all replicas, whose connections are refused
+    When callers send look requests to these, 10 a second for 1 s
+    And callers send chat requests to these, 10 a second for 1 s
+    And one of these gets a chat request, and the one that <part> it is <ended> meanwhile
+    Then the caller got whole events in order, and all of them in a complete response
+
+    Examples:
+      | part     | ended                          |
+      | forwards | killed                         |
+      | forwards | stopped, with a grace of 0.8 s |
+      | serves   | killed                         |
+      | serves   | stopped, with a grace of 0.8 s |
--- a/stoatpath/dispatch/relay_senders.py
+++ b/stoatpath/dispatch/relay_senders.py
@@ -156,10 +156,10 @@
             return broken_answer(
                 "it ended with its connection, and its process is gone"
             )
-        is_relayed = attempt.relay is not None and answer.body is None
-        if not is_relayed or not request.is_repeatable:
+        relay = attempt.relay if answer.body is None else None
+        if relay is None or not request.is_repeatable or not relay.is_resumable:
             return answer
-        if attempt.relay.is_end_confirmed():
+        if relay.is_end_confirmed():
             return answer
         detail = f"it ended with its connection after {attempt.events} events"
         return AnsweredFailure(UNPROVEN_END, detail, Outcome.UNKNOWN, answer)
--- a/stoatpath/dispatch/streams.py
+++ b/stoatpath/dispatch/streams.py
@@ -49,6 +49,11 @@
         """Return whether a part of the answer was written to the caller."""
         return bool(self.contents) or self._stream.has_begun
 
+    @property
+    def is_resumable(self):
+        """Return True: events are told apart by their position."""
+        return True
+
     @property
     def resume_from(self):
         """Return the index of the content event from which to resume."""
@@ -64,7 +69,12 @@
         self._is_disconnected = True
 
     def claim(self, attempt):
-        """Return whether an attempt may write; the first one becomes the owner."""
+        """Return whether an attempt may write; the first one becomes the owner.
+
+        The loser of a hedge may not: other attempts have gone on without it.
+        """
+        if attempt.is_abandoned and not self._is_disconnected:
+            return False
         if self.owner is None:
             self.owner = attempt
             if self.on_claimed is not None:
