A seeded soak of real processes: gateways, backend servers, proxies, callers

It kills, stops, pauses and restarts them, breaks connections and lets backend servers answer wrongly, as drawn from a seed, and checks ORDER, MIXED, TWICE and REFUSED from what callers and backend servers saw.

--- /dev/null
+++ b/features/soak/steps/soak_steps.py
@@ -0,0 +1,22 @@
+"""Steps that play a short run of the soak."""
+
+import asyncio
+
+from behave import then, when
+from soak_runs import SoakRun
+
+
+@when("{streams:d} streams are played with seed {seed:d} and {framing} answers")
+def step_impl(context, streams, seed, framing):
+    context.run = SoakRun(seed, streams, unframed=framing == "unframed")
+    asyncio.run(context.run.run())
+
+
+@then("at least {count:d} streams were complete")
+def step_impl(context, count):
+    assert context.run.count_whole() >= count, context.run.report()
+
+
+@then("no promise was broken")
+def step_impl(context):
+    assert not context.run.broken, context.run.report()
