A stream whose end is doubtful is broken off where its caller may have it proved

Cause: where the retry budget was spent, nobody was asked what follows, and the running process was believed; likewise after an end that had turned out to be a cut, once the route allowed no further run.

Change: such streams are broken off. A running process is still believed where the route allows no further run, since no caller of such a backend server would ever get a whole stream.

Evidence: unframed.feature, 3 new examples fail before, pass now.

--- a/features/platform/steps/unframed_steps.py
+++ b/features/platform/steps/unframed_steps.py
@@ -1,8 +1,9 @@
 """Steps about answers without length and chunks, which end with their connection."""
 
 import asyncio
+from unittest import mock
 
-from behave import then, when
+from behave import given, then, when
 from callers import request_headers
 from relaying_steps import event_ids, raw_request
 
@@ -60,6 +61,14 @@
     return ReceivedResponse(data, was_reset)
 
 
+@given("its retry budget is spent")
+def step_impl(context):
+    budget = type(context.fixture.gateway.retry_budget)
+    patch = mock.patch.object(budget, "try_spend", lambda *args: False)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
 @when("a caller reads all bytes of the response to a {route} request")
 def step_impl(context, route):
     fixture = context.fixture
--- a/features/platform/unframed.feature
+++ b/features/platform/unframed.feature
@@ -47,14 +47,33 @@
       | reset-after  |
       | short        |
 
+  # Guards against a stream that ends as complete although nobody was asked for the rest.
+  Scenario Outline: A stream ends with its connection, and the retry budget is spent
+    Given a deployment
+    And its retry budget is spent
+    And the next execution has fault <fault>
+    When a caller reads all bytes of the response to a chat request
+    Then the caller got an incomplete response with events 1 to <last>
+    And the request ran at most 1 times
+
+    Examples:
+      | fault          | last |
+      | unframed | 5    |
+      | unframed-short | 3    |
+
   # Guards against a stream that ends as complete although more of it was seen.
-  Scenario: A stream ends with its connection early, and its rest is cut
+  Scenario Outline: A stream ends with its connection early, and its rest is cut: <rest>
     Given a deployment
     And the next execution has fault unframed-short
-    And the next execution has fault cut-1
+    And the next execution has fault <rest>
     And all later executions have fault reset-after
     When a caller reads all bytes of the response to a chat request
-    Then the caller got an incomplete response with events 1 to 4
+    Then the caller got an incomplete response with events 1 to <last>
+
+    Examples:
+      | rest     | last |
+      | cut-1    | 4    |
+      | unframed | 5    |
 
   # Guards against answers that look whole although their process ended within them, and
   # against lengths that vouch for an end that nobody knows.
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -63,6 +63,7 @@
         "sent_count",
         "worst_failure",
         "unproven_answer",
+        "had_false_end",
     )
 
     def __init__(self, request, version, relay, min_confidence):
@@ -75,6 +76,7 @@
         self.sent_count = 0
         self.worst_failure = None
         self.unproven_answer = None
+        self.had_false_end = False
 
     def record_failure(self, attempt, failure):
         """Record a failed attempt.
@@ -84,10 +86,12 @@
         ended a stream has its prompt, and may be asked for the rest.
         """
         name = attempt.backend.name
-        if attempt.events:
+        if attempt.events and self.unproven_answer is not None:
+            self.had_false_end = True
             self.unproven_answer = None
         if failure.reason is UNPROVEN_END:
-            self.unproven_answer = failure.answer
+            # Where ends have been cuts, only a proven one counts.
+            self.unproven_answer = None if self.had_false_end else failure.answer
             self.tried_names.discard(name)
         if attempt.was_pooled and failure.reason in CONNECTION_FAULTS:
             self.fresh_retry_names.add(name)
@@ -233,6 +237,8 @@
             return False
         if not self._router.retry_budget.try_spend(request.service.name):
             self._record_decision(request, "retry", "the retry budget is spent")
+            # Its caller may resume it, when the budget may allow to prove its end.
+            state.unproven_answer = None
             return False
         now_ms = self._clock.now_ms()
         retry_at_ms = now_ms + backoff_ms(retries, self._random)
