Tests: behave runs once per feature file

features/platform took some 250 s as one run, and grew beside a limit of 400 s for a slice. Its features are independent and run side by side now. The limit is that of a feature.

--- a/scripts/run_features.py
+++ b/scripts/run_features.py
@@ -1,6 +1,7 @@
-"""Runs behave once per slice (a folder with features and steps).
+"""Runs behave once per feature file, and counts scenarios by slice.
 
-Scenarios are counted in the JSON reports of behave.
+A slice is a folder with features and steps. Scenarios are counted in the JSON reports
+of behave.
 """
 
 import json
@@ -14,11 +15,11 @@
 RESULTS = ROOT / ".results"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 RED_PREFIX = "test: "
-SLICE_TIMEOUT_S = 400
+FEATURE_TIMEOUT_S = 400
 
 
 class SliceResult:
-    """The scenarios of one slice by outcome, and the output of behave."""
+    """The scenarios of one slice or feature by outcome, and the output of behave."""
 
     __slots__ = ("name", "passed", "failed", "output", "crashed")
 
@@ -29,6 +30,14 @@
         self.output = output
         self.crashed = crashed
 
+    def add(self, other):
+        """Add the results of another feature of the same slice."""
+        self.passed += other.passed
+        self.failed += other.failed
+        self.crashed = self.crashed or other.crashed
+        if other.failed or other.crashed:
+            self.output += other.output
+
 
 def list_slices():
     """Return every folder that has features and steps."""
@@ -36,10 +45,15 @@
     return sorted(path for path in folders if (path / "steps").is_dir())
 
 
-def run_slice(path):
-    """Run behave on one slice and return its results."""
-    name = path.relative_to(ROOT).as_posix()
-    report = RESULTS / f"{name.replace('/', '.')}.json"
+def list_features(slices):
+    """Return the feature files of slices."""
+    return [feature for path in slices for feature in sorted(path.glob("*.feature"))]
+
+
+def run_feature(path):
+    """Run behave on one feature file and return its results."""
+    name = path.parent.relative_to(ROOT).as_posix()
+    report = RESULTS / f"{name.replace('/', '.')}.{path.stem}.json"
     report.unlink(missing_ok=True)
     command = [sys.executable, "-m", "behave", "--no-color", "--no-timings"]
     command += ["--format", "json", "--outfile", str(report)]
@@ -52,7 +66,7 @@
             env=environment,
             capture_output=True,
             text=True,
-            timeout=SLICE_TIMEOUT_S,
+            timeout=FEATURE_TIMEOUT_S,
         )
     except subprocess.TimeoutExpired as error:
         return SliceResult(name, [], [], f"timed out: {error}", True)
@@ -99,10 +113,14 @@
         if not wanted or any(word in path.as_posix() for word in wanted)
     ]
     known_red = read_known_failures()
+    results_by_slice = {}
     with ThreadPoolExecutor(max_workers=os.cpu_count()) as pool:
-        results = list(pool.map(run_slice, slices))
+        for result in pool.map(run_feature, list_features(slices)):
+            known = results_by_slice.setdefault(result.name, result)
+            if known is not result:
+                known.add(result)
     passed = failed = 0
-    for result in results:
+    for result in results_by_slice.values():
         red = [name for name in result.failed if name in known_red]
         new = [name for name in result.failed if name not in known_red]
         passed += len(result.passed)
