--- a/stoatpath/backpressure/features/steps/limit_steps.py
+++ b/stoatpath/backpressure/features/steps/limit_steps.py
@@ -2,11 +2,11 @@
 
 import logging
 import random
-from types import SimpleNamespace
 
 from behave import given, then
 from hypothesis import given as forall, settings, strategies as st
 from multidict import CIMultiDict
+from responses import build_response
 
 from stoatpath.backpressure.hold_offs import HoldOffs
 from stoatpath.backpressure.limits import LimitTable
@@ -108,7 +108,7 @@
 @given("the head of an answer with status {status:d} and Retry-After {text}")
 def step_impl(context, status, text):
     headers = CIMultiDict({} if text == "missing" else {"Retry-After": text})
-    head = decode_head(SimpleNamespace(status=status, headers=headers))
+    head = decode_head(build_response(status, headers))
     context.signals = head.signals
 
 
@@ -151,7 +151,7 @@
 @given("the head of an answer with the header Server-Limit {text}")
 def step_impl(context, text):
     headers = CIMultiDict({} if text == "missing" else {"Server-Limit": text})
-    context.signals = decode_head(SimpleNamespace(status=200, headers=headers)).signals
+    context.signals = decode_head(build_response(200, headers)).signals
 
 
 @then("the limit that it names is {limit}")
--- a/stoatpath/backpressure/features/steps/share_steps.py
+++ b/stoatpath/backpressure/features/steps/share_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 from multidict import CIMultiDict
+from responses import build_response
 
 from stoatpath.backpressure.shares import SlotShares
 from stoatpath.membership.members import MemberTable
@@ -65,7 +66,7 @@
         headers = CIMultiDict({"X-Stoatpath-Replica-Seal": "s"})
         if value != "-":
             headers["Server-Brittle"] = value
-        signals = decode_head(SimpleNamespace(status=200, headers=headers)).signals
+        signals = decode_head(build_response(200, headers)).signals
         context.shares.observe(SERVICE, signals, float(sent_ms), float(read_ms))
 
 
