A row that was removed doesn't come back with a late answer

Copies of the store's tables held removed rows again, and kept them until the next whole read: the entry of a backend server that has left, an order that is gone.

Cause: `TableCopy` compares the version of a row with that of the row it has; for a row that was removed it has none. An answer to a long poll may be late: a gateway that no longer reads the store for others doesn't cancel its poll, and takes the updates of another instance meanwhile; a paused process finds both in its sockets.

Change: of the changes in an answer, rows that are not newer than the copy and not in it are left out: the copy has all changes up to its version.

Evidence: feeds.feature, "A copy is always as the table was at its version", a property over writes, removals and answers in any order, failed ({'a': 1} at version 2, at which `a` was removed) and passes. The scenario beside it, "No order of reads takes a copy back", is of a table that only grows. Not shown end to end: that the two answers cross in a gateway was read in feeds/followers.py. Elsewhere: whole reads are left out if older than the copy, updates of other instances too; routes, orders and statuses have a number of their own on top, the directory of backend servers and drain orders (presence of a row) have not.

--- a/stoatpath/feeds/copies.py
+++ b/stoatpath/feeds/copies.py
@@ -78,8 +78,16 @@
         return changes
 
     def apply_changes(self, rows, version, as_of_ms, as_of_store_ms=NEVER_MS):
-        """Apply the rows that changed since the last read; return the changes."""
-        changes = self._apply(rows)
+        """Apply the rows that changed since the last read; return the changes.
+
+        The answer may be late: a row that is not newer than the copy, and not in it,
+        has been removed since.
+        """
+        changes = self._apply(
+            row
+            for row in rows
+            if row.version > self.version or row.key in self.rows_by_key
+        )
         self.version = max(self.version, version)
         self._confirm(as_of_ms, as_of_store_ms)
         return changes
--- a/stoatpath/feeds/features/feeds.feature
+++ b/stoatpath/feeds/features/feeds.feature
@@ -52,6 +52,12 @@
     Given any order of full reads and changes of a growing table
     Then every row of the copy only grows in version
 
+  # Guards against rows that were removed and come back with a late answer, such as the
+  # entry of a backend server that has left.
+  Scenario: A copy is always as the table was at its version
+    Given a table whose rows are written and removed, and reads with late answers
+    Then the copy is at each moment as the table was at the version of the copy
+
   Scenario: Rows that do not fit one answer are read in pages
     Given a table of 1201 rows
     When a follower reads the whole table
--- a/stoatpath/feeds/features/steps/feed_steps.py
+++ b/stoatpath/feeds/features/steps/feed_steps.py
@@ -244,6 +244,70 @@
     context.property()
 
 
+class TableHistory:
+    """All versions of a table: the versions of its rows by key, and what changed."""
+
+    def __init__(self):
+        self.tables = [{}]
+        self.changes = []
+
+    @property
+    def version(self):
+        return len(self.tables) - 1
+
+    def change(self, key):
+        """Write a new row, or remove the one that exists."""
+        table = dict(self.tables[-1])
+        is_removal = table.pop(key, None) is not None
+        if not is_removal:
+            table[key] = self.version + 1
+        self.tables.append(table)
+        row = StoredRow(key, self.version, None if is_removal else b"", is_removal)
+        self.changes.append(row)
+
+    def read(self, base_version):
+        """Return the rows of an answer: the table, or the changes after a version."""
+        if base_version is None:
+            table = self.tables[-1]
+            return [StoredRow(key, version, b"") for key, version in table.items()]
+        rows_by_key = {row.key: row for row in self.changes[base_version:]}
+        return list(rows_by_key.values())
+
+
+@given("a table whose rows are written and removed, and reads with late answers")
+def step_impl(context):
+    steps = st.one_of(
+        st.tuples(st.just("change"), st.sampled_from("abc")),
+        st.tuples(st.just("read"), st.booleans()),
+        st.tuples(st.just("deliver"), st.integers(0, 3)),
+    )
+
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @forall(st.lists(steps, max_size=40))
+    def check_property(items):
+        history, copy, answers = TableHistory(), TableCopy(), []
+        copy.apply_full_read([], 0, 0.0)
+        for kind, value in items:
+            if kind == "change":
+                history.change(value)
+            elif kind == "read":
+                base_version = None if value else copy.version
+                answers.append((value, history.read(base_version), history.version))
+            elif answers:
+                is_whole, rows, version = answers.pop(value % len(answers))
+                apply = copy.apply_full_read if is_whole else copy.apply_changes
+                apply(rows, version, 0.0)
+            found = {key: row.version for key, row in copy.rows_by_key.items()}
+            assert found == history.tables[copy.version], (found, copy.version)
+
+    context.property = check_property
+
+
+@then("the copy is at each moment as the table was at the version of the copy")
+def step_impl(context):
+    context.property()
+
+
 @given("a table of {count:d} rows")
 def step_impl(context, count):
     context.count = count
