--- a/stoatpath/dispatch/features/steps/extra_work_steps.py
+++ b/stoatpath/dispatch/features/steps/extra_work_steps.py
@@ -35,6 +35,7 @@
     is_failure,
 )
 from stoatpath.routing.affinity import AffinityChooser
+from stoatpath.stop_times import StopTimes
 
 SERVICE = "assistant"
 TARGET_MS = 200.0
@@ -199,6 +200,7 @@
         self.router = SimpleNamespace(
             clock=self.clock,
             retry_budget=WindowBudget(0.9, 10_000, 100, self.clock),
+            stop_times=StopTimes(),
             extra_work=ExtraWorkLimit(share, self.clock),
             chooser=self.chooser,
             send_gate=gate,
