The report that tells who a backend server is is read whole, and may say nothing

A plain answer without length and chunks was answered 500 by the gateway, and a stream broken off, though the backend server had answered and still ran, whenever its report came in more than one segment or was no JSON object.

A part is no JSON, and `read_integer` of None raises AttributeError, which no caller expects.

Change: the report is read to its end, or to `MAX_REPORT_BYTES`. One that can't be decoded doesn't say when its process was born, like one without `born`.

--- a/features/platform/steps/unframed_steps.py
+++ b/features/platform/steps/unframed_steps.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from behave import then, when
+from behave import given, then, when
 from callers import request_headers
 from relaying_steps import event_ids, raw_request
 
@@ -60,6 +60,11 @@
     return ReceivedResponse(data, was_reset)
 
 
+@given("backend servers tell who they are with fault {kind}")
+def step_impl(context, kind):
+    context.fixture.faults.add(Fault("identify", kind, count=None))
+
+
 @when("a caller reads all bytes of the response to a {route} request")
 def step_impl(context, route):
     fixture = context.fixture
--- a/features/platform/unframed.feature
+++ b/features/platform/unframed.feature
@@ -85,3 +85,22 @@
     Then the caller got a response that ended with its connection
     When one of these gets a chat request whose executions have fault unframed
     Then the caller got a complete response with chunks and events 1 to 5
+
+  # Guards against answers that fail for the way in which a backend server tells who it
+  # is, and against a part of its report that is taken for the whole.
+  Scenario Outline: A backend server tells who it is with fault <fault> after <answer>
+    Given a deployment
+    And the next execution has fault <answer>
+    And backend servers tell who they are with fault <fault>
+    When a caller reads all bytes of the response to a sum request
+    Then the caller got <response>
+    And the request ran at most <runs> times
+
+    Examples:
+      | fault   | answer           | response                                  | runs |
+      | split   | unframed         | a response that ended with its connection | 1    |
+      | split   | unframed-restart | a whole response                          | 2    |
+      | text    | unframed         | a response that ended with its connection | 1    |
+      | list    | unframed         | a response that ended with its connection | 1    |
+      | endless | unframed         | a response that ended with its connection | 1    |
+      | busy    | unframed         | a response that ended with its connection | 1    |
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -171,10 +171,18 @@
             if path != names.REPORT_PATH or response.status != HTTPStatus.OK:
                 # One that has no room rejects the question without its name.
                 return True
-            report = decode_json(await response.content.read(MAX_REPORT_BYTES))
+            report = decode_json(await _read_at_most(response, MAX_REPORT_BYTES))
             return _may_be_born(report, backend.entry.born)
 
 
+async def _read_at_most(response, max_bytes):
+    """Return a body, or more than `max_bytes` bytes of it."""
+    body = b""
+    while len(body) <= max_bytes and (chunk := await response.content.readany()):
+        body += chunk
+    return body
+
+
 def _build_url(address, target):
     """Return the URL of a target, which is sent as it came.
 
@@ -191,7 +199,12 @@
 
 
 def _may_be_born(report, born):
-    """Return whether a report may be of the process that was born at a time in ms."""
+    """Return whether a report may be of the process that was born at a time in ms.
+
+    One that can't be decoded says nothing of that.
+    """
+    if not isinstance(report, dict):
+        return True
     reported = read_integer(report, "born", 0, default=None)
     return born is None or reported is None or reported == born
 
--- a/stoatpath/standins/replicas.py
+++ b/stoatpath/standins/replicas.py
@@ -18,6 +18,8 @@
 comes first) and `unnumbered-cut` (such an event is the last before the disconnection).
 In place of a stream: `status-N` (an answer with a body), `events-N` (a stream with this
 status and an event without identifier) and `short` (a body shorter than its length).
+Of the answer to who it is (`identify`): `split` (it comes in two parts), `text` (no
+JSON), `list` (no JSON object), `endless` and `busy` (a rejection without its name).
 Of any answer: `head-LAYOUT-END-N` (it stops N bytes before the end of its head, see
 `write_cut_head`) and `garbled` (bytes that are no chunk follow a part of its body).
 """
@@ -31,6 +33,7 @@
 from stoatpath.standins.cut_heads import write_cut_head
 from stoatpath.standins.faults import FaultTable
 from stoatpath.standins.servers import StandinServer, drop_connection, reset_connection
+from stoatpath.utils import encode_json
 
 SILENCE_S = 30.0
 CUT_AFTER_EVENTS = 3
@@ -38,6 +41,7 @@
 PROMPT_HEADER = "X-Stoatpath-Prompt-Prefix"
 CRASH_AFTER_S = 0.02
 GARBLED_AFTER_S = 0.02
+PART_PAUSE_S = 0.02
 GARBLED_BYTES = b"this is no chunk\r\n"
 ENDLESS_BLOCK_BYTES = 65_536
 RAW_KINDS = (
@@ -198,7 +202,7 @@
     async def _serve(self, request):
         self._transports.add(request.transport)
         if request.path in IDENTITY_PATHS:
-            return self._tell_identity(request)
+            return await self._tell_identity(request)
         self.received_count += 1
         self.arrivals.append(
             (Clock().now_ms(), request.headers.get(ATTEMPT_ID_HEADER, ""))
@@ -241,13 +245,27 @@
         finally:
             self._running -= 1
 
-    def _tell_identity(self, request):
+    async def _tell_identity(self, request):
+        fault = self.faults.next_fault("identify")
+        kind = "" if fault is None else fault.kind
         headers = {"X-Stoatpath-Replica-Id": self.name}
+        if kind == "busy":
+            return web.Response(status=503)
         if request.headers.get("X-Stoatpath-Expect-Replica", self.name) != self.name:
             return web.Response(status=421, headers=headers)
         if request.path == HEALTH_PATH:
             return web.Response(headers=headers)
-        return web.json_response({"running": self._running, "born": self.born})
+        report = encode_json({"running": self._running, "born": self.born})
+        if kind == "text":
+            report = b"all is well"
+        if kind == "list":
+            report = b"[]"
+        if kind == "endless":
+            head = b"HTTP/1.1 200 OK\r\n\r\n"
+            return await self._write_endlessly(request, head, b"x")
+        if kind == "split":
+            return await _write_in_parts(request, report)
+        return web.Response(body=report, content_type="application/json")
 
     def _record_rejection(self):
         """Record a rejection, and a fall after too many of them in a second."""
@@ -443,6 +461,19 @@
     return b"", b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
+async def _write_in_parts(request, body):
+    """Write a body in two parts, with a pause between them."""
+    response = web.StreamResponse(headers={"Content-Type": "application/json"})
+    response.content_length = len(body)
+    await response.prepare(request)
+    half = len(body) // 2
+    await response.write(body[:half])
+    await asyncio.sleep(PART_PAUSE_S)
+    await response.write(body[half:])
+    await response.write_eof()
+    return response
+
+
 async def _write_garbled(request, headers, is_stream, body):
     """Write a part of a body in a chunk, then bytes that are none; don't close."""
     part = body[: len(body) // 2]
