A stream of which a part came after its end isn't complete

Streams that can be resumed ended as complete before their last event: the backend server ended its connection early and still ran, and the next one was cut within the event that followed, or sent one that could not be joined.

Cause: only whole events in sequence counted as something that follows an unproven end (`attempt.events`). An end could also be confirmed by two attempts without events after a third one had shown a part of the next.

Change: the relay remembers that more follows the last event that was written. An answer that ends with its connection there has failed, and the stream is resumed or broken off. Events that were sent before are no evidence.

Evidence: features/platform/unframed.feature, 6 scenarios (first end x what comes next x all later attempts): all failed before with events 1 to 3 as a complete stream, none now.

--- a/features/platform/unframed.feature
+++ b/features/platform/unframed.feature
@@ -56,6 +56,24 @@
     When a caller reads all bytes of the response to a chat request
     Then the caller got an incomplete response with events 1 to 4
 
+  # Also a part of an event shows that the stream goes on.
+  Scenario Outline: A stream ends early: <first>, then <second>, then only <later>
+    Given a deployment
+    And the next execution has fault <first>
+    And the next execution has fault <second>
+    And all later executions have fault <later>
+    When a caller reads all bytes of the response to a chat request
+    Then the caller got an incomplete response with events 1 to 3
+
+    Examples:
+      | first          | second         | later          |
+      | unframed-short | cut-0          | reset-after    |
+      | unframed-short | cut-0          | unframed-empty |
+      | unframed-short | late           | reset-after    |
+      | unframed-short | unnumbered     | reset-after    |
+      | unframed-short | unnumbered     | unframed-empty |
+      | unframed-cut   | unframed-empty | unframed-empty |
+
   # Guards against answers that look whole although their process ended within them, and
   # against lengths that vouch for an end that nobody knows.
   Scenario Outline: A <route> request whose answer ends with its connection: <fault>
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -76,6 +76,11 @@
         self.worst_failure = None
         self.unproven_answer = None
 
+    @property
+    def has_unproven_answer(self):
+        """Return whether an answer may be whole, and nothing speaks against it."""
+        return self.unproven_answer is not None and not self.relay.has_more
+
     def record_failure(self, attempt, failure):
         """Record a failed attempt.
 
@@ -145,7 +150,7 @@
         state = _RequestState(request, version, relay, min_confidence)
         try:
             answer = await self._run_attempts(state)
-            if is_failure(answer) and state.unproven_answer is not None:
+            if is_failure(answer) and state.has_unproven_answer:
                 # Nothing was found that follows its last event.
                 return state.unproven_answer
             return answer
--- a/stoatpath/dispatch/event_relays.py
+++ b/stoatpath/dispatch/event_relays.py
@@ -29,12 +29,20 @@
     true, nothing more is written.
     """
 
-    __slots__ = ("_stream", "_owner", "_unproven_end", "on_claimed", "is_abandoned")
+    __slots__ = (
+        "_stream",
+        "_owner",
+        "_unproven_end",
+        "_end_with_more",
+        "on_claimed",
+        "is_abandoned",
+    )
 
     def __init__(self, stream):
         self._stream = stream
         self._owner = None
         self._unproven_end = None
+        self._end_with_more = None
         self.on_claimed = None
         self.is_abandoned = False
 
@@ -62,6 +70,15 @@
         self._unproven_end = self.last_event_id
         return is_confirmed
 
+    def record_more(self):
+        """Record that more follows what was written, though no whole event came."""
+        self._end_with_more = self.last_event_id
+
+    @property
+    def has_more(self):
+        """Return whether an attempt brought a part of what follows."""
+        return self._end_with_more == self.last_event_id
+
     @property
     def is_resumable(self):
         """Return whether another attempt can go on after what was written."""
@@ -132,8 +149,18 @@
 
 
 async def _relay_events(attempt, head, content, deadlines, on_first_event):
+    splitter = attempt.relay.open_splitter(attempt.request)
+    try:
+        return await _relay_split(
+            attempt, head, content, deadlines, on_first_event, splitter
+        )
+    finally:
+        if splitter.has_more:
+            attempt.relay.record_more()
+
+
+async def _relay_split(attempt, head, content, deadlines, on_first_event, splitter):
     relay = attempt.relay
-    splitter = relay.open_splitter(attempt.request)
     if await relay.begin(head) is not None:
         # Whether the backend server gets as far as an event is still worth knowing.
         relay.abandon()
@@ -186,6 +213,7 @@
         "ends_unnumbered",
         "_is_rest",
         "_is_first",
+        "_is_repeated",
         "_partial_event",
         "_searched",
     )
@@ -199,6 +227,7 @@
         self.ends_unnumbered = False
         self._is_rest = is_rest
         self._is_first = True
+        self._is_repeated = False
         self._partial_event = b""
         self._searched = 0
 
@@ -210,6 +239,16 @@
             rest = rest.removeprefix(BYTE_ORDER_MARK)
         return any(line and not line.startswith(COMMENT) for line in rest.splitlines())
 
+    @property
+    def has_more(self):
+        """Return whether a part of an event, or one out of sequence, came last.
+
+        An event that was sent before is no such one.
+        """
+        if self.problem is not None:
+            return not self._is_repeated
+        return self.has_partial_event
+
     @property
     def position(self):
         """Return where the events so far end, as the arguments of `write`."""
@@ -257,6 +296,7 @@
             return False
         is_lower = last is None or number <= last
         if is_lower and self.last_event_id or self._skips(number, last):
+            self._is_repeated = is_lower
             self.problem = broken_answer(
                 f"event {text[:20]} came after {self.last_event_id[:20]}"
             )
--- a/stoatpath/dispatch/relay_senders.py
+++ b/stoatpath/dispatch/relay_senders.py
@@ -148,7 +148,7 @@
         A process that ends closes its connections as one that has finished an answer
         does. One that still runs has ended the answer, unless it is faulty or something
         between cut the connection: a stream that can be resumed is complete if nothing
-        follows its last event.
+        follows its last event, and no attempt brought a part of what does.
         """
         request = attempt.request
         use_last_check(None)
@@ -159,6 +159,8 @@
         relay = attempt.relay if answer.body is None else None
         if relay is None or not request.is_repeatable or not relay.is_resumable:
             return answer
+        if relay.has_more:
+            return broken_answer("it ended where another attempt brought more")
         if relay.is_end_confirmed():
             return answer
         detail = f"it ended with its connection after {attempt.events} events"
--- a/stoatpath/standins/replicas.py
+++ b/stoatpath/standins/replicas.py
@@ -8,7 +8,8 @@
 `endless-interim` (1xx answers), `endless-chunk` (the extension of a chunk). Of a
 stream: `cut` (disconnected within an event, after some whole ones), `skip` (an event is
 missing), `stall`, `endless-event`, `unframed` (it ends with its connection) and
-`unframed-cut` (the same, within an event), `cut-N` (disconnected after N whole events).
+`unframed-cut` (the same, within an event), `unframed-empty` (without any event) and
+`cut-N` (disconnected after N whole events).
 Of both: `unframed-short` (closed after some whole events, or half of the body) and
 `unframed-crash` (the same, and the replica ends as a killed process does) and
 `unframed-restart` (the same, and another process is in its place at once).
@@ -390,7 +391,8 @@
         transport = request.transport
         lines = [f"{name}: {value}\r\n" for name, value in headers.items()]
         transport.write("".join(["HTTP/1.1 200 OK\r\n", *lines, "\r\n"]).encode())
-        for number in range(start + 1, self.events + 1):
+        events = 0 if kind == "unframed-empty" else self.events
+        for number in range(start + 1, events + 1):
             if number > start + CUT_AFTER_EVENTS and kind != "unframed":
                 if kind == "unframed-cut":
                     transport.write(f"id: {number}\nda".encode())
