The last transfer coding tells whether a body has chunks

A body with `Transfer-Encoding: chunked, gzip`, `x-chunked`, or with `chunked` in an earlier one of two fields ends with its connection. It counted as one whose cut is detected, so that a cut body was passed on as whole, with a length or a last chunk.

Cause: `is_truncation_detectable` looked for the text "chunked" anywhere in the first field. Gateways and the router's own interface both use it.

--- a/stoatpath/dispatch/checks.py
+++ b/stoatpath/dispatch/checks.py
@@ -27,12 +27,16 @@
 
 
 def is_truncation_detectable(method, response):
-    """Return whether truncation of a response body would be detected."""
+    """Return whether truncation of a response body would be detected.
+
+    Of several transfer codings the last one decides (RFC 9112, section 6.3).
+    """
     if method == "HEAD" or response.status in BODYLESS_STATUSES:
         return True
     if response.content_length is not None:
         return True
-    return "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    codings = ",".join(response.headers.getall("Transfer-Encoding", ())).split(",")
+    return codings[-1].strip().lower() == "chunked"
 
 
 def broken_answer(detail):
