The log of a request says that the end of its answer is unproven

A stream that ended with its connection, and of which no later attempt could tell what follows, goes to its caller as complete.

The steps were added to existing scenarios; nothing was taken out.

--- a/features/platform/steps/unframed_steps.py
+++ b/features/platform/steps/unframed_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 from callers import request_headers
+from head_steps import record_request_log
 from relaying_steps import event_ids, raw_request
 
 from stoatpath.standins.faults import Fault, FaultTable
@@ -68,6 +69,7 @@
 @when("a caller reads all bytes of the response to a {route} request")
 def step_impl(context, route):
     fixture = context.fixture
+    record_request_log(context)
     context.received = fixture.run(receive_response(fixture.gateway, route))
 
 
@@ -117,3 +119,9 @@
     received = context.received
     assert received.status == status, received.head
     assert not received.was_reset and received.is_framed, received.head
+
+
+@then("the log has the answer once, as {reason}")
+def step_impl(context, reason):
+    reasons = context.request_log.reasons("attempt-1", "answer")
+    assert reasons == [reason], reasons
--- a/features/platform/unframed.feature
+++ b/features/platform/unframed.feature
@@ -8,6 +8,7 @@
     When a caller reads all bytes of the response to a chat request
     Then the caller got a complete response with chunks and events 1 to 5
     And the request ran at most 2 times
+    And the log has the answer once, as whole
 
     Examples:
       | fault            |
@@ -36,6 +37,7 @@
     And all later executions have fault <next>
     When a caller reads all bytes of the response to a chat request
     Then the caller got a complete response with chunks and events 1 to 5
+    And the log has the answer once, as unproven
 
     Examples:
       | next         |
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -152,6 +152,9 @@
             answer = await self._run_attempts(state)
             if is_failure(answer) and state.has_unproven_answer:
                 # Nothing was found that follows its last event.
+                self._record_decision(
+                    request, "answer", "unproven", detail=answer.detail
+                )
                 return state.unproven_answer
             return answer
         except asyncio.CancelledError:
