The log says when another process answers in place of a backend server

`backends.not-running` is documented for each answer that counts as cut since its backend server doesn't answer as the same process. It was written if nobody answered, but not if another process did (a later start, another name, status 421).

Evidence: features/platform/unframed.feature, 3 scenarios: the one of a process that was started again failed before, none now.

--- a/features/platform/steps/unframed_steps.py
+++ b/features/platform/steps/unframed_steps.py
@@ -1,6 +1,7 @@
 """Steps about answers without length and chunks, which end with their connection."""
 
 import asyncio
+import logging
 
 from behave import given, then, when
 from callers import request_headers
@@ -12,6 +13,18 @@
 READ_TIMEOUT_S = 15
 CHUNKED = b"transfer-encoding: chunked"
 LENGTH = b"content-length:"
+CALLS_LOGGER = logging.getLogger("stoatpath.platform.backend_calls")
+
+
+class _Lines(logging.Handler):
+    """Keeps the records of a logger."""
+
+    def __init__(self):
+        super().__init__()
+        self.records = []
+
+    def emit(self, record):
+        self.records.append(record)
 
 
 class ReceivedResponse:
@@ -70,6 +83,9 @@
 def step_impl(context, route):
     fixture = context.fixture
     record_request_log(context)
+    context.lines = _Lines()
+    CALLS_LOGGER.addHandler(context.lines)
+    context.add_cleanup(CALLS_LOGGER.removeHandler, context.lines)
     context.received = fixture.run(receive_response(fixture.gateway, route))
 
 
@@ -125,3 +141,13 @@
 def step_impl(context, reason):
     reasons = context.request_log.reasons("attempt-1", "answer")
     assert reasons == [reason], reasons
+
+
+@then("the log says that its backend server is not running: {why}")
+def step_impl(context, why):
+    found = [
+        (each.msg, each.why)
+        for each in context.lines.records
+        if each.msg == "backends.not-running"
+    ]
+    assert found == [("backends.not-running", why)], found
--- a/features/platform/unframed.feature
+++ b/features/platform/unframed.feature
@@ -124,3 +124,15 @@
       | list    | unframed         | a response that ended with its connection | 1    |
       | endless | unframed         | a response that ended with its connection | 1    |
       | busy    | unframed         | a response that ended with its connection | 1    |
+
+  Scenario Outline: The log says why an answer that ended with its connection was cut
+    Given a deployment
+    And the next execution has fault <fault>
+    When a caller reads all bytes of the response to a <route> request
+    Then the log says that its backend server is not running: <why>
+
+    Examples:
+      | route | fault            | why                      |
+      | sum   | unframed-crash   | ClientConnectorError     |
+      | sum   | unframed-restart | another process answered |
+      | look  | unframed-crash   | ClientConnectorError     |
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -141,10 +141,14 @@
         One that was started again in its place, under its name or another, is told from
         it by what it says of itself.
         """
+        why = ""
         for _ in range(IDENTITY_CALLS):
             try:
                 async with asyncio.timeout(IDENTITY_TIMEOUT_MS / 1000):
-                    return await self._ask_identity(backend, service)
+                    if await self._ask_identity(backend, service):
+                        return True
+                why = "another process answered"
+                break
             except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
                 why = type(error).__name__
         logger.info("backends.not-running", extra={"backend": backend.name, "why": why})
@@ -156,7 +160,9 @@
         if service.kind == MODEL_SERVICE:
             path = names.REPORT_PATH
         if not path:
-            return await self.is_reachable(backend.address)
+            if not await self.is_reachable(backend.address):
+                raise ConnectionError
+            return True
         async with self._session.get(
             _build_url(backend.address, path),
             headers={names.EXPECT_REPLICA: backend.name},
