--- a/features/platform/steps/unframed_steps.py
+++ b/features/platform/steps/unframed_steps.py
@@ -1,10 +1,12 @@
 """Steps about answers without length and chunks, which end with their connection."""
 
 import asyncio
+import logging
 from unittest import mock
 
 from behave import given, then, when
 from callers import request_headers
+from head_steps import record_request_log
 from relaying_steps import event_ids, raw_request
 
 from stoatpath.standins.faults import Fault, FaultTable
@@ -12,6 +14,18 @@
 READ_TIMEOUT_S = 15
 CHUNKED = b"transfer-encoding: chunked"
 LENGTH = b"content-length:"
+CALLS_LOGGER = logging.getLogger("stoatpath.platform.backend_calls")
+
+
+class _Lines(logging.Handler):
+    """Keeps the records of a logger."""
+
+    def __init__(self):
+        super().__init__()
+        self.records = []
+
+    def emit(self, record):
+        self.records.append(record)
 
 
 class ReceivedResponse:
@@ -69,9 +83,18 @@
     context.add_cleanup(patch.stop)
 
 
+@given("backend servers tell who they are with fault {kind}")
+def step_impl(context, kind):
+    context.fixture.faults.add(Fault("identify", kind, count=None))
+
+
 @when("a caller reads all bytes of the response to a {route} request")
 def step_impl(context, route):
     fixture = context.fixture
+    record_request_log(context)
+    context.lines = _Lines()
+    CALLS_LOGGER.addHandler(context.lines)
+    context.add_cleanup(CALLS_LOGGER.removeHandler, context.lines)
     context.received = fixture.run(receive_response(fixture.gateway, route))
 
 
@@ -121,3 +144,19 @@
     received = context.received
     assert received.status == status, received.head
     assert not received.was_reset and received.is_framed, received.head
+
+
+@then("the log has the answer once, as {reason}")
+def step_impl(context, reason):
+    reasons = context.request_log.reasons("attempt-1", "answer")
+    assert reasons == [reason], reasons
+
+
+@then("the log says that its backend server is not running: {why}")
+def step_impl(context, why):
+    found = [
+        (each.msg, each.why)
+        for each in context.lines.records
+        if each.msg == "backends.not-running"
+    ]
+    assert found == [("backends.not-running", why)], found
--- a/features/platform/unframed.feature
+++ b/features/platform/unframed.feature
@@ -8,6 +8,7 @@
     When a caller reads all bytes of the response to a chat request
     Then the caller got a complete response with chunks and events 1 to 5
     And the request ran at most 2 times
+    And the log has the answer once, as whole
 
     Examples:
       | fault            |
@@ -36,6 +37,7 @@
     And all later executions have fault <next>
     When a caller reads all bytes of the response to a chat request
     Then the caller got a complete response with chunks and events 1 to 5
+    And the log has the answer once, as unproven
 
     Examples:
       | next         |
@@ -75,6 +77,24 @@
       | cut-1    | 4    |
       | unframed | 5    |
 
+  # Also a part of an event shows that the stream goes on.
+  Scenario Outline: A stream ends early: <first>, then <second>, then only <later>
+    Given a deployment
+    And the next execution has fault <first>
+    And the next execution has fault <second>
+    And all later executions have fault <later>
+    When a caller reads all bytes of the response to a chat request
+    Then the caller got an incomplete response with events 1 to 3
+
+    Examples:
+      | first          | second         | later          |
+      | unframed-short | cut-0          | reset-after    |
+      | unframed-short | cut-0          | unframed-empty |
+      | unframed-short | late           | reset-after    |
+      | unframed-short | unnumbered     | reset-after    |
+      | unframed-short | unnumbered     | unframed-empty |
+      | unframed-cut   | unframed-empty | unframed-empty |
+
   # Guards against answers that look whole although their process ended within them, and
   # against lengths that vouch for an end that nobody knows.
   Scenario Outline: A <route> request whose answer ends with its connection: <fault>
@@ -104,3 +124,34 @@
     Then the caller got a response that ended with its connection
     When one of these gets a chat request whose executions have fault unframed
     Then the caller got a complete response with chunks and events 1 to 5
+
+  # Guards against answers that fail for the way in which a backend server tells who it
+  # is, and against a part of its report that is taken for the whole.
+  Scenario Outline: A backend server tells who it is with fault <fault> after <answer>
+    Given a deployment
+    And the next execution has fault <answer>
+    And backend servers tell who they are with fault <fault>
+    When a caller reads all bytes of the response to a sum request
+    Then the caller got <response>
+    And the request ran at most <runs> times
+
+    Examples:
+      | fault   | answer           | response                                  | runs |
+      | split   | unframed         | a response that ended with its connection | 1    |
+      | split   | unframed-restart | a whole response                          | 2    |
+      | text    | unframed         | a response that ended with its connection | 1    |
+      | list    | unframed         | a response that ended with its connection | 1    |
+      | endless | unframed         | a response that ended with its connection | 1    |
+      | busy    | unframed         | a response that ended with its connection | 1    |
+
+  Scenario Outline: The log says why an answer that ended with its connection was cut
+    Given a deployment
+    And the next execution has fault <fault>
+    When a caller reads all bytes of the response to a <route> request
+    Then the log says that its backend server is not running: <why>
+
+    Examples:
+      | route | fault            | why                      |
+      | sum   | unframed-crash   | ClientConnectorError     |
+      | sum   | unframed-restart | another process answered |
+      | look  | unframed-crash   | ClientConnectorError     |
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -78,6 +78,11 @@
         self.unproven_answer = None
         self.had_false_end = False
 
+    @property
+    def has_unproven_answer(self):
+        """Return whether an answer may be whole, and nothing speaks against it."""
+        return self.unproven_answer is not None and not self.relay.has_more
+
     def record_failure(self, attempt, failure):
         """Record a failed attempt.
 
@@ -149,8 +154,11 @@
         state = _RequestState(request, version, relay, min_confidence)
         try:
             answer = await self._run_attempts(state)
-            if is_failure(answer) and state.unproven_answer is not None:
+            if is_failure(answer) and state.has_unproven_answer:
                 # Nothing was found that follows its last event.
+                self._record_decision(
+                    request, "answer", "unproven", detail=answer.detail
+                )
                 return state.unproven_answer
             return answer
         except asyncio.CancelledError:
