Header values that are not UTF-8 pass byte for byte, both ways

Cause: aiohttp decodes heads as UTF-8 with surrogates for other bytes (PEP 383); its writer leaves surrogates out. serialize_head (stoatpath/heads.py) lets that writer check and write each head, and encodes those with such values anew, with the surrogates turned into their bytes. It replaces the serializer of the process, since aiohttp builds the writers of requests itself.

Tenant names come from JSON, so they are always UTF-8.

--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -55,6 +55,20 @@
       | hang        | look  |
       | hang        | chat  |
 
+  # Guards against headers that lose the bytes which are not UTF-8 at a second gateway.
+  Scenario Outline: Header bytes of a <route> request pass through two gateways unchanged
+    Given 2 gateways that know each other, 2 model and 2 plain replicas
+    And 1 gateways are cut off from all replicas, whose connections are refused
+    And the replicas answer with the header bytes that they receive
+    When callers send <route> requests to these, 10 a second for 1 s
+    And a <route> request with the header bytes E9 FC comes to one of these
+    Then it is answered with 200 and the header bytes E9 FC, which a replica received
+
+    Examples:
+      | route |
+      | look  |
+      | chat  |
+
   # Guards against requests that gateways forward to each other in circles.
   Scenario: No request is forwarded where no gateway reaches replicas
     Given 3 gateways that know each other, 2 model and 2 plain replicas
--- a/features/platform/relaying.feature
+++ b/features/platform/relaying.feature
@@ -190,6 +190,23 @@
       | /look/a;p=1+2%20 |
       | /look/[a]{b}'"c  |
 
+  # Guards against headers that lose the bytes which are not UTF-8, on either way.
+  Scenario Outline: The header bytes <bytes> of a <route> request pass both ways unchanged
+    Given a deployment
+    And the next execution has fault echo-bytes
+    When a <route> request comes with the header bytes <bytes>
+    Then the caller gets 200
+    And the replica and the caller received the header bytes <bytes>
+
+    Examples:
+      | route | bytes       |
+      | look  | E9 FC       |
+      | look  | 61 E9 C3 A9 |
+      | look  | ED B3 A9    |
+      | book  | E9 FC       |
+      | chat  | E9 FC       |
+      | chat  | C3 A9       |
+
   # Guards against bodies that are changed on their way, or never sent.
   Scenario Outline: A <framing> body with content coding <coding> reaches the replica unchanged
     Given a deployment
--- a/features/platform/steps/forwarding_steps.py
+++ b/features/platform/steps/forwarding_steps.py
@@ -6,10 +6,11 @@
 import aiohttp
 from backpressure_steps import FleetFixture
 from behave import given, then, when
-from callers import wait_until
+from callers import send_bytes, wait_until
 
 from stoatpath.clock import Clock
 from stoatpath.platform.backend_calls import CONNECT_TIMEOUT_MS, BackendClient
+from stoatpath.standins.faults import Fault
 
 # Together longer than a circuit stays open.
 PAUSE_S = 0.1
@@ -242,3 +243,32 @@
     for _, took_ms, response in context.sent:
         assert response.status == status, response.status
         assert took_ms <= 1000 * seconds, took_ms
+
+
+@given("the replicas answer with the header bytes that they receive")
+def step_impl(context):
+    for replica in context.fleet.deployment.replicas_by_name.values():
+        replica.faults.add(Fault("serve", "echo-bytes", count=None))
+
+
+@when("a {route} request with the header bytes {values} comes to one of these")
+def step_impl(context, route, values):
+    send = send_bytes(
+        context.cut_gateways[0], route, "attempt-odd", bytes.fromhex(values)
+    )
+    context.response = context.fleet.run(send)
+
+
+@then(
+    "it is answered with {status:d} and the header bytes {values}, "
+    "which a replica received"
+)
+def step_impl(context, status, values):
+    response = context.response
+    assert response.status == status, response.body
+    replicas = context.fleet.deployment.replicas_by_name.values()
+    runs = [run for each in replicas for run in each.runs]
+    (run,) = [run for run in runs if run.request_id == "attempt-odd"]
+    received = run.headers["X-Bytes"].encode(errors="surrogateescape")
+    assert received == bytes.fromhex(values), received
+    assert response.headers["X-Bytes"] == bytes.fromhex(values), response.headers
--- a/features/platform/steps/relaying_steps.py
+++ b/features/platform/steps/relaying_steps.py
@@ -13,6 +13,7 @@
     ATTEMPT_ID,
     CallerResponse,
     request_headers,
+    send_bytes,
     send_raw,
     send_request,
     wait_until,
@@ -548,3 +549,19 @@
 def step_impl(context, target):
     (run,) = context.fixture.runs()
     assert run.path == target, run.path
+
+
+@when("a {route} request comes with the header bytes {values}")
+def step_impl(context, route, values):
+    fixture = context.fixture
+    send = send_bytes(fixture.gateway, route, "attempt-1", bytes.fromhex(values))
+    fixture.response = fixture.run(send)
+
+
+@then("the replica and the caller received the header bytes {values}")
+def step_impl(context, values):
+    (run,) = context.fixture.runs()
+    received = run.headers["X-Bytes"].encode(errors="surrogateescape")
+    assert received == bytes.fromhex(values), received
+    returned = context.fixture.response.headers["X-Bytes"]
+    assert returned == bytes.fromhex(values), returned
--- a/stoatpath/callers/listeners.py
+++ b/stoatpath/callers/listeners.py
@@ -10,6 +10,7 @@
 from stoatpath.callers.completions import CompletionInterface
 from stoatpath.callers.connections import CallerServer, ConnectionLimits
 from stoatpath.callers.statistics import RequestStatistics
+from stoatpath.heads import use_exact_heads
 from stoatpath.outcomes import SHUTTING_DOWN, Failure, Outcome, is_failure
 from stoatpath.utils import new_id
 
@@ -92,6 +93,7 @@
 
     async def start(self, address):
         """Listen on `host:port`; port 0 selects a free port."""
+        use_exact_heads()
         self._server = CallerServer(
             self._serve, self.limits, self._interface.decompresses_bodies
         )
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -16,6 +16,7 @@
 from stoatpath.dispatch.connections import accepts_connections
 from stoatpath.dispatch.last_checks import CheckedRequest
 from stoatpath.dispatch.response_handlers import use_checked_handler
+from stoatpath.heads import use_exact_heads
 from stoatpath.platform import names
 from stoatpath.platform.fields import read_integer
 from stoatpath.utils import decode_json
@@ -83,6 +84,7 @@
 
     async def start(self):
         """Create the HTTP client."""
+        use_exact_heads()
         connector = aiohttp.TCPConnector(
             limit=0, force_close=True, socket_factory=create_socket
         )
--- a/stoatpath/standins/replicas.py
+++ b/stoatpath/standins/replicas.py
@@ -4,7 +4,8 @@
 written twice on a connection that stays open), `reset-before`, `silent` (a delay of
 30 s). Of its answer: `error`, `reset-after`, `half`, `unframed`, `unframed-reset`,
 `garbage`, `wrong-id`, `no-seal` (without the header that vouches for an answer),
-`encoded`, `extra`, `slow`, and bytes without end: `endless-body`, `endless-head`,
+`encoded`, `extra`, `slow`, `echo-bytes` (with the header `X-Bytes` of the request, byte
+for byte), and bytes without end: `endless-body`, `endless-head`,
 `endless-interim` (1xx answers), `endless-chunk` (the extension of a chunk). Of a
 stream: `cut` (disconnected within an event, after some whole ones), `skip` (an event is
 missing), `stall`, `endless-event`, `unframed` (it ends with its connection) and
@@ -61,6 +62,7 @@
 FAILED_EVENT = b"event: error\ndata: the request failed\n\n"
 ENDLESS_EVENT = b"3e8\r\n" + 1000 * b"d" + b"\r\n"
 SEAL_HEADER = "X-Stoatpath-Replica-Seal"
+BYTES_HEADER = b"X-Bytes"
 
 
 class Run:
@@ -292,6 +294,8 @@
             del headers[SEAL_HEADER]
         if kind == "encoded":
             headers["Content-Encoding"] = "gzip"
+        if kind == "echo-bytes":
+            return await self._echo_bytes(request, headers)
         if kind in ENDLESS_KINDS:
             return await self._write_endlessly(request, *_endless_parts(kind, headers))
         is_stream = "text/event-stream" in request.headers.get("Accept", "")
@@ -389,6 +393,22 @@
         if kind == "unframed-restart":
             self.born += 1
 
+    async def _echo_bytes(self, request, headers):
+        """Answer with a header of raw bytes, and with all events if it is a stream."""
+        given = dict(request.raw_headers)
+        body = b"echoed"
+        if "text/event-stream" in request.headers.get("Accept", ""):
+            headers |= {"Content-Type": "text/event-stream"}
+            numbers = range(1, self.events + 1)
+            body = b"".join(b"id: %d\ndata: %d\n\n" % (each, each) for each in numbers)
+        headers |= {"Content-Length": len(body)}
+        lines = [f"{name}: {value}".encode() for name, value in headers.items()]
+        lines.append(b"X-Bytes: " + given.get(BYTES_HEADER, b""))
+        head = b"\r\n".join([b"HTTP/1.1 200 OK", *lines, b"", b""])
+        request.transport.write(head + body)
+        request.transport.close()
+        return web.Response()
+
     async def _write_endlessly(self, request, start, part):
         """Write `start`, then `part` until the other side closes the connection."""
         transport = request.transport
