Requests whose session or prompt parts have names that are not UTF-8 run

A request with the bytes E9 FC in its Session was answered 500 while a roll-out of its service was open (a book or chat request may have run before), and one with them in X-Stoatpath-Prompt-Prefix always. Cause: aiohttp represents such bytes by surrogates, and these names are hashed, logged as JSON and sent to other instances, where surrogates cannot be encoded. CallerHeaderDecoder names them with \xNN in place of each such byte; the headers themselves pass as they came. A model with such a name is nobody's: the request has no prompt here, and the header passes.

Looked for the same: Last-Event-Id (digits only), attempt id (ASCII only), Host and key (looked up only), header values of answers (compared, or logged with repr), the completions interface (ASCII only).

--- a/features/platform/relaying.feature
+++ b/features/platform/relaying.feature
@@ -207,6 +207,21 @@
       | chat  | E9 FC       |
       | chat  | C3 A9       |
 
+  # Guards against requests that fail, or fail after they ran, by a name that isn't UTF-8.
+  Scenario Outline: A <route> request during a roll-out runs with the bytes <bytes> in <header>
+    Given a deployment
+    And a roll-out of each service is in progress
+    When 5 <route> requests come with the bytes <bytes> in <header>
+    Then each gets 200, and replicas received the bytes <bytes> in <header>
+
+    Examples:
+      | route | header                    | bytes                         |
+      | look  | Session                   | E9 FC                         |
+      | chat  | Session                   | E9 FC                         |
+      | chat  | X-Stoatpath-Prompt-Prefix | 61 E9 3A 36 30 2C 62 3A 34 30 |
+      | sum   | X-Stoatpath-Prompt-Prefix | 61 E9 3A 36 30 2C 62 3A 34 30 |
+      | look  | X-Stoatpath-Model         | E9 FC                         |
+
   # Guards against bodies that are changed on their way, or never sent.
   Scenario Outline: A <framing> body with content coding <coding> reaches the replica unchanged
     Given a deployment
--- a/features/platform/steps/callers.py
+++ b/features/platform/steps/callers.py
@@ -81,22 +81,27 @@
     return int(line.split()[1]) if line else 0
 
 
-async def send_bytes(gateway, route, request_id, value):
-    """Send a request with the header `X-Bytes`; the response has headers of bytes."""
+async def send_bytes(gateway, route, request_id, value, name="X-Bytes"):
+    """Send a request with a header of bytes; the response has headers of bytes."""
     host, _, port = gateway.listener.address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
-    headers = request_headers(route, 1) | {ATTEMPT_ID: request_id, "Connection": "close"}
+    headers = request_headers(route, 1) | {
+        ATTEMPT_ID: request_id,
+        "Connection": "close",
+    }
     headers["Content-Length"] = "0"
-    lines = [f"{name}: {each}".encode() for name, each in headers.items()]
+    headers.pop(name, None)
+    lines = [f"{key}: {each}".encode() for key, each in headers.items()]
+    lines.append(name.encode() + b": " + value)
     method = b"GET" if route == "look" else b"POST"
     first_line = b"%b /%b/1 HTTP/1.1" % (method, route.encode())
-    writer.write(b"\r\n".join([first_line, *lines, b"X-Bytes: " + value, b"", b""]))
+    writer.write(b"\r\n".join([first_line, *lines, b"", b""]))
     async with asyncio.timeout(REPLY_TIMEOUT_S):
         head, _, body = (await reader.read()).partition(b"\r\n\r\n")
     writer.close()
     status_line, *lines = head.split(b"\r\n")
     pairs = (line.partition(b": ") for line in lines)
-    received = {name.decode(): given for name, _, given in pairs}
+    received = {key.decode(): given for key, _, given in pairs}
     return CallerResponse(int(status_line.split()[1]), received, body)
 
 
--- a/features/platform/steps/relaying_steps.py
+++ b/features/platform/steps/relaying_steps.py
@@ -21,7 +21,13 @@
 
 from stoatpath.dispatch.liveness import LivenessWatch
 from stoatpath.platform.backend_calls import create_socket
-from stoatpath.standins.deployments import CALLER_KEY, HOST, LLM_SERVICE, Deployment
+from stoatpath.standins.deployments import (
+    CALLER_KEY,
+    HOST,
+    LLM_SERVICE,
+    PLAIN_SERVICE,
+    Deployment,
+)
 from stoatpath.standins.faults import Fault, FaultTable
 
 FORGED = {
@@ -565,3 +571,44 @@
     assert received == bytes.fromhex(values), received
     returned = context.fixture.response.headers["X-Bytes"]
     assert returned == bytes.fromhex(values), returned
+
+
+@given("a roll-out of each service is in progress")
+def step_impl(context):
+    fixture = context.fixture
+    registry = fixture.gateway.releases.registry
+
+    async def begin():
+        for service in (LLM_SERVICE, PLAIN_SERVICE):
+            await fixture.deployment.add_replica(f"n-{service}", service, "v2")
+            order = {"service": service, "to": "v2", "duration_s": 60}
+            await fixture.deployment.store.put("op", f"rollout/{service}", order)
+        await fixture.deployment.wait_until_in_sync()
+        assert await wait_until(lambda: len(registry.open_orders()) == 2)
+
+    fixture.run(begin())
+
+
+@when("{count:d} {route} requests come with the bytes {values} in {header}")
+def step_impl(context, count, route, values, header):
+    fixture = context.fixture
+    value = bytes.fromhex(values)
+
+    async def send_all():
+        return [
+            await send_bytes(fixture.gateway, route, f"attempt-{number}", value, header)
+            for number in range(count)
+        ]
+
+    context.responses = fixture.run(send_all())
+
+
+@then("each gets {status:d}, and replicas received the bytes {values} in {header}")
+def step_impl(context, status, values, header):
+    statuses = [response.status for response in context.responses]
+    assert statuses == [status] * len(statuses), statuses
+    runs = context.fixture.runs()
+    assert len(runs) >= len(statuses), len(runs)
+    for run in runs:
+        received = run.headers[header].encode(errors="surrogateescape")
+        assert received == bytes.fromhex(values), received
--- a/stoatpath/heads.py
+++ b/stoatpath/heads.py
@@ -20,15 +20,25 @@
 def serialize_head(start_line, headers):
     """Return the bytes of a head; raise ValueError for control characters in it."""
     head = _serialize(start_line, headers)
-    if all(value.isascii() or _is_utf8(value) for value in headers.values()):
+    if all(is_utf8(value) for value in headers.values()):
         return head
     lines = [start_line, *(f"{name}: {value}" for name, value in headers.items())]
     return "\r\n".join([*lines, "", ""]).encode(errors="surrogateescape")
 
 
-def _is_utf8(text):
+def is_utf8(value):
+    """Return whether the bytes of a header value are UTF-8."""
+    if value.isascii():
+        return True
     try:
-        text.encode()
+        value.encode()
     except UnicodeEncodeError:
         return False
     return True
+
+
+def printable_text(value):
+    """Return a header value with bytes that are not UTF-8 written as `\\xNN`."""
+    if is_utf8(value):
+        return value
+    return value.encode(errors="surrogateescape").decode(errors="backslashreplace")
--- a/stoatpath/platform/caller_heads.py
+++ b/stoatpath/platform/caller_heads.py
@@ -1,6 +1,7 @@
 """Decodes the headers of requests of callers."""
 
 from stoatpath.callers.relay_messages import NO_PROMPT, Prompt, PromptPart
+from stoatpath.heads import is_utf8, printable_text
 from stoatpath.outcomes import BAD_REQUEST, Failure
 from stoatpath.platform import names
 from stoatpath.platform.backend_calls import forwarded_headers
@@ -23,7 +24,8 @@
     """Decodes the headers that the platform defines.
 
     `check` refuses repeated headers and an invalid identifier. Other values that are
-    invalid are treated as missing; numbers are read from their first 12 digits.
+    invalid are treated as missing; numbers are read from their first 12 digits. Names
+    are texts that can be encoded, whatever bytes the caller sent.
     """
 
     __slots__ = ()
@@ -55,7 +57,7 @@
 
     def session(self, headers):
         """Return the session that the request belongs to, or ""."""
-        return headers.get(names.SESSION, "")
+        return printable_text(headers.get(names.SESSION, ""))
 
     def last_event_id(self, headers):
         """Return the identifier of the event after which to resume a stream, or ""."""
@@ -70,7 +72,7 @@
     def prompt(self, headers):
         """Return the `Prompt` that the headers describe."""
         model = headers.get(names.MODEL, "")
-        if not model:
+        if not model or not is_utf8(model):
             return NO_PROMPT
         # Two numbers: the tokens of the prompt, and the limit on generated tokens.
         token_counts = headers.get(names.TOKEN_COUNTS, "").partition(",")
@@ -82,7 +84,9 @@
             if length_hint is not None and max_new_tokens
             else length_hint or max_new_tokens
         )
-        parts = _parse_prompt_parts(headers.get(names.PROMPT_PREFIX, ""))
+        parts = _parse_prompt_parts(
+            printable_text(headers.get(names.PROMPT_PREFIX, ""))
+        )
         return Prompt(model, tokens, max_new_tokens, expected_new_tokens, parts)
 
     def forwarded_runs(self, headers):
