Signatures, nonces and operator keys of any bytes are refused, not failed

Bytes that are not UTF-8 in an operator's key, in the signature of a message between members or in its nonce, and a nonce whose time has more digits than a float holds, raised an exception in the handler: 500 and a traceback where 401 is due. Cause: surrogates encoded strictly; int() and a subtraction without a bound on the digits. The values are encoded as the bytes that came, and a time has at most 15 digits.

features/platform/decoding.feature, "Any signature, nonce and operator key is accepted or refused" (a property): failed before.

--- a/features/platform/decoding.feature
+++ b/features/platform/decoding.feature
@@ -85,6 +85,10 @@
   Scenario: Any headers of a caller are accepted or refused
     Then any headers are accepted or refused, and no forged one is forwarded
 
+  # Guards against handlers that fail by an exception where they are to refuse.
+  Scenario: Any signature, nonce and operator key is accepted or refused
+    Then any bytes as a signature, a nonce or an operator key are accepted or refused
+
   # Guards against entries of other writers that pass as backend servers with numbers,
   # names or addresses which no backend server has.
   Scenario: Any content of a server's row decodes to sound values or to a failure
--- a/features/platform/steps/decoding_steps.py
+++ b/features/platform/steps/decoding_steps.py
@@ -10,7 +10,9 @@
 from hypothesis import given as forall, settings, strategies as st
 from multidict import CIMultiDict
 
+from stoatpath.configuration.operators import OperatorKeys
 from stoatpath.configuration.routes import RouteTable
+from stoatpath.membership.signatures import NonceFilter, PeerSigner
 from stoatpath.outcomes import is_failure
 from stoatpath.platform import names
 from stoatpath.platform.boot_files import BootFile
@@ -20,6 +22,12 @@
 from stoatpath.utils import encode_json
 
 HASHES = 10_000
+WALL_MS = 1_700_000_000_000.0
+
+
+def as_header(data):
+    """Return a header value as aiohttp decodes it: surrogates are no UTF-8."""
+    return data.decode(errors="surrogateescape")
 
 
 def valid_settings():
@@ -233,7 +241,8 @@
     known = [names.DEADLINE_MS, names.TOKEN_COUNTS, names.PROMPT_PREFIX, names.MODEL]
     known += [names.LENGTH_HINT, names.LAST_EVENT_ID, names.SESSION, names.TENANT]
     known += [names.ATTEMPT_ID, names.EXPECT_REPLICA, "Kv-From", "Connection"]
-    pairs = st.tuples(st.sampled_from(known), st.text(max_size=20))
+    values = st.one_of(st.text(max_size=20), st.binary(max_size=20).map(as_header))
+    pairs = st.tuples(st.sampled_from(known), values)
 
     @settings(derandomize=True, deadline=None)
     @forall(st.lists(pairs, max_size=12))
@@ -244,7 +253,34 @@
         assert 0 <= heads.timeout_ms(headers, 500.0) <= 500.0
         prompt = heads.prompt(headers)
         assert prompt.tokens >= 0 and prompt.expected_new_tokens >= 0
+        texts = [heads.session(headers), prompt.model]
+        assert encode_json(texts + [part.name for part in prompt.parts])
         passed = {name.lower() for name, _ in heads.forwarded_headers(headers)}
         assert not passed & names.ROUTER_HEADERS
 
     check_property()
+
+
+@then("any bytes as a signature, a nonce or an operator key are accepted or refused")
+def step_impl(context):
+    signer = PeerSigner({"k1": "key of the members"})
+    keys = OperatorKeys.from_settings({"harbour": "secret"})
+    digits = st.integers(0, 10**401).map(lambda number: b"%d-a" % number)
+    parts = st.lists(
+        st.one_of(st.binary(max_size=9), st.sampled_from([b"k1:", b"-", b"9" * 5000])),
+        max_size=4,
+    )
+    values = st.one_of(digits, parts.map(b"".join)).map(as_header)
+
+    @settings(derandomize=True, deadline=None)
+    @forall(values, values)
+    def check_property(signature, nonce):
+        expected = signer.sign("reach", b"{}", nonce)
+        assert signer.verify("reach", b"{}", expected, nonce)
+        assert signer.verify("reach", b"{}", signature, nonce) == (
+            signature == expected
+        )
+        assert NonceFilter().accept(nonce, WALL_MS) in (True, False)
+        assert keys.authenticate(signature) is None
+
+    check_property()
--- a/stoatpath/configuration/operators.py
+++ b/stoatpath/configuration/operators.py
@@ -46,7 +46,9 @@
         Every key is compared, so that the time does not depend on which one matches.
         """
         authenticated = None
+        # Headers hold bytes that are not UTF-8 as surrogates.
+        given_bytes = given.encode(errors="surrogateescape")
         for operator, key in zip(self._operators, self._keys):
-            if hmac.compare_digest(given.encode(), key):
+            if hmac.compare_digest(given_bytes, key):
                 authenticated = operator
         return authenticated
--- a/stoatpath/membership/signatures.py
+++ b/stoatpath/membership/signatures.py
@@ -8,6 +8,7 @@
 SIGNATURE_HEADER = "Stoatpath-Peer-Signature"
 NONCE_LIFETIME_MS = 60_000
 MAX_NONCES = 20_000
+MAX_TIMESTAMP_DIGITS = 15
 
 
 class PeerSigner:
@@ -47,10 +48,10 @@
         if key_id not in self._keys_by_id:
             return False
         expected = self._digest(key_id, topic, payload, nonce)
-        return hmac.compare_digest(expected.encode(), digest.encode())
+        return hmac.compare_digest(expected.encode(), _header_bytes(digest))
 
     def _digest(self, key_id, topic, payload, nonce):
-        message = f"{topic}\n{nonce}\n".encode() + payload
+        message = _header_bytes(f"{topic}\n{nonce}\n") + payload
         return hmac.new(self._keys_by_id[key_id], message, hashlib.sha256).hexdigest()
 
 
@@ -70,6 +71,8 @@
         timestamp, _, token = nonce.partition("-")
         if not (timestamp.isascii() and timestamp.isdigit() and token):
             return False
+        if len(timestamp) > MAX_TIMESTAMP_DIGITS:
+            return False
         if abs(wall_ms - int(timestamp)) > NONCE_LIFETIME_MS or nonce in self._seen:
             return False
         self._seen[nonce] = int(timestamp)
@@ -96,3 +99,8 @@
     It differs from the topic of requests, so that neither can be replayed as the other.
     """
     return f"{topic}/answer"
+
+
+def _header_bytes(value):
+    """Return the bytes of a header value; surrogates are those that aren't UTF-8."""
+    return value.encode(errors="surrogateescape")
