Trailers of a request reach no other request; broken chunks are refused at once

A trailer was read as the first header of the next request on the connection, which reached its backend server with it (X-Trail: 1), or was refused with 400 (a second X-Stoatpath-Attempt-Id). Cause: aiohttp's parser keeps the last trailer of a body and processes it with the next head. A connection that saw a body end otherwise than by the last chunk and an empty line now takes a new parser before its next bytes (TrailerWatch); a request that was pipelined behind such a body is refused (503, head-uncertain, not run), and the connection closes.

A chunked body that can't be parsed (chunk size, trailer, a length among the trailers), once its head was handled, kept the request until the limit on bodies: 408 after 10 s, for 400 at once. Cause: aiohttp queues the error as the next request and tells nobody who reads the body. _fail_body does.

--- a/features/platform/relaying.feature
+++ b/features/platform/relaying.feature
@@ -240,6 +240,39 @@
       | expected | none     |
       | expected | gzip     |
 
+  # Guards against requests that get a header, or a second identifier, from the one before.
+  Scenario Outline: A chunked body with <trailers> changes no other request, sent <how>
+    Given a deployment
+    When a book request with <trailers> and then a look request are sent <how>
+    Then they get <first> and <second>
+    And the replicas received the body, and no header that was a trailer
+
+    Examples:
+      | trailers                      | how          | first | second |
+      | X-Trail: 1                    | in turn      | 200   | 200    |
+      | X-Trail: 1, X-More: 0         | in turn      | 200   | 200    |
+      | X-Stoatpath-Attempt-Id: other | in turn      | 200   | 200    |
+      | X-Trail: 1                    | byte by byte | 200   | 200    |
+      | no trailers                   | in turn      | 200   | 200    |
+      | no trailers                   | byte by byte | 200   | 200    |
+      | no trailers                   | at once      | 200   | 200    |
+      | X-Trail: 1                    | at once      | 200   | 503    |
+      | X-Stoatpath-Attempt-Id: other | at once      | 200   | 503    |
+
+  # Guards against callers who wait for the time limit on bodies after a mistake.
+  Scenario Outline: A chunked body that goes on with <bytes> is refused at once
+    Given a deployment
+    When a chunked book request goes on with <bytes>
+    Then the caller gets 400 within 2 s
+    And no backend server was reached
+
+    Examples:
+      | bytes                            |
+      | zz\r\nbody\r\n                   |
+      | 4\r\nbodyx\r\n                   |
+      | 0\r\nno trailer\r\n\r\n          |
+      | 0\r\nContent-Length: 5\r\n\r\n   |
+
   Scenario: An execution is cancelled when its caller disconnects
     Given a deployment
     And streams of 500 events
--- a/features/platform/steps/relaying_steps.py
+++ b/features/platform/steps/relaying_steps.py
@@ -612,3 +612,87 @@
     for run in runs:
         received = run.headers[header].encode(errors="surrogateescape")
         assert received == bytes.fromhex(values), received
+
+
+async def read_status(reader):
+    """Return the status of a response with a length, or 0 if none comes within 5 s."""
+    try:
+        async with asyncio.timeout(5):
+            head = await reader.readuntil(b"\r\n\r\n")
+            lines = head.decode().split("\r\n")
+            fields = dict(line.partition(": ")[::2] for line in lines[1:])
+            await reader.readexactly(int(fields["Content-Length"]))
+    except (asyncio.IncompleteReadError, TimeoutError):
+        return 0
+    return int(lines[0].split()[1])
+
+
+@when("a book request with {trailers} and then a look request are sent {how}")
+def step_impl(context, trailers, how):
+    context.trailers = [] if trailers == "no trailers" else trailers.split(", ")
+    headers = request_headers("book", 1) | {"Transfer-Encoding": "chunked"}
+    end = "".join(f"{line}\r\n" for line in ["0", *context.trailers, ""])
+    body = f"4\r\nbody\r\n{end}".encode()
+    first = raw_request(headers, "POST /book/1 HTTP/1.1", body)
+    second = raw_request(request_headers("look", 2))
+
+    async def send_both():
+        host, _, port = context.fixture.gateway.listener.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        if how == "at once":
+            writer.write(first + second)
+            statuses = [await read_status(reader) for _ in range(2)]
+        else:
+            statuses = []
+            step = 1 if how == "byte by byte" else len(first)
+            for data in (first, second):
+                for start in range(0, len(data), step):
+                    writer.write(data[start : start + step])
+                    await asyncio.sleep(0)
+                statuses.append(await read_status(reader))
+        writer.close()
+        return statuses
+
+    context.statuses = context.fixture.run(send_both())
+
+
+@then("they get {first:d} and {second:d}")
+def step_impl(context, first, second):
+    assert context.statuses == [first, second], context.statuses
+
+
+@then("the replicas received the body, and no header that was a trailer")
+def step_impl(context):
+    by_path = {run.path: run for run in context.fixture.runs()}
+    assert by_path["/book/1"].body == b"body"
+    assert len(by_path) == context.statuses.count(200), by_path
+    for run in by_path.values():
+        assert run.request_id in ("attempt-1", "attempt-2"), run.request_id
+        assert not {"X-Trail", "X-More"} & set(run.headers), run.headers
+
+
+@when("a chunked book request goes on with {values}")
+def step_impl(context, values):
+    headers = request_headers("book", 1) | {"Transfer-Encoding": "chunked"}
+    head = raw_request(headers, "POST /book/1 HTTP/1.1")
+    body = values.encode().decode("unicode_escape").encode()
+
+    async def send():
+        host, _, port = context.fixture.gateway.listener.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(head)
+        await asyncio.sleep(0.1)
+        writer.write(body)
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        status = await read_status(reader)
+        writer.close()
+        return status, loop.time() - began_s
+
+    context.status, context.took_s = context.fixture.run(send())
+
+
+@then("the caller gets {status:d} within {seconds:d} s")
+def step_impl(context, status, seconds):
+    assert context.status == status, context.status
+    assert context.took_s < seconds, context.took_s
--- a/stoatpath/callers/connections.py
+++ b/stoatpath/callers/connections.py
@@ -6,14 +6,18 @@
 
 import array
 import fcntl
+import functools
 import logging
 import termios
 from http import HTTPStatus
 
 from aiohttp import http_exceptions, web
+from aiohttp.http import HttpRequestParser
+from aiohttp.web_protocol import MAX_MSG_QUEUE_SIZE, _ErrInfo
 
 from stoatpath.callers.answers import JSON_TYPE, encode_error, render_failure
 from stoatpath.callers.bodies import BODY_FIELD
+from stoatpath.callers.trailers import TrailerWatch
 from stoatpath.outcomes import (
     BAD_REQUEST,
     HEAD_TOO_LARGE,
@@ -79,10 +83,17 @@
 
 
 class CallerConnection(web.RequestHandler):
-    """One connection of a caller."""
+    """One connection of a caller.
+
+    With `has_uncertain_head`, the head of the request that is handled may begin with a
+    trailer of the one before it.
+    """
 
     __slots__ = (
+        "has_uncertain_head",
         "_server",
+        "_new_parser",
+        "_trailers",
         "_accepted_s",
         "_head_timer",
         "_head_bytes",
@@ -93,6 +104,20 @@
 
     def __init__(self, server, **options):
         super().__init__(server, **options)
+        self.has_uncertain_head = False
+        self._new_parser = functools.partial(
+            HttpRequestParser,
+            self,
+            options["loop"],
+            options["read_bufsize"],
+            max_line_size=options["max_line_size"],
+            max_field_size=options["max_field_size"],
+            max_headers=options["max_headers"],
+            payload_exception=web.RequestPayloadError,
+            auto_decompress=options["auto_decompress"],
+            max_msg_queue_size=MAX_MSG_QUEUE_SIZE,
+        )
+        self._trailers = TrailerWatch()
         self._accepted_s = self._loop.time()
         self._server = server
         self._head_timer = None
@@ -194,7 +219,13 @@
 
     def data_received(self, data):
         """Parse bytes, and apply the limits on the head that they may belong to."""
+        if self._trailers.may_hold_trailer and self._is_between_requests():
+            self._parser = self._new_parser()
+            self._trailers.reset()
+        self._trailers.record_bytes(data)
         super().data_received(data)
+        if self._messages and isinstance(self._messages[-1][0], _ErrInfo):
+            self._fail_body(self._messages[-1][0])
         if not self._is_awaiting_head():
             self.reset_head()
             return
@@ -206,9 +237,24 @@
             detail = f"the request's head is larger than {limit} bytes"
             self._refuse(Failure(HEAD_TOO_LARGE, detail, field=HEAD_FIELD))
 
-    def complete_head(self):
+    def _is_between_requests(self):
+        """Return whether all requests that have begun to arrive are answered."""
+        return self._is_awaiting_head() and self._trailers.is_after_empty_line
+
+    def _fail_body(self, error):
+        """Let the reader of an open body know that the rest of it can't be parsed.
+
+        aiohttp tells only the reader of the next request.
+        """
+        request = self._current_request
+        if request is not None and not request.content.is_eof():
+            request.content.set_exception(web.RequestPayloadError(error.message))
+
+    def complete_head(self, is_chunked=False):
         """Record that a head is complete and its request is about to be handled."""
         self._has_received_head = True
+        self.has_uncertain_head = self._trailers.may_hold_trailer
+        self._trailers.record_request(is_chunked)
         self.reset_head()
 
     def reset_head(self):
@@ -329,7 +375,7 @@
         )
 
     def _make_request(self, message, payload, protocol, writer, task):
-        protocol.complete_head()
+        protocol.complete_head(message.chunked)
         return super()._make_request(message, payload, protocol, writer, task)
 
 
--- a/stoatpath/callers/listeners.py
+++ b/stoatpath/callers/listeners.py
@@ -11,7 +11,13 @@
 from stoatpath.callers.connections import CallerServer, ConnectionLimits
 from stoatpath.callers.statistics import RequestStatistics
 from stoatpath.heads import use_exact_heads
-from stoatpath.outcomes import SHUTTING_DOWN, Failure, Outcome, is_failure
+from stoatpath.outcomes import (
+    HEAD_UNCERTAIN,
+    SHUTTING_DOWN,
+    Failure,
+    Outcome,
+    is_failure,
+)
 from stoatpath.utils import new_id
 
 logger = logging.getLogger(__name__)
@@ -221,7 +227,7 @@
             response = await self._handle_until_end(opened, request_id)
         finally:
             self._unregister_request(registered_id)
-        if request.protocol.is_last_answer:
+        if request.protocol.is_last_answer or request.protocol.has_uncertain_head:
             response.force_close()
         return response
 
@@ -254,7 +260,11 @@
 
     async def _handle(self, opened, request_id):
         request = opened.request
-        parsed = await self._interface.read(request, request_id)
+        if request.protocol.has_uncertain_head:
+            detail = "its head may begin with a trailer of the request before it"
+            parsed = Failure(HEAD_UNCERTAIN, detail)
+        else:
+            parsed = await self._interface.read(request, request_id)
         if is_failure(parsed):
             self.statistics.record_refusal(parsed)
             return self._interface.render_failure(parsed, request_id)
--- a/stoatpath/commands/request_traces.py
+++ b/stoatpath/commands/request_traces.py
@@ -49,6 +49,8 @@
     "organisation allow",
     "backends-limited": "all backend servers that may serve it take no more requests "
     "for now; look for backends.limit",
+    "head-uncertain": "it was sent without waiting for the answer to a request whose "
+    "body has trailers; the last of them may have been read as its first header",
     "overloaded": "more requests waited than the instance lets wait",
     "deadline-unreachable": "its turn would have come after its deadline",
     "permission-expired": "what allowed it to be sent had ended when a connection was "
--- a/stoatpath/outcomes.py
+++ b/stoatpath/outcomes.py
@@ -45,6 +45,7 @@
 HEAD_TOO_LARGE = Reason("head-too-large", 431)
 
 # All other reasons: states of the system, of backend servers or of the request.
+HEAD_UNCERTAIN = Reason("head-uncertain", 503, retryable=True)
 OVERLOADED = Reason("overloaded", 503, retryable=True)
 DEADLINE_UNREACHABLE = Reason("deadline-unreachable", 503, retryable=True)
 NO_BACKEND = Reason("no-backend", 503, retryable=True)
