Long answers are read one after the other when there is no room for all

A gateway process with 150 MB took 150 and 174 MB under 300 callers who at once read 1 byte/s of answers of 4 MB. And, found by its scenario: 100 callers who read such answers as they come all got 504 after 20 s, since the answers were half read when the account was full, and waited for each other.

Cause: up to 256 KB were read ahead of each answer (one read of the event loop, whatever aiohttp has room for), not counted; each waited with a part of its answer, in no order; and a whole answer was copied as it was written, the copy counted, the original not.

Change: connections to backend servers read 16 KB at once into a buffer that they share (BoundedReads); what may be ahead of a long answer is counted as reserved; nothing is read from a connection whose answer waits; the answer that began to wait first is read on to its end, unless its backend server stalls or callers have yet to take 8 MB of whole answers; answers are written in slices, and counted until they are written.

features/resilience/memory.feature, "Many callers at once ...": both failed before.

--- a/features/resilience/memory.feature
+++ b/features/resilience/memory.feature
@@ -31,3 +31,23 @@
     Given a gateway that may hold 15 MB, before backend servers with answers of 2000 KB
     When it holds 16 MB and a caller sends a look request
     Then the caller is answered with 503, and the request never ran
+
+  # Guards against instances that end since each of many answers is read ahead of its caller.
+  Scenario: Many callers at once read long answers slowly
+    Given a gateway process with 150 MB, before backend servers with answers of 4000 KB
+    When 300 callers at once read 1 byte a second of their answers for 9 s
+    Then the process never took more than 125 MB
+
+  # Guards against answers that are all half read when there is no room for the rest.
+  Scenario: Many callers at once read long answers as they come
+    Given a gateway process with 150 MB, before backend servers with answers of 4000 KB
+    When 100 callers at once read their answers as they come
+    Then each is answered with 200 and the whole answer, or with 503 and never ran
+    And at least 20 are answered with 200
+    And the process never took more than 125 MB
+
+  # Guards against answers that wait for one whose backend server has stopped sending.
+  Scenario: The first of the answers that wait stalls
+    Given an account of 1000 KB, full of two answers of which one was there first
+    Then the first may be read on, and the second waits
+    And once the first has stalled for 1 s the second may be read on
--- a/features/resilience/steps/stop_steps.py
+++ b/features/resilience/steps/stop_steps.py
@@ -234,8 +234,9 @@
         self.process = None
         self.started_s = 0.0
 
-    async def start(self, store_address, grace_s=GRACE_S):
+    async def start(self, store_address, grace_s=GRACE_S, **limits):
         mapping = boot_mapping("gateway-p", store_address, {"grace_s": grace_s})
+        mapping["limits"] |= limits
         boot = os.path.join(self.folder.name, "boot.yaml")
         with open(boot, "w", encoding="utf-8") as file:
             yaml.safe_dump(mapping, file)
--- a/stoatpath/callers/relays.py
+++ b/stoatpath/callers/relays.py
@@ -6,6 +6,7 @@
 from xxhash import xxh3_64_intdigest
 
 from stoatpath.callers.relay_messages import RelayedRequest
+from stoatpath.callers.relayed_responses import RelayedResponse
 from stoatpath.callers.unframed import UnframedResponse
 from stoatpath.outcomes import (
     BAD_REQUEST,
@@ -276,9 +277,7 @@
     """Return a response with the status, headers and body of a backend server."""
     if answer.head.is_unframed:
         return UnframedResponse(answer.head.status, answer.head.headers, answer.body)
-    return web.Response(
-        status=answer.head.status, headers=answer.head.headers, body=answer.body
-    )
+    return RelayedResponse(answer)
 
 
 def _conservative_status(failure):
--- a/stoatpath/dispatch/deadlines.py
+++ b/stoatpath/dispatch/deadlines.py
@@ -91,11 +91,6 @@
         if self.first_byte_ms is None:
             self.first_byte_ms = now_ms
 
-    async def wait_for_room(self, memory):
-        """Wait until a `MemoryAccount` has room; no bytes are expected meanwhile."""
-        if memory.is_full():
-            await self.write_to_caller(memory.wait_for_room())
-
     async def write_to_caller(self, write):
         """Await a write to the caller, during which no bytes are expected.
 
--- a/stoatpath/dispatch/exchanges.py
+++ b/stoatpath/dispatch/exchanges.py
@@ -2,7 +2,7 @@
 
 import aiohttp
 
-from stoatpath.backpressure.memory import counted_bytes
+from stoatpath.backpressure.memory import HeldAnswer, counted_bytes
 from stoatpath.dispatch.last_checks import NotSent
 from stoatpath.outcomes import (
     BROKEN_ANSWER,
@@ -15,6 +15,8 @@
 )
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
+# At most what is reserved for an answer of which more is read.
+CHUNK_BYTES = 32 * 1024
 
 
 async def run_exchange(exchange, deadlines):
@@ -41,25 +43,33 @@
     `memory`, a `MemoryAccount`, holds its `counted_bytes` then. While that is full,
     nothing more is read, so that the backend server is held up.
     """
+    if memory is None:
+        return await _read_chunks(content, deadlines, None)
+    held = HeldAnswer(memory)
+    try:
+        body = await _read_chunks(content, deadlines, held)
+    finally:
+        held.end()
+    memory.hold(counted_bytes(len(body)))
+    return body
+
+
+async def _read_chunks(content, deadlines, held):
     chunks = []
     size = 0
-    held_bytes = 0
-    try:
-        while chunk := await content.readany():
-            deadlines.record_bytes()
-            size += len(chunk)
-            if size > MAX_BODY_BYTES:
-                detail = f"a body beyond {MAX_BODY_BYTES} bytes"
-                raise aiohttp.ClientPayloadError(detail)
-            chunks.append(chunk)
-            if memory is not None and counted_bytes(size):
-                memory.hold(size - held_bytes)
-                held_bytes = size
-                await deadlines.wait_for_room(memory)
-    except BaseException:
-        if held_bytes:
-            memory.release(held_bytes)
-        raise
+    while chunk := await content.read(CHUNK_BYTES):
+        deadlines.record_bytes()
+        size += len(chunk)
+        if size > MAX_BODY_BYTES:
+            detail = f"a body beyond {MAX_BODY_BYTES} bytes"
+            raise aiohttp.ClientPayloadError(detail)
+        chunks.append(chunk)
+        if held is not None:
+            held.hold(size)
+            if held.must_wait():
+                # aiohttp has no public access to the connection of a body.
+                wait = content._protocol.read_nothing_during(held.wait_for_room())
+                await deadlines.write_to_caller(wait)
     return chunks[0] if len(chunks) == 1 else b"".join(chunks)
 
 
--- a/stoatpath/dispatch/response_handlers.py
+++ b/stoatpath/dispatch/response_handlers.py
@@ -1,5 +1,6 @@
 """The protocol of connections to backend servers, with checks that aiohttp lacks."""
 
+import asyncio
 import functools
 
 import aiohttp
@@ -8,6 +9,8 @@
 # Bytes that may arrive without a part of a body among them: a head, interim answers or
 # the extension of a chunk. aiohttp bounds a head, not the others.
 MAX_OVERHEAD_BYTES = 262_144
+# Bytes that are read at once; an event loop would read 256 KB.
+RECEIVE_BYTES = 16 * 1024
 
 
 class CheckedResponseHandler(ResponseHandler):
@@ -21,6 +24,15 @@
     _body_bytes = 0
     _overhead_bytes = 0
 
+    def __init__(self, loop, receive_buffer):
+        super().__init__(loop)
+        self._receive_buffer = receive_buffer
+
+    def connection_made(self, transport):
+        """Let the transport read into a buffer of `RECEIVE_BYTES`."""
+        super().connection_made(transport)
+        transport.set_protocol(BoundedReads(self, self._receive_buffer))
+
     def data_received(self, data):
         """Parse bytes, and count those that are no part of a body."""
         earlier_error = self.exception()
@@ -37,6 +49,14 @@
         if self._overhead_bytes > MAX_OVERHEAD_BYTES:
             self._fail("an answer without end")
 
+    async def read_nothing_during(self, wait):
+        """Await something while nothing is read from the connection."""
+        self._pause_reading_for_buffer()
+        try:
+            return await wait
+        finally:
+            self._resume_reading_for_buffer()
+
     def connection_lost(self, exc):
         """Set an exception on the open body unless the connection closed cleanly."""
         if exc is not None:
@@ -57,6 +77,48 @@
             self._payload.set_exception(aiohttp.ClientPayloadError(detail))
 
 
+class BoundedReads(asyncio.BufferedProtocol):
+    """Passes the events of a transport on to a protocol, and what arrives in parts.
+
+    The protocols of an event loop share `receive_buffer`: what was read into it is
+    passed on before anything else is read.
+    """
+
+    __slots__ = ("_protocol", "_receive_buffer")
+
+    def __init__(self, protocol, receive_buffer):
+        self._protocol = protocol
+        self._receive_buffer = receive_buffer
+
+    def get_buffer(self, sizehint):
+        """Return the buffer to read into."""
+        return self._receive_buffer
+
+    def buffer_updated(self, count):
+        """Pass on the bytes that were read."""
+        self._protocol.data_received(bytes(self._receive_buffer[:count]))
+
+    def eof_received(self):
+        """Pass on that the other side sends no more."""
+        return self._protocol.eof_received()
+
+    def pause_writing(self):
+        """Pass on that the write buffer is full."""
+        self._protocol.pause_writing()
+
+    def resume_writing(self):
+        """Pass on that the write buffer has room."""
+        self._protocol.resume_writing()
+
+    def connection_lost(self, exc):
+        """Pass on that the connection has ended."""
+        self._protocol.connection_lost(exc)
+
+
 def use_checked_handler(connector):
     """Let the connections of a connector be checked; aiohttp has no public option."""
-    connector._factory = functools.partial(CheckedResponseHandler, loop=connector._loop)
+    connector._factory = functools.partial(
+        CheckedResponseHandler,
+        loop=connector._loop,
+        receive_buffer=memoryview(bytearray(RECEIVE_BYTES)),
+    )
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -35,7 +35,7 @@
 # healthy backend server may fall silent for a second or so.
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
 # aiohttp reads no more of an answer while twice as much waits.
-READ_BUFFER_BYTES = 32 * 1024
+READ_BUFFER_BYTES = 16 * 1024
 MAX_PRIORITY = 9
 # A backend server that names no request at all still gets one now and then, since only
 # an answer can tell that its limit has ended.
