--- a/features/platform/steps/forwarding_steps.py
+++ b/features/platform/steps/forwarding_steps.py
@@ -6,10 +6,11 @@
 import aiohttp
 from backpressure_steps import FleetFixture
 from behave import given, then, when
-from callers import request_headers, send_request, wait_until
+from callers import request_headers, send_bytes, send_request, wait_until
 
 from stoatpath.clock import Clock
 from stoatpath.platform.backend_calls import CONNECT_TIMEOUT_MS, BackendClient
+from stoatpath.standins.faults import Fault
 
 # Together longer than a circuit stays open.
 PAUSE_S = 0.1
@@ -351,3 +352,32 @@
             given_ms = int(run.headers["X-Stoatpath-Deadline-Ms"])
             end_ms = arrived_ms_by_id[run.request_id] + given_ms
             assert end_ms <= context.stopped_ms + context.grace_ms, run.request_id
+
+
+@given("the replicas answer with the header bytes that they receive")
+def step_impl(context):
+    for replica in context.fleet.deployment.replicas_by_name.values():
+        replica.faults.add(Fault("serve", "echo-bytes", count=None))
+
+
+@when("a {route} request with the header bytes {values} comes to one of these")
+def step_impl(context, route, values):
+    send = send_bytes(
+        context.cut_gateways[0], route, "attempt-odd", bytes.fromhex(values)
+    )
+    context.response = context.fleet.run(send)
+
+
+@then(
+    "it is answered with {status:d} and the header bytes {values}, "
+    "which a replica received"
+)
+def step_impl(context, status, values):
+    response = context.response
+    assert response.status == status, response.body
+    replicas = context.fleet.deployment.replicas_by_name.values()
+    runs = [run for each in replicas for run in each.runs]
+    (run,) = [run for run in runs if run.request_id == "attempt-odd"]
+    received = run.headers["X-Bytes"].encode(errors="surrogateescape")
+    assert received == bytes.fromhex(values), received
+    assert response.headers["X-Bytes"] == bytes.fromhex(values), response.headers
