A stream doesn't end where an attempt had brought a part of the next event

What callers saw: a stream that was cut within an event ended as complete without that event if the resumed attempt was answered with an empty stream.

Cause: the end of a run with a length or chunks was believed even against what an earlier attempt had shown; asked that of answers that end with their connection alone.

Change: both kinds of ends ask it, in one place.

--- a/features/platform/resumption.feature
+++ b/features/platform/resumption.feature
@@ -32,6 +32,11 @@
       | 3      | events-500 |
       | 5      | events-503 |
 
+    Examples: an end where more was seen
+      | events | next  |
+      | 0      | empty |
+      | 3      | empty |
+
     Examples: no whole answer
       | events | next         |
       | 3      | short        |
--- a/stoatpath/dispatch/event_relays.py
+++ b/stoatpath/dispatch/event_relays.py
@@ -19,6 +19,7 @@
 # Python converts no longer numbers.
 MAX_ID_DIGITS = 4_300
 MAX_EVENT_BYTES = 1024 * 1024
+ENDS_BEFORE_MORE = "it ended where another attempt brought more"
 
 
 class EventRelay:
@@ -184,6 +185,8 @@
             return splitter.problem
     if splitter.has_partial_event:
         return broken_answer("the stream ended within an event")
+    if relay.has_more:
+        return broken_answer(ENDS_BEFORE_MORE)
     if splitter.rest:
         write = relay.write(splitter.rest, *splitter.position)
         caller_failure = await deadlines.write_to_caller(write)
--- a/stoatpath/dispatch/relay_senders.py
+++ b/stoatpath/dispatch/relay_senders.py
@@ -164,8 +164,6 @@
         relay = attempt.relay if answer.body is None else None
         if relay is None or not request.is_repeatable or not relay.is_resumable:
             return answer
-        if relay.has_more:
-            return broken_answer("it ended where another attempt brought more")
         if relay.is_end_confirmed():
             return answer
         detail = f"it ended with its connection after {attempt.events} events"
