Expectations other than 100-continue pass; callers of HTTP/1.0 get no interim answer

Expect: x-other was dropped ("Other headers are also forwarded"), a caller who sent 100-continue as one of several expectations waited for an interim answer that never came, and one of HTTP/1.0, who can't read any, got one (RFC 9110, 10.1.1). Cause: the whole value was compared, for any version, and Expect always consumed. Now it is where it has 100-continue among its values, which the gateway meets itself as it reads the body.

--- a/features/platform/relaying.feature
+++ b/features/platform/relaying.feature
@@ -240,6 +240,21 @@
       | expected | none     |
       | expected | gzip     |
 
+  # Guards against callers who wait for an interim answer, or get one that they can't read.
+  Scenario Outline: A request of <version> that expects <expectation> gets <first> first
+    Given a deployment
+    When a book request of <version> expects <expectation>
+    Then its first status is <first>, its last one 200
+    And the replica received the expectation <passed>
+
+    Examples:
+      | version  | expectation           | first | passed |
+      | HTTP/1.1 | 100-continue          | 100   | none   |
+      | HTTP/1.1 | 100-Continue          | 100   | none   |
+      | HTTP/1.1 | x-other, 100-continue | 100   | none   |
+      | HTTP/1.1 | x-other               | 200   | x-other |
+      | HTTP/1.0 | 100-continue          | 200   | none   |
+
   # Guards against requests that get a header, or a second identifier, from the one before.
   Scenario Outline: A chunked body with <trailers> changes no other request, sent <how>
     Given a deployment
--- a/features/platform/steps/relaying_steps.py
+++ b/features/platform/steps/relaying_steps.py
@@ -696,3 +696,40 @@
 def step_impl(context, status, seconds):
     assert context.status == status, context.status
     assert context.took_s < seconds, context.took_s
+
+
+@when("a book request of {version} expects {expectation}")
+def step_impl(context, version, expectation):
+    headers = request_headers("book", 1, Connection="close", Expect=expectation)
+    headers["Content-Length"] = "4"
+
+    async def send():
+        host, _, port = context.fixture.gateway.listener.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(raw_request(headers, f"POST /book/1 {version}"))
+        first = b""
+        if "100-continue" in expectation.lower() and version == "HTTP/1.1":
+            async with asyncio.timeout(5):
+                first = await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"body")
+        async with asyncio.timeout(5):
+            rest = await reader.read()
+        writer.close()
+        return first + rest
+
+    answer = context.fixture.run(send())
+    lines = [each for each in answer.split(b"\r\n") if each.startswith(b"HTTP/")]
+    context.statuses = [int(line.split()[1]) for line in lines]
+
+
+@then("its first status is {first:d}, its last one {last:d}")
+def step_impl(context, first, last):
+    found = context.statuses
+    assert (found[0], found[-1]) == (first, last), found
+
+
+@then("the replica received the expectation {expectation}")
+def step_impl(context, expectation):
+    (run,) = context.fixture.runs()
+    assert run.headers.get("Expect", "none") == expectation, run.headers
+    assert run.body == b"body", run.body
--- a/stoatpath/callers/bodies.py
+++ b/stoatpath/callers/bodies.py
@@ -2,9 +2,10 @@
 
 import asyncio
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 from stoatpath.backpressure.memory import MemoryAccount, counted_bytes
+from stoatpath.heads import expects_continue
 from stoatpath.outcomes import (
     BAD_REQUEST,
     BODY_TOO_LARGE,
@@ -14,7 +15,6 @@
 )
 
 BODY_FIELD = "body"
-CONTINUE_EXPECTATION = "100-continue"
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -62,7 +62,7 @@
 
     async def _read_into(self, body, request):
         """Read all of a body; return the failure that ended it, or None."""
-        if request.headers.get("Expect", "").lower() == CONTINUE_EXPECTATION:
+        if request.version >= HttpVersion11 and expects_continue(request.headers):
             # aiohttp answers it only in applications. The response is none yet.
             await request.writer.write(CONTINUE_RESPONSE)
             request.writer.output_size = 0
--- a/stoatpath/heads.py
+++ b/stoatpath/heads.py
@@ -6,6 +6,7 @@
 
 from aiohttp import http_writer
 
+CONTINUE_EXPECTATION = "100-continue"
 _serialize = http_writer._serialize_headers
 
 
@@ -26,6 +27,12 @@
     return "\r\n".join([*lines, "", ""]).encode(errors="surrogateescape")
 
 
+def expects_continue(headers):
+    """Return whether a caller waits for an interim answer before it sends its body."""
+    expectations = ",".join(headers.getall("Expect", ())).lower().split(",")
+    return CONTINUE_EXPECTATION in [each.strip() for each in expectations]
+
+
 def is_utf8(value):
     """Return whether the bytes of a header value are UTF-8."""
     if value.isascii():
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -16,7 +16,7 @@
 from stoatpath.dispatch.connections import accepts_connections
 from stoatpath.dispatch.last_checks import CheckedRequest
 from stoatpath.dispatch.response_handlers import use_checked_handler
-from stoatpath.heads import is_utf8, use_exact_heads
+from stoatpath.heads import expects_continue, is_utf8, use_exact_heads
 from stoatpath.platform import names
 from stoatpath.platform.fields import read_integer
 from stoatpath.utils import decode_json
@@ -60,7 +60,6 @@
     for name in (
         "Authorization",
         "Content-Length",
-        "Expect",
         names.DEADLINE_MS,
         names.FORWARDED,
         names.LAST_EVENT_ID,
@@ -237,12 +236,15 @@
 def forwarded_headers(headers):
     """Return the end-to-end headers of a caller, without those that the router sets.
 
-    The name of a model that is not UTF-8 is no model's; it passes as it came.
+    The name of a model that is not UTF-8 is no model's; it passes as it came. So does
+    an expectation that the router doesn't meet itself.
     """
     dropped = _connection_header_names(headers) | names.HOP_HEADERS
     dropped |= names.ROUTER_HEADERS | REPLACED_HEADERS
     if not is_utf8(headers.get(names.MODEL, "")):
         dropped -= {names.MODEL.lower()}
+    if expects_continue(headers):
+        dropped |= {"expect"}
     return [
         (name, value) for name, value in headers.items() if name.lower() not in dropped
     ]
--- a/stoatpath/standins/replicas.py
+++ b/stoatpath/standins/replicas.py
@@ -155,7 +155,9 @@
         self.events = 5
         self.event_ms = 1.0
         self.delay_ms = 0.0
-        self._server = StandinServer([web.route("*", "/{path:.*}", self._serve)])
+        self._server = StandinServer(
+            [web.route("*", "/{path:.*}", self._serve, expect_handler=_accept_any)]
+        )
         self._transports = set()
 
     async def start(self):
@@ -450,6 +452,10 @@
     }.get(kind)
 
 
+async def _accept_any(request):
+    """Serve a request whatever it expects."""
+
+
 def _endless_parts(kind, headers):
     """Return the start of an answer without end, and what it repeats."""
     lines = [f"{name}: {value}\r\n" for name, value in headers.items()]
