A page of a table without rows, though more follow, isn't the end of the table

An answer of the store with no rows and `truncated` ended the full read of a table, and every row that had not come was taken as removed: all backend servers, or the configuration.

Such an answer is unreadable now, and the copy stays as it was.

Evidence: feeds.feature, a follower meets empty-page on read: failed before (a copy without the row, no outage recorded), passes now.

--- a/stoatpath/commands/store_views.py
+++ b/stoatpath/commands/store_views.py
@@ -291,7 +291,7 @@
         if not isinstance(page, RowPage):
             return page
         rows.update((row.key, row) for row in page.rows if not row.is_deleted)
-        if page.is_last or not page.rows:
+        if page.is_last:
             return rows
         start = page.rows[-1].key + NEXT_KEY_SUFFIX
 
--- a/stoatpath/feeds/features/feeds.feature
+++ b/stoatpath/feeds/features/feeds.feature
@@ -15,6 +15,7 @@
       | read      | reply-lost   | 1       |
       | read      | garbage      | 1       |
       | read      | wrong-shape  | 1       |
+      | read      | empty-page   | 1       |
       | feed      | down         | 1       |
       | feed      | throttled    | 1       |
       | feed      | request-lost | 1       |
--- a/stoatpath/feeds/followers.py
+++ b/stoatpath/feeds/followers.py
@@ -217,7 +217,7 @@
             version = page.version if version is None else version
             if as_of_ms is None:
                 as_of_ms, as_of_store_ms = page_as_of_ms, page.store_ms
-            if page.is_last or not page.rows:
+            if page.is_last:
                 break
             start_key = page.rows[-1].key + END_OF_KEYS
         self._has_gap = False
--- a/stoatpath/platform/row_stores.py
+++ b/stoatpath/platform/row_stores.py
@@ -99,6 +99,8 @@
         """Build a page from its JSON representation."""
         rows = [StoredRow.from_json(row, era) for row in read_list(data, "rows")]
         is_last = not data.get("truncated", False)
+        if not rows and not is_last:
+            raise ValueError("no rows, though more follow")
         store_ms = read_number(data, "now_ms", -MAX_INTEGER)
         return cls(rows, _read_version(data, era), float(store_ms), is_last)
 
--- a/stoatpath/standins/faults.py
+++ b/stoatpath/standins/faults.py
@@ -3,7 +3,7 @@
 Kinds that the stand-ins of platform services share: `down`, `throttled`, `slow`,
 `request-lost`, `reply-lost`, `garbage` (not JSON) and `wrong-shape` (JSON with
 unexpected fields). Tables and objects also have `write-lost`: a write that is
-confirmed, but not applied.
+confirmed, but not applied, and `empty-page` (no rows, though more follow).
 """
 
 import asyncio
@@ -96,4 +96,6 @@
         return web.Response(text="<html>bad gateway</html>")
     if kind == "wrong-shape":
         return web.json_response({"unexpected": [1, None]})
+    if kind == "empty-page":
+        return web.json_response(answer | {"rows": [], "truncated": True})
     return web.json_response(answer)
