--- a/features/platform/relaying.feature
+++ b/features/platform/relaying.feature
@@ -47,9 +47,8 @@
       | chat  | shed         | 200    | 1    |
       | chat  | error        | 200    | 2    |
       | chat  | cut          | 200    | 2    |
-      | chat  | skip         | 200    | 2    |
       | chat  | reset-before | 200    | 1    |
-      | chat  | unframed     | 200    | 1    |
+      | chat  | unframed     | 200    | 2    |
       | chat  | unframed-cut | 200    | 2    |
 
     Examples: a stream that can't be resumed runs once
@@ -68,6 +67,24 @@
       | sum   | error        | 200    | 2    |
       | sum   | half         | 200    | 2    |
 
+  # Guards against callers that wait until their deadline for the rest of a body of which
+  # a part can't be read.
+  Scenario Outline: A <route> request whose first answer is garbled within its body
+    Given a deployment
+    And the next execution has fault garbled
+    When a caller sends a <route> request
+    Then the caller gets <status> within 800 ms
+    And the request ran at most <runs> times
+    And a successful response has the replica seal and the complete body
+
+    Examples:
+      | route | status | runs |
+      | look  | 200    | 2    |
+      | sum   | 200    | 2    |
+      | chat  | 200    | 2    |
+      | book  | 502    | 1    |
+      | tell  | 0      | 1    |
+
   # With one replica of the model service there is none to hedge to.
   Scenario Outline: A low-confidence response to a <route> request runs <models>
     Given a deployment with 1 model replica
@@ -173,6 +190,38 @@
       | /look/a;p=1+2%20 |
       | /look/[a]{b}'"c  |
 
+  # Guards against headers that lose the bytes which are not UTF-8, on either way.
+  Scenario Outline: The header bytes <bytes> of a <route> request pass both ways unchanged
+    Given a deployment
+    And the next execution has fault echo-bytes
+    When a <route> request comes with the header bytes <bytes>
+    Then the caller gets 200
+    And the replica and the caller received the header bytes <bytes>
+
+    Examples:
+      | route | bytes       |
+      | look  | E9 FC       |
+      | look  | 61 E9 C3 A9 |
+      | look  | ED B3 A9    |
+      | book  | E9 FC       |
+      | chat  | E9 FC       |
+      | chat  | C3 A9       |
+
+  # Guards against requests that fail, or fail after they ran, by a name that isn't UTF-8.
+  Scenario Outline: A <route> request during a roll-out runs with the bytes <bytes> in <header>
+    Given a deployment
+    And a roll-out of each service is in progress
+    When 5 <route> requests come with the bytes <bytes> in <header>
+    Then each gets 200, and replicas received the bytes <bytes> in <header>
+
+    Examples:
+      | route | header                    | bytes                         |
+      | look  | Session                   | E9 FC                         |
+      | chat  | Session                   | E9 FC                         |
+      | chat  | X-Stoatpath-Prompt-Prefix | 61 E9 3A 36 30 2C 62 3A 34 30 |
+      | sum   | X-Stoatpath-Prompt-Prefix | 61 E9 3A 36 30 2C 62 3A 34 30 |
+      | look  | X-Stoatpath-Model         | E9 FC                         |
+
   # Guards against bodies that are changed on their way, or never sent.
   Scenario Outline: A <framing> body with content coding <coding> reaches the replica unchanged
     Given a deployment
@@ -191,6 +240,54 @@
       | expected | none     |
       | expected | gzip     |
 
+  # Guards against callers who wait for an interim answer, or get one that they can't read.
+  Scenario Outline: A request of <version> that expects <expectation> gets <first> first
+    Given a deployment
+    When a book request of <version> expects <expectation>
+    Then its first status is <first>, its last one 200
+    And the replica received the expectation <passed>
+
+    Examples:
+      | version  | expectation           | first | passed |
+      | HTTP/1.1 | 100-continue          | 100   | none   |
+      | HTTP/1.1 | 100-Continue          | 100   | none   |
+      | HTTP/1.1 | x-other, 100-continue | 100   | none   |
+      | HTTP/1.1 | x-other               | 200   | x-other |
+      | HTTP/1.0 | 100-continue          | 200   | none   |
+
+  # Guards against requests that get a header, or a second identifier, from the one before.
+  Scenario Outline: A chunked body with <trailers> changes no other request, sent <how>
+    Given a deployment
+    When a book request with <trailers> and then a look request are sent <how>
+    Then they get <first> and <second>
+    And the replicas received the body, and no header that was a trailer
+
+    Examples:
+      | trailers                      | how          | first | second |
+      | X-Trail: 1                    | in turn      | 200   | 200    |
+      | X-Trail: 1, X-More: 0         | in turn      | 200   | 200    |
+      | X-Stoatpath-Attempt-Id: other | in turn      | 200   | 200    |
+      | X-Trail: 1                    | byte by byte | 200   | 200    |
+      | no trailers                   | in turn      | 200   | 200    |
+      | no trailers                   | byte by byte | 200   | 200    |
+      | no trailers                   | at once      | 200   | 200    |
+      | X-Trail: 1                    | at once      | 200   | 503    |
+      | X-Stoatpath-Attempt-Id: other | at once      | 200   | 503    |
+
+  # Guards against callers who wait for the time limit on bodies after a mistake.
+  Scenario Outline: A chunked body that goes on with <bytes> is refused at once
+    Given a deployment
+    When a chunked book request goes on with <bytes>
+    Then the caller gets 400 within 2 s
+    And no backend server was reached
+
+    Examples:
+      | bytes                            |
+      | zz\r\nbody\r\n                   |
+      | 4\r\nbodyx\r\n                   |
+      | 0\r\nno trailer\r\n\r\n          |
+      | 0\r\nContent-Length: 5\r\n\r\n   |
+
   Scenario: An execution is cancelled when its caller disconnects
     Given a deployment
     And streams of 500 events
--- a/features/platform/steps/relaying_steps.py
+++ b/features/platform/steps/relaying_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import gzip
 import socket
+import time
 import zlib
 from collections import Counter
 from unittest import mock
@@ -12,6 +13,7 @@
     ATTEMPT_ID,
     CallerResponse,
     request_headers,
+    send_bytes,
     send_raw,
     send_request,
     wait_until,
@@ -19,7 +21,13 @@
 
 from stoatpath.dispatch.liveness import LivenessWatch
 from stoatpath.platform.backend_calls import create_socket
-from stoatpath.standins.deployments import CALLER_KEY, HOST, LLM_SERVICE, Deployment
+from stoatpath.standins.deployments import (
+    CALLER_KEY,
+    HOST,
+    LLM_SERVICE,
+    PLAIN_SERVICE,
+    Deployment,
+)
 from stoatpath.standins.faults import Fault, FaultTable
 
 FORGED = {
@@ -159,7 +167,16 @@
 @when("a caller sends a {route} request")
 def step_impl(context, route):
     fixture = context.fixture
+    context.sent_s = time.monotonic()
     fixture.response = fixture.run(send_request(fixture.gateway, route))
+    context.answered_s = time.monotonic()
+
+
+@then("the caller gets {status:d} within {limit:d} ms")
+def step_impl(context, status, limit):
+    context.execute_steps(f"Then the caller gets {status}")
+    took_ms = 1000 * (context.answered_s - context.sent_s)
+    assert took_ms <= limit, took_ms
 
 
 @when("a caller sends a look request with forged headers")
@@ -538,3 +555,181 @@
 def step_impl(context, target):
     (run,) = context.fixture.runs()
     assert run.path == target, run.path
+
+
+@when("a {route} request comes with the header bytes {values}")
+def step_impl(context, route, values):
+    fixture = context.fixture
+    send = send_bytes(fixture.gateway, route, "attempt-1", bytes.fromhex(values))
+    fixture.response = fixture.run(send)
+
+
+@then("the replica and the caller received the header bytes {values}")
+def step_impl(context, values):
+    (run,) = context.fixture.runs()
+    received = run.headers["X-Bytes"].encode(errors="surrogateescape")
+    assert received == bytes.fromhex(values), received
+    returned = context.fixture.response.headers["X-Bytes"]
+    assert returned == bytes.fromhex(values), returned
+
+
+@given("a roll-out of each service is in progress")
+def step_impl(context):
+    fixture = context.fixture
+    registry = fixture.gateway.releases.registry
+
+    async def begin():
+        for service in (LLM_SERVICE, PLAIN_SERVICE):
+            await fixture.deployment.add_replica(f"n-{service}", service, "v2")
+            order = {"service": service, "to": "v2", "duration_s": 60}
+            await fixture.deployment.store.put("op", f"rollout/{service}", order)
+        await fixture.deployment.wait_until_in_sync()
+        assert await wait_until(lambda: len(registry.open_orders()) == 2)
+
+    fixture.run(begin())
+
+
+@when("{count:d} {route} requests come with the bytes {values} in {header}")
+def step_impl(context, count, route, values, header):
+    fixture = context.fixture
+    value = bytes.fromhex(values)
+
+    async def send_all():
+        return [
+            await send_bytes(fixture.gateway, route, f"attempt-{number}", value, header)
+            for number in range(count)
+        ]
+
+    context.responses = fixture.run(send_all())
+
+
+@then("each gets {status:d}, and replicas received the bytes {values} in {header}")
+def step_impl(context, status, values, header):
+    statuses = [response.status for response in context.responses]
+    assert statuses == [status] * len(statuses), statuses
+    runs = context.fixture.runs()
+    assert len(runs) >= len(statuses), len(runs)
+    for run in runs:
+        received = run.headers[header].encode(errors="surrogateescape")
+        assert received == bytes.fromhex(values), received
+
+
+async def read_status(reader):
+    """Return the status of a response with a length, or 0 if none comes within 5 s."""
+    try:
+        async with asyncio.timeout(5):
+            head = await reader.readuntil(b"\r\n\r\n")
+            lines = head.decode().split("\r\n")
+            fields = dict(line.partition(": ")[::2] for line in lines[1:])
+            await reader.readexactly(int(fields["Content-Length"]))
+    except (asyncio.IncompleteReadError, TimeoutError):
+        return 0
+    return int(lines[0].split()[1])
+
+
+@when("a book request with {trailers} and then a look request are sent {how}")
+def step_impl(context, trailers, how):
+    context.trailers = [] if trailers == "no trailers" else trailers.split(", ")
+    headers = request_headers("book", 1) | {"Transfer-Encoding": "chunked"}
+    end = "".join(f"{line}\r\n" for line in ["0", *context.trailers, ""])
+    body = f"4\r\nbody\r\n{end}".encode()
+    first = raw_request(headers, "POST /book/1 HTTP/1.1", body)
+    second = raw_request(request_headers("look", 2))
+
+    async def send_both():
+        host, _, port = context.fixture.gateway.listener.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        if how == "at once":
+            writer.write(first + second)
+            statuses = [await read_status(reader) for _ in range(2)]
+        else:
+            statuses = []
+            step = 1 if how == "byte by byte" else len(first)
+            for data in (first, second):
+                for start in range(0, len(data), step):
+                    writer.write(data[start : start + step])
+                    await asyncio.sleep(0)
+                statuses.append(await read_status(reader))
+        writer.close()
+        return statuses
+
+    context.statuses = context.fixture.run(send_both())
+
+
+@then("they get {first:d} and {second:d}")
+def step_impl(context, first, second):
+    assert context.statuses == [first, second], context.statuses
+
+
+@then("the replicas received the body, and no header that was a trailer")
+def step_impl(context):
+    by_path = {run.path: run for run in context.fixture.runs()}
+    assert by_path["/book/1"].body == b"body"
+    assert len(by_path) == context.statuses.count(200), by_path
+    for run in by_path.values():
+        assert run.request_id in ("attempt-1", "attempt-2"), run.request_id
+        assert not {"X-Trail", "X-More"} & set(run.headers), run.headers
+
+
+@when("a chunked book request goes on with {values}")
+def step_impl(context, values):
+    headers = request_headers("book", 1) | {"Transfer-Encoding": "chunked"}
+    head = raw_request(headers, "POST /book/1 HTTP/1.1")
+    body = values.encode().decode("unicode_escape").encode()
+
+    async def send():
+        host, _, port = context.fixture.gateway.listener.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(head)
+        await asyncio.sleep(0.1)
+        writer.write(body)
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        status = await read_status(reader)
+        writer.close()
+        return status, loop.time() - began_s
+
+    context.status, context.took_s = context.fixture.run(send())
+
+
+@then("the caller gets {status:d} within {seconds:d} s")
+def step_impl(context, status, seconds):
+    assert context.status == status, context.status
+    assert context.took_s < seconds, context.took_s
+
+
+@when("a book request of {version} expects {expectation}")
+def step_impl(context, version, expectation):
+    headers = request_headers("book", 1, Connection="close", Expect=expectation)
+    headers["Content-Length"] = "4"
+
+    async def send():
+        host, _, port = context.fixture.gateway.listener.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(raw_request(headers, f"POST /book/1 {version}"))
+        first = b""
+        if "100-continue" in expectation.lower() and version == "HTTP/1.1":
+            async with asyncio.timeout(5):
+                first = await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"body")
+        async with asyncio.timeout(5):
+            rest = await reader.read()
+        writer.close()
+        return first + rest
+
+    answer = context.fixture.run(send())
+    lines = [each for each in answer.split(b"\r\n") if each.startswith(b"HTTP/")]
+    context.statuses = [int(line.split()[1]) for line in lines]
+
+
+@then("its first status is {first:d}, its last one {last:d}")
+def step_impl(context, first, last):
+    found = context.statuses
+    assert (found[0], found[-1]) == (first, last), found
+
+
+@then("the replica received the expectation {expectation}")
+def step_impl(context, expectation):
+    (run,) = context.fixture.runs()
+    assert run.headers.get("Expect", "none") == expectation, run.headers
+    assert run.body == b"body", run.body
--- a/stoatpath/callers/relays.py
+++ b/stoatpath/callers/relays.py
@@ -6,6 +6,8 @@
 from xxhash import xxh3_64_intdigest
 
 from stoatpath.callers.relay_messages import RelayedRequest
+from stoatpath.callers.relayed_responses import RelayedResponse
+from stoatpath.callers.unframed import UnframedResponse
 from stoatpath.outcomes import (
     BAD_REQUEST,
     NOT_FOUND,
@@ -220,10 +222,19 @@
 
     `begun_ms` is the clock reading at which the response head was sent, or None.
     `last_event_id` identifies the last complete event that was sent, "" before the
-    first.
+    first. `has_gaps` is true if the identifiers rose by more than one, and
+    `ends_unnumbered` if an event without one came after it.
     """
 
-    __slots__ = ("_request", "_clock", "response", "begun_ms", "last_event_id")
+    __slots__ = (
+        "_request",
+        "_clock",
+        "response",
+        "begun_ms",
+        "last_event_id",
+        "has_gaps",
+        "ends_unnumbered",
+    )
 
     def __init__(self, request, clock):
         self._request = request
@@ -231,6 +242,8 @@
         self.response = None
         self.begun_ms = None
         self.last_event_id = ""
+        self.has_gaps = False
+        self.ends_unnumbered = False
 
     @property
     def has_begun(self):
@@ -262,9 +275,9 @@
 
 def _render_answer(answer):
     """Return a response with the status, headers and body of a backend server."""
-    return web.Response(
-        status=answer.head.status, headers=answer.head.headers, body=answer.body
-    )
+    if answer.head.is_unframed:
+        return UnframedResponse(answer.head.status, answer.head.headers, answer.body)
+    return RelayedResponse(answer)
 
 
 def _conservative_status(failure):
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -24,6 +24,7 @@
     SILENT_CONNECTION,
     SUPERSEDED,
     TIMED_OUT,
+    UNPROVEN_END,
     UNSURE_ANSWER,
     ZONES_DRAINED,
     Failure,
@@ -61,6 +62,8 @@
         "fresh_retry_names",
         "sent_count",
         "worst_failure",
+        "unproven_answer",
+        "had_false_end",
     )
 
     def __init__(self, request, version, relay, min_confidence):
@@ -72,14 +75,29 @@
         self.fresh_retry_names = set()
         self.sent_count = 0
         self.worst_failure = None
+        self.unproven_answer = None
+        self.had_false_end = False
+
+    @property
+    def has_unproven_answer(self):
+        """Return whether an answer may be whole, and nothing speaks against it."""
+        return self.unproven_answer is not None and not self.relay.has_more
 
     def record_failure(self, attempt, failure):
         """Record a failed attempt.
 
         After a fault of a pooled connection the backend server may be tried once more
-        on a fresh connection: the pooled one may have been stale.
+        on a fresh connection: the pooled one may have been stale. One that may have
+        ended a stream has its prompt, and may be asked for the rest.
         """
         name = attempt.backend.name
+        if attempt.events and self.unproven_answer is not None:
+            self.had_false_end = True
+            self.unproven_answer = None
+        if failure.reason is UNPROVEN_END:
+            # Where ends have been cuts, only a proven one counts.
+            self.unproven_answer = None if self.had_false_end else failure.answer
+            self.tried_names.discard(name)
         if attempt.was_pooled and failure.reason in CONNECTION_FAULTS:
             self.fresh_retry_names.add(name)
             self.tried_names.discard(name)
@@ -135,7 +153,14 @@
         relay = self._policy.open_relay(request, stream)
         state = _RequestState(request, version, relay, min_confidence)
         try:
-            return await self._run_attempts(state)
+            answer = await self._run_attempts(state)
+            if is_failure(answer) and state.has_unproven_answer:
+                # Nothing was found that follows its last event.
+                self._record_decision(
+                    request, "answer", "unproven", detail=answer.detail
+                )
+                return state.unproven_answer
+            return answer
         except asyncio.CancelledError:
             if relay is not None:
                 relay.abandon()
@@ -220,6 +245,8 @@
             return False
         if not self._router.retry_budget.try_spend(request.service.name):
             self._record_decision(request, "retry", "the retry budget is spent")
+            # Its caller may resume it, when the budget may allow to prove its end.
+            state.unproven_answer = None
             return False
         now_ms = self._clock.now_ms()
         retry_at_ms = now_ms + backoff_ms(retries, self._random)
@@ -386,7 +413,7 @@
             )
             if failure.reason is SUPERSEDED or attempt.is_withheld:
                 return
-            if failure.reason is UNSURE_ANSWER:
+            if failure.reason in (UNPROVEN_END, UNSURE_ANSWER):
                 # The backend server worked as it should: no failure for breakers.
                 failure = None
         else:
--- a/stoatpath/dispatch/response_handlers.py
+++ b/stoatpath/dispatch/response_handlers.py
@@ -1,5 +1,6 @@
 """The protocol of connections to backend servers, with checks that aiohttp lacks."""
 
+import asyncio
 import functools
 
 import aiohttp
@@ -8,21 +9,37 @@
 # Bytes that may arrive without a part of a body among them: a head, interim answers or
 # the extension of a chunk. aiohttp bounds a head, not the others.
 MAX_OVERHEAD_BYTES = 262_144
+# Bytes that are read at once; an event loop would read 256 KB.
+RECEIVE_BYTES = 16 * 1024
 
 
 class CheckedResponseHandler(ResponseHandler):
-    """Ends connections with endless overhead; fails bodies cut off by a reset.
+    """Ends connections with endless overhead; fails bodies cut by a reset or garbled.
 
     aiohttp treats the end of a connection as the end of a body of unknown length, even
-    after a reset.
+    after a reset. Of bytes that it can't parse within a body it tells only those who
+    wait for a head, so that a reader of the body waits on.
     """
 
     _body_bytes = 0
     _overhead_bytes = 0
 
+    def __init__(self, loop, receive_buffer):
+        super().__init__(loop)
+        self._receive_buffer = receive_buffer
+
+    def connection_made(self, transport):
+        """Let the transport read into a buffer of `RECEIVE_BYTES`."""
+        super().connection_made(transport)
+        transport.set_protocol(BoundedReads(self, self._receive_buffer))
+
     def data_received(self, data):
         """Parse bytes, and count those that are no part of a body."""
+        earlier_error = self.exception()
         super().data_received(data)
+        if self.exception() is not earlier_error:
+            self._fail_body("bytes that are no part of a body")
+            return
         body_bytes = 0 if self._payload is None else self._payload.total_bytes
         if body_bytes != self._body_bytes:
             self._body_bytes = body_bytes
@@ -32,24 +49,76 @@
         if self._overhead_bytes > MAX_OVERHEAD_BYTES:
             self._fail("an answer without end")
 
+    async def read_nothing_during(self, wait):
+        """Await something while nothing is read from the connection."""
+        self._pause_reading_for_buffer()
+        try:
+            return await wait
+        finally:
+            self._resume_reading_for_buffer()
+
     def connection_lost(self, exc):
         """Set an exception on the open body unless the connection closed cleanly."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
+        if exc is not None:
             # Before aiohttp feeds the end of the body: a waiting reader gets only the
             # first of the two.
-            payload.set_exception(aiohttp.ClientPayloadError("connection reset"))
+            self._fail_body("connection reset")
         super().connection_lost(exc)
 
     def _fail(self, detail):
-        error = aiohttp.ClientPayloadError(detail)
-        if self._payload is not None and not self._payload.is_eof():
-            self._payload.set_exception(error)
-        self.set_exception(error)
+        self._fail_body(detail)
+        self.set_exception(aiohttp.ClientPayloadError(detail))
         if self.transport is not None:
             self.transport.abort()
 
+    def _fail_body(self, detail):
+        """Set an exception on the body that is open, if any."""
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(aiohttp.ClientPayloadError(detail))
+
+
+class BoundedReads(asyncio.BufferedProtocol):
+    """Passes the events of a transport on to a protocol, and what arrives in parts.
+
+    The protocols of an event loop share `receive_buffer`: what was read into it is
+    passed on before anything else is read.
+    """
+
+    __slots__ = ("_protocol", "_receive_buffer")
+
+    def __init__(self, protocol, receive_buffer):
+        self._protocol = protocol
+        self._receive_buffer = receive_buffer
+
+    def get_buffer(self, sizehint):
+        """Return the buffer to read into."""
+        return self._receive_buffer
+
+    def buffer_updated(self, count):
+        """Pass on the bytes that were read."""
+        self._protocol.data_received(bytes(self._receive_buffer[:count]))
+
+    def eof_received(self):
+        """Pass on that the other side sends no more."""
+        return self._protocol.eof_received()
+
+    def pause_writing(self):
+        """Pass on that the write buffer is full."""
+        self._protocol.pause_writing()
+
+    def resume_writing(self):
+        """Pass on that the write buffer has room."""
+        self._protocol.resume_writing()
+
+    def connection_lost(self, exc):
+        """Pass on that the connection has ended."""
+        self._protocol.connection_lost(exc)
+
 
 def use_checked_handler(connector):
     """Let the connections of a connector be checked; aiohttp has no public option."""
-    connector._factory = functools.partial(CheckedResponseHandler, loop=connector._loop)
+    connector._factory = functools.partial(
+        CheckedResponseHandler,
+        loop=connector._loop,
+        receive_buffer=memoryview(bytearray(RECEIVE_BYTES)),
+    )
--- a/stoatpath/dispatch/retries.py
+++ b/stoatpath/dispatch/retries.py
@@ -8,6 +8,7 @@
     PERMISSION_EXPIRED,
     REFUSED_BY_BACKEND,
     SILENT_CONNECTION,
+    UNPROVEN_END,
     WRONG_PROCESS,
     ZONES_DRAINED,
     Outcome,
@@ -31,6 +32,7 @@
     PERMISSION_EXPIRED,
     REFUSED_BY_BACKEND,
     SILENT_CONNECTION,
+    UNPROVEN_END,
     WRONG_PROCESS,
     # Of a hedge that was not sent, beside a first attempt that may be repeated.
     ZONES_DRAINED,
@@ -70,7 +72,7 @@
     if failure.reason not in RETRYABLE_REASONS:
         return False
     if relay is not None and relay.has_begun:
-        return request.is_repeatable and may_resume
+        return request.is_repeatable and may_resume and relay.is_resumable
     return failure.outcome is Outcome.NOT_RUN or request.is_repeatable
 
 
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -1,17 +1,27 @@
 """Sends requests to backend servers and decodes the heads of their answers."""
 
+import asyncio
+import logging
 import math
 import socket
+from http import HTTPStatus
 
 import aiohttp
 from yarl import URL
 
 from stoatpath.backpressure.messages import BackendSignals, decode_hold_off_ms
 from stoatpath.callers.relay_messages import AnswerHead
+from stoatpath.configuration.routes import MODEL_SERVICE
+from stoatpath.dispatch.checks import is_truncation_detectable
 from stoatpath.dispatch.connections import accepts_connections
 from stoatpath.dispatch.last_checks import CheckedRequest
 from stoatpath.dispatch.response_handlers import use_checked_handler
+from stoatpath.heads import expects_continue, is_utf8, use_exact_heads
 from stoatpath.platform import names
+from stoatpath.platform.fields import read_integer
+from stoatpath.utils import decode_json
+
+logger = logging.getLogger(__name__)
 
 EVENT_STREAM = "text/event-stream"
 # A round trip between availability zones takes 3 ms. TCP retransmits a lost SYN only
@@ -25,7 +35,7 @@
 # healthy backend server may fall silent for a second or so.
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
 # aiohttp reads no more of an answer while twice as much waits.
-READ_BUFFER_BYTES = 32 * 1024
+READ_BUFFER_BYTES = 16 * 1024
 MAX_PRIORITY = 9
 # A backend server that names no request at all still gets one now and then, since only
 # an answer can tell that its limit has ended.
@@ -33,8 +43,16 @@
 MAX_LIMIT_PER_S = 1e6
 MAX_CONFIDENCE = 100.0
 MAX_LOGGED_CHARS = 40
-BODILESS_STATUSES = (204, 304)
-DROPPED_HEADERS = names.HOP_HEADERS | {names.ANSWERED_BY.lower()}
+DROPPED_HEADERS = names.HOP_HEADERS | {
+    names.ANSWERED_BY.lower(),
+    names.UNFRAMED.lower(),
+}
+# A process is asked who it is as soon as its connection has ended, and has a slot of
+# its own for the answer at most. Its address is not reused within twice that time.
+IDENTITY_TIMEOUT_MS = 1_000
+# A backend server resets connections beyond those that it takes.
+IDENTITY_CALLS = 2
+MAX_REPORT_BYTES = 65_536
 SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 # Not forwarded: the router sets these itself for each request, or consumes them.
 REPLACED_HEADERS = frozenset(
@@ -42,7 +60,6 @@
     for name in (
         "Authorization",
         "Content-Length",
-        "Expect",
         names.DEADLINE_MS,
         names.FORWARDED,
         names.LAST_EVENT_ID,
@@ -66,6 +83,7 @@
 
     async def start(self):
         """Create the HTTP client."""
+        use_exact_heads()
         connector = aiohttp.TCPConnector(
             limit=0, force_close=True, socket_factory=create_socket
         )
@@ -104,19 +122,9 @@
         connect_ms = CONNECT_TIMEOUT_MS
         if attempt.connect_timeout_ms is not None:
             connect_ms = min(connect_ms, attempt.connect_timeout_ms)
-        host, _, port = attempt.backend.address.rpartition(":")
-        # As a whole path, the target is sent as it came: parsed, an empty query and a
-        # fragment would be lost.
-        url = URL.build(
-            scheme="http",
-            host=host.strip("[]"),
-            port=int(port),
-            path=request.path,
-            encoded=True,
-        )
         return self._session.request(
             request.method,
-            url,
+            _build_url(attempt.backend.address, request.path),
             headers=headers,
             data=request.body or None,
             allow_redirects=False,
@@ -128,11 +136,91 @@
         self.calls += 1
         return await accepts_connections(address, CONNECT_TIMEOUT_MS)
 
+    async def is_running(self, backend, service):
+        """Return whether the listed process of a backend server answers.
+
+        One that was started again in its place, under its name or another, is told from
+        it by what it says of itself.
+        """
+        why = ""
+        for _ in range(IDENTITY_CALLS):
+            try:
+                async with asyncio.timeout(IDENTITY_TIMEOUT_MS / 1000):
+                    if await self._ask_identity(backend, service):
+                        return True
+                why = "another process answered"
+                break
+            except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+                why = type(error).__name__
+        logger.info("backends.not-running", extra={"backend": backend.name, "why": why})
+        return False
+
+    async def _ask_identity(self, backend, service):
+        self.calls += 1
+        path = service.health_path
+        if service.kind == MODEL_SERVICE:
+            path = names.REPORT_PATH
+        if not path:
+            if not await self.is_reachable(backend.address):
+                raise ConnectionError
+            return True
+        async with self._session.get(
+            _build_url(backend.address, path),
+            headers={names.EXPECT_REPLICA: backend.name},
+            allow_redirects=False,
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=CONNECT_TIMEOUT_MS / 1000
+            ),
+        ) as response:
+            name = response.headers.get(names.REPLICA_ID, backend.name)
+            if response.status == names.MISDIRECTED_STATUS or name != backend.name:
+                return False
+            if path != names.REPORT_PATH or response.status != HTTPStatus.OK:
+                # One that has no room rejects the question without its name.
+                return True
+            report = decode_json(await _read_at_most(response, MAX_REPORT_BYTES))
+            return _may_be_born(report, backend.entry.born)
+
+
+async def _read_at_most(response, max_bytes):
+    """Return a body, or more than `max_bytes` bytes of it."""
+    body = b""
+    while len(body) <= max_bytes and (chunk := await response.content.readany()):
+        body += chunk
+    return body
+
+
+def _build_url(address, target):
+    """Return the URL of a target, which is sent as it came.
+
+    Parsed, an empty query and a fragment would be lost.
+    """
+    host, _, port = address.rpartition(":")
+    return URL.build(
+        scheme="http",
+        host=host.strip("[]"),
+        port=int(port),
+        path=target,
+        encoded=True,
+    )
+
+
+def _may_be_born(report, born):
+    """Return whether a report may be of the process that was born at a time in ms.
+
+    One that can't be decoded says nothing of that.
+    """
+    if not isinstance(report, dict):
+        return True
+    reported = read_integer(report, "born", 0, default=None)
+    return born is None or reported is None or reported == born
+
 
 def decode_head(response):
     """Return the `AnswerHead` of a response."""
     headers = response.headers
     dropped = _connection_header_names(headers) | DROPPED_HEADERS
+    is_framed = is_truncation_detectable(response.method, response)
     return AnswerHead(
         response.status,
         headers.get(names.ATTEMPT_ID),
@@ -140,7 +228,7 @@
         names.NOT_EXECUTED in headers,
         response.status == names.MISDIRECTED_STATUS,
         "Content-Encoding" in headers,
-        _is_unframed(response),
+        not is_framed or names.UNFRAMED in headers,
         headers.get("Content-Type", "").startswith(EVENT_STREAM),
         _decode_confidence(headers.get(names.CONFIDENCE)),
         _decode_signals(response.status, headers),
@@ -153,26 +241,29 @@
     )
 
 
-def _is_unframed(response):
-    """Return whether a body ends with its connection (RFC 9112, section 6.3)."""
-    if response.method == "HEAD" or response.status in BODILESS_STATUSES:
-        return False
-    headers = response.headers
-    codings = ",".join(headers.getall("Transfer-Encoding", ())).lower().split(",")
-    if codings[-1].strip() == "chunked":
-        return False
-    return "Content-Length" not in headers or codings != [""]
-
-
 def name_backend(head, backend):
-    """Add the name of the backend server to the head of a forwarded answer."""
+    """Add the name of the backend server to the head of a forwarded answer.
+
+    Between instances each answer has a length or chunks; that it had none is added too.
+    """
     head.headers.append((names.ANSWERED_BY, backend.name))
+    if head.is_unframed:
+        head.headers.append((names.UNFRAMED, "1"))
+        head.is_unframed = False
 
 
 def forwarded_headers(headers):
-    """Return the end-to-end headers of a caller, without those that the router sets."""
+    """Return the end-to-end headers of a caller, without those that the router sets.
+
+    The name of a model that is not UTF-8 is no model's; it passes as it came. So does
+    an expectation that the router doesn't meet itself.
+    """
     dropped = _connection_header_names(headers) | names.HOP_HEADERS
     dropped |= names.ROUTER_HEADERS | REPLACED_HEADERS
+    if not is_utf8(headers.get(names.MODEL, "")):
+        dropped -= {names.MODEL.lower()}
+    if expects_continue(headers):
+        dropped |= {"expect"}
     return [
         (name, value) for name, value in headers.items() if name.lower() not in dropped
     ]
