--- a/stoatpath/measure/limit_models.py
+++ b/stoatpath/measure/limit_models.py
@@ -30,6 +30,7 @@
     is_failure,
 )
 from stoatpath.routing.affinity import AffinityChooser
+from stoatpath.stop_times import StopTimes
 from stoatpath.utils import decode_json, encode_json
 
 SERVICE = "desk"
@@ -206,6 +207,7 @@
         "chooser",
         "sender",
         "retry_budget",
+        "stop_times",
         "ring",
         "attempts",
     )
@@ -221,6 +223,7 @@
         self.sender = self.sender_class(fleet, name, self.clock, self.send_gate)
         self.ring = self
         self.retry_budget = WindowBudget(0.9, 10_000.0, 54.0, self.clock)
+        self.stop_times = StopTimes()
         self.attempts = AttemptRunner(self, rng, self._build_policy(fleet))
 
     def _build_gate(self, fleet, build_permits, rng):
