A response without length may close without a reset once all of it is sent

Until it is complete such a response resets its connection if the process ends. That was undone when `write_eof` returned, while up to 64 KB (16 KB after a pause) could still wait in the process: if it was killed then, the rest was lost and the connection closed as that of a complete response does.

Cause: aiohttp's writer waits only while the transport holds more than its limit; its return was taken for a statement that everything is sent. Change: the limit is 0 for the rest of the connection, which ends with this response.

--- a/stoatpath/callers/unframed.py
+++ b/stoatpath/callers/unframed.py
@@ -36,6 +36,10 @@
         if self._transport is None:
             self._transport = request.transport
             _set_linger(self._transport, RESET_ON_CLOSE)
+            if self._transport is not None:
+                # The end of the process discards what waits here, so `write_eof` waits
+                # until the kernel has all of it.
+                self._transport.set_write_buffer_limits(high=0)
         return await super().prepare(request)
 
     async def write_eof(self, data=b""):
