--- a/stoatpath/dispatch/features/steps/extra_work_steps.py
+++ b/stoatpath/dispatch/features/steps/extra_work_steps.py
@@ -106,10 +106,15 @@
 
 
 class FakeSender:
-    """Backend servers that answer after a delay, with events that name them."""
+    """Backend servers that answer after a delay, with events that name them.
+
+    Those in `after_first` begin their delay when the first attempt has ended.
+    """
 
     def __init__(self):
         self.delays_s = {}
+        self.after_first = set()
+        self.first_ended = asyncio.Event()
         self.unsure = set()
         self.cut_counts = {}
         self.cancelled_s = {}
@@ -126,6 +131,8 @@
         attempt.deadlines = SimpleNamespace(first_byte_ms=None, supersede=lambda: None)
         superseded = asyncio.Event()
         attempt.deadlines.supersede = superseded.set
+        if name in self.after_first:
+            await self.first_ended.wait()
         try:
             async with asyncio.timeout(self.delays_s.get(name, 0.0)):
                 await superseded.wait()
@@ -137,6 +144,7 @@
         attempt.deadlines.first_byte_ms = Clock().now_ms()
         attempt.request.run_count += 1
         if name in self.unsure:
+            self.first_ended.set()
             return Failure(UNSURE_ANSWER, "confidence 10", Outcome.UNKNOWN)
         if not attempt.relay.claim(attempt):
             return Failure(SUPERSEDED, "another attempt answers", Outcome.UNKNOWN)
@@ -145,6 +153,7 @@
             self.cut_counts[name] -= 1
             self.delays_s[name] = 0.1
             attempt.relay.release(attempt)
+            self.first_ended.set()
             return Failure(BROKEN_ANSWER, "cut", Outcome.UNKNOWN)
         for number in range(1, EVENTS + 1):
             await attempt.relay.write(f"{name} {number}", str(number))
@@ -280,9 +289,10 @@
 @given("two backend servers that begin after {delay:d} ms and {more:d} ms after that")
 def step_impl(context, delay, more):
     context.delay_s = delay / 1000
-    # The second attempt is sent half of the latency target after the first one.
-    second_s = (delay + more - TARGET_MS / 2) / 1000
-    context.changes = [lambda fleet: fleet.sender.delays_s.update(b2=second_s)]
+    context.changes = [
+        lambda fleet: fleet.sender.delays_s.update(b2=more / 1000),
+        lambda fleet: fleet.sender.after_first.add("b2"),
+    ]
 
 
 @given("the first one is unsure")
