A slow caller's progress counts the bytes that the kernel has

Suspected cause: a kernel takes more only when a third of its buffer is free, about 1 MB, so that a caller who takes bytes all the time may be seen to take none for a while; the watch began anew with each slice, which left less time for that. It counts what the kernel has yet to deliver too now.

--- a/stoatpath/callers/connections.py
+++ b/stoatpath/callers/connections.py
@@ -188,14 +188,19 @@
     def _watch_writing(self):
         # The transport counts what waits; what is written meanwhile isn't known, but
         # writers wait while it is paused.
-        self._waiting_bytes = self.transport.get_write_buffer_size()
+        self._waiting_bytes = self._untaken_bytes()
         self._write_timer = self._loop.call_later(WRITE_CHECK_S, self._check_writing)
 
+    def _untaken_bytes(self):
+        """Return the bytes here and in the kernel, which takes more in large steps."""
+        waiting_bytes = self.transport.get_write_buffer_size()
+        return waiting_bytes + _kernel_bytes(self.transport, termios.TIOCOUTQ)
+
     def _check_writing(self):
         self._write_timer = None
         if self.transport is None:
             return
-        taken = self._waiting_bytes - self.transport.get_write_buffer_size()
+        taken = self._waiting_bytes - self._untaken_bytes()
         if taken >= MIN_TAKEN_BYTES:
             self._watch_writing()
             return
@@ -381,11 +386,15 @@
 
 def _unread_bytes(transport):
     """Return how many bytes are in the kernel's receive buffer of a connection."""
+    return _kernel_bytes(transport, termios.FIONREAD)
+
+
+def _kernel_bytes(transport, query):
     connection = None if transport is None else transport.get_extra_info("socket")
     if connection is None or connection.fileno() < 0:
         return 0
     count = array.array("i", [0])
-    fcntl.ioctl(connection.fileno(), termios.FIONREAD, count)
+    fcntl.ioctl(connection.fileno(), query, count)
     return count[0]
 
 
