A stream whose rest nobody knows is broken off

Change: an unproven end counts as whole only where the route allows no further run, or where a backend server answers with 4xx that it has no rest to send; a caller who resumed there would get no other answer. Otherwise the stream is broken off, and its caller may resume it.

--- a/features/platform/unframed.feature
+++ b/features/platform/unframed.feature
@@ -30,7 +30,8 @@
       | unframed       | 2    |
       | unframed-short | 3    |
 
-  # Guards against streams that break off although their last event was delivered.
+  # Guards against streams that break off although their last event was delivered, and
+  # a backend server that has it refuses to send a rest.
   Scenario Outline: A stream ends with its connection, and the rest is answered with <next>
     Given a deployment
     And the next execution has fault unframed
@@ -43,11 +44,27 @@
       | next         |
       | status-400   |
       | status-409   |
-      | status-500   |
-      | shed         |
-      | reset-before |
-      | reset-after  |
-      | short        |
+
+  # Guards against streams that end as complete although nobody has said what follows.
+  Scenario Outline: A stream ends with its connection: <first>, and nobody knows its rest: <next>
+    Given a deployment
+    And the next execution has fault <first>
+    And all later executions have fault <next>
+    When a caller reads all bytes of the response to a chat request
+    Then the caller got an incomplete response with events 1 to <last>
+
+    Examples:
+      | first          | next         | last |
+      | unframed       | status-500   | 5    |
+      | unframed       | shed         | 5    |
+      | unframed       | reset-before | 5    |
+      | unframed       | reset-after  | 5    |
+      | unframed       | short        | 5    |
+      | unframed-short | status-500   | 3    |
+      | unframed-short | shed         | 3    |
+      | unframed-short | reset-before | 3    |
+      | unframed-short | reset-after  | 3    |
+      | unframed-short | garbage      | 3    |
 
   # Guards against a stream that ends as complete although nobody was asked for the rest.
   Scenario Outline: A stream ends with its connection, and the retry budget is spent
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -29,6 +29,7 @@
     ZONES_DRAINED,
     Failure,
     Outcome,
+    RestRefused,
     is_failure,
 )
 from stoatpath.routing.messages import Candidate
@@ -51,7 +52,12 @@
 
 
 class _RequestState:
-    """State of one request over all its attempts."""
+    """State of one request over all its attempts.
+
+    `unproven_answer` is a stream that ended with its connection, or None. It counts as
+    whole if the route allows no run that could tell, or a backend server refuses to
+    send a rest; otherwise its caller may resume it, and have its end proved.
+    """
 
     __slots__ = (
         "request",
@@ -98,6 +104,8 @@
             # Where ends have been cuts, only a proven one counts.
             self.unproven_answer = None if self.had_false_end else failure.answer
             self.tried_names.discard(name)
+        elif not isinstance(failure, RestRefused):
+            self.unproven_answer = None
         if attempt.was_pooled and failure.reason in CONNECTION_FAULTS:
             self.fresh_retry_names.add(name)
             self.tried_names.discard(name)
@@ -174,9 +182,11 @@
         for retries in range(MAX_ATTEMPTS):
             choice = await self._acquire_backend(state)
             if is_failure(choice):
+                state.unproven_answer = None
                 return _combine_with_choice(state.worst_failure, choice)
             problem = self._check_guard(state)
             if problem is not None:
+                state.unproven_answer = None
                 return state.worst_failure or problem
             attempt = self._build_attempt(state, choice.backend)
             answer = await self._send_with_hedge(state, attempt)
@@ -245,7 +255,6 @@
             return False
         if not self._router.retry_budget.try_spend(request.service.name):
             self._record_decision(request, "retry", "the retry budget is spent")
-            # Its caller may resume it, when the budget may allow to prove its end.
             state.unproven_answer = None
             return False
         now_ms = self._clock.now_ms()
--- a/stoatpath/dispatch/relayed_answers.py
+++ b/stoatpath/dispatch/relayed_answers.py
@@ -15,6 +15,7 @@
     AnsweredFailure,
     Failure,
     Outcome,
+    RestRefused,
 )
 
 
@@ -49,4 +50,5 @@
 def _not_the_rest(head):
     """Return the failure of an answer that can't continue a stream."""
     detail = f"status {head.status} in place of the rest of the stream"
-    return Failure(BACKEND_ERROR, detail, Outcome.UNKNOWN)
+    kind = RestRefused if 400 <= head.status < 500 else Failure
+    return kind(BACKEND_ERROR, detail, Outcome.UNKNOWN)
--- a/stoatpath/outcomes.py
+++ b/stoatpath/outcomes.py
@@ -120,6 +120,12 @@
         self.answer = answer
 
 
+class RestRefused(Failure):
+    """The answer of a backend server that it has no rest of a stream to send."""
+
+    __slots__ = ()
+
+
 def is_failure(value):
     """Return whether a value is a failure."""
     return isinstance(value, Failure)
