A backend server that is slow to say who it is counts as running

Change: only a refused connection, one that isn't established, a reset (twice), or another process's answer tells that the process is gone; after 500 ms without an answer on an open connection it counts as running.

Remaining: two resets in a row, as beyond the connections that a backend server takes, count as gone; a proxy before a killed process does the same.

--- a/features/platform/unframed.feature
+++ b/features/platform/unframed.feature
@@ -160,6 +160,7 @@
       | list    | unframed         | a response that ended with its connection | 1    |
       | endless | unframed         | a response that ended with its connection | 1    |
       | busy    | unframed         | a response that ended with its connection | 1    |
+      | late    | unframed         | a response that ended with its connection | 1    |
 
   Scenario Outline: The log says why an answer that ended with its connection was cut
     Given a deployment
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -47,9 +47,9 @@
     names.ANSWERED_BY.lower(),
     names.UNFRAMED.lower(),
 }
-# A process is asked who it is as soon as its connection has ended, and has a slot of
-# its own for the answer at most. Its address is not reused within twice that time.
-IDENTITY_TIMEOUT_MS = 1_000
+# A process is asked who it is as soon as its connection has ended. One that has no free
+# slot answers later; by then another one may be listed under its address.
+IDENTITY_TIMEOUT_MS = 500
 # A backend server resets connections beyond those that it takes.
 IDENTITY_CALLS = 2
 MAX_REPORT_BYTES = 65_536
@@ -140,7 +140,8 @@
         """Return whether the listed process of a backend server answers.
 
         One that was started again in its place, under its name or another, is told from
-        it by what it says of itself.
+        it by what it says of itself. One that accepts connections and is slow to answer
+        counts as running: without a process, connections are refused.
         """
         why = ""
         for _ in range(IDENTITY_CALLS):
@@ -150,7 +151,11 @@
                         return True
                 why = "another process answered"
                 break
-            except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+            except aiohttp.ConnectionTimeoutError:
+                why = "its address doesn't respond"
+            except TimeoutError:
+                return True
+            except (aiohttp.ClientError, OSError, ValueError) as error:
                 why = type(error).__name__
         logger.info("backends.not-running", extra={"backend": backend.name, "why": why})
         return False
--- a/stoatpath/standins/replicas.py
+++ b/stoatpath/standins/replicas.py
@@ -21,7 +21,7 @@
 In place of a stream: `status-N` (an answer with a body), `events-N` (a stream with this
 status and an event without identifier) and `short` (a body shorter than its length).
 Of the answer to who it is (`identify`): `split` (it comes in two parts), `text` (no
-JSON), `list` (no JSON object), `endless` and `busy` (a rejection without its name).
+JSON), `list` (no JSON object), `endless`, `late` and `busy` (without its name).
 Of any answer: `head-LAYOUT-END-N` (it stops N bytes before the end of its head, see
 `write_cut_head`) and `garbled` (bytes that are no chunk follow a part of its body).
 """
@@ -56,6 +56,7 @@
     "garbage",
     "extra",
 )
+LATE_IDENTITY_S = 1.2
 HEALTH_PATH = "/healthz"
 IDENTITY_PATHS = (HEALTH_PATH, "/-/report")
 ENDLESS_KINDS = ("endless-body", "endless-head", "endless-interim", "endless-chunk")
@@ -256,6 +257,8 @@
         headers = {"X-Stoatpath-Replica-Id": self.name}
         if kind == "busy":
             return web.Response(status=503)
+        if kind == "late":
+            await asyncio.sleep(LATE_IDENTITY_S)
         if request.headers.get("X-Stoatpath-Expect-Replica", self.name) != self.name:
             return web.Response(status=421, headers=headers)
         if request.path == HEALTH_PATH:
