--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -9,6 +9,7 @@
 from stoatpath.dispatch.engine_policies import EnginePolicy
 from stoatpath.dispatch.hedges import Hedge
 from stoatpath.dispatch.messages import Attempt, AttemptResult
+from stoatpath.dispatch.request_states import RequestState
 from stoatpath.dispatch.retries import (
     MAX_ATTEMPTS,
     MAX_LOST_RUNS,
@@ -19,9 +20,7 @@
     BACKENDS_LIMITED,
     BROKEN_ANSWER,
     CALLER_GONE,
-    FOREIGN_ANSWER,
     PERMISSION_EXPIRED,
-    SILENT_CONNECTION,
     SUPERSEDED,
     TIMED_OUT,
     UNPROVEN_END,
@@ -29,7 +28,6 @@
     ZONES_DRAINED,
     Failure,
     Outcome,
-    RestRefused,
     is_failure,
 )
 from stoatpath.routing.messages import Candidate
@@ -48,76 +46,6 @@
 RESELECT_AFTER_MS = 20.0
 # An extra send counts in the window in which it leaves; a later one counts again.
 RECOUNT_AFTER_MS = 250.0
-CONNECTION_FAULTS = (BROKEN_ANSWER, FOREIGN_ANSWER, SILENT_CONNECTION)
-
-
-class _RequestState:
-    """State of one request over all its attempts.
-
-    `unproven_answer` is a stream that ended with its connection, or None. It counts as
-    whole if the route allows no run that could tell, or a backend server refuses to
-    send a rest; otherwise its caller may resume it, and have its end proved.
-    """
-
-    __slots__ = (
-        "request",
-        "version",
-        "relay",
-        "min_confidence",
-        "tried_names",
-        "fresh_retry_names",
-        "sent_count",
-        "worst_failure",
-        "unproven_answer",
-        "had_false_end",
-    )
-
-    def __init__(self, request, version, relay, min_confidence):
-        self.request = request
-        self.version = version
-        self.relay = relay
-        self.min_confidence = min_confidence
-        self.tried_names = set()
-        self.fresh_retry_names = set()
-        self.sent_count = 0
-        self.worst_failure = None
-        self.unproven_answer = None
-        self.had_false_end = False
-
-    @property
-    def has_unproven_answer(self):
-        """Return whether an answer may be whole, and nothing speaks against it."""
-        return self.unproven_answer is not None and not self.relay.has_more
-
-    def record_failure(self, attempt, failure):
-        """Record a failed attempt.
-
-        After a fault of a pooled connection the backend server may be tried once more
-        on a fresh connection: the pooled one may have been stale. One that may have
-        ended a stream has its prompt, and may be asked for the rest.
-        """
-        name = attempt.backend.name
-        if attempt.events and self.unproven_answer is not None:
-            self.had_false_end = True
-            self.unproven_answer = None
-        if failure.reason is UNPROVEN_END:
-            # Where ends have been cuts, only a proven one counts.
-            self.unproven_answer = None if self.had_false_end else failure.answer
-            self.tried_names.discard(name)
-        elif not isinstance(failure, RestRefused):
-            self.unproven_answer = None
-        if attempt.was_pooled and failure.reason in CONNECTION_FAULTS:
-            self.fresh_retry_names.add(name)
-            self.tried_names.discard(name)
-        if failure.reason in CONNECTION_FAULTS and not attempt.events:
-            self.request.lost_runs += failure.outcome is not Outcome.NOT_RUN
-            is_beginning = attempt.has_begun and self.relay is not None
-            self.request.lost_beginnings += is_beginning
-        self.worst_failure = (
-            failure
-            if self.worst_failure is None
-            else self.worst_failure.combined_with(failure)
-        )
 
 
 class AttemptRunner:
@@ -159,7 +87,7 @@
         whose head states a confidence below `min_confidence` is a failure.
         """
         relay = self._policy.open_relay(request, stream)
-        state = _RequestState(request, version, relay, min_confidence)
+        state = RequestState(request, version, relay, min_confidence)
         try:
             answer = await self._run_attempts(state)
             if is_failure(answer) and state.has_unproven_answer:
--- a/stoatpath/dispatch/features/steps/event_stream_steps.py
+++ b/stoatpath/dispatch/features/steps/event_stream_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 from hypothesis import given as forall, settings, strategies as st
 
-from stoatpath.dispatch.event_relays import EventSplitter
+from stoatpath.dispatch.event_splitters import EventSplitter
 
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 LINE_END = re.compile(rb"\r\n|\n|\r")
--- a/stoatpath/dispatch/features/steps/opaque_steps.py
+++ b/stoatpath/dispatch/features/steps/opaque_steps.py
@@ -4,7 +4,7 @@
 from hypothesis import given as forall, settings, strategies as st
 
 from stoatpath.clock import ManualClock
-from stoatpath.dispatch.event_relays import EventSplitter
+from stoatpath.dispatch.event_splitters import EventSplitter
 from stoatpath.dispatch.window_budgets import WindowBudget
 
 SERVICE = "desk-assist"
--- a/stoatpath/dispatch/messages.py
+++ b/stoatpath/dispatch/messages.py
@@ -86,13 +86,13 @@
 class AttemptResult:
     """The result of one attempt, for circuit breakers and statistics.
 
-    `reason` is None after a complete answer, and after one that was rejected for its
-    low confidence. `first_byte_ms` and `ended_ms` are clock readings;
-    `first_byte_ms` is None when no byte arrived. `route` labels the request,
-    `repeatability` how often it may run. `events` is `Attempt.events` for a stream,
-    None for a buffered answer. `number` is that of the attempt. `new_share` is the
-    chance that such a request goes to the new release of a roll-out, `request` is the
-    request itself.
+    `reason` is None after a complete answer, after one that was rejected for its low
+    confidence, and after one whose end is unproven. `first_byte_ms` and `ended_ms` are
+    clock readings; `first_byte_ms` is None when no byte arrived. `route` labels the
+    request, `repeatability` how often it may run. `events` is `Attempt.events` for a
+    stream, None for a buffered answer. `number` is that of the attempt. `new_share` is
+    the chance that such a request goes to the new release of a roll-out, `request` is
+    the request itself.
     """
 
     __slots__ = (
--- a/stoatpath/dispatch/relay_senders.py
+++ b/stoatpath/dispatch/relay_senders.py
@@ -164,7 +164,7 @@
         relay = attempt.relay if answer.body is None else None
         if relay is None or not request.is_repeatable or not relay.is_resumable:
             return answer
-        if relay.is_end_confirmed():
+        if relay.confirm_end():
             return answer
         detail = f"it ended with its connection after {attempt.events} events"
         return AnsweredFailure(UNPROVEN_END, detail, Outcome.UNKNOWN, answer)
