--- a/stoatpath/tools/gateway.py
+++ b/stoatpath/tools/gateway.py
@@ -58,7 +58,10 @@
         return EXIT_BAD_SETTINGS
     log.setup(PROGRAM, boot.instance, handler=log.BoundedHandler(sys.stdout.fileno()))
     gateway = Gateway.from_boot(boot, extra_work_share=FLAGS.extra_work_share)
-    return uvloop.run(_serve(gateway))
+    code = uvloop.run(_serve(gateway))
+    # Freeing all objects would take some of the grace period.
+    sys.stdout.flush()
+    os._exit(code)
 
 
 def _check():
