A stream that broke off doesn't end with an empty rest of one backend server

Whatever ended with a length or chunks ended the stream, also where a resumed attempt had brought no event. That a stream is cut between its last event and its end is rare; that a failing backend server has nothing to send is not.

Change: an empty rest is as unproven as an end without length and chunks. Another backend server is asked; the stream is complete if that one sends no event either, and goes on with what it sends. If nobody else can be asked, or the question fails, a stream that broke off is broken off, and its caller may resume it. A caller that resumes by itself after the last event gets the word of the only backend server.

Weighed: breaking off at once (streams that were whole would never be proved); asking the same server again (no second opinion). It costs one short run where a rest is truly empty.

Remaining: two unsound backend servers that agree; a first attempt without any event.

--- a/features/platform/resumption.feature
+++ b/features/platform/resumption.feature
@@ -78,6 +78,68 @@
       | repeat     |
       | unnumbered |
 
+  # Guards against streams that end as complete before their last event, since an attempt
+  # that resumed them got a whole answer without any event.
+  Scenario Outline: A stream has fault <cut>, and attempts that resume it get <rest>, then <next>
+    Given a deployment
+    And 2 more model replicas
+    And the next execution has fault <cut>
+    And the next execution has fault <rest>
+    And all later executions have fault <next>
+    When a caller reads the bytes of the response to a chat request
+    Then the caller got a complete response with the events 1 2 3 4 5
+    And the request ran at most 3 times
+
+    Examples: another backend server has the rest
+      | cut     | rest           | next |
+      | break-0 | empty          | none |
+      | break-3 | empty          | none |
+      | break-3 | comment        | none |
+      | break-3 | unframed-empty | none |
+
+    Examples: another backend server has none either
+      | cut     | rest           | next    |
+      | break-5 | empty          | empty   |
+      | break-5 | empty          | comment |
+      | break-5 | unframed-empty | empty   |
+
+  # Guards against the same, where no other backend server confirms that nothing follows.
+  Scenario Outline: A stream is cut between events, an attempt gets <rest>, all later <next>
+    Given a deployment
+    And 2 more model replicas
+    And the next execution has fault break-3
+    And the next execution has fault <rest>
+    And all later executions have fault <next>
+    When a caller reads the bytes of the response to a chat request
+    Then the caller got an incomplete response with events 1 to 3 only
+
+    Examples:
+      | rest           | next           |
+      | empty          | status-409     |
+      | empty          | status-500     |
+      | empty          | reset-after    |
+      | empty          | break-0        |
+      | break-0        | empty          |
+      | unframed-empty | reset-after    |
+
+  Scenario Outline: A stream of the only backend server is cut, and its rest is <rest>
+    Given a deployment with 1 model replica
+    And the next execution has fault break-3
+    And all later executions have fault <rest>
+    When a caller reads the bytes of the response to a chat request
+    Then the caller got an incomplete response with events 1 to 3 only
+
+    Examples:
+      | rest           |
+      | empty          |
+      | unframed-empty |
+
+  # Guards against callers that can't get the end of a stream whose last event they have.
+  Scenario: A caller resumes a stream after its last event, at the only backend server
+    Given a deployment with 1 model replica
+    When a caller resumes a chat request after 5
+    Then the caller got a complete response without events
+
   # Guards against sound streams that are broken off: "a series of events with
   # increasing ids".
   Scenario Outline: A stream has numbers of kind <first> in its first run, <later> later
@@ -128,6 +190,7 @@
       | text    | none   | complete   | 1 2 3 4 5 |
       | 3       | repeat | complete   | 4 5       |
       | 3       | again  | complete   | 4 5       |
+      | 3       | empty  | complete   | 4 5       |
 
   Scenario: Two streams with the same attempt identifier at once
     Given a deployment
--- a/features/platform/steps/resumption_steps.py
+++ b/features/platform/steps/resumption_steps.py
@@ -139,6 +139,7 @@
     assert event_ids(response) == [int(each) for each in numbers.split()]
 
 
+@then("the caller got a complete response without events")
 @then("the caller got a complete response with the events ")
 def step_impl(context):
     response = context.raw_response
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -112,6 +112,9 @@
             if is_failure(choice):
                 state.unproven_answer = None
                 return _combine_with_choice(state.worst_failure, choice)
+            if choice.backend.name in state.empty_rest_names:
+                # Nobody else can be asked what follows.
+                break
             problem = self._check_guard(state)
             if problem is not None:
                 state.unproven_answer = None
--- a/stoatpath/dispatch/event_relays.py
+++ b/stoatpath/dispatch/event_relays.py
@@ -4,7 +4,13 @@
 from stoatpath.dispatch.checks import broken_answer
 from stoatpath.dispatch.deadlines import ABANDONED_MS
 from stoatpath.dispatch.event_splitters import EventSplitter
-from stoatpath.outcomes import CALLER_GONE, SUPERSEDED, Failure, Outcome
+from stoatpath.outcomes import (
+    CALLER_GONE,
+    SUPERSEDED,
+    Failure,
+    Outcome,
+    is_failure,
+)
 
 ENDS_BEFORE_MORE = "it ended where another attempt brought more"
 
@@ -14,25 +20,30 @@
 
     The head (status and headers) is the first attempt's. The first attempt whose head
     is accepted claims the relay; `on_claimed` is called with it. Once `is_abandoned` is
-    true, nothing more is written.
+    true, nothing more is written. `was_cut` is true once an attempt broke off that had
+    begun to write.
     """
 
     __slots__ = (
         "_stream",
         "_owner",
         "_unproven_end",
+        "_unproven_by",
         "_end_with_more",
         "on_claimed",
         "is_abandoned",
+        "was_cut",
     )
 
-    def __init__(self, stream):
+    def __init__(self, stream, was_cut=False):
         self._stream = stream
         self._owner = None
         self._unproven_end = None
+        self._unproven_by = None
         self._end_with_more = None
         self.on_claimed = None
         self.is_abandoned = False
+        self.was_cut = was_cut
 
     @property
     def has_begun(self):
@@ -49,15 +60,19 @@
         """Return the identifier of the event after which to resume."""
         return self.last_event_id
 
-    def confirm_end(self):
-        """Record an end that may as well have been a cut.
+    def confirm_end(self, attempt):
+        """Record an end that may as well have been a cut, or a fault of its sender.
 
         Return whether it is the second one in a row: an attempt that resumed after the
-        first one brought no event.
+        first one brought no event. Two empty rests must be of two backend servers.
         """
-        is_confirmed = self._unproven_end == self.last_event_id
+        name = attempt.backend.name if attempt.is_empty_rest else None
+        is_second = self._unproven_end == self.last_event_id
+        if is_second and name is not None and name == self._unproven_by:
+            return False
         self._unproven_end = self.last_event_id
-        return is_confirmed
+        self._unproven_by = name
+        return is_second
 
     def record_more(self):
         """Record that more follows what was written, though no whole event came."""
@@ -138,18 +153,24 @@
 
 
 async def _relay_events(attempt, head, content, deadlines, on_first_event):
-    splitter = attempt.relay.open_splitter(attempt.request)
+    relay = attempt.relay
+    splitter = relay.open_splitter(attempt.request)
+    is_whole = False
     try:
-        return await _relay_split(
+        answer = await _relay_split(
             attempt, head, content, deadlines, on_first_event, splitter
         )
+        is_whole = not is_failure(answer)
+        return answer
     finally:
+        relay.was_cut = relay.was_cut or not is_whole
         if splitter.has_more:
-            attempt.relay.record_more()
+            relay.record_more()
 
 
 async def _relay_split(attempt, head, content, deadlines, on_first_event, splitter):
     relay = attempt.relay
+    attempt.is_rest = relay.has_begun or bool(attempt.request.last_event_id)
     if await relay.begin(head) is not None:
         # Whether the backend server gets as far as an event is still worth knowing.
         relay.abandon()
--- a/stoatpath/dispatch/messages.py
+++ b/stoatpath/dispatch/messages.py
@@ -19,7 +19,8 @@
     with an identifier. `send_by_ms` is the time by which the connection must be open:
     the permit to send expires then. `is_hedge` is true for an extra send beside another
     attempt, `is_abandoned` once nobody awaits its answer. `is_unframed` is true for an
-    answer whose body ends with its connection.
+    answer whose body ends with its connection, `is_rest` for a stream of which the
+    caller has an earlier part.
     """
 
     __slots__ = (
@@ -41,6 +42,7 @@
         "is_hedge",
         "is_abandoned",
         "is_unframed",
+        "is_rest",
         "last_check",
     )
 
@@ -65,8 +67,14 @@
         self.is_hedge = False
         self.is_abandoned = False
         self.is_unframed = False
+        self.is_rest = False
         self.last_check = None
 
+    @property
+    def is_empty_rest(self):
+        """Return whether the rest of a stream was asked for, and brought no event."""
+        return self.is_rest and not self.events
+
     @property
     def has_begun(self):
         """Return whether the head of an answer has arrived."""
--- a/stoatpath/dispatch/relay_policies.py
+++ b/stoatpath/dispatch/relay_policies.py
@@ -40,7 +40,10 @@
 
     def open_relay(self, request, stream):
         """Return the relay for the events of a streamed answer, or None."""
-        return None if stream is None else EventRelay(stream)
+        if stream is None:
+            return None
+        # What ran at the instance that forwards it broke off.
+        return EventRelay(stream, request.is_forwarded and request.run_count > 0)
 
     def query(self, request, version, tried_names):
         """Return the `AffinityQuery` of one attempt."""
--- a/stoatpath/dispatch/relay_senders.py
+++ b/stoatpath/dispatch/relay_senders.py
@@ -143,30 +143,37 @@
             )
             if is_failure(answer):
                 response.close()
-            elif attempt.is_unframed:
+            elif attempt.is_unframed or attempt.is_empty_rest:
                 return await self._check_end(attempt, answer)
             return answer
 
     async def _check_end(self, attempt, answer):
-        """Return an answer that ended with its connection, or a failure.
+        """Return an answer whose end may be none, or a failure.
 
         A process that ends closes its connections as one that has finished an answer
         does. One that still runs has ended the answer, unless it is faulty or something
-        between cut the connection: a stream that can be resumed is complete if nothing
-        follows its last event, and no attempt brought a part of what does.
+        between cut the connection. So a stream that can be resumed is complete if
+        nothing follows its last event, and no attempt brought a part of what does. That
+        nothing follows is rare where a stream was cut, and is believed if two backend
+        servers say so.
         """
         request = attempt.request
         use_last_check(None)
-        if not await self._calls.is_running(attempt.backend, request.service):
+        if attempt.is_unframed and not await self._calls.is_running(
+            attempt.backend, request.service
+        ):
             return broken_answer(
                 "it ended with its connection, and its process is gone"
             )
         relay = attempt.relay if answer.body is None else None
         if relay is None or not request.is_repeatable or not relay.is_resumable:
             return answer
-        if relay.confirm_end():
+        if relay.confirm_end(attempt):
             return answer
-        detail = f"it ended with its connection after {attempt.events} events"
+        if attempt.is_empty_rest and relay.was_cut:
+            detail = "the rest of a stream that broke off is empty"
+            return Failure(UNPROVEN_END, detail, Outcome.UNKNOWN)
+        detail = f"it ended unproven after {attempt.events} events"
         return AnsweredFailure(UNPROVEN_END, detail, Outcome.UNKNOWN, answer)
 
     def _observe_signals(self, attempt, head, sent_ms):
--- a/stoatpath/dispatch/request_states.py
+++ b/stoatpath/dispatch/request_states.py
@@ -5,6 +5,7 @@
     FOREIGN_ANSWER,
     SILENT_CONNECTION,
     UNPROVEN_END,
+    AnsweredFailure,
     Outcome,
     RestRefused,
 )
@@ -15,9 +16,11 @@
 class RequestState:
     """State of one request over all its attempts.
 
-    `unproven_answer` is a stream that ended with its connection, or None. It counts as
-    whole if the route allows no run that could tell, or a backend server refuses to
-    send a rest; otherwise its caller may resume it, and have its end proved.
+    `unproven_answer` is a stream that ended with its connection, or whose rest is empty
+    at one backend server, or None. It counts as whole if the route allows no run that
+    could tell, nobody else can be asked, or a backend server refuses to send a rest;
+    otherwise its caller may resume it, and have its end proved. `empty_rest_names` are
+    the backend servers that sent no event after the last one.
     """
 
     __slots__ = (
@@ -31,6 +34,7 @@
         "worst_failure",
         "unproven_answer",
         "had_false_end",
+        "empty_rest_names",
     )
 
     def __init__(self, request, version, relay, min_confidence):
@@ -44,6 +48,7 @@
         self.worst_failure = None
         self.unproven_answer = None
         self.had_false_end = False
+        self.empty_rest_names = set()
 
     @property
     def has_unproven_answer(self):
@@ -61,10 +66,10 @@
         if attempt.events and self.unproven_answer is not None:
             self.had_false_end = True
             self.unproven_answer = None
+        if attempt.events:
+            self.empty_rest_names.clear()
         if failure.reason is UNPROVEN_END:
-            # Where ends have been cuts, only a proven one counts.
-            self.unproven_answer = None if self.had_false_end else failure.answer
-            self.tried_names.discard(name)
+            self._record_unproven_end(attempt, failure)
         elif not isinstance(failure, RestRefused):
             self.unproven_answer = None
         if attempt.was_pooled and failure.reason in CONNECTION_FAULTS:
@@ -79,3 +84,13 @@
             if self.worst_failure is None
             else self.worst_failure.combined_with(failure)
         )
+
+    def _record_unproven_end(self, attempt, failure):
+        name = attempt.backend.name
+        if attempt.is_empty_rest:
+            self.empty_rest_names.add(name)
+        else:
+            self.tried_names.discard(name)
+        # Where ends have been cuts, only a proven one counts.
+        is_believable = isinstance(failure, AnsweredFailure) and not self.had_false_end
+        self.unproven_answer = failure.answer if is_believable else None
--- a/stoatpath/standins/replicas.py
+++ b/stoatpath/standins/replicas.py
@@ -9,13 +9,15 @@
 `endless-interim` (1xx answers), `endless-chunk` (the extension of a chunk). Of a
 stream: `cut` (disconnected within an event, after some whole ones), `skip` (an event is
 missing), `stall`, `endless-event`, `unframed` (it ends with its connection) and
-`unframed-cut` (the same, within an event), `unframed-empty` (without any event) and
-`cut-N` (disconnected after N whole events).
+`unframed-cut` (the same, within an event), `unframed-empty` (without any event),
+`cut-N` (disconnected within the event after N whole ones, or after the last one) and
+`break-N` (disconnected between events, after N whole ones).
 Of both: `unframed-short` (closed after some whole events, or half of the body) and
 `unframed-crash` (the same, and the replica ends as a killed process does) and
 `unframed-restart` (the same, and another process is in its place at once).
 A stream of other numbers: `late` (one is missing at the start), `again` (from the first
 event, whatever was asked for), `repeat` (from the event that was named), `empty`,
+`comment` (without events, but with a comment),
 `sparse` and `sparse-cut` (they rise by 10), `unnumbered` (an event without identifier
 comes first) and `unnumbered-cut` (such an event is the last before the disconnection).
 In place of a stream: `status-N` (an answer with a body), `events-N` (a stream with this
@@ -61,8 +63,9 @@
 IDENTITY_PATHS = (HEALTH_PATH, "/-/report")
 ENDLESS_KINDS = ("endless-body", "endless-head", "endless-interim", "endless-chunk")
 FAILED_BODY = b'{"error": "the request failed"}'
-# In the numbers of a stream: an event without one, and a disconnection.
+# In the numbers of a stream: an event without one, a comment, and a disconnection.
 UNNUMBERED = "unnumbered"
+COMMENT = "comment"
 CUT = "cut"
 SPARSE_STEP = 10
 FAILED_EVENT = b"event: error\ndata: the request failed\n\n"
@@ -348,7 +351,7 @@
         if kind in ("short", "garbage"):
             raw_kind = "half" if kind == "short" else kind
             return await _write_raw(request, raw_kind, headers, FAILED_BODY)
-        cut_after = int(number) if name == "cut" else CUT_AFTER_EVENTS
+        cut_after = int(number) if name in ("cut", "break") else CUT_AFTER_EVENTS
         headers |= {"Content-Type": "text/event-stream"}
         numbers = _other_numbers(kind, start, self.events)
         if numbers is not None:
@@ -364,6 +367,9 @@
         if kind == "endless-event":
             return await self._write_endlessly(request, b"", ENDLESS_EVENT)
         for number in range(start + 1, self.events + 1):
+            if number > start + cut_after and name == "break":
+                drop_connection(request)
+                return response
             if number > start + cut_after and kind.startswith("cut"):
                 await response.write(f"id: {number}\nda".encode())
                 drop_connection(request)
@@ -389,6 +395,9 @@
             if number is CUT:
                 drop_connection(request)
                 return response
+            if number is COMMENT:
+                await response.write(b": nothing more\n\n")
+                continue
             prefix = "" if number is UNNUMBERED else f"id: {number}\n"
             await response.write(f"{prefix}data: {number}\n\n".encode())
             await asyncio.sleep(self.event_ms / 1000)
@@ -468,6 +477,7 @@
         "again": list(range(1, events + 1)),
         "repeat": list(range(max(1, start), events + 1)),
         "empty": [],
+        "comment": [COMMENT],
         "sparse": sparse,
         "sparse-cut": [*sparse[:CUT_AFTER_EVENTS], CUT],
         "unnumbered": [UNNUMBERED, *rest],
