A request runs only for the organisation that holds its key when it is sent

Callers' requests that waited, or whose connection was being opened, while the operator gave their key to another organisation ran in the name of the one that had it before.

Cause: the last check before a send asked whether anybody holds the key. Found by reading.

Change: the check compares the organisation; such a request is refused, not run.

Evidence: features/resilience/pauses.feature, "A key passes to another organisation while a connection opens", failed before; its 10 scenarios pass.

--- a/features/resilience/pauses.feature
+++ b/features/resilience/pauses.feature
@@ -12,6 +12,13 @@
     When a caller sends a look request
     Then it is answered 503 and no backend server got it
 
+  # Guards against requests that run for an organisation that no longer holds their key.
+  Scenario: A key passes to another organisation while a connection opens
+    Given a gateway with rows of all tables
+    And a connection that takes 400 ms, in which another organisation gets the key
+    When a caller sends a look request
+    Then it is answered 503 and no backend server got it
+
   # Guards against requests that are reset, since the idle time of their connection ended
   # in the same pause of the process in which they arrived.
   Scenario Outline: A process is paused while a request arrives and its idle time ends: <loop>
--- a/features/resilience/steps/pause_steps.py
+++ b/features/resilience/steps/pause_steps.py
@@ -18,6 +18,7 @@
 from stoatpath.dispatch.attempts import AttemptRunner
 from stoatpath.dispatch.window_budgets import WindowBudget
 from stoatpath.outcomes import CONNECT_FAILED, Failure
+from stoatpath.standins.deployments import CALLER_KEY
 
 KEY_OF_NOBODY = "another-key"
 
@@ -76,6 +77,15 @@
     patch_connect(context, act)
 
 
+@given("a connection that takes 400 ms, in which another organisation gets the key")
+def step_impl(context):
+    async def act(address):
+        organisation = {"name": "heir", "api_keys": [CALLER_KEY]}
+        await context.deployment.update_config(tenants=[organisation])
+
+    patch_connect(context, act)
+
+
 @given("a connection that takes 400 ms, in which its backend server begins to leave")
 def step_impl(context):
     async def act(address):
--- a/stoatpath/configuration/route_guards.py
+++ b/stoatpath/configuration/route_guards.py
@@ -49,8 +49,10 @@
         problem = self.check_work(request)
         if problem is not None:
             return problem
-        table = self._routes.table
-        if request.key and request.key not in table.organisations_by_key:
+        if not request.key:
+            return None
+        holder = self._routes.table.organisations_by_key.get(request.key)
+        if holder is None or holder.name != request.organisation.name:
             return self.stale_failure("its key was revoked after it had arrived")
         return None
 
