A configuration without organisations opens no route where callers have keys

Callers without a key, or with any key, would be served once a configuration comes without the field of the organisations, though the settings of the process say that there are keys.

Change: `contracts` of the settings file is read; with `tenants` in it, keys are asked for whatever the configuration has. Deployments without that contract are as before.

--- a/stoatpath/callers/relays.py
+++ b/stoatpath/callers/relays.py
@@ -128,7 +128,7 @@
         if route is None:
             return self._not_found_or_stale(NOT_FOUND, "no route leads there", "path")
         organisation, key = None, ""
-        if table.needs_keys and not route.is_public:
+        if self._router.guard.needs_key(route):
             key = self._header_decoder.key(request.headers)
             organisation = table.organisations_by_key.get(key)
             if organisation is None:
--- a/stoatpath/configuration/route_guards.py
+++ b/stoatpath/configuration/route_guards.py
@@ -15,20 +15,27 @@
     The clock keeps running while the process is paused.
     """
 
-    __slots__ = ("_routes", "_fails_closed", "_max_age_ms", "_clock")
+    __slots__ = ("_routes", "_fails_closed", "_max_age_ms", "_has_keys", "_clock")
 
-    def __init__(self, routes, fails_closed, revoke_ms, clock):
+    def __init__(self, routes, fails_closed, revoke_ms, has_keys, clock):
         self._routes = routes
         self._clock = clock
-        self.set_bounds(fails_closed, revoke_ms)
+        self.set_bounds(fails_closed, revoke_ms, has_keys)
 
-    def set_bounds(self, fails_closed, revoke_ms):
+    def set_bounds(self, fails_closed, revoke_ms, has_keys):
         """Set whether stale routes refuse keyed requests, and the revocation bound.
 
         `revoke_ms` is the time after which a revoked key must not be accepted.
+        `has_keys` says that callers need keys whatever the configuration has.
         """
         self._fails_closed = fails_closed
         self._max_age_ms = MAX_AGE_SHARE * revoke_ms
+        self._has_keys = has_keys
+
+    def needs_key(self, route):
+        """Return whether the callers of a route in force must send a key."""
+        needs_keys = self._has_keys or self._routes.table.needs_keys
+        return needs_keys and not route.is_public
 
     @property
     def is_fresh(self):
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -203,7 +203,9 @@
         self._build_followers()
         self._build_peers()
         self.stop_times = StopTimes()
-        self.guard = RouteGuard(self.routes, boot.fails_closed, boot.revoke_ms, clock)
+        self.guard = RouteGuard(
+            self.routes, boot.fails_closed, boot.revoke_ms, boot.has_keys, clock
+        )
         self._build_request_path()
         self.ready_server = ReadyServer(self.is_ready)
         self.metrics = MetricsServer(lambda: gateway_samples(self))
@@ -495,7 +497,7 @@
             if getattr(boot, name) != getattr(self.boot, name)
         ]
         self.boot = boot
-        self.guard.set_bounds(boot.fails_closed, boot.revoke_ms)
+        self.guard.set_bounds(boot.fails_closed, boot.revoke_ms, boot.has_keys)
         self.retry_budget.set_bounds(
             boot.retry_ratio, boot.retry_window_ms, boot.retry_slack
         )
--- a/stoatpath/platform/boot_files.py
+++ b/stoatpath/platform/boot_files.py
@@ -14,6 +14,8 @@
 MAX_COLD_FACTOR = 1_000
 MAX_COLD_SLACK = 1_000_000
 MAX_LOGGED_CHARS = 40
+# Part of the platform's rules by which organisations have keys.
+KEYS_CONTRACT = "tenants"
 # Defaults of optional bounds, from the deployments that the platform documents.
 # Names that end in _s are in seconds, in _ms in milliseconds.
 DEFAULT_BOUNDS = {
@@ -45,7 +47,8 @@
     requests allowed beyond those fractions. `evacuation_ms` is None if the file has no
     such bound. `regions_by_zone` maps zones to regions; `region` is that of the
     process, or None. `cold_factor` is that of the rate at which cold backend servers
-    may get requests, None for no bound of this kind.
+    may get requests, None for no bound of this kind. `has_keys` says that callers have
+    keys, also while a configuration names none.
     """
 
     __slots__ = (
@@ -76,6 +79,7 @@
         "region",
         "cold_factor",
         "cold_slack",
+        "has_keys",
     )
 
     @classmethod
@@ -119,6 +123,7 @@
         boot.cold_factor = bounds_reader.tolerated_number("cold_over", MAX_COLD_FACTOR)
         boot.cold_slack = bounds_reader.tolerated_number("cold_slack", MAX_COLD_SLACK)
         boot.cold_slack = boot.cold_slack or 0
+        boot.has_keys = KEYS_CONTRACT in reader.tolerated_list("contracts")
         if reader.problems:
             return Failure(BAD_REQUEST, "; ".join(reader.problems))
         return boot
@@ -214,9 +219,21 @@
         is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
         if is_number and 0 <= value <= largest:
             return value
+        self._log_ignored(name, value)
+        return None
+
+    def tolerated_list(self, name):
+        """Return a list, empty if the field is missing; another value is ignored."""
+        value = self._get_value((name,))
+        if isinstance(value, list):
+            return value
+        if value is not None:
+            self._log_ignored(name, value)
+        return []
+
+    def _log_ignored(self, name, value):
         extra = {"setting": self._prefix + name, "text": repr(value)[:MAX_LOGGED_CHARS]}
         logger.warning("settings.ignored", extra=extra)
-        return None
 
     def flag(self, *path):
         value = self._get_value(path)
