A part of a configuration that can't be read stops no other part

One field of one route, service, organisation or limit that an instance can't read kept the whole configuration out, with all its changes, at every instance: a key that it took away stayed valid, and a gateway that started had no routes at all and answered 503 to everything.

Cause: the configuration was decoded as one value, so the worst of its parts decided for all. Found by reading.

Change: each part is decoded by itself. An unreadable route keeps its host and prefix, so that no route with a shorter prefix gets its requests, and answers 503; keys of an unreadable organisation get 503, not 401; unreadable services are left out, limits have their defaults. Without version, lists, host or prefix the row is unreadable as before. Log line, metric, `stoatpathctl store routes` name what is left out.

Weighed: keeping the route of the configuration before (a starting instance has none, and a restriction that was added would be missing).

--- a/features/platform/decoding.feature
+++ b/features/platform/decoding.feature
@@ -173,10 +173,12 @@
       | tenants.api_keys | missing  | accepts no key     |
       | tenants.api_keys | []       | accepts no key     |
       | tenants.api_keys | null     | accepts no key     |
-      | tenants.api_keys | "abc"    | is unreadable      |
-      | tenants.api_keys | [""]     | is unreadable      |
+      | tenants.api_keys | "abc"    | leaves out its organisation |
+      | tenants.api_keys | [""]     | leaves out its organisation |
+      | tenants.name     | null     | leaves out its organisation |
+      | tenants.allowed_regions | "eu" | leaves out its organisation |
       | tenants.priority | null     | is readable        |
-      | tenants.priority | -1       | is unreadable      |
+      | tenants.priority | -1       | leaves out its organisation |
 
     Examples: routes
       | field                | value                            | verdict             |
@@ -185,25 +187,30 @@
       | routes               | null                             | is unreadable       |
       | routes.public        | missing                          | accepts only its key |
       | routes.public        | null                             | accepts only its key |
-      | routes.public        | "false"                          | is unreadable       |
-      | routes.resumable     | 1                                | is unreadable       |
-      | routes.kind          | "other"                          | is unreadable       |
+      | routes.host          | null                             | is unreadable       |
+      | routes.prefix        | 7                                | is unreadable       |
+      | routes.public        | "false"                          | leaves out its route |
+      | routes.resumable     | 1                                | leaves out its route |
+      | routes.kind          | "other"                          | leaves out its route |
+      | routes.allowed_regions | "eu"                           | leaves out its route |
       | routes.max_attempts  | 0                                | allows 1 attempts   |
       | routes.max_attempts  | null                             | allows 1 attempts   |
-      | routes.max_attempts  | true                             | is unreadable       |
-      | routes.timeout_ms    | -1                               | is unreadable       |
+      | routes.max_attempts  | true                             | leaves out its route |
+      | routes.timeout_ms    | -1                               | leaves out its route |
       | routes.traffic_split | []                               | has the service     |
       | routes.traffic_split | [{"service": "a", "weight": 0}]  | has no service      |
-      | routes.traffic_split | [{"service": "a", "weight": -1}] | is unreadable       |
-      | routes.traffic_split | "a"                              | is unreadable       |
+      | routes.traffic_split | [{"service": "a", "weight": -1}] | leaves out its route |
+      | routes.traffic_split | "a"                              | leaves out its route |
 
     Examples: services and limits
       | field                  | value   | verdict        |
       | services               | missing | is unreadable  |
       | services               | {}      | is unreadable  |
+      | services.name          | null    | leaves out its service |
+      | services.engine        | "none"  | leaves out its service |
       | limits.max_body_bytes  | 0       | allows no body |
-      | limits.max_header_bytes | 0      | is unreadable  |
-      | limits.max_body_bytes  | "0"     | is unreadable  |
+      | limits.max_header_bytes | 0      | has the default of max_head_bytes |
+      | limits.max_body_bytes  | "0"     | has the default of max_body_bytes |
       | version                | 1.5     | is unreadable  |
 
   # Guards against callers without a key, or with a revoked one, who are served once the
--- a/features/platform/steps/entry_steps.py
+++ b/features/platform/steps/entry_steps.py
@@ -16,6 +16,7 @@
 )
 from stoatpath.standins.deployments import (
     CALLER_KEY,
+    HOST,
     LLM_SERVICE,
     PLAIN_SERVICE,
     sample_config,
@@ -180,6 +181,43 @@
     assert not is_failure(context.decoded), context.decoded
 
 
+def check_problems(table, count=1):
+    """Assert that a number of parts are left out, and that they are named."""
+    assert not is_failure(table), table
+    assert len(table.problems) == count and all(table.problems), table.problems
+
+
+@then("it leaves out its organisation")
+def step_impl(context):
+    check_problems(context.decoded)
+    assert context.decoded.needs_keys and not context.decoded.organisations_by_key
+    assert not context.decoded.has_all_keys
+
+
+@then("it leaves out its route")
+def step_impl(context):
+    check_problems(context.decoded)
+    first, *others = context.decoded.routes
+    assert first.problem and not first.is_public and not first.weights_by_service
+    assert len(others) == len(sample_config()["routes"]) - 1
+    assert not any(each.problem for each in others)
+    assert context.decoded.match_route(HOST, "/chat/1") is first
+
+
+@then("it leaves out its service")
+def step_impl(context):
+    check_problems(context.decoded)
+    assert list(context.decoded.services_by_name) == [PLAIN_SERVICE]
+
+
+@then("it has the default of {name}")
+def step_impl(context, name):
+    check_problems(context.decoded)
+    default = decode_route_table(encode_json(sample_config() | {"limits": None}))
+    assert getattr(context.decoded.limits, name) == getattr(default.limits, name)
+    assert getattr(context.decoded.limits, "head_timeout_ms") == 500
+
+
 @then("it asks for no key")
 def step_impl(context):
     assert not context.decoded.needs_keys
--- a/stoatpath/callers/relays.py
+++ b/stoatpath/callers/relays.py
@@ -127,10 +127,15 @@
         )
         if route is None:
             return self._not_found_or_stale(NOT_FOUND, "no route leads there", "path")
+        guard = self._router.guard
+        if route.problem:
+            return guard.stale_failure("the route can't be read")
         organisation, key = None, ""
-        if self._router.guard.needs_key(route):
+        if guard.needs_key(route):
             key = self._header_decoder.key(request.headers)
             organisation = table.organisations_by_key.get(key)
+            if organisation is None and not table.has_all_keys:
+                return guard.stale_failure("an organisation can't be read")
             if organisation is None:
                 return self._not_found_or_stale(
                     UNAUTHENTICATED, "the key is not known", "Authorization"
@@ -147,9 +152,7 @@
         fraction = xxh3_64_intdigest(request_id.encode()) / HASH_RANGE
         service = table.services_by_name.get(route.choose_service(fraction))
         if service is None:
-            return self._router.guard.stale_failure(
-                "the service of the route is not known"
-            )
+            return guard.stale_failure("the service of the route is not known")
         prompt = self._header_decoder.prompt(request.headers)
         self._record_read(request_id, route, service, organisation, timeout_ms, prompt)
         return RelayedRequest(
--- a/stoatpath/commands/store_views.py
+++ b/stoatpath/commands/store_views.py
@@ -54,8 +54,10 @@
         "row_version": row.version,
         "organisations": organisations,
         "routes": routes,
+        "problems": table.problems,
     }
-    return Result(EXIT_OK, [summary, *_route_lines(routes)], data)
+    problems = [f"unreadable: {each}" for each in table.problems]
+    return Result(EXIT_OK, [summary, *_route_lines(routes), *problems], data)
 
 
 def _describe_route(route):
--- a/stoatpath/configuration/route_keepers.py
+++ b/stoatpath/configuration/route_keepers.py
@@ -6,6 +6,8 @@
 
 logger = logging.getLogger(__name__)
 
+MAX_LOGGED_PROBLEMS = 5
+
 
 class RouteKeeper:
     """The route table in force, and the table copy that confirms it.
@@ -41,6 +43,10 @@
         if self.table is not None and table.revision <= self.table.revision:
             return
         self.table = table
+        if table.problems:
+            why = table.problems[:MAX_LOGGED_PROBLEMS]
+            extra = {"row": row.version, "count": len(table.problems), "why": why}
+            logger.error("routes.partly-unreadable", extra=extra)
         logger.info(
             "routes.in-force",
             extra={
--- a/stoatpath/configuration/routes.py
+++ b/stoatpath/configuration/routes.py
@@ -84,6 +84,7 @@
     caller names the model. `max_attempts` limits the attempts of one request.
     `regions` is a set of names, or None if it allows all. `gap_ms` is the longest pause
     between events with which an answer is on time, 0 if the operator names none.
+    `problem` says why a route can't be used, "" for one that can.
     """
 
     __slots__ = (
@@ -101,6 +102,7 @@
         "models",
         "regions",
         "gap_ms",
+        "problem",
     )
 
     def __init__(
@@ -134,6 +136,20 @@
         self.models = models
         self.regions = regions
         self.gap_ms = gap_ms
+        self.problem = ""
+
+    @classmethod
+    def from_unreadable(cls, host, prefix, problem):
+        """Return a route of which nothing but the host and the prefix can be read.
+
+        It keeps its requests from routes with shorter prefixes, and serves none.
+        """
+        no_models = ()
+        route = cls(
+            prefix, host, prefix, AT_MOST_ONCE, 0, 0, 0, {}, 1, False, False, no_models
+        )
+        route.problem = problem
+        return route
 
     @property
     def is_stream(self):
@@ -181,7 +197,8 @@
     """One revision of all routes, services, keys and limits.
 
     With `needs_keys`, callers of routes that are not public must send a key. `limits`
-    are `CallerLimits`.
+    are `CallerLimits`. `problems` lists the parts that can't be read and are left out;
+    with `has_all_keys` no organisation is among them.
     """
 
     __slots__ = (
@@ -191,6 +208,8 @@
         "organisations_by_key",
         "needs_keys",
         "limits",
+        "problems",
+        "has_all_keys",
         "_routes_by_host",
     )
 
@@ -202,6 +221,8 @@
         organisations_by_key,
         needs_keys,
         limits,
+        problems=(),
+        has_all_keys=True,
     ):
         self.revision = revision
         self.routes = routes
@@ -209,6 +230,8 @@
         self.organisations_by_key = organisations_by_key
         self.needs_keys = needs_keys
         self.limits = limits
+        self.problems = problems
+        self.has_all_keys = has_all_keys
         self._routes_by_host = {}
         for route in sorted(routes, key=lambda each: -len(each.prefix)):
             self._routes_by_host.setdefault(route.host, []).append(route)
--- a/stoatpath/gateway_metrics.py
+++ b/stoatpath/gateway_metrics.py
@@ -147,6 +147,11 @@
         "Revision of the routes in force, 0 for none.",
         0 if table is None else table.revision,
     )
+    yield Sample.gauge(
+        "stoatpath_routes_unreadable_parts",
+        "Parts of the configuration in force that can't be read and are left out.",
+        0 if table is None else len(table.problems),
+    )
 
 
 def _version_samples(gateway, now_ms):
--- a/stoatpath/platform/documents.py
+++ b/stoatpath/platform/documents.py
@@ -18,6 +18,7 @@
 from stoatpath.outcomes import BAD_REQUEST, Failure
 from stoatpath.platform.fields import (
     MAX_INTEGER,
+    REQUIRED,
     check_header_text,
     check_text,
     describe,
@@ -190,26 +191,55 @@
 
 
 def _build_route_table(data, build_route=None):
+    """Return a `RouteTable`; parts that can't be read are left out of it.
+
+    A document raises that doesn't say which revision it is, which parts it has, or
+    which requests a route is for.
+    """
     build_route = build_route or _build_route
-    services = [_build_service(each) for each in read_list(data, "services")]
+    problems = []
+    services = _build_each(data, "services", _build_service, problems)
+    routes = [build_route(each) for each in read_list(data, "routes")]
+    problems += [f"{each.prefix}: {each.problem}" for each in routes if each.problem]
+    problems_before = len(problems)
+    organisations = _build_each(data, "tenants", _build_organisation, problems, ())
+    has_all_keys = len(problems) == problems_before
     organisations_by_key = {}
-    for each in read_list(data, "tenants", ()):
-        organisation = RoutedOrganisation(
-            read_text(each, "name"),
-            read_integer(each, "priority", 0, default=None),
-            _decode_regions(each),
-        )
-        for key in read_list(each, "api_keys", ()):
-            organisations_by_key[check_text(key, "api_keys")] = organisation
+    for organisation, keys in organisations:
+        organisations_by_key |= dict.fromkeys(keys, organisation)
     return RouteTable(
         read_integer(data, "version", 0),
-        [build_route(each) for each in read_list(data, "routes")],
+        routes,
         {service.name: service for service in services},
         organisations_by_key,
         # Without an organisation no key is known; without the field none is asked for.
         "tenants" in data,
-        _build_limits(read_table(data, "limits", {})),
+        _build_limits(read_table(data, "limits", {}), problems),
+        problems,
+        has_all_keys,
+    )
+
+
+def _build_each(data, name, build, problems, default=REQUIRED):
+    """Return what can be built of the entries of a list; add the others' problems."""
+    built = []
+    for index, each in enumerate(read_list(data, name, default)):
+        try:
+            built.append(build(each))
+        except DECODE_ERRORS as error:
+            problems.append(f"{name}.{index}: {error}")
+    return built
+
+
+def _build_organisation(data):
+    """Return a `RoutedOrganisation` and its keys."""
+    organisation = RoutedOrganisation(
+        read_text(data, "name"),
+        read_integer(data, "priority", 0, default=None),
+        _decode_regions(data),
     )
+    keys = [check_text(key, "api_keys") for key in read_list(data, "api_keys", ())]
+    return organisation, keys
 
 
 def _build_service(data):
@@ -233,12 +263,25 @@
 
 
 def _build_route(data):
+    """Return a `Route`, with its problem if it can't be read whole."""
+    host = read_text(data, "host").lower()
+    prefix = read_text(data, "prefix")
+    try:
+        return _build_whole_route(data, host, prefix)
+    except DECODE_ERRORS as error:
+        return Route.from_unreadable(host, prefix, str(error))
+
+
+def _build_whole_route(data, host, prefix):
     timeout_ms = read_number(data, "timeout_ms", 0)
+    kind = read_text(data, "kind")
+    if kind not in REPEATS_BY_KIND:
+        raise ValueError(f"kind: unknown {describe(kind)}")
     return Route(
         read_text(data, "name"),
-        read_text(data, "host").lower(),
-        read_text(data, "prefix"),
-        REPEATS_BY_KIND[read_text(data, "kind")],
+        host,
+        prefix,
+        REPEATS_BY_KIND[kind],
         timeout_ms,
         read_number(data, "target_latency_ms", 0, default=0) or timeout_ms,
         read_integer(data, "priority", 0, default=0),
@@ -279,12 +322,21 @@
     return frozenset(check_text(region, "allowed_regions") for region in regions)
 
 
-def _build_limits(data):
+def _build_limits(data, problems):
+    """Return the `CallerLimits`; one that can't be read has its default."""
+
+    def read(name, read_value, lowest, default):
+        try:
+            return read_value(data, name, lowest, default=default)
+        except ValueError as error:
+            problems.append(f"limits.{error}")
+            return default
+
     return CallerLimits(
-        read_integer(data, "max_header_bytes", 1, default=DEFAULT_HEAD_BYTES),
-        read_integer(data, "max_body_bytes", 0, default=DEFAULT_BODY_BYTES),
-        read_number(data, "header_timeout_ms", 1, default=DEFAULT_HEAD_TIMEOUT_MS),
-        read_number(data, "idle_timeout_ms", 1, default=DEFAULT_IDLE_TIMEOUT_MS),
+        read("max_header_bytes", read_integer, 1, DEFAULT_HEAD_BYTES),
+        read("max_body_bytes", read_integer, 0, DEFAULT_BODY_BYTES),
+        read("header_timeout_ms", read_number, 1, DEFAULT_HEAD_TIMEOUT_MS),
+        read("idle_timeout_ms", read_number, 1, DEFAULT_IDLE_TIMEOUT_MS),
     )
 
 
