While the operator's row can't be read, or is gone, nothing confirms the keys in force

Requests with a key ran for as long as the row of the operator was unreadable or removed, also with a key that this change took away: nothing told that the routes in force were not those of the store.

Cause: the age of the routes was that of the last answer of the store, whatever was in it.

Change: the routes are as old as the last answer before such a change. Public routes go on.

Weighed: refusing at once (an operator may repair the row within the bound).

Evidence: features/platform/configurations.feature, "The operator's row is ..., and later readable again", 4 examples failed before (a key was still served after 2.5 s of a bound of 1.5 s).

--- a/features/platform/configurations.feature
+++ b/features/platform/configurations.feature
@@ -36,6 +36,22 @@
     And the gateway is replaced by one that starts
     Then requests are answered so: chat 503, look 200, open 200, look of another 200
 
+  # Guards against keys that stay valid though nobody knows whether they still are.
+  Scenario Outline: The operator's row is <state>, and later readable again
+    Given a deployment whose keys must be confirmed within 1500 ms
+    When the operator's row is <state>, and requests arrive for 2500 ms
+    Then requests with a key got 200 at first and 503 at the end, and none after 1500 ms got 200
+    And every public request got 200
+    When the operator's row is written again
+    Then requests are answered so: look 200, open 200
+
+    Examples:
+      | state             |
+      | not JSON          |
+      | without a version |
+      | without routes    |
+      | removed           |
+
   # Guards against routes that open to all once the configuration has no organisations.
   Scenario Outline: The organisations are <state> where callers have keys
     Given a deployment whose callers have keys
--- a/stoatpath/configuration/operator_rows.py
+++ b/stoatpath/configuration/operator_rows.py
@@ -26,6 +26,8 @@
             zone = documents.parse_evacuation_key(change.key)
             if zone is not None:
                 has_changed_zones |= self._apply_evacuation(zone, change)
+            elif change.key == names.CONFIG_KEY and change.row is None:
+                self._routes.record_removal()
             elif change.row is None:
                 continue
             elif change.key == names.CONFIG_KEY:
--- a/stoatpath/configuration/route_keepers.py
+++ b/stoatpath/configuration/route_keepers.py
@@ -13,16 +13,18 @@
     """The route table in force, and the table copy that confirms it.
 
     `decode` converts the value of a row to a `RouteTable` or a failure. Each of
-    `observers` is called with every new table in force.
+    `observers` is called with every new table in force. While the row can't be read, or
+    is missing, nothing confirms the table in force.
     """
 
-    __slots__ = ("table", "observers", "_decode", "_copy")
+    __slots__ = ("table", "observers", "_decode", "_copy", "_last_read_ms")
 
     def __init__(self, decode):
         self.table = None
         self.observers = []
         self._decode = decode
         self._copy = None
+        self._last_read_ms = float("inf")
 
     def set_confirmation_source(self, copy):
         """Set the `TableCopy` whose last confirmation dates the routes."""
@@ -30,7 +32,7 @@
 
     def age_ms(self, now_ms):
         """Return how long ago the routes were confirmed."""
-        return self._copy.age_ms(now_ms)
+        return max(self._copy.age_ms(now_ms), now_ms - self._last_read_ms)
 
     def apply(self, row):
         """Put the operator's row in force, unless it is unreadable or not newer."""
@@ -39,7 +41,9 @@
             logger.error(
                 "routes.unreadable", extra={"row": row.version, "why": table.detail}
             )
+            self._record_unread()
             return
+        self._last_read_ms = float("inf")
         if self.table is not None and table.revision <= self.table.revision:
             return
         self.table = table
@@ -57,3 +61,12 @@
         )
         for observer in self.observers:
             observer(table)
+
+    def record_removal(self):
+        """Record that the operator's row is gone: the routes in force grow stale."""
+        logger.error("routes.removed")
+        self._record_unread()
+
+    def _record_unread(self):
+        """Date the routes in force by the last read of the row that they come from."""
+        self._last_read_ms = min(self._last_read_ms, self._copy.unchanged_ms)
--- a/stoatpath/feeds/copies.py
+++ b/stoatpath/feeds/copies.py
@@ -24,7 +24,8 @@
 
     `version` is the table version from which changes are followed. `confirmed_ms` is a
     clock reading no later than the moment at which the store produced the latest
-    answer. Changes after it may be missing. `confirmed_store_ms` is that moment on the
+    answer. Changes after it may be missing. `unchanged_ms` is what `confirmed_ms` was
+    before the latest changes came. `confirmed_store_ms` is that moment on the
     store's own clock. `changed_store_ms` is its reading at the first answer with the
     latest changes of the rows, `NEVER_MS` before a change.
     """
@@ -33,6 +34,7 @@
         "rows_by_key",
         "version",
         "confirmed_ms",
+        "unchanged_ms",
         "confirmed_store_ms",
         "changed_store_ms",
         "_removals",
@@ -43,6 +45,7 @@
         self.rows_by_key = {}
         self.version = 0
         self.confirmed_ms = NEVER_MS
+        self.unchanged_ms = NEVER_MS
         self.confirmed_store_ms = NEVER_MS
         self.changed_store_ms = NEVER_MS
         self._removals = deque()
@@ -74,7 +77,7 @@
             # The store's clock may have started anew, too.
             self.confirmed_store_ms = NEVER_MS
         self.version = version
-        self._confirm(as_of_ms, as_of_store_ms)
+        self._confirm(changes, as_of_ms, as_of_store_ms)
         return changes
 
     def apply_changes(self, rows, version, as_of_ms, as_of_store_ms=NEVER_MS):
@@ -89,7 +92,7 @@
             if row.version > self.version or row.key in self.rows_by_key
         )
         self.version = max(self.version, version)
-        self._confirm(as_of_ms, as_of_store_ms)
+        self._confirm(changes, as_of_ms, as_of_store_ms)
         return changes
 
     def changes_after(self, version):
@@ -102,7 +105,9 @@
         changed = [row for row in self.rows_by_key.values() if row.version > version]
         return changed + [row for row in self._removals if row.version > version]
 
-    def _confirm(self, as_of_ms, as_of_store_ms):
+    def _confirm(self, changes, as_of_ms, as_of_store_ms):
+        if changes:
+            self.unchanged_ms = self.confirmed_ms
         self.confirmed_ms = max(self.confirmed_ms, as_of_ms)
         self.confirmed_store_ms = max(self.confirmed_store_ms, as_of_store_ms)
 
