--- a/stoatpath/callers/relays.py
+++ b/stoatpath/callers/relays.py
@@ -188,6 +188,7 @@
     ):
         """Record the parsed request with the revision and the age of the routes."""
         routes = self._router.routes
+        age_ms = routes.age_ms(self._router.clock.now_ms())
         self._router.ring.record_decision(
             request_id,
             "read",
@@ -200,7 +201,7 @@
             tokens=prompt.tokens,
             shared_parts=prompt.shared_part_names,
             revision=routes.table.revision,
-            confirmed_ms_ago=round(routes.age_ms(self._router.clock.now_ms())),
+            confirmed_ms_ago=round(age_ms) if math.isfinite(age_ms) else None,
             confirmed_by=self._router.tables.confirmed_by,
         )
 
