Tests: what a stopping gateway refuses, and waits for pools without slots

Now a request that comes later than 3.1 s after SIGTERM and might not end in time must never run, and a pool without slots is expected to have none.

--- a/features/resilience/steps/stop_steps.py
+++ b/features/resilience/steps/stop_steps.py
@@ -547,6 +547,18 @@
     assert set(first) <= allowed and 200 in first, first
 
 
+@then("those later than {seconds:g} s, which might not end in time, never ran")
+def step_impl(context, seconds):
+    replicas = context.deployment.replicas_by_name.values()
+    ran_ids = {run.request_id for replica in replicas for run in replica.runs}
+    late = [
+        (send.result(), f"stop-{number}" in ran_ids)
+        for number, (sent_s, send) in enumerate(context.sent)
+        if sent_s > seconds
+    ]
+    assert set(late) <= {(503, False), (0, False)} and (503, False) in late, late
+
+
 @when(
     "a configuration without the route of {count:d} open book requests comes into force"
 )
--- a/features/resilience/stops.feature
+++ b/features/resilience/stops.feature
@@ -33,6 +33,7 @@
     When <route> requests with a time limit of 4 s come until it has ended
     Then each is answered with 200, 504, or with 503 and never ran
     And those in its first 2 s are answered with <first>
+    And those later than 3.1 s, which might not end in time, never ran
 
     Examples:
       | route | slots | first            |
--- a/stoatpath/admission/features/queues.feature
+++ b/stoatpath/admission/features/queues.feature
@@ -60,6 +60,14 @@
     Then it is refused as deadline-unreachable
     And its retry time is in the future
 
+  # Guards against callers who are told to come back at once to a service that has no
+  # slots at all, as if one were free.
+  Scenario: A request waits for a pool without slots
+    Given a slot queue of 0 slots
+    When "a" asks with a deadline in 3000 ms
+    Then it waits, and is expected to wait for ever
+    And it gets the first slot that there is, or is told at its end to return after 1000 ms
+
   Scenario: One organisation can't fill the queue
     Given a slot queue of 1 slot with a limit of 40 that "a" has held for 1 ms
     When "a" asks 40 times more
--- a/stoatpath/admission/features/steps/queue_steps.py
+++ b/stoatpath/admission/features/steps/queue_steps.py
@@ -239,6 +239,27 @@
     context.decision = submit_request(context, organisation, context.now_ms + left_ms)
 
 
+@then("it waits, and is expected to wait for ever")
+def step_impl(context):
+    assert context.decision is QUEUED, context.decision
+    (request,) = context.queue.waiting_requests()
+    assert context.queue.expected_wait_ms(request, context.now_ms) == float("inf")
+
+
+@then(
+    "it gets the first slot that there is, "
+    "or is told at its end to return after {wait:g} ms"
+)
+def step_impl(context, wait):
+    (request,) = context.queue.waiting_requests()
+    failure = context.queue.expire(request, context.now_ms)
+    assert failure.retry_at_ms == context.now_ms + wait, failure.retry_at_ms
+    assert context.queue.offer(request, context.now_ms) is QUEUED
+    context.queue.set_capacity(POOL, 1)
+    (grant,) = context.queue.grant_waiting(context.now_ms)
+    assert grant.request_id == request.request_id
+
+
 @then("it is refused as {reason}")
 def step_impl(context, reason):
     assert is_failure(context.decision), context.decision
