Soak: planned stops with signals in series, and empty rests of streams

Nothing played stops of gateways under load whose requests take as long as the grace period lets them, nor backend servers that answer the rest of a stream with nothing.

`--planned` plays only stops (SIGTERM, at times followed by SIGTERM and SIGHUP) and changes of the configuration, with callers that use stopping gateways, too, and plain answers of 0.6 to 2.6 s. Checked: no accepted request is cut unless the platform excuses it (LOST), and no gateway outlasts its grace period (LATE).

--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -12,3 +12,10 @@
     When 200 streams are played with seed 9 and unframed answers
     Then at least 150 streams were complete
     And no promise was broken
+
+  # Guards against requests that a stopping gateway accepts and cuts, on new and on kept
+  # connections, and against processes that outlast their grace period.
+  Scenario: Planned stops, with signals in series, cut no accepted request
+    When 240 streams are played with seed 2 and planned stops only
+    Then at least 180 streams were complete
+    And no promise was broken
--- a/features/soak/steps/soak_callers.py
+++ b/features/soak/steps/soak_callers.py
@@ -31,13 +31,18 @@
 
 
 class Answer:
-    """What a caller sent and got; `end` says how the answer ended."""
+    """What a caller sent and got; `end` says how the answer ended.
+
+    `due_s` is the end of the time that the caller gave.
+    """
 
     def __init__(self, attempt, path, gateway, last_id):
         self.attempt = attempt
         self.path = path
         self.gateway = gateway
         self.last_id = last_id
+        self.sent_s = 0.0
+        self.due_s = 0.0
         self.ended_s = 0.0
         self.status = 0
         self.headers = {}
@@ -81,6 +86,11 @@
         """Return the number of the last whole event that arrived."""
         return self.last_id + self.body.count(b"\n\n")
 
+    def is_lost(self):
+        """Tell whether the connection ended early, without an answer or within one."""
+        has_left = self.end in (CALLER_LEFT, NOT_CONNECTED)
+        return not self.is_complete and not has_left and self.ended_s < self.due_s
+
     def find_broken(self):
         """Return the rule that a success breaks and how, or None."""
         if not 200 <= self.status < 300:
@@ -107,10 +117,15 @@
 
 
 class Callers:
-    """Send requests over kept and new connections; `answers` holds all results."""
+    """Send requests over kept and new connections; `answers` holds all results.
+
+    With `uses_all`, also to gateways that aren't ready, as the platform does while most
+    of a zone aren't.
+    """
 
-    def __init__(self, seed, gateways):
+    def __init__(self, seed, gateways, uses_all=False):
         self.answers = []
+        self._uses_all = uses_all
         self._seed = seed
         self._gateways = gateways
         self._kept = {gateway.name: [] for gateway in gateways}
@@ -128,7 +143,7 @@
             if left_s <= 0:
                 return
             others = [each for each in self._gateways if each is not gateway]
-            ready = [each for each in others if each.is_ready]
+            ready = [each for each in others if each.is_ready or self._uses_all]
             gateway = rng.choice(ready or others)
             attempt = f"{rng.getrandbits(64):016x}"
             answer = Answer(attempt, path, gateway.name, last_id)
@@ -160,6 +175,8 @@
         try:
             reader, writer, starts = await self._connect(gateway, is_new)
             answer.end = "no answer"
+            answer.sent_s = time.monotonic()
+            answer.due_s = answer.sent_s + left_s
             writer.write(self._encode_request(answer, left_s))
             async with asyncio.timeout(wait_s):
                 await writer.drain()
--- a/features/soak/steps/soak_processes.py
+++ b/features/soak/steps/soak_processes.py
@@ -53,17 +53,28 @@
         self.signal(signal.SIGCONT)
         self.is_stopped = False
 
-    async def end(self, *signals):
-        """Send signals and wait for the end; kill it after the grace period."""
+    async def end(self, *signals, gap_s=0.0):
+        """Send signals and wait for the end; kill it after the grace period.
+
+        Return whether it ended by itself.
+        """
+        process = self.process
+        if process is None:
+            return True
+        deadline_s = time.monotonic() + GRACE_S
         for number in signals:
-            self.signal(number)
+            # Another process may have taken its place.
+            if process.returncode is None:
+                process.send_signal(number)
+            await asyncio.sleep(gap_s)
         try:
-            async with asyncio.timeout(GRACE_S):
-                if self.process is not None:
-                    await self.process.wait()
+            async with asyncio.timeout(deadline_s - time.monotonic()):
+                await process.wait()
         except TimeoutError:
-            self.signal(signal.SIGKILL)
-            await self.process.wait()
+            process.kill()
+            await process.wait()
+            return False
+        return True
 
 
 class GatewayProcess(OwnProcess):
--- a/features/soak/steps/soak_replicas.py
+++ b/features/soak/steps/soak_replicas.py
@@ -20,14 +20,14 @@
 
 STREAM_PREFIXES = ("/chat/", "/tell/")
 SLOTS = 16
-EVENT_GAP_MS = (5, 40)
-PLAIN_WORK_MS = (5, 120)
 # With a linger time of 0 s, a socket is closed by a TCP reset.
 LINGER_0 = struct.pack("ii", 1, 0)
 REFUSALS = {"shed-429": 429, "shed-503": 503}
 FAILURES = {"error": 500, "conflict": 409}
 CUTS = ("cut-within", "cut-between", "reset-within", "reset-between")
-FAULTS = (*REFUSALS, *FAILURES, *CUTS, "reset", "extra")
+# In place of the rest of a stream: a whole answer without any event.
+EMPTY_REST = "empty-rest"
+FAULTS = (*REFUSALS, *FAILURES, *CUTS, "reset", "extra", EMPTY_REST)
 
 
 def request_length(path):
@@ -136,6 +136,8 @@
         if fault in REFUSALS or self._running >= SLOTS:
             return await reply(writer, REFUSALS.get(fault, 503), refused_head)
         last_id = int(headers.get("last-event-id", 0))
+        if fault == EMPTY_REST and not last_id:
+            fault = ""
         status = FAILURES.get(fault, 200)
         self._note("run", attempt, path=path, after=last_id, status=status, fault=fault)
         self._seals += 1
@@ -145,6 +147,8 @@
             head["Content-Type"] = "text/event-stream"
             head["X-Stoatpath-Confidence"] = rng.randint(20, 100)
             pieces = list_events(path, last_id)
+            if fault == EMPTY_REST:
+                pieces = []
         else:
             body = plain_body(path, attempt)
             pieces = [body[: len(body) // 2], body[len(body) // 2 :]]
@@ -165,7 +169,7 @@
     async def _write(self, pieces, head, rng, fault, reader, writer):
         """Write an answer piece by piece; return how it ended."""
         is_stream = "Content-Type" in head
-        gap_ms = EVENT_GAP_MS if is_stream else PLAIN_WORK_MS
+        gap_ms = self.settings.event_gap_ms if is_stream else self.settings.work_ms
         framing = self.settings.framing
         framing_head = {"Connection": "close"}
         if framing == "chunks" or (framing == "length" and is_stream):
--- a/features/soak/steps/soak_runs.py
+++ b/features/soak/steps/soak_runs.py
@@ -3,7 +3,10 @@
 By hand: `python features/soak/steps/soak_runs.py --seed 1 --seeds 50 --streams 400`.
 Prints one line for each seed and each broken promise with its evidence; the exit code
 is 1 if there is any. What is promised is checked from what callers and backend servers
-saw: ORDER, MIXED, TWICE and REFUSED, and that no gateway ends by itself (ENDED).
+saw: ORDER, MIXED, TWICE and REFUSED, and that no gateway ends by itself (ENDED). With
+`--planned` nothing happens but stops of gateways and changes of the configuration, and
+requests take longer. Then no accepted request is cut (LOST), and no gateway outlasts
+its grace period (LATE).
 """
 
 import argparse
@@ -22,7 +25,12 @@
 sys.path[:0] = [str(ROOT), str(Path(__file__).parent)]
 
 from soak_callers import PROMISES, Callers  # noqa: E402
-from soak_processes import GatewayProcess, Proxy, ReplicaProcess  # noqa: E402
+from soak_processes import (  # noqa: E402
+    GRACE_S,
+    GatewayProcess,
+    Proxy,
+    ReplicaProcess,
+)
 
 from stoatpath.standins import deployments  # noqa: E402
 from stoatpath.standins.faults import Fault  # noqa: E402
@@ -49,21 +57,39 @@
     "gateway": {"term": 0.15, "kill": 0.25, "pause": 0.2},
     "store": {"down": 0.1, "slow": 0.1},
 }
+PLANNED_FAULTS_PER_S = {"gateway": {"term": 0.5, "hup": 0.3}, "config": {"change": 0.3}}
+# From each event, and each half of a plain answer, to the next; shortest and longest.
+EVENT_GAP_MS = (5, 40)
+WORK_MS = (5, 120)
+PLANNED_EVENT_GAP_MS = (25, 200)
+PLANNED_WORK_MS = (300, 1_300)
+SERIES_GAPS_S = (0.0, 0.05, 1.0, 3.0)
+# From the last byte of a request that its instance may not have read when it ends.
+LOSS_SLACK_S = 0.2
+# What the platform excuses: requests sent up to so long after the signal, at which a
+# backend server works in the last part of the grace period.
+EXCUSED_SENT_S = 3.0
+EXCUSED_WORK_S = GRACE_S * 5 / 6
 
 
 class SoakRun:
     """One run. `unframed` lets some answers end with their connection alone.
 
     `clean_closes` lets proxies and backend servers close such answers too early, which
-    no gateway can tell from their end. `root` is the checkout of the gateways. `broken`
-    lists the time, rule, attempt, gateway and text of each broken promise.
+    no gateway can tell from their end. `root` is the checkout of the gateways. With
+    `planned` only gateways end, by planned stops. `broken` lists the time, rule,
+    attempt, gateway and text of each broken promise.
     """
 
-    def __init__(self, seed, streams, unframed, clean_closes=False, root=ROOT):
+    def __init__(
+        self, seed, streams, unframed, clean_closes=False, root=ROOT, planned=False
+    ):
         self.streams = streams
         self.unframed = unframed
         self.clean_closes = clean_closes
-        self.name = f"seed {seed} {'unframed' if unframed else 'framed'}"
+        self.planned = planned
+        kind = "planned" if planned else "unframed" if unframed else "framed"
+        self.name = f"seed {seed} {kind}"
         self.broken = []
         self.callers = None
         self._seed = seed
@@ -72,9 +98,11 @@
         self._folder = ROOT / ".results" / "soak" / self.name.replace(" ", "-")
         self._store = RowStoreStandin()
         self._store_address = ""
+        self._config = _make_config(4_000 if planned else 2_000)
         self._gateways = []
         self._replicas = []
         self._faults = []
+        self._stops = []
         self._runs_by_attempt = {}
         self._tasks = []
         self._started_s = time.monotonic()
@@ -139,7 +167,7 @@
 
     async def _start(self):
         self._store_address = await self._store.start()
-        await self._store.put("op", "config", _make_config())
+        await self._store.put("op", "config", self._config)
         for index in range(MODEL_REPLICAS + PLAIN_REPLICAS):
             is_model = index < MODEL_REPLICAS
             service = deployments.LLM_SERVICE if is_model else deployments.PLAIN_SERVICE
@@ -162,7 +190,7 @@
     async def _play(self):
         """Send all requests, beside the faults, and wait for their answers."""
         rng = self._rng
-        self.callers = Callers(self._seed, self._gateways)
+        self.callers = Callers(self._seed, self._gateways, self.planned)
         length_s = self.streams / STREAMS_PER_S
         begin_s = time.monotonic()
         routes = ["chat"] * self.streams + ["tell"] * (self.streams // 8)
@@ -179,7 +207,8 @@
             request = f"/{route}/{length}/c{number}", route in ("chat", "look")
             at_s = begin_s + rng.uniform(0, length_s)
             calls.append(call(at_s, *request, leaves_after_s))
-        for target, kinds in FAULTS_PER_S.items():
+        faults_per_s = PLANNED_FAULTS_PER_S if self.planned else FAULTS_PER_S
+        for target, kinds in faults_per_s.items():
             for action, per_s in kinds.items():
                 at_s = rng.expovariate(per_s)
                 while at_s < length_s:
@@ -196,6 +225,9 @@
         if target == "store":
             self._note(target, f"store-{action}")
             await self._disturb_store(action, rng)
+        elif target == "config":
+            self._config["version"] += rng.randint(1, 3)
+            await self._store.put("op", "config", self._config)
         elif target == "gateway":
             calm = [g for g in self._gateways if g.is_ready and not g.is_stopped]
             calm = [g for g in calm if g.is_running() and not g.expects_end]
@@ -204,10 +236,13 @@
                 self._note(gateway.name, f"gateway-{action}")
                 if action == "pause":
                     await gateway.pause(rng.uniform(0.3, 3.0))
-                else:
+                elif action == "hup":
+                    gateway.signal(signal.SIGHUP)
+                elif action == "kill":
                     gateway.expects_end = True
-                    first = signal.SIGTERM if action == "term" else signal.SIGKILL
-                    await gateway.end(first)
+                    await gateway.end(signal.SIGKILL)
+                else:
+                    await self._stop_gateway(gateway, rng)
         else:
             calm = [each for each in self._replicas if not each.is_busy]
             if target == "proxy":
@@ -224,6 +259,18 @@
                     replica = await self._end_replica(replica, action, rng)
                 replica.is_busy = False
 
+    async def _stop_gateway(self, gateway, rng):
+        """Stop a gateway as the platform does, at times by signals in series."""
+        gateway.expects_end = True
+        others = rng.choices((signal.SIGTERM, signal.SIGHUP), k=rng.randint(0, 2))
+        gap_s = rng.choice(SERIES_GAPS_S) if others else 0.0
+        began_s = time.monotonic()
+        self._stops.append((gateway.name, began_s))
+        is_in_time = await gateway.end(signal.SIGTERM, *others, gap_s=gap_s)
+        if self.planned and not is_in_time:
+            late = "LATE", "-", gateway.name, f"killed {GRACE_S} s after SIGTERM"
+            self.broken.append((time.monotonic(), *late))
+
     async def _disturb_store(self, action, rng):
         for operation in ("read", "feed", "tx"):
             self._store.faults.add(Fault(operation, action, None, delay_ms=300))
@@ -270,7 +317,9 @@
         await replica.start(
             framing=rng.choice(framings if self.unframed else framings[:2]),
             seed=self._seed,
-            fault_share=REPLICA_FAULT_SHARE,
+            fault_share=0.0 if self.planned else REPLICA_FAULT_SHARE,
+            event_gap_ms=PLANNED_EVENT_GAP_MS if self.planned else EVENT_GAP_MS,
+            work_ms=PLANNED_WORK_MS if self.planned else WORK_MS,
             closes_cleanly=self.clean_closes,
             models=MODELS,
             record=str(self._folder / "runs.jsonl"),
@@ -324,9 +373,11 @@
             entry = json.loads(line)
             self._runs_by_attempt.setdefault(entry.pop("attempt"), []).append(entry)
         for answer in self.callers.answers:
-            runs = self._runs_by_attempt.get(answer.attempt, ())
-            runs = [entry for entry in runs if entry["what"] == "run"]
+            entries = self._runs_by_attempt.get(answer.attempt, ())
+            runs = [entry for entry in entries if entry["what"] == "run"]
             found = [answer.find_broken()]
+            if self.planned and answer.is_lost():
+                found.append(self._find_loss(answer, entries))
             is_once = answer.path.startswith(("/book/", "/tell/"))
             if is_once and len(runs) > 1:
                 found.append(("TWICE", f"ran {len(runs)} times"))
@@ -339,6 +390,20 @@
                 where = rule, answer.attempt, answer.gateway, f"{answer.path} {text}"
                 self.broken.append((answer.ended_s, *where))
 
+    def _find_loss(self, answer, entries):
+        """Return LOST and how a request was, unless the platform excuses that."""
+        stops = [at for name, at in self._stops if name == answer.gateway]
+        stopped_s = max((at for at in stops if at <= answer.ended_s), default=0.0)
+        after_s = answer.sent_s - stopped_s
+        if not entries and answer.ended_s - answer.sent_s <= LOSS_SLACK_S:
+            return None
+        worked_until_s = max((entry["at"] for entry in entries), default=0.0)
+        is_late_work = worked_until_s >= stopped_s + EXCUSED_WORK_S
+        if is_late_work and after_s <= EXCUSED_SENT_S:
+            return None
+        text = f"{answer.status}, {answer.end}, sent {after_s:.2f} s after SIGTERM"
+        return "LOST", text
+
     def _note(self, name, text):
         self._faults.append((time.monotonic(), name, text))
 
@@ -349,11 +414,11 @@
         self._tasks.append(asyncio.get_running_loop().create_task(coroutine))
 
 
-def _make_config():
+def _make_config(plain_timeout_ms):
     config = deployments.sample_config()
     for route in config["routes"]:
         is_model = route["service"] == deployments.LLM_SERVICE
-        route["timeout_ms"] = 12_000 if is_model else 2_000
+        route["timeout_ms"] = 12_000 if is_model else plain_timeout_ms
         route["target_latency_ms"] = 1_500 if is_model else 400
     config["limits"]["header_timeout_ms"] = 3_000
     return config
@@ -368,11 +433,13 @@
     parser.add_argument("--gateway-root", type=Path, default=ROOT)
     parser.add_argument("--framed", action="store_true", help="no unframed answers")
     parser.add_argument("--clean-closes", action="store_true")
+    parser.add_argument("--planned", action="store_true", help="planned stops only")
     options = parser.parse_args()
     root = options.gateway_root.resolve()
     broken = 0
     for seed in range(options.seed, options.seed + options.seeds):
-        settings = not options.framed, options.clean_closes, root
+        is_unframed = not options.framed and not options.planned
+        settings = is_unframed, options.clean_closes, root, options.planned
         run = SoakRun(seed, options.streams, *settings)
         asyncio.run(run.run())
         print(run.report(), flush=True)
--- a/features/soak/steps/soak_steps.py
+++ b/features/soak/steps/soak_steps.py
@@ -12,6 +12,12 @@
     asyncio.run(context.run.run())
 
 
+@when("{streams:d} streams are played with seed {seed:d} and planned stops only")
+def step_impl(context, streams, seed):
+    context.run = SoakRun(seed, streams, unframed=False, planned=True)
+    asyncio.run(context.run.run())
+
+
 @then("at least {count:d} streams were complete")
 def step_impl(context, count):
     assert context.run.count_whole() >= count, context.run.report()
