Numbers of other instances can't date copies later than the store did

Keys that were taken away could have stayed valid at instances that reach others but not the store: a text "nan" as the time of a confirmation, or the clock of an earlier era of the store from an instance that is behind, dates each copy as confirmed now.

Cause: `float()` and `int()` take texts, "nan" and "inf", and min(now, nan) is now.

Change: fields of tables that instances pass on are read with their types and ranges, as those of the store since; others are malformed.

--- a/stoatpath/feeds/features/relays.feature
+++ b/stoatpath/feeds/features/relays.feature
@@ -26,6 +26,26 @@
       | request |
       | answer  |
 
+  # Guards against keys that stay valid after they were taken away, since the numbers of
+  # another instance date the copies later than the store did.
+  Scenario Outline: A field of a <message> has any JSON
+    Given any JSON in any field of a <message>
+    Then it is rejected as malformed, or has versions and finite times
+
+    Examples:
+      | message |
+      | request |
+      | answer  |
+      | update  |
+
+  # Guards against the same by an instance that is behind: it may know the clock that the
+  # store had before it came back from a copy.
+  Scenario: An instance of an earlier era of the store tells its clock
+    Given an instance whose copies were confirmed by another one
+    When 10000 ms later one without newer copies tells a clock that is 9000 ms behind
+    And the same copies arrive again without another confirmation
+    Then its copies are at least 10000 ms old
+
   Scenario Outline: The calls to the store do not grow with the fleet: <count> instances
     Given <count> instances in <zones> availability zones, with a bound of <bound> ms
     When nothing changes for 10 s
--- a/stoatpath/feeds/features/steps/relay_steps.py
+++ b/stoatpath/feeds/features/steps/relay_steps.py
@@ -1,25 +1,29 @@
 """Steps on tables that instances copy from each other, mostly in virtual time."""
 
 import asyncio
+import math
 import random
 
 from behave import given, then, when
 from hypothesis import given as forall, settings, strategies as st
 
+from stoatpath.clock import ManualClock
 from stoatpath.feeds.copies import TableCopy
 from stoatpath.feeds.followers import TableFollower
 from stoatpath.feeds.messages import TablesAnswer, TablesRequest, TableUpdate
 from stoatpath.feeds.reachability import Reachability
 from stoatpath.feeds.sources import SourceSelector
+from stoatpath.gateways import Gateway
 from stoatpath.measure.relay_models import ModelFleet
 from stoatpath.measure.virtual_loops import run_virtually
 from stoatpath.membership.directories import DirectoryBackend
 from stoatpath.membership.members import MemberTable
 from stoatpath.membership.messages import LIVE, ListedBackend, Member
+from stoatpath.platform.boot_files import BootFile
 from stoatpath.platform.row_stores import StoredRow
 from stoatpath.routing.fleet_loads import FleetLoads
 from stoatpath.routing.speeds import ServerSpeeds
-from stoatpath.standins.deployments import Deployment
+from stoatpath.standins.deployments import Deployment, boot_mapping
 
 FANOUT = 8
 SETTLE_S = 5.0
@@ -248,6 +252,149 @@
     ].from_json
 
 
+STARTED_MS = 10_000.0
+ROW = ["config", 7, "e30=", False]
+UPDATE = {
+    "rows": [ROW],
+    "version": 7,
+    "confirmed_store_ms": 5_000.0,
+    "is_whole": True,
+    "changed_store_ms": 4_000.0,
+}
+REQUEST = {
+    "versions": {"op": 7},
+    "confirmed_store_ms": 5_000.0,
+    "wait_ms": 100.0,
+    "sessions_digest": "",
+    "sessions": None,
+    "encodings": ["zlib"],
+    "newest_version": 7,
+    "loads": None,
+}
+ANSWER = {
+    "store_ms": 5_010.0,
+    "outage_end_store_ms": None,
+    "outage_duration_ms": None,
+    "is_leaving": False,
+    "tables": {"op": UPDATE},
+    "sessions_digest": "",
+    "sessions": None,
+    "expects_news": True,
+    "is_arriving": False,
+    "age_ms": 10.0,
+    "newest_version": 7,
+    "loads": None,
+}
+VALUES = (
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.sampled_from(["nan", "inf", "-inf", "7", "1e308", "", 10**400, -(10**400)])
+    | st.lists(st.integers(), max_size=3)
+    | st.dictionaries(st.text(max_size=2), st.integers(), max_size=2)
+)
+
+
+def check_clock(value):
+    """Assert that a time is unknown or finite."""
+    assert value is None or value == float("-inf") or math.isfinite(value), value
+
+
+def check_update(update):
+    """Assert that an update has versions, rows and times."""
+    assert type(update.version) is int and update.version >= 0
+    assert type(update.is_whole) is bool
+    check_clock(update.changed_store_ms)
+    assert math.isfinite(update.confirmed_store_ms)
+    for row in update.rows:
+        assert type(row.key) is str and type(row.is_deleted) is bool
+        assert type(row.version) is int and row.version >= 0
+
+
+def check_request(request):
+    """Assert that a request has versions and times."""
+    versions = [*request.versions_by_table.values(), request.newest_version]
+    assert all(type(each) is int and each >= 0 for each in versions), versions
+    check_clock(request.confirmed_store_ms)
+    assert 0 <= request.wait_ms < float("inf")
+
+
+def check_answer(answer):
+    """Assert that an answer has updates and times."""
+    for update in answer.updates_by_table.values():
+        check_update(update)
+    for name in ("store_ms", "outage_end_store_ms", "outage_duration_ms", "age_ms"):
+        check_clock(getattr(answer, name))
+    assert type(answer.newest_version) is int and answer.newest_version >= 0
+
+
+@given("any JSON in any field of a {message}")
+def step_impl(context, message):
+    context.template, context.type, context.check = {
+        "request": (REQUEST, TablesRequest, check_request),
+        "answer": (ANSWER, TablesAnswer, check_answer),
+        "update": (UPDATE, TableUpdate, check_update),
+    }[message]
+
+
+@then("it is rejected as malformed, or has versions and finite times")
+def step_impl(context):
+    names = st.sampled_from(sorted(context.template))
+    rows = st.tuples(st.integers(0, 3), VALUES).map(
+        lambda change: ROW[: change[0]] + [change[1]] + ROW[change[0] + 1 :]
+    )
+    changes = st.dictionaries(names, VALUES, max_size=2) | rows.map(
+        lambda row: {"rows": [row]} if "rows" in context.template else {}
+    )
+
+    @settings(derandomize=True, deadline=None, max_examples=500)
+    @forall(changes)
+    def check_property(fields):
+        try:
+            message = context.type.from_json(context.template | fields)
+        except ValueError:
+            return
+        context.check(message)
+
+    context.check(context.type.from_json(context.template))
+    check_property()
+
+
+@given("an instance whose copies were confirmed by another one")
+def step_impl(context):
+    context.clock = ManualClock(STARTED_MS)
+    mapping = boot_mapping("gateway-0", "127.0.0.1:1", {})
+    boot = BootFile.from_mapping(mapping)
+    context.relay = Gateway.from_boot(boot, clock=context.clock).tables
+    context.other = Member("gateway-1", "gateway", "a1", "zone-a", 1, LIVE)
+    context.relay._apply(context.other, TablesAnswer.from_json(ANSWER), STARTED_MS)
+    assert 0 <= context.relay.copy_age_ms() <= 20, context.relay.copy_age_ms()
+
+
+@when(
+    "{later:d} ms later one without newer copies tells a clock "
+    "that is {behind:d} ms behind"
+)
+def step_impl(context, later, behind):
+    now_ms = context.clock.now_ms() + later
+    context.clock._now_ms = now_ms
+    answer = ANSWER | {"store_ms": 5_010.0 + later - behind, "tables": {}}
+    context.relay._apply(context.other, TablesAnswer.from_json(answer), now_ms)
+
+
+@when("the same copies arrive again without another confirmation")
+def step_impl(context):
+    now_ms = context.clock.now_ms()
+    answer = ANSWER | {"store_ms": ANSWER["store_ms"] + now_ms - STARTED_MS}
+    context.relay._apply(context.other, TablesAnswer.from_json(answer), now_ms)
+
+
+@then("its copies are at least {age:d} ms old")
+def step_impl(context, age):
+    assert context.relay.copy_age_ms() >= age, context.relay.copy_age_ms()
+
+
 @then("it is rejected as malformed")
 def step_impl(context):
     values = st.recursive(
--- a/stoatpath/feeds/messages.py
+++ b/stoatpath/feeds/messages.py
@@ -5,6 +5,15 @@
 import zlib
 
 from stoatpath.feeds.copies import NEVER_MS
+from stoatpath.platform.fields import (
+    MAX_INTEGER,
+    REQUIRED,
+    read_flag,
+    read_integer,
+    read_list,
+    read_number,
+    read_table,
+)
 from stoatpath.platform.row_stores import StoredRow
 
 # The encoding of values that a request may allow; builds from before it name none.
@@ -15,6 +24,8 @@
 # An operator's row is below 1 MB. The limit bounds the memory that a malformed value
 # can take.
 MAX_VALUE_BYTES = 16 * 1024 * 1024
+# A version has the era of the store above its own 48 bits.
+MAX_VERSION = 2**63 - 1
 
 
 class TableUpdate:
@@ -63,20 +74,14 @@
     def from_json(cls, data):
         """Build an update from its wire form; raise ValueError if it is malformed."""
         try:
-            rows = [_decode_row(row) for row in data["rows"]]
-            version = int(data["version"])
-            confirmed_store_ms = float(data["confirmed_store_ms"])
-            changed_store_ms = _number_or_none(data.get("changed_store_ms"))
-            is_whole = data["is_whole"] is True
-            return cls(rows, version, confirmed_store_ms, is_whole, changed_store_ms)
-        except (
-            ArithmeticError,
-            AttributeError,
-            KeyError,
-            TypeError,
-            binascii.Error,
-            zlib.error,
-        ) as error:
+            return cls(
+                [_decode_row(row) for row in read_list(data, "rows")],
+                _read_version(data, "version"),
+                _read_clock(data, "confirmed_store_ms"),
+                read_flag(data, "is_whole"),
+                _read_clock(data, "changed_store_ms", None),
+            )
+        except (AttributeError, TypeError, binascii.Error, zlib.error) as error:
             raise ValueError(f"malformed table update: {error!r}") from error
 
     def to_json(self, encodings=()):
@@ -137,22 +142,18 @@
     def from_json(cls, data):
         """Build a request from its wire form; raise ValueError if it is malformed."""
         try:
-            versions_by_table = {
-                table: int(version) for table, version in data["versions"].items()
-            }
-            confirmed = _number_or_none(data["confirmed_store_ms"])
-            confirmed_store_ms = NEVER_MS if confirmed is None else confirmed
+            versions = read_table(data, "versions")
             return cls(
-                versions_by_table,
-                confirmed_store_ms,
-                float(data["wait_ms"]),
+                {table: _read_version(versions, table) for table in versions},
+                _read_clock(data, "confirmed_store_ms", NEVER_MS),
+                read_number(data, "wait_ms", 0),
                 str(data["sessions_digest"]),
                 data["sessions"],
-                tuple(str(each) for each in data.get("encodings") or ()),
-                int(data.get("newest_version") or 0),
+                tuple(str(each) for each in read_list(data, "encodings", ())),
+                _read_version(data, "newest_version", 0),
                 data.get("loads"),
             )
-        except (ArithmeticError, AttributeError, KeyError, TypeError) as error:
+        except (AttributeError, KeyError, TypeError) as error:
             raise ValueError(f"malformed request: {error!r}") from error
 
     def to_json(self):
@@ -164,7 +165,7 @@
             "wait_ms": self.wait_ms,
             "sessions_digest": self.sessions_digest,
             "sessions": self.sessions,
-            "encodings": self.encodings,
+            "encodings": list(self.encodings),
             "newest_version": self.newest_version,
             "loads": self.loads,
         }
@@ -231,23 +232,23 @@
         """Build an answer from its wire form; raise ValueError if it is malformed."""
         try:
             return cls(
-                _number_or_none(data["store_ms"]),
-                _number_or_none(data["outage_end_store_ms"]),
-                _number_or_none(data["outage_duration_ms"]),
-                data["is_leaving"] is True,
+                _read_clock(data, "store_ms", None),
+                _read_clock(data, "outage_end_store_ms", None),
+                read_number(data, "outage_duration_ms", 0, default=None),
+                read_flag(data, "is_leaving"),
                 {
                     table: TableUpdate.from_json(update)
-                    for table, update in data["tables"].items()
+                    for table, update in read_table(data, "tables").items()
                 },
                 str(data["sessions_digest"]),
                 data["sessions"],
-                data.get("expects_news"),
-                data.get("is_arriving") is True,
-                _number_or_none(data.get("age_ms")),
-                int(data.get("newest_version") or 0),
+                read_flag(data, "expects_news", None),
+                read_flag(data, "is_arriving", False),
+                read_number(data, "age_ms", 0, default=None),
+                _read_version(data, "newest_version", 0),
                 data.get("loads"),
             )
-        except (ArithmeticError, AttributeError, KeyError, TypeError) as error:
+        except (AttributeError, KeyError, TypeError) as error:
             raise ValueError(f"malformed answer: {error!r}") from error
 
     def to_json(self, encodings=()):
@@ -282,12 +283,17 @@
 
 def _decode_row(data):
     key, version, value, is_deleted, *encoding = data
+    fields = {"key": key, "version": version, "is_deleted": is_deleted}
+    if not isinstance(key, str):
+        raise ValueError(f"expected the key of a row, not {key!r}")
+    version = _read_version(fields, "version")
+    is_deleted = read_flag(fields, "is_deleted")
     decoded = None if value is None else base64.b64decode(value, validate=True)
     if not encoding:
-        return StoredRow(str(key), int(version), decoded, is_deleted is True)
+        return StoredRow(key, version, decoded, is_deleted)
     if encoding != [ZLIB] or decoded is None:
         raise ValueError(f"unknown encoding {encoding!r}")
-    row = StoredRow(str(key), int(version), _decompress(decoded), is_deleted is True)
+    row = StoredRow(key, version, _decompress(decoded), is_deleted)
     row.compressed_text = value
     return row
 
@@ -300,5 +306,10 @@
     return value
 
 
-def _number_or_none(value):
-    return None if value is None else float(value)
+def _read_version(data, name, default=REQUIRED):
+    return read_integer(data, name, 0, MAX_VERSION, default)
+
+
+def _read_clock(data, name, default=REQUIRED):
+    """Return a reading of the store's clock, in ms."""
+    return read_number(data, name, -MAX_INTEGER, default=default)
