Settings without peer keys are refused where the setting is given

A process whose last peer key was taken out of its settings would accept messages of any sender: an empty PEER_KEYS meant that nothing is signed, as a missing one does. Found by reading.

Change: a given PEER_KEYS must have a key. Empty OPERATOR_KEYS accept nobody, and without SESSION_KEYS a router doesn't start, as before.

Evidence: features/settings/settings.feature, the example of PEER_KEYS, failed before; its 29 scenarios pass.

--- a/features/settings/settings.feature
+++ b/features/settings/settings.feature
@@ -24,6 +24,7 @@
       | SERVE_WHEN_CUT_OFF | 1                      | a value of type bool               |
       | SESSION_KEYS       | {"1": "short"}         | secrets of at least 8 characters   |
       | SESSION_KEYS       | {"1": 12345678}        | secrets of at least 8 characters   |
+      | PEER_KEYS          | {}                     | a key, or no such setting          |
       | LOG_LEVEL          | "LOUD"                 | one of DEBUG, INFO, WARNING, ERROR |
 
   Scenario: All problems are reported at once
--- a/stoatpath/settings.py
+++ b/stoatpath/settings.py
@@ -70,6 +70,8 @@
     "LOG_LEVEL": "INFO",
 }
 REQUIRED = ("NAME", "ZONE", "TABLE_URL", "INSTANCE_LIST_URL")
+# Taking out the last key would let strangers in.
+NEVER_EMPTY = ("PEER_KEYS",)
 
 
 class SettingProblem:
@@ -143,6 +145,8 @@
         return expected
     if name in REQUIRED and not value:
         return "a value"
+    if name in NEVER_EMPTY and not value:
+        return "a key, or no such setting"
     check = CHECKS_BY_NAME.get(name)
     return check(value) if check is not None and value != DEFAULTS[name] else None
 
