Tests: regions that can't be read leave out their route or organisation

eligibility.feature asked that the whole configuration is refused for them; since just the part is. The examples now ask that this route serves nothing, and that the keys of this organisation are unknown, so that no restriction is dropped, as before.

--- a/stoatpath/zones/features/eligibility.feature
+++ b/stoatpath/zones/features/eligibility.feature
@@ -53,15 +53,15 @@
       | route        | ["eu", "us"]    | eu us      |
       | route        | []              | empty      |
       | route        | null            | any        |
-      | route        | "eu"            | unreadable |
-      | route        | {"eu": 1}       | unreadable |
-      | route        | ["eu", 7]       | unreadable |
-      | route        | [""]            | unreadable |
-      | route        | 0               | unreadable |
+      | route        | "eu"            | without it |
+      | route        | {"eu": 1}       | without it |
+      | route        | ["eu", 7]       | without it |
+      | route        | [""]            | without it |
+      | route        | 0               | without it |
       | organisation | ["eu", "us"]    | eu us      |
       | organisation | null            | any        |
-      | organisation | [["eu"]]        | unreadable |
-      | organisation | false           | unreadable |
+      | organisation | [["eu"]]        | without it |
+      | organisation | false           | without it |
 
   # Guards against a configuration whose regions aren't followed by running gateways.
   Scenario: Gateways keep requests in the regions of their route and organisation
