Soak: bodies whose last byte comes late, beside planned stops

A fifth of the requests of planned runs send their last byte up to 1.5 s after the others, so that bodies are still being read when a gateway begins to stop, or refuses.

--- a/features/soak/steps/soak_callers.py
+++ b/features/soak/steps/soak_callers.py
@@ -21,6 +21,8 @@
 PLAIN_DEADLINE_S = 4.0
 MAX_ATTEMPTS = 6
 DEFAULT_RETRY_S = 0.2
+LATE_BODY_SHARE = 0.2
+MAX_BODY_DELAY_S = 1.5
 READ_BYTES = 65_536
 # These statuses say that the request has not run and never will.
 PROMISES = (408, 421, 429, 503)
@@ -33,7 +35,8 @@
 class Answer:
     """What a caller sent and got; `end` says how the answer ended.
 
-    `due_s` is the end of the time that the caller gave.
+    `due_s` is the end of the time that the caller gave, `sent_s` the time of the last
+    byte, which came `body_delay_s` after the others.
     """
 
     def __init__(self, attempt, path, gateway, last_id):
@@ -43,6 +46,7 @@
         self.last_id = last_id
         self.sent_s = 0.0
         self.due_s = 0.0
+        self.body_delay_s = 0.0
         self.ended_s = 0.0
         self.status = 0
         self.headers = {}
@@ -120,7 +124,7 @@
     """Send requests over kept and new connections; `answers` holds all results.
 
     With `uses_all`, also to gateways that aren't ready, as the platform does while most
-    of a zone aren't.
+    of a zone aren't; the last byte of some bodies then comes late.
     """
 
     def __init__(self, seed, gateways, uses_all=False):
@@ -149,6 +153,8 @@
             answer = Answer(attempt, path, gateway.name, last_id)
             wait_s = left_s if leaves_after_s is None else min(left_s, leaves_after_s)
             is_new = number > 0 or rng.random() < 0.2
+            if self._uses_all and rng.random() < LATE_BODY_SHARE:
+                answer.body_delay_s = rng.uniform(0.0, MAX_BODY_DELAY_S)
             await self._send(answer, gateway, left_s, wait_s, is_new)
             answer.ended_s = time.monotonic()
             self.answers.append(answer)
@@ -175,9 +181,14 @@
         try:
             reader, writer, starts = await self._connect(gateway, is_new)
             answer.end = "no answer"
+            answer.due_s = time.monotonic() + left_s
+            request = self._encode_request(answer, left_s)
+            if answer.body_delay_s:
+                writer.write(request[:-1])
+                request = request[-1:]
+                await asyncio.sleep(answer.body_delay_s)
             answer.sent_s = time.monotonic()
-            answer.due_s = answer.sent_s + left_s
-            writer.write(self._encode_request(answer, left_s))
+            writer.write(request)
             async with asyncio.timeout(wait_s):
                 await writer.drain()
                 await answer.read(reader)
