--- a/stoatpath/callers/relays.py
+++ b/stoatpath/callers/relays.py
@@ -133,13 +133,9 @@
         organisation, key = None, ""
         if guard.needs_key(route):
             key = self._header_decoder.key(request.headers)
-            organisation = table.organisations_by_key.get(key)
-            if organisation is None and not table.has_all_keys:
-                return guard.stale_failure("an organisation can't be read")
-            if organisation is None:
-                return self._not_found_or_stale(
-                    UNAUTHENTICATED, "the key is not known", "Authorization"
-                )
+            organisation = self._find_organisation(table, key)
+            if is_failure(organisation):
+                return organisation
         timeout_ms = self._header_decoder.timeout_ms(request.headers, route.timeout_ms)
         problem = self._router.stop_times.check_arrival(
             arrived_ms, arrived_ms + timeout_ms
@@ -173,6 +169,17 @@
             self._header_decoder.forwarded_runs(request.headers),
         )
 
+    def _find_organisation(self, table, key):
+        """Return the organisation that holds a key, or a failure."""
+        organisation = table.organisations_by_key.get(key)
+        if organisation is not None:
+            return organisation
+        if not table.has_all_keys:
+            return self._router.guard.stale_failure("an organisation can't be read")
+        return self._not_found_or_stale(
+            UNAUTHENTICATED, "the key is not known", "Authorization"
+        )
+
     def _check_complete(self, body, parsed):
         """Return the body, or a failure if it was complete too late to begin."""
         problem = self._router.stop_times.check_first_send(
--- a/stoatpath/dispatch/relay_senders.py
+++ b/stoatpath/dispatch/relay_senders.py
@@ -148,14 +148,14 @@
             return answer
 
     async def _check_end(self, attempt, answer):
-        """Return an answer whose end may be none, or a failure.
+        """Return an answer whose end is in doubt, or a failure.
 
         A process that ends closes its connections as one that has finished an answer
         does. One that still runs has ended the answer, unless it is faulty or something
         between cut the connection. So a stream that can be resumed is complete if
-        nothing follows its last event, and no attempt brought a part of what does. That
-        nothing follows is rare where a stream was cut, and is believed if two backend
-        servers say so.
+        nothing follows its last event, and no attempt brought a part of what does. An
+        empty rest needs a second backend server that has none: few streams are cut
+        between their last event and their end.
         """
         request = attempt.request
         use_last_check(None)
