SIGHUP ends no router and no controller

Callers of a router process got resets when it got SIGHUP: the signal's default action ended the process at once, with all open requests (a gateway reads its settings again).

The run was in the background of a shell, which exited at 11:50:03; the router was stopped from some 11:49:59 to 11:50:06. If the end of a process orphans a process group with a stopped member, the kernel sends the group SIGHUP and SIGCONT.

Change: routers and controllers log SIGHUP and go on. The router processes of tests are in sessions of their own, so that nothing but the test resumes a paused one.

--- a/features/faults/steps/processes.py
+++ b/features/faults/steps/processes.py
@@ -37,6 +37,7 @@
             "stoatpath.tools.router",
             f"--settings={path}",
             stderr=asyncio.subprocess.PIPE,
+            start_new_session=True,
         )
         router = cls(process, path)
         await router._read_address()
--- a/features/shutdown/shutdown.feature
+++ b/features/shutdown/shutdown.feature
@@ -29,6 +29,14 @@
     And each session kept its version
     And each completed request is billed exactly once, and bookings ran at most once
 
+  # Guards against requests that are cut as a terminal or a process group ends.
+  Scenario: A router that gets SIGHUP goes on
+    Given a site of 3 router processes under load
+    When one router is sent SIGHUP while streams are open on it
+    Then it runs on
+    And every request of the load was completed
+    And each completed request is billed exactly once, and bookings ran at most once
+
   Scenario: A second signal logs the open requests and interrupts none
     Given a router process with a stream of 2 seconds open
     When it is sent SIGTERM twice
--- a/features/shutdown/steps/processes.py
+++ b/features/shutdown/steps/processes.py
@@ -85,7 +85,12 @@
         command = [sys.executable, "-m", "stoatpath.tools.router"]
         with open(f"{path}.log", "w", encoding="utf-8") as log:
             process = await asyncio.create_subprocess_exec(
-                *command, "--settings", f"{path}.json", stderr=log, stdout=log
+                *command,
+                "--settings",
+                f"{path}.json",
+                stderr=log,
+                stdout=log,
+                start_new_session=True,
             )
         router = RouterProcess(name, process, f"{path}.log")
         self.routers_by_name[name] = router
--- a/features/shutdown/steps/shutdown_steps.py
+++ b/features/shutdown/steps/shutdown_steps.py
@@ -104,6 +104,22 @@
     run_under_load(context, work)
 
 
+@when("one router is sent SIGHUP while streams are open on it")
+def step_impl(context):
+    async def work(processes):
+        router = processes.routers_by_name["router-1"]
+        router.send(signal.SIGHUP)
+        await asyncio.sleep(SETTLE_TIME_S)
+        return [router.process.returncode]
+
+    run_under_load(context, work)
+
+
+@then("it runs on")
+def step_impl(context):
+    assert context.exit_codes == [None], context.exit_codes
+
+
 async def restart_each(processes, signal_number, gap_s):
     """Signal each router, wait for its exit and start it again."""
     codes = []
--- a/features/suspension/steps/suspension_steps.py
+++ b/features/suspension/steps/suspension_steps.py
@@ -69,7 +69,9 @@
         with open(path, "w", encoding="utf-8") as file:
             json.dump(given, file)
         command = [sys.executable, "-m", "stoatpath.tools.router", "--settings", path]
-        router = subprocess.Popen(command, stderr=subprocess.DEVNULL)
+        router = subprocess.Popen(
+            command, stderr=subprocess.DEVNULL, start_new_session=True
+        )
         async with aiohttp.ClientSession(headers=CALLER_HEADERS) as session:
             while (await self._send_chat(session))[1] != 200:
                 await asyncio.sleep(0.1)
--- a/stoatpath/tools/programs.py
+++ b/stoatpath/tools/programs.py
@@ -68,6 +68,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, handle_signal)
+    # By default it would end the process, and cut its requests.
+    loop.add_signal_handler(signal.SIGHUP, logger.info, "program.hangup-ignored")
     await daemon.start()
     logger.info("program.listening", extra=daemon.addresses())
     await stopping.wait()
