--- a/stoatpath/tools/programs.py
+++ b/stoatpath/tools/programs.py
@@ -68,10 +68,14 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, handle_signal)
-    # By default it would end the process, and cut its requests.
-    loop.add_signal_handler(signal.SIGHUP, logger.info, "program.hangup-ignored")
+    loop.add_signal_handler(signal.SIGHUP, _ignore_hangup)
     await daemon.start()
     logger.info("program.listening", extra=daemon.addresses())
     await stopping.wait()
     is_clean = await daemon.stop()
     return EXIT_OK if is_clean else EXIT_CUT
+
+
+def _ignore_hangup():
+    """Log SIGHUP, which would end the process and cut its requests by default."""
+    logger.info("program.hangup-ignored")
