--- a/stoatpath/configuration/route_keepers.py
+++ b/stoatpath/configuration/route_keepers.py
@@ -63,10 +63,10 @@
             observer(table)
 
     def record_removal(self):
-        """Record that the operator's row is gone: the routes in force grow stale."""
+        """Record that the operator's row was deleted; nothing confirms the routes."""
         logger.error("routes.removed")
         self._record_unread()
 
     def _record_unread(self):
-        """Date the routes in force by the last read of the row that they come from."""
+        """Count the age of the routes from the last answer before the row changed."""
         self._last_read_ms = min(self._last_read_ms, self._copy.unchanged_ms)
--- a/stoatpath/dispatch/attempts.py
+++ b/stoatpath/dispatch/attempts.py
@@ -113,7 +113,7 @@
                 state.unproven_answer = None
                 return _combine_with_choice(state.worst_failure, choice)
             if choice.backend.name in state.empty_rest_names:
-                # Nobody else can be asked what follows.
+                # All candidates have sent an empty rest.
                 break
             problem = self._check_guard(state)
             if problem is not None:
--- a/stoatpath/dispatch/event_relays.py
+++ b/stoatpath/dispatch/event_relays.py
@@ -61,10 +61,10 @@
         return self.last_event_id
 
     def confirm_end(self, attempt):
-        """Record an end that may as well have been a cut, or a fault of its sender.
+        """Record an unproven end of the stream; return whether it is proven by now.
 
-        Return whether it is the second one in a row: an attempt that resumed after the
-        first one brought no event. Two empty rests must be of two backend servers.
+        It is if an attempt that resumed after an earlier unproven end brought no event.
+        Two empty rests must be of two backend servers.
         """
         name = attempt.backend.name if attempt.is_empty_rest else None
         is_second = self._unproven_end == self.last_event_id
--- a/stoatpath/dispatch/relay_policies.py
+++ b/stoatpath/dispatch/relay_policies.py
@@ -42,7 +42,7 @@
         """Return the relay for the events of a streamed answer, or None."""
         if stream is None:
             return None
-        # What ran at the instance that forwards it broke off.
+        # A run at the forwarding instance was interrupted.
         return EventRelay(stream, request.is_forwarded and request.run_count > 0)
 
     def query(self, request, version, tried_names):
--- a/stoatpath/feeds/relays.py
+++ b/stoatpath/feeds/relays.py
@@ -396,7 +396,7 @@
         before_store_ms = self._lead.copy.confirmed_store_ms
         self._detect_era_change(answer)
         if self._lead_table in answer.updates_by_table or not self._lead.copy.is_known:
-            # The others may know the clock of an earlier era of the store.
+            # An older copy may go with the clock of an earlier era.
             self._reachability.record_relayed_answer(sent_ms, answer)
         for table, follower in self._followers_by_table.items():
             update = answer.updates_by_table.get(table)
--- a/stoatpath/gateways.py
+++ b/stoatpath/gateways.py
@@ -108,7 +108,6 @@
 INITIAL_HEAD_TIMEOUT_MS = 3_000
 INITIAL_IDLE_TIMEOUT_MS = 15_000
 MAX_QUEUED_REQUESTS = 2_000
-# Share of `memory_mb` for request bodies that are being read.
 # Share of the memory for bytes that are held for others. While these are written, a
 # connection may have a copy; the process itself takes 45 MB.
 HELD_MEMORY_SHARE = 0.25
--- a/stoatpath/platform/boot_files.py
+++ b/stoatpath/platform/boot_files.py
@@ -14,7 +14,7 @@
 MAX_COLD_FACTOR = 1_000
 MAX_COLD_SLACK = 1_000_000
 MAX_LOGGED_CHARS = 40
-# Part of the platform's rules by which organisations have keys.
+# The contract under which callers need API keys.
 KEYS_CONTRACT = "tenants"
 # Defaults of optional bounds, from the deployments that the platform documents.
 # Names that end in _s are in seconds, in _ms in milliseconds.
--- a/stoatpath/platform/documents.py
+++ b/stoatpath/platform/documents.py
@@ -221,7 +221,7 @@
 
 
 def _build_each(data, name, build, problems, default=REQUIRED):
-    """Return what can be built of the entries of a list; add the others' problems."""
+    """Return the entries that can be decoded; append the problems of the others."""
     built = []
     for index, each in enumerate(read_list(data, name, default)):
         try:
--- a/stoatpath/settings.py
+++ b/stoatpath/settings.py
@@ -70,7 +70,7 @@
     "LOG_LEVEL": "INFO",
 }
 REQUIRED = ("NAME", "ZONE", "TABLE_URL", "INSTANCE_LIST_URL")
-# Taking out the last key would let strangers in.
+# Without a key, messages of any sender are accepted.
 NEVER_EMPTY = ("PEER_KEYS",)
 
 
