--- a/review/6/run.py
+++ b/review/6/run.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import os
+import signal
 import sys
 import tempfile
 import time
@@ -188,5 +189,14 @@
     return result
 
 
-sys.stderr = open(os.devnull, "w")
-sys.exit(asyncio.run(main()))
+def run():
+    """Return the exit code; processes are ended also when SIGTERM ends the script."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    try:
+        return asyncio.run(main())
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        return 2
+
+
+if __name__ == "__main__":
+    sys.exit(run())
