Instances follow the store again after it has dropped its history (CONFIG)

Cause: after 410 a follower has to read its table whole, but any answer of another instance ended that state, also one with the same version and no news. The next read got 410 again; the instances kept each other there, and a pause of up to 3 s after the 410 let such an answer always come first.

Change: only rows of a newer version or a whole read end it. That a copy is too old to be followed is derived from its age. A 410 is an answer and doesn't lengthen the pause.

Why it works: a version whose changes are gone can't be followed, whoever else has it; a newer one may be, and if not, the store says so again. Newer versions come to an end, the whole read follows.

--- a/stoatpath/feeds/features/feeds.feature
+++ b/stoatpath/feeds/features/feeds.feature
@@ -30,6 +30,13 @@
     When the history is dropped after the row has changed
     Then the copy has the new value within a few reads
 
+  # Guards against a follower that asks for dropped changes again and again, since the
+  # same old copy of another instance came in between.
+  Scenario: Another instance has no news when the change history is no longer available
+    Given a store with a row and a follower of its table
+    When the history is dropped, and another instance answers without news after each read
+    Then the copy has the new value within a few reads
+
   Scenario: A row that is removed during a gap is removed by the full read
     Given a store with a row and a follower of its table
     When the row is removed and the history dropped
--- a/stoatpath/feeds/features/relays.feature
+++ b/stoatpath/feeds/features/relays.feature
@@ -95,6 +95,23 @@
     Then all instances know the change within 2000 ms of its end
     And at most 70 calls a second were made in the outage
 
+  # Guards against instances that follow the store no more: each took the old copy of
+  # another one for the whole table that the store had asked it to read.
+  Scenario Outline: The store was down for <seconds> s and has dropped its history: <count> instances
+    Given <count> instances in 3 availability zones, with a bound of 2000 ms
+    When the store is unreachable for <seconds> s and drops its history after a change
+    Then all instances know the change within 2000 ms of its end
+    And all instances know the next change within 2000 ms
+
+    Examples:
+      | count | seconds |
+      | 1     | 4       |
+      | 2     | 4       |
+      | 3     | 4       |
+      | 3     | 12      |
+      | 9     | 4       |
+      | 84    | 4       |
+
   Scenario: A poll that misses a change is replaced
     Given 3 instances in 1 availability zones, with a bound of 2000 ms
     When the reader's poll of a table is silent while a row of it is added
--- a/stoatpath/feeds/features/steps/feed_steps.py
+++ b/stoatpath/feeds/features/steps/feed_steps.py
@@ -10,6 +10,7 @@
 from stoatpath.clock import Clock
 from stoatpath.feeds.copies import TableCopy
 from stoatpath.feeds.followers import TableFollower
+from stoatpath.feeds.messages import TableUpdate
 from stoatpath.feeds.reachability import Reachability
 from stoatpath.platform.row_stores import RowStore, StoredRow
 from stoatpath.standins.faults import Fault
@@ -45,6 +46,7 @@
         self.reachability = CountingReachability()
         self.faults = []
         self.follower = None
+        self.after_read = lambda: None
 
     async def start(self):
         address = await self.store.start()
@@ -81,6 +83,7 @@
             await change(world.store)
             for _ in range(MAX_READS):
                 await world.follower.step()
+                world.after_read()
                 if world.follower.copy.version and world.value() == expected:
                     break
             return world.value()
@@ -124,6 +127,26 @@
     context.value = run_follower(context.world, change)
 
 
+@when(
+    "the history is dropped, and another instance answers without news after each read"
+)
+def step_impl(context):
+    world = context.world
+
+    def receive_copy():
+        copy = world.follower.copy
+        update = TableUpdate([], world.old_version, copy.confirmed_store_ms, False)
+        world.follower.apply_update(update, copy.confirmed_ms)
+
+    async def change(store):
+        world.old_version = world.follower.copy.version
+        world.after_read = receive_copy
+        await store.put(TABLE, "place", b"new")
+        store.discard_history()
+
+    context.value = run_follower(world, change)
+
+
 @when("the row is removed and the history dropped")
 def step_impl(context):
     async def change(store):
--- a/stoatpath/feeds/features/steps/relay_steps.py
+++ b/stoatpath/feeds/features/steps/relay_steps.py
@@ -28,6 +28,7 @@
 FANOUT = 8
 SETTLE_S = 5.0
 LIMIT_MS = 20_000.0
+CALM_S = 10.0
 TRIALS = settings(derandomize=True, deadline=None)
 DEPLOYMENT_TIMEOUT_S = 20
 
@@ -551,12 +552,13 @@
         version = fleet.store.put("op", "config")
         return await fleet.time_to_all("op", version, LIMIT_MS)
 
-    context.time_ms = context.run.play(scenario)
+    context.next_time_ms = context.run.play(scenario)
 
 
 @then("all instances know the next change within {limit:d} ms")
 def step_impl(context, limit):
-    assert context.time_ms is not None and context.time_ms <= limit, context.time_ms
+    assert context.next_time_ms is not None, context.next_time_ms
+    assert context.next_time_ms <= limit, context.next_time_ms
 
 
 @when("the store is unreachable for {seconds:d} s and a row changes meanwhile")
@@ -574,6 +576,22 @@
     context.calls_per_s, context.time_ms = context.run.play(scenario)
 
 
+@when("the store is unreachable for {seconds:d} s and drops its history after a change")
+def step_impl(context, seconds):
+    async def scenario(fleet):
+        fleet.store.unreachable_from.update(fleet.instances_by_name)
+        await asyncio.sleep(seconds)
+        version = fleet.store.put("servers", "m1")
+        fleet.store.oldest_version = version
+        fleet.store.unreachable_from.clear()
+        context.time_ms = await fleet.time_to_all("servers", version, LIMIT_MS)
+        await asyncio.sleep(CALM_S)
+        version = fleet.store.put("op", "config")
+        return await fleet.time_to_all("op", version, LIMIT_MS)
+
+    context.next_time_ms = context.run.play(scenario)
+
+
 @then("all instances know the change within {limit:d} ms of its end")
 def step_impl(context, limit):
     assert context.time_ms is not None and context.time_ms <= limit, context.time_ms
--- a/stoatpath/feeds/features/steps/slow_store_steps.py
+++ b/stoatpath/feeds/features/steps/slow_store_steps.py
@@ -103,7 +103,6 @@
             lambda changes: None,
         )
         follower.copy.apply_full_read([], 1, Clock().now_ms(), 0.0)
-        follower._has_gap = False
 
         async def hear():
             while True:
--- a/stoatpath/feeds/followers.py
+++ b/stoatpath/feeds/followers.py
@@ -46,7 +46,7 @@
         "_clock",
         "_random",
         "_on_changes",
-        "_has_gap",
+        "_is_history_gone",
         "_failures",
         "_is_overdue",
         "_is_resumed",
@@ -79,7 +79,7 @@
         self.on_failure = lambda: None
         self.on_progress = lambda: None
         self.backoff_cap_ms = BACKOFF_CAP_MS
-        self._has_gap = True
+        self._is_history_gone = False
         self._failures = 0
         self._is_overdue = asyncio.Event()
         self._is_resumed = False
@@ -96,8 +96,6 @@
             if not self.is_enabled.is_set():
                 await self.is_enabled.wait()
                 self._is_resumed = True
-                if self.copy.age_ms(self._clock.now_ms()) > MAX_PAUSE_MS:
-                    self._has_gap = True
             await self.step()
 
     def apply_update(self, update, as_of_ms):
@@ -112,10 +110,13 @@
         apply = (
             self.copy.apply_full_read if update.is_whole else (self.copy.apply_changes)
         )
+        known_version = self.copy.version if self.copy.is_known else None
         changes = apply(
             update.rows, update.version, as_of_ms, update.confirmed_store_ms
         )
-        self._has_gap = False
+        if known_version is None or self.copy.version > known_version:
+            # The store may still have the changes after the newer version.
+            self._is_history_gone = False
         changed_store_ms = update.changed_store_ms
         if changed_store_ms is None:
             changed_store_ms = update.confirmed_store_ms
@@ -143,12 +144,12 @@
         if problem is None:
             self._failures = 0
             return
-        # The changes after the copy's version can still be read after a failed call.
-        if not is_failure(problem) or self.copy.age_ms(now_ms) > MAX_PAUSE_MS:
-            self._has_gap = True
         if is_failure(problem):
             self._reachability.record_failure(problem, now_ms)
             self.on_failure()
+        else:
+            self._is_history_gone = True
+            self._failures = 0
         base_ms = BACKOFF_BASE_SHARE * self.backoff_cap_ms
         limit_ms = min(self.backoff_cap_ms, base_ms * 2**self._failures)
         self._failures += 1
@@ -157,7 +158,7 @@
 
     async def _read(self, sent_ms):
         """Read once; return None, a failure, or the answer that the history is gone."""
-        if self._has_gap:
+        if self._needs_whole_table(sent_ms):
             return await self._read_table(sent_ms)
         page = await self._poll(sent_ms)
         if not isinstance(page, RowPage):
@@ -172,6 +173,17 @@
             await self._clock.sleep_until(self._clock.now_ms() + self._batch_delay_ms)
         return None
 
+    def _needs_whole_table(self, now_ms):
+        """Return whether the store may not have all changes after the copy's version.
+
+        Only rows of a newer version end what the store has said of this one.
+        """
+        return (
+            not self.copy.is_known
+            or self._is_history_gone
+            or self.copy.age_ms(now_ms) > MAX_PAUSE_MS
+        )
+
     async def _poll(self, sent_ms):
         """Wait for changes; once the poll is overdue, ask anew without waiting."""
         self._is_overdue.clear()
@@ -220,7 +232,7 @@
             if page.is_last:
                 break
             start_key = page.rows[-1].key + END_OF_KEYS
-        self._has_gap = False
+        self._is_history_gone = False
         changes = self.copy.apply_full_read(rows, version, as_of_ms, as_of_store_ms)
         self._report_changes(changes, as_of_store_ms)
         self.on_answer(version)
--- a/stoatpath/measure/relay_models.py
+++ b/stoatpath/measure/relay_models.py
@@ -28,6 +28,7 @@
     TRANSFER_TIMEOUT_MS,
     Committed,
     Conflict,
+    HistoryGone,
     RowPage,
     StoredRow,
 )
@@ -117,8 +118,9 @@
     """Rows of some tables; counts the calls of all instances by name.
 
     The store is unreachable for the instances in `unreachable_from`. Waiting polls of
-    the tables in `silent_polls` are never answered. `links_by_name` are the links of
-    instances. `call_starts` has the time in ms and the caller of each call.
+    the tables in `silent_polls` are never answered. Changes after a version below
+    `oldest_version` are no longer known. `links_by_name` are the links of instances.
+    `call_starts` has the time in ms and the caller of each call.
     """
 
     __slots__ = (
@@ -126,6 +128,7 @@
         "call_starts",
         "unreachable_from",
         "silent_polls",
+        "oldest_version",
         "links_by_name",
         "_loop",
         "_rows",
@@ -137,6 +140,7 @@
         self.call_starts = []
         self.unreachable_from = set()
         self.silent_polls = set()
+        self.oldest_version = 0
         self.links_by_name = {}
         self._loop = loop
         self._rows = []
@@ -172,6 +176,8 @@
         if name in self.unreachable_from:
             return await self._run_into_time_limit()
         page = answer()
+        if not isinstance(page, RowPage):
+            return page
         deadline_s = self._loop.time() + wait_ms / 1000
         while self._loop.time() < deadline_s and not page.rows:
             if name in self.unreachable_from:
@@ -211,6 +217,8 @@
 
     def page(self, table, after=None):
         """Return the newest rows of a table, or those changed after a version."""
+        if after is not None and after < self.oldest_version:
+            return HistoryGone()
         newest = {}
         for name, row in self._rows:
             if name == table and (after is None or row.version > after):
