A short failure of the store no longer ends the time for entries that lapsed before it

Found by reading, no caller has reported it. After an outage in which entries may have expired, their backend servers stay listed for 1.9 s. A failed call in that time, here or told by another instance, replaced the outage by one of some ms: missing entries were then taken for gone, and running backend servers dropped, until they wrote again.

Change: only an outage long enough for an entry to lapse is recorded (it may extend the time, as before).

--- a/stoatpath/feeds/reachability.py
+++ b/stoatpath/feeds/reachability.py
@@ -9,6 +9,8 @@
 # A bound is used for up to two periods, in which a clock drift of some 50 ppm adds an
 # error of 3 ms.
 BOUND_PERIOD_MS = 30_000.0
+# Entries expire in a store outage that outlasts the heartbeats of backend servers.
+MIN_LAPSE_OUTAGE_MS = 500.0
 # What was lost by an era change counts like entries that expired in such an outage.
 ERA_CHANGE_OUTAGE_MS = 1_000.0
 
@@ -18,7 +20,8 @@
 
     `outage_start_ms` is the clock reading of the first failure, or None while the
     store answers. `outage_end_ms` is the reading of the first answer after the last
-    outage, `outage_duration_ms` the duration of that outage.
+    outage in which entries may have expired, `outage_duration_ms` the duration of that
+    outage.
     """
 
     __slots__ = (
@@ -47,12 +50,19 @@
     def _record_return(self, now_ms):
         if self.outage_start_ms is None:
             return
-        self.outage_duration_ms = now_ms - self.outage_start_ms
-        self.outage_end_ms = now_ms
+        duration_ms = now_ms - self.outage_start_ms
         self.outage_start_ms = None
-        logger.info(
-            "store.regained", extra={"absent_ms": round(self.outage_duration_ms)}
-        )
+        self._record_outage(now_ms, duration_ms)
+        logger.info("store.regained", extra={"absent_ms": round(duration_ms)})
+
+    def _record_outage(self, end_ms, duration_ms):
+        """Record an outage that has ended, unless it was too short to lapse an entry.
+
+        A short one doesn't bring back what expired in a longer one before it.
+        """
+        if duration_ms >= MIN_LAPSE_OUTAGE_MS and end_ms > self.outage_end_ms:
+            self.outage_end_ms = end_ms
+            self.outage_duration_ms = duration_ms
 
     def record_era_change(self, now_ms):
         """Record that the store came back from an older copy, as after an outage.
@@ -77,9 +87,7 @@
         if answer.outage_end_store_ms is None:
             return
         end_ms = self._clock_bound.earliest_ms(answer.outage_end_store_ms)
-        if end_ms > self.outage_end_ms:
-            self.outage_end_ms = end_ms
-            self.outage_duration_ms = answer.outage_duration_ms
+        self._record_outage(end_ms, answer.outage_duration_ms or 0.0)
 
     def local_ms(self, store_ms, now_ms):
         """Return a clock reading no later than a reading of the store's clock."""
--- a/stoatpath/membership/directories.py
+++ b/stoatpath/membership/directories.py
@@ -8,11 +8,10 @@
 
 logger = logging.getLogger(__name__)
 
-# Entries expire in a store outage that outlasts the heartbeats of backend servers. The
-# platform guarantees that running ones are listed again within 2 s of its end; the
-# grace is a little shorter, so that a missing one is removed within these 2 s.
+# The platform guarantees that running backend servers whose entries expired in a store
+# outage are listed again within 2 s of its end; the grace is a little shorter, so that
+# a missing one is removed within these 2 s.
 LAPSE_GRACE_MS = 1_900.0
-MIN_LAPSE_OUTAGE_MS = 500.0
 MAX_LEAVING_ENTRIES = 10_000
 MAX_REMOVED_ENTRIES = 1_000
 MAX_LOGGED_CHARS = 80
@@ -173,13 +172,11 @@
         Shortly after a store outage the row may have expired while the process kept
         running: such a server stays listed until the grace period ends.
         """
-        reachability = self._reachability
-        had_outage = reachability.outage_duration_ms >= MIN_LAPSE_OUTAGE_MS
-        grace_ends_ms = reachability.outage_end_ms + LAPSE_GRACE_MS
+        grace_ends_ms = self._reachability.outage_end_ms + LAPSE_GRACE_MS
         backend = self.by_name.get(name)
         if backend is None:
             return
-        if had_outage and now_ms < grace_ends_ms and not backend.is_leaving:
+        if now_ms < grace_ends_ms and not backend.is_leaving:
             self._lapsed_until_ms_by_name[name] = grace_ends_ms
             logger.info("backends.lapsed", extra={"backend": name})
             return
--- a/stoatpath/membership/features/directories.feature
+++ b/stoatpath/membership/features/directories.feature
@@ -32,6 +32,19 @@
     And the entry of p0 is renewed
     Then p0 gets work after 5000 ms
 
+  # Guards against backend servers that are dropped although they run: a failed call
+  # shortly after an outage replaced it, and with it the time for expired entries.
+  Scenario Outline: An entry lapsed in an outage that was followed by a short one <where>
+    Given a directory that lists p0 and p1
+    When an outage of 4000 ms is followed by one of 20 ms <where>
+    And the entry of p0 is removed
+    Then p0 gets work after 1500 ms and none after 2000 ms
+
+    Examples:
+      | where               |
+      | here                |
+      | at another instance |
+
   Scenario: A restarted process does not inherit the requests of its former process
     Given a directory that lists p0 and p1
     When p0 restarts while requests of its former process are in flight
--- a/stoatpath/membership/features/steps/directory_steps.py
+++ b/stoatpath/membership/features/steps/directory_steps.py
@@ -6,6 +6,7 @@
 from hypothesis import given as forall, settings, strategies as st
 
 from stoatpath.feeds.copies import RowChange
+from stoatpath.feeds.messages import TablesAnswer
 from stoatpath.feeds.reachability import Reachability
 from stoatpath.membership.directories import BackendDirectory
 from stoatpath.outcomes import PLATFORM_UNAVAILABLE, Failure
@@ -64,6 +65,23 @@
     context.directory = build_directory()
 
 
+def record_outage(reachability, start_ms, end_ms):
+    reachability.record_failure(Failure(PLATFORM_UNAVAILABLE, "busy"), start_ms)
+    reachability.record_answer(end_ms - 5, end_ms, end_ms)
+
+
+@when("an outage of {long:d} ms is followed by one of {short:d} ms {where}")
+def step_impl(context, long, short, where):
+    reachability = context.directory._reachability
+    end_ms = NOW_MS - short - 20
+    record_outage(reachability, end_ms - long, end_ms)
+    if where == "here":
+        record_outage(reachability, NOW_MS - short, NOW_MS)
+    else:
+        answer = TablesAnswer(NOW_MS, NOW_MS, float(short), False, {})
+        reachability.record_relayed_answer(NOW_MS - 5, answer)
+
+
 @when("the entry of p0 {what}")
 def step_impl(context, what):
     if what == "is renewed":
@@ -72,9 +90,7 @@
     outage = re.search(r"outage of (\d+) ms", what)
     if outage:
         reachability = context.directory._reachability
-        failure = Failure(PLATFORM_UNAVAILABLE, "busy")
-        reachability.record_failure(failure, NOW_MS - int(outage[1]))
-        reachability.record_answer(NOW_MS - 5, NOW_MS, 0.0)
+        record_outage(reachability, NOW_MS - int(outage[1]), NOW_MS)
     if what.startswith("is removed"):
         context.directory.apply([RowChange("p0", None)], NOW_MS)
     else:
