--- a/features/platform/steps/head_steps.py
+++ b/features/platform/steps/head_steps.py
@@ -12,6 +12,7 @@
 
 from stoatpath.standins.cut_heads import LAYOUTS_BY_NAME
 from stoatpath.standins.faults import Fault
+from stoatpath.standins.odd_heads import ODD_NAMES, ODD_PREFIX
 from stoatpath.standins.replicas import SEAL_HEADER, ReplicaStandin
 
 # More than any head of a replica has: of a few answers nothing is written.
@@ -134,6 +135,25 @@
     send_each(context, route, [[cut] for cut in head_cuts(end, STEP_BYTES[nth])])
 
 
+@when("the first answers to {route} requests have each head that HTTP forbids")
+def step_impl(context, route):
+    send_each(context, route, [[ODD_PREFIX + name] for name in ODD_NAMES])
+
+
+@when("streams are cut, and the resumed ones have each head that HTTP forbids")
+def step_impl(context):
+    send_each(context, "chat", [["cut-3", ODD_PREFIX + name] for name in ODD_NAMES])
+
+
+@when("all attempts to resume streams have each head that HTTP forbids")
+def step_impl(context):
+    send_each(
+        context,
+        "chat",
+        [["cut-3", *[ODD_PREFIX + name] * 2] for name in ODD_NAMES],
+    )
+
+
 @when("streams are cut, and the resumed ones {end} at each {nth} byte of their heads")
 def step_impl(context, end, nth):
     send_each(
--- a/stoatpath/commands/clients.py
+++ b/stoatpath/commands/clients.py
@@ -12,6 +12,7 @@
     Outcome,
     is_failure,
 )
+from stoatpath.response_handlers import build_connector
 from stoatpath.utils import decode_json, encode_json
 
 REQUEST_TIMEOUT_MS = 15_000
@@ -65,7 +66,7 @@
     async def _send_once(self, method, url, body):
         if self._session is None:
             timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_MS / 1000)
-            connector = aiohttp.TCPConnector(ssl=self._tls or True, force_close=True)
+            connector = build_connector(ssl=self._tls or True, force_close=True)
             headers = {"Authorization": f"Bearer {self._key}"}
             self._session = aiohttp.ClientSession(
                 connector=connector, headers=headers, timeout=timeout
--- a/stoatpath/dispatch/cancellations.py
+++ b/stoatpath/dispatch/cancellations.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from stoatpath.response_handlers import build_connector
 from stoatpath.tls import url_scheme
 from stoatpath.utils import cancel_and_wait, encode_json
 
@@ -44,7 +45,7 @@
     async def _send_cancel(self, attempt):
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(force_close=True, ssl=self._tls or True),
+                connector=build_connector(force_close=True, ssl=self._tls or True),
                 timeout=aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_MS / 1000),
             )
         message = {
--- a/stoatpath/dispatch/connections.py
+++ b/stoatpath/dispatch/connections.py
@@ -6,7 +6,7 @@
 import aiohttp
 
 from stoatpath.dispatch.last_checks import CheckedRequest
-from stoatpath.dispatch.response_handlers import use_checked_handler
+from stoatpath.response_handlers import build_connector
 
 logger = logging.getLogger(__name__)
 
@@ -129,8 +129,7 @@
     connection_options = (
         {"force_close": True} if is_fresh else {"keepalive_timeout": IDLE_TIMEOUT_S}
     )
-    connector = aiohttp.TCPConnector(limit=0, ssl=tls or True, **connection_options)
-    use_checked_handler(connector)
+    connector = build_connector(limit=0, ssl=tls or True, **connection_options)
     session = aiohttp.ClientSession(
         connector=connector,
         request_class=CheckedRequest,
--- a/stoatpath/membership/peers.py
+++ b/stoatpath/membership/peers.py
@@ -16,6 +16,7 @@
     new_nonce,
 )
 from stoatpath.outcomes import CONNECT_FAILED, CONNECTION_REFUSED, Failure, Outcome
+from stoatpath.response_handlers import build_connector
 from stoatpath.servers import HttpServer
 from stoatpath.tls import url_scheme
 from stoatpath.utils import decode_json, encode_json, read_until_silence
@@ -151,7 +152,7 @@
         self, address, topic, payload, timeout_ms, total_ms, on_progress
     ):
         if self._session is None:
-            connector = aiohttp.TCPConnector(limit=0, ssl=self._tls or True)
+            connector = build_connector(limit=0, ssl=self._tls or True)
             self._session = aiohttp.ClientSession(
                 connector=connector,
                 cookie_jar=aiohttp.DummyCookieJar(),
--- a/stoatpath/membership/watchers.py
+++ b/stoatpath/membership/watchers.py
@@ -8,6 +8,7 @@
 
 from stoatpath.membership.backends import ENGINE
 from stoatpath.outcomes import is_failure
+from stoatpath.response_handlers import build_connector
 from stoatpath.tls import url_scheme
 from stoatpath.utils import decode_json
 
@@ -46,7 +47,7 @@
     async def run(self):
         """Poll until cancelled."""
         timeout = aiohttp.ClientTimeout(total=LOAD_TIMEOUT_MS / 1000)
-        connector = aiohttp.TCPConnector(limit=0, ssl=self._tls or True)
+        connector = build_connector(limit=0, ssl=self._tls or True)
         async with aiohttp.ClientSession(
             connector=connector,
             timeout=timeout,
--- a/stoatpath/placement/keepers.py
+++ b/stoatpath/placement/keepers.py
@@ -13,6 +13,7 @@
 from stoatpath.placement.messages import EngineView
 from stoatpath.placement.planners import plan_pool
 from stoatpath.placement.senders import ORDER_TIMEOUT_MS, OrderSender
+from stoatpath.response_handlers import build_connector
 from stoatpath.tls import url_scheme
 from stoatpath.utils import decode_json
 
@@ -71,7 +72,7 @@
 
     async def run(self):
         """Plan and send orders periodically until cancelled."""
-        connector = aiohttp.TCPConnector(ssl=self._node.tls.backends or True)
+        connector = build_connector(ssl=self._node.tls.backends or True)
         timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_MS / 1000)
         try:
             async with aiohttp.ClientSession(
--- a/stoatpath/placement/senders.py
+++ b/stoatpath/placement/senders.py
@@ -7,6 +7,7 @@
 
 from stoatpath.outcomes import CONFLICT, CONNECT_FAILED, Failure, Outcome
 from stoatpath.placement.messages import SERVE, Order
+from stoatpath.response_handlers import build_connector
 from stoatpath.tls import url_scheme
 from stoatpath.utils import encode_json, new_id
 
@@ -45,7 +46,7 @@
     async def send(self, plan, lease):
         """Return the order that the engine accepted, or a failure."""
         if self._session is None:
-            connector = aiohttp.TCPConnector(ssl=self._tls or True)
+            connector = build_connector(ssl=self._tls or True)
             self._session = aiohttp.ClientSession(connector=connector)
         refusal = self.refusal_reason(lease, plan.engine.name)
         if refusal:
--- a/stoatpath/platform/backend_calls.py
+++ b/stoatpath/platform/backend_calls.py
@@ -15,10 +15,10 @@
 from stoatpath.dispatch.checks import is_truncation_detectable
 from stoatpath.dispatch.connections import accepts_connections
 from stoatpath.dispatch.last_checks import CheckedRequest
-from stoatpath.dispatch.response_handlers import use_checked_handler
 from stoatpath.heads import expects_continue, is_utf8, use_exact_heads
 from stoatpath.platform import names
 from stoatpath.platform.fields import read_integer
+from stoatpath.response_handlers import build_connector
 from stoatpath.utils import decode_json
 
 logger = logging.getLogger(__name__)
@@ -84,10 +84,9 @@
     async def start(self):
         """Create the HTTP client."""
         use_exact_heads()
-        connector = aiohttp.TCPConnector(
+        connector = build_connector(
             limit=0, force_close=True, socket_factory=create_socket
         )
-        use_checked_handler(connector)
         self._session = aiohttp.ClientSession(
             connector=connector,
             request_class=CheckedRequest,
--- a/stoatpath/platform/row_stores.py
+++ b/stoatpath/platform/row_stores.py
@@ -15,6 +15,7 @@
     read_list,
     read_number,
 )
+from stoatpath.response_handlers import build_connector
 from stoatpath.utils import decode_json, encode_json, read_until_silence
 
 logger = logging.getLogger(__name__)
@@ -306,7 +307,7 @@
     def _open_session(self):
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0),
+                connector=build_connector(limit=0),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
             )
--- a/stoatpath/dispatch/response_handlers.py
+++ b/stoatpath/response_handlers.py
@@ -1,4 +1,4 @@
-"""The protocol of connections to backend servers, with checks that aiohttp lacks."""
+"""The protocol of client connections, with checks that aiohttp lacks."""
 
 import asyncio
 import functools
@@ -6,6 +6,8 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from stoatpath.response_heads import ResponseHeadError, ResponseHeadReader
+
 # Bytes that may arrive without a part of a body among them: a head, interim answers or
 # the extension of a chunk. aiohttp bounds a head, not the others.
 MAX_OVERHEAD_BYTES = 262_144
@@ -14,7 +16,7 @@
 
 
 class CheckedResponseHandler(ResponseHandler):
-    """Ends connections with endless overhead; fails bodies cut by a reset or garbled.
+    """Checks heads; ends endless overhead; fails bodies cut by a reset or garbled.
 
     aiohttp treats the end of a connection as the end of a body of unknown length, even
     after a reset. Of bytes that it can't parse within a body it tells only those who
@@ -23,6 +25,8 @@
 
     _body_bytes = 0
     _overhead_bytes = 0
+    # None once the final head of the current response has been passed on.
+    _head_reader = None
 
     def __init__(self, loop, receive_buffer):
         super().__init__(loop)
@@ -33,10 +37,18 @@
         super().connection_made(transport)
         transport.set_protocol(BoundedReads(self, self._receive_buffer))
 
+    def set_response_params(self, **params):
+        """Begin to read the response to the next request."""
+        self._head_reader = ResponseHeadReader()
+        super().set_response_params(**params)
+
     def data_received(self, data):
         """Parse bytes, and count those that are no part of a body."""
         earlier_error = self.exception()
-        super().data_received(data)
+        if self._head_reader is not None and self._parser is not None:
+            self._read_head(data)
+        else:
+            super().data_received(data)
         if self.exception() is not earlier_error:
             self._fail_body("bytes that are no part of a body")
             return
@@ -49,6 +61,19 @@
         if self._overhead_bytes > MAX_OVERHEAD_BYTES:
             self._fail("an answer without end")
 
+    def _read_head(self, data):
+        """Parse the response once its head has arrived and is valid."""
+        try:
+            checked = self._head_reader.read(data)
+        except ResponseHeadError as error:
+            self._fail(str(error))
+            return
+        if not checked:
+            self._reschedule_timeout()
+            return
+        self._head_reader = None
+        super().data_received(checked)
+
     async def read_nothing_during(self, wait):
         """Await something while nothing is read from the connection."""
         self._pause_reading_for_buffer()
@@ -115,10 +140,15 @@
         self._protocol.connection_lost(exc)
 
 
-def use_checked_handler(connector):
-    """Let the connections of a connector be checked; aiohttp has no public option."""
+def build_connector(**options):
+    """Return a `TCPConnector` whose connections are checked.
+
+    The options are those of aiohttp, which has none for the protocol.
+    """
+    connector = aiohttp.TCPConnector(**options)
     connector._factory = functools.partial(
         CheckedResponseHandler,
         loop=connector._loop,
         receive_buffer=memoryview(bytearray(RECEIVE_BYTES)),
     )
+    return connector
--- a/stoatpath/services/connections.py
+++ b/stoatpath/services/connections.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from stoatpath.outcomes import PLATFORM_UNAVAILABLE, Failure, Outcome, is_failure
+from stoatpath.response_handlers import build_connector
 from stoatpath.utils import decode_json, encode_json
 
 THROTTLED_STATUS = 429
@@ -83,7 +84,7 @@
     async def _exchange(self, path, payload):
         if self._session is None:
             timeout = aiohttp.ClientTimeout(total=self._timeout_s)
-            connector = aiohttp.TCPConnector(ssl=self._tls or True)
+            connector = build_connector(ssl=self._tls or True)
             self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
         async with self._session.post(self._url + path, data=payload) as response:
             body = await response.read()
--- a/stoatpath/standins/replicas.py
+++ b/stoatpath/standins/replicas.py
@@ -24,7 +24,8 @@
 status and an event without identifier) and `short` (a body shorter than its length).
 Of the answer to who it is (`identify`): `split` (it comes in two parts), `text` (no
 JSON), `list` (no JSON object), `endless`, `late` and `busy` (without its name).
-Of any answer: `head-LAYOUT-END-N` (it stops N bytes before the end of its head, see
+Of any answer: `odd-NAME` (a head that HTTP forbids, see `odd_heads.py`),
+`head-LAYOUT-END-N` (it stops N bytes before the end of its head, see
 `write_cut_head`) and `garbled` (bytes that are no chunk follow a part of its body).
 """
 
@@ -36,6 +37,7 @@
 from stoatpath.clock import Clock
 from stoatpath.standins.cut_heads import write_cut_head
 from stoatpath.standins.faults import FaultTable
+from stoatpath.standins.odd_heads import ODD_PREFIX, write_odd_head
 from stoatpath.standins.servers import StandinServer, drop_connection, reset_connection
 from stoatpath.utils import encode_json
 
@@ -331,6 +333,10 @@
                 headers["Content-Type"] = "text/event-stream"
             return await write_cut_head(request, kind, headers, len(FAILED_BODY))
         body = f"{self.name} answers {run.request_id}".encode()
+        if kind.startswith(ODD_PREFIX):
+            if is_stream:
+                headers["Content-Type"] = "text/event-stream"
+            return await write_odd_head(request, kind, headers, body)
         if kind == "garbled":
             return await _write_garbled(request, headers, is_stream, body)
         if is_stream:
