--- a/features/resilience/steps/burst_steps.py
+++ b/features/resilience/steps/burst_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+from collections import Counter
 
 from behave import given, then, when
 from malformed_steps import use_deployment
@@ -47,6 +48,55 @@
             writer.close()
 
 
+OK_LINE = b"HTTP/1.1 200 OK\r\n"
+CHUNKED_LINE = b"Transfer-Encoding: chunked\r\n\r\n"
+CHUNK = b"1\r\nx\r\n"
+# What an answer begins with, and what it repeats.
+ENDLESS_PARTS = {
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "interim fields": (b"HTTP/1.1 103 Early Hints\r\n", b"Link: </a>\r\n"),
+    "fields": (OK_LINE, b"X-More: more\r\n"),
+    "long fields": (OK_LINE + b"X-More: ", b"more"),
+    "chunk extensions": (OK_LINE + CHUNKED_LINE + b"5;", b"more"),
+    "trailers": (OK_LINE + CHUNKED_LINE + CHUNK + b"0\r\n", b"X-More: more\r\n"),
+    "bytes of a body": (OK_LINE + b"\r\n", b"x"),
+}
+
+
+class EndlessAnswers:
+    """A backend server whose answers have no end."""
+
+    def __init__(self, part):
+        self.start_bytes, part_bytes = ENDLESS_PARTS[part]
+        self.block = part_bytes * (SLICE_BYTES // len(part_bytes))
+
+    async def start(self):
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=1_000)
+        host, port = server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    async def _serve(self, reader, writer):
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            request_id = re.search("(?i)attempt-id: (.*?)\r\n", head)[1]
+            fields = (
+                "X-Stoatpath-Replica-Seal: s\r\n"
+                f"X-Stoatpath-Attempt-Id: {request_id}\r\n"
+            )
+            start_bytes = self.start_bytes
+            if start_bytes.startswith(OK_LINE):
+                rest = start_bytes.removeprefix(OK_LINE)
+                start_bytes = OK_LINE + fields.encode() + rest
+            writer.write(start_bytes)
+            while True:
+                writer.write(self.block)
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.transport.abort()
+
+
 def anonymous_mb(process):
     """Return the memory of a process without files and shared libraries, in MB."""
     with open(f"/proc/{process.process.pid}/status", encoding="ascii") as file:
@@ -66,12 +116,25 @@
     "before backend servers with answers of {size:d} KB"
 )
 def step_impl(context, memory, size):
+    context.size = 1_000 * size
+    start_process(context, memory, lambda: LongAnswers(context.size))
+
+
+@given(
+    "a gateway process with {memory:d} MB, "
+    "before backend servers that send {part} without end"
+)
+def step_impl(context, memory, part):
+    start_process(context, memory, lambda: EndlessAnswers(part))
+
+
+def start_process(context, memory_mb, build_server):
+    """Start a gateway process before two backend servers, and record its memory."""
     use_deployment(context)
     context.process = GatewayProcess()
     context.add_cleanup(
         lambda: context.loop.run_until_complete(context.process.close())
     )
-    context.size = 1_000 * size
     context.peak_mb = 0.0
 
     async def work():
@@ -83,12 +146,12 @@
         await deployment.start(models=0, plain=2, gateways=0)
         context.servers = []
         for name, replica in deployment.replicas_by_name.items():
-            server = LongAnswers(context.size)
+            server = build_server()
             context.servers.append(server)
             address = await server.start()
             row = replica.server_row(address=address, slots=SLOTS)
             await deployment.store.put("servers", name, row)
-        await context.process.start(deployment.store_address, memory_mb=memory)
+        await context.process.start(deployment.store_address, memory_mb=memory_mb)
         events = context.process.events
         await wait_until(lambda: events("program.listening"), 20)
         await wait_until(lambda: events("backends.listed"), 20)
@@ -149,6 +212,33 @@
     context.loop.run_until_complete(work())
 
 
+@when("{count:d} callers at once send a {route} request")
+def step_impl(context, count, route):
+    async def read_status_of(number):
+        reader, writer = await open_connection(context.address)
+        writer.write(head_of(route, number, "Content-Length: 0"))
+        try:
+            async with asyncio.timeout(25):
+                head = await reader.readuntil(b"\r\n\r\n")
+        except (ConnectionError, TimeoutError, asyncio.IncompleteReadError):
+            return 0
+        finally:
+            writer.transport.abort()
+        return int(head.split()[1])
+
+    async def work():
+        reads = (read_status_of(number) for number in range(count))
+        context.statuses = Counter(await asyncio.gather(*reads))
+
+    context.loop.run_until_complete(work())
+
+
+@then("each is answered with 502, 503 or 504")
+def step_impl(context):
+    print(context.statuses)
+    assert set(context.statuses) <= {502, 503, 504}, context.statuses
+
+
 @then(
     "each is answered with {good:d} and the whole answer, or with {refused:d} and never ran"
 )
--- a/stoatpath/dispatch/features/response_heads.feature
+++ b/stoatpath/dispatch/features/response_heads.feature
@@ -30,10 +30,15 @@
   # Guards against memory that interim answers take until somebody reads them.
   Scenario: Interim answers are not kept
     Given a connection that waits for a response
-    When 200 KB of interim answers arrive
+    When 100 interim answers arrive
     Then no response is kept for its reader
     And the response after them is read
 
+  Scenario: Interim answers without end are refused
+    Given a connection that waits for a response
+    When 101 interim answers arrive
+    Then the connection has failed
+
   # The adapters of each kind of server read with the same checks.
   Scenario Outline: A <sender> answers with heads that HTTP forbids
     Given a <sender> that answers each call with a head that HTTP forbids
--- a/stoatpath/dispatch/features/steps/response_head_steps.py
+++ b/stoatpath/dispatch/features/steps/response_head_steps.py
@@ -4,6 +4,7 @@
 import random
 from types import SimpleNamespace
 
+import aiohttp
 from behave import given, then, when
 from hypothesis import given as forall, settings, strategies as st
 
@@ -143,12 +144,10 @@
     context.handler.set_response_params()
 
 
-@when("{size:d} KB of interim answers arrive")
-def step_impl(context, size):
+@when("{count:d} interim answers arrive")
+def step_impl(context, count):
     context.handler.data_received(b"")
-    block = INTERIM_HEADS[0] * (RECEIVE_BYTES // len(INTERIM_HEADS[0]))
-    for _ in range(size * 1024 // RECEIVE_BYTES):
-        context.handler.data_received(block)
+    context.handler.data_received(INTERIM_HEADS[0] * count)
 
 
 @then("no response is kept for its reader")
@@ -164,6 +163,11 @@
     assert message.code == 200, message
 
 
+@then("the connection has failed")
+def step_impl(context):
+    assert isinstance(context.handler.exception(), aiohttp.ClientPayloadError)
+
+
 class OddServer:
     """Answers the calls of a client with the heads that HTTP forbids, one by one."""
 
--- a/stoatpath/response_heads.py
+++ b/stoatpath/response_heads.py
@@ -8,6 +8,7 @@
 import re
 
 MAX_HEAD_BYTES = 32 * 1024
+MAX_INTERIM_RESPONSES = 100
 SWITCHING_PROTOCOLS = 101
 # A recipient may take a line feed alone as the end of a line (RFC 9112, section 2.2).
 # That of the status line decides for all lines of the head.
@@ -41,13 +42,14 @@
     Interim responses are left out: nobody waits for one.
     """
 
-    __slots__ = ("_held", "_line_end", "_checked_bytes", "_status")
+    __slots__ = ("_held", "_line_end", "_checked_bytes", "_status", "_interim_count")
 
     def __init__(self):
         self._held = b""
         self._line_end = None
         self._checked_bytes = 0
         self._status = 0
+        self._interim_count = 0
 
     def read(self, data):
         """Return what has arrived from the final head on, b"" while it is incomplete.
@@ -62,6 +64,9 @@
                 return self._held
             if self._status == SWITCHING_PROTOCOLS:
                 raise ResponseHeadError("another protocol, which was not asked for")
+            self._interim_count += 1
+            if self._interim_count > MAX_INTERIM_RESPONSES:
+                raise ResponseHeadError("interim responses without end")
             self._held = self._held[end:]
             self._line_end = None
             self._checked_bytes = 0
