Answers of services and engines are read within a bound

Cause: bodies that were read with response.read() had a time limit only: answers of platform services, reports of engines, answers to orders and cancellations, stoatpathctl. The users read this in the code; shown now: in 5 s on loopback 4.3, 5.7 and 6.2 GB of a platform service were read in three calls, 0.4 GB of each of three engines in 1 s. Such a process ends, and the requests of its callers with it.

Change: they are read with read_at_most (16 MB of a service, 64 KB of an engine, 64 MB in stoatpathctl); the answer to a cancellation is not read. Failed before: four new rows of "A <sender> answers without end" in malformed.feature; all six pass, three times in a row.

--- a/features/resilience/malformed.feature
+++ b/features/resilience/malformed.feature
@@ -36,9 +36,13 @@
     Then each answer is a failure, and at most <limit> MB of each were read
 
     Examples:
-      | sender | limit |
-      | store  | 24    |
-      | peer   | 16    |
+      | sender                        | limit |
+      | store                         | 24    |
+      | peer                          | 16    |
+      | platform service              | 24    |
+      | engine that reports           | 4     |
+      | engine that gets an order     | 4     |
+      | engine that is told to cancel | 4     |
 
   Scenario: Callers send any head
     Given a gateway with rows of all tables
--- a/stoatpath/commands/clients.py
+++ b/stoatpath/commands/clients.py
@@ -13,9 +13,10 @@
     is_failure,
 )
 from stoatpath.response_handlers import build_connector
-from stoatpath.utils import decode_json, encode_json
+from stoatpath.utils import decode_json, encode_json, read_at_most
 
 REQUEST_TIMEOUT_MS = 15_000
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
 UNAVAILABLE_STATUS = 503
 MAX_ROUNDS = 3
 ROUND_DELAY_S = 0.5
@@ -73,7 +74,8 @@
             )
         try:
             async with self._session.request(method, url, data=body) as response:
-                data = decode_json(await response.read())
+                body = await read_at_most(response.content, MAX_ANSWER_BYTES)
+                data = decode_json(body)
         except aiohttp.ClientConnectorError as error:
             return Failure(CONNECT_FAILED, f"{url}: {error}")
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
--- a/stoatpath/dispatch/cancellations.py
+++ b/stoatpath/dispatch/cancellations.py
@@ -54,8 +54,9 @@
         }
         url = f"{url_scheme(self._tls)}://{attempt.backend.address}/v1/cancel"
         try:
-            async with self._session.post(url, data=encode_json(message)) as response:
-                await response.read()
+            async with self._session.post(url, data=encode_json(message)):
+                # What the engine answers makes no difference.
+                pass
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             logger.info(
                 "dispatch.cancel-failed",
--- a/stoatpath/membership/watchers.py
+++ b/stoatpath/membership/watchers.py
@@ -10,7 +10,7 @@
 from stoatpath.outcomes import is_failure
 from stoatpath.response_handlers import build_connector
 from stoatpath.tls import url_scheme
-from stoatpath.utils import decode_json
+from stoatpath.utils import decode_json, read_at_most
 
 logger = logging.getLogger(__name__)
 
@@ -20,6 +20,7 @@
 MAX_POLL_BYTES_PER_S = 10_000
 BYTES_PER_POLL = 400  # assumed size of a request and its answer
 MAX_CONCURRENT_POLLS = 16
+MAX_REPORT_BYTES = 64 * 1024
 
 
 class BackendWatcher:
@@ -88,7 +89,8 @@
             sent_ms = self._clock.now_ms()
             try:
                 async with self._session.get(url) as response:
-                    report = decode_json(await response.read())
+                    body = await read_at_most(response.content, MAX_REPORT_BYTES)
+                    report = decode_json(body)
             except aiohttp.ClientConnectorError as error:
                 if error.os_error.errno == errno.ECONNREFUSED:
                     self._servers.apply_refusal(backend.name)
--- a/stoatpath/placement/keepers.py
+++ b/stoatpath/placement/keepers.py
@@ -15,7 +15,7 @@
 from stoatpath.placement.senders import ORDER_TIMEOUT_MS, OrderSender
 from stoatpath.response_handlers import build_connector
 from stoatpath.tls import url_scheme
-from stoatpath.utils import decode_json
+from stoatpath.utils import decode_json, read_at_most
 
 logger = logging.getLogger(__name__)
 
@@ -24,6 +24,7 @@
 BYTES_PER_POLL = 400
 POLL_BYTES_PER_S = 8_000
 REPORT_TIMEOUT_MS = 1_000
+MAX_REPORT_BYTES = 64 * 1024
 ENGINE = "engine"
 MALFORMED_REPORT_ERRORS = (AttributeError, KeyError, TypeError)
 
@@ -159,7 +160,8 @@
         url = f"{url_scheme(self._node.tls.backends)}://{entry.address}/v1/load"
         try:
             async with self._session.get(url) as response:
-                report = decode_json(await response.read())
+                body = await read_at_most(response.content, MAX_REPORT_BYTES)
+            report = decode_json(body)
             return EngineView.from_report(entry, report)
         except (
             aiohttp.ClientError,
--- a/stoatpath/placement/senders.py
+++ b/stoatpath/placement/senders.py
@@ -9,11 +9,12 @@
 from stoatpath.placement.messages import SERVE, Order
 from stoatpath.response_handlers import build_connector
 from stoatpath.tls import url_scheme
-from stoatpath.utils import encode_json, new_id
+from stoatpath.utils import encode_json, new_id, read_at_most
 
 logger = logging.getLogger(__name__)
 
 ORDER_TIMEOUT_MS = 4_000
+MAX_ANSWER_BYTES = 64 * 1024
 STALE_ORDER_STATUS = 409
 
 
@@ -64,7 +65,7 @@
             async with self._session.post(
                 url, data=encode_json(order.to_json()), timeout=timeout
             ) as response:
-                await response.read()
+                await read_at_most(response.content, MAX_ANSWER_BYTES)
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             return Failure(CONNECT_FAILED, type(error).__name__, Outcome.UNKNOWN)
         if response.status == STALE_ORDER_STATUS:
--- a/stoatpath/services/connections.py
+++ b/stoatpath/services/connections.py
@@ -6,10 +6,12 @@
 
 from stoatpath.outcomes import PLATFORM_UNAVAILABLE, Failure, Outcome, is_failure
 from stoatpath.response_handlers import build_connector
-from stoatpath.utils import decode_json, encode_json
+from stoatpath.utils import decode_json, encode_json, read_at_most
 
 THROTTLED_STATUS = 429
 UNAVAILABLE_STATUS = 503
+# The largest answers are scans of a table and lists of instances.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 PARSE_ERRORS = (AttributeError, KeyError, TypeError, ValueError)
 
 
@@ -87,7 +89,7 @@
             connector = build_connector(ssl=self._tls or True)
             self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
         async with self._session.post(self._url + path, data=payload) as response:
-            body = await response.read()
+            body = await read_at_most(response.content, MAX_ANSWER_BYTES)
             self.bytes_read += len(body)
             if response.status in (THROTTLED_STATUS, UNAVAILABLE_STATUS):
                 self.throttled += response.status == THROTTLED_STATUS
--- a/stoatpath/utils.py
+++ b/stoatpath/utils.py
@@ -67,16 +67,26 @@
                 )
 
 
+async def read_at_most(content, max_bytes):
+    """Return the rest of an `aiohttp.StreamReader`, within the timeouts of its session.
+
+    Raise `ClientPayloadError` after more than `max_bytes`.
+    """
+    return await read_until_silence(content, max_bytes, None)
+
+
 async def read_until_silence(content, max_bytes, silence_ms, on_progress=None):
     """Return the rest of an `aiohttp.StreamReader`.
 
-    Raise TimeoutError after `silence_ms` without a byte, and `ClientPayloadError` after
-    more than `max_bytes`. `on_progress` is called after each part.
+    Raise TimeoutError after `silence_ms` without a byte, unless it is None, and
+    `ClientPayloadError` after more than `max_bytes`. `on_progress` is called after each
+    part.
     """
+    silence_s = None if silence_ms is None else silence_ms / 1000
     parts = []
     size = 0
     while not content.at_eof():
-        async with asyncio.timeout(silence_ms / 1000):
+        async with asyncio.timeout(silence_s):
             parts.append(await content.readany())
         size += len(parts[-1])
         if size > max_bytes:
