A request on trial is known by what it is, not by its identifier

Cause: when a quarantine has ended, one request with the part is let through, and was known by the identifier that its caller chose. All open requests with that identifier passed beside it, so that one caller could end several backend servers. Change: a weak reference.

--- a/stoatpath/measure/quarantine_models.py
+++ b/stoatpath/measure/quarantine_models.py
@@ -58,6 +58,10 @@
 SETTLED_AFTER_MS = 3_000.0
 
 
+class ModelRequest(SimpleNamespace):
+    """A request with the fields that quarantines need."""
+
+
 class ModelBackend:
     """A backend server; a crash ends all of its attempts, and it is back later."""
 
@@ -356,7 +360,7 @@
         prompt = NO_PROMPT if self.is_plain else Prompt("m", 300, 50, 50, parts)
         if POISON_PART in names:
             self.poison_names.add(whole_request_name(content))
-        return SimpleNamespace(
+        return ModelRequest(
             request_id=str(self._count),
             service=SimpleNamespace(name=SERVICE),
             shared_part_names=prompt.shared_part_names,
--- a/stoatpath/quarantine/features/quarantine.feature
+++ b/stoatpath/quarantine/features/quarantine.feature
@@ -186,6 +186,13 @@
     When 1 in 20 requests has a poison part for 20 s, and then it is harmless again
     Then within 80 s requests with the part are served
 
+  # Guards against backend servers that end one after the other, since requests with the
+  # identifier of the one that is let through pass beside it.
+  Scenario: Requests with one identifier come when a quarantine has ended
+    Given a part whose quarantine has ended
+    When 5 requests with the part and one identifier are checked, each twice
+    Then only the first one of them may be sent
+
   # Guards against evidence that is lost while instances are replaced by a newer release.
   Scenario: A lost attempt reported by an instance of an older release counts for its parts
     Given a lost attempt with the parts a,x as an instance of an older release reports it
--- a/stoatpath/quarantine/features/steps/quarantine_steps.py
+++ b/stoatpath/quarantine/features/steps/quarantine_steps.py
@@ -9,7 +9,7 @@
 
 from stoatpath.clock import ManualClock
 from stoatpath.dispatch.messages import AttemptResult
-from stoatpath.measure.quarantine_models import QuarantineFleet
+from stoatpath.measure.quarantine_models import ModelRequest, QuarantineFleet
 from stoatpath.measure.virtual_loops import VirtualClock, run_virtually
 from stoatpath.membership.members import MemberTable
 from stoatpath.membership.messages import LIVE, Member
@@ -22,6 +22,7 @@
 )
 from stoatpath.quarantine.messages import (
     LostAttempt,
+    Quarantine,
     is_whole_request,
     whole_request_name,
 )
@@ -388,3 +389,33 @@
 @then("no part is in quarantine after it")
 def step_impl(context):
     context.check()
+
+
+@given("a part whose quarantine has ended")
+def step_impl(context):
+    clock = ManualClock()
+    context.quarantine_table = QuarantineTable(clock)
+    context.quarantine_table.merge(Quarantine("desk", "a", 1, clock.now_ms()))
+
+
+@when("{count:d} requests with the part and one identifier are checked, each twice")
+def step_impl(context, count):
+    requests = [
+        ModelRequest(
+            request_id="same",
+            service=SimpleNamespace(name="desk"),
+            quarantine_names=("a",),
+            lost_runs=0,
+        )
+        for _ in range(count)
+    ]
+    context.may_be_sent = [
+        context.quarantine_table.check(request) is None
+        for request in requests + requests
+    ]
+
+
+@then("only the first one of them may be sent")
+def step_impl(context):
+    half = len(context.may_be_sent) // 2
+    assert context.may_be_sent == 2 * ([True] + [False] * (half - 1))
--- a/stoatpath/quarantine/quarantines.py
+++ b/stoatpath/quarantine/quarantines.py
@@ -1,6 +1,7 @@
 """What no request to a service may have or be, and until when."""
 
 import logging
+import weakref
 
 from stoatpath.outcomes import QUARANTINED, Failure
 
@@ -15,14 +16,21 @@
 
 
 class _Trial:
-    """A request that was let through after a quarantine; others wait until a time."""
+    """A request that was let through after a quarantine; others wait until a time.
 
-    __slots__ = ("request_id", "until_ms")
+    Others may have its identifier, which callers choose.
+    """
+
+    __slots__ = ("_request", "until_ms")
 
-    def __init__(self, request_id, until_ms):
-        self.request_id = request_id
+    def __init__(self, request, until_ms):
+        self._request = weakref.ref(request)
         self.until_ms = until_ms
 
+    def is_of(self, request):
+        """Return whether this is the request that was let through."""
+        return self._request() is request
+
 
 class QuarantineTable:
     """The newest decision about each part or whole request, shared by all instances.
@@ -70,9 +78,9 @@
         trial = self._trials_by_key.get(key)
         if trial is None or trial.until_ms <= now_ms:
             until_ms = now_ms + TRIAL_PAUSE_MS
-            trial = self._trials_by_key[key] = _Trial(request.request_id, until_ms)
+            trial = self._trials_by_key[key] = _Trial(request, until_ms)
             logger.info("quarantine.trial", extra={"service": key[0], "part": name})
-        is_on_trial = trial.request_id == request.request_id and not request.lost_runs
+        is_on_trial = trial.is_of(request) and not request.lost_runs
         return float("-inf") if is_on_trial else trial.until_ms
 
     def until_ms(self, service, part):
