Waiting requests are kept apart by what they are, not by their identifier

Cause: the queue kept waiting requests by an identifier that callers choose. The second one of a pair took the place of the first in that table, not in the queue of its pool; from then on each end of a request raised KeyError as it granted the freed slot, in the task of a request that had its answer.

Change: queue and gate are keyed by the request. An entry without a waiting request is dropped with a log line and a count, so that nobody else loses a turn or an answer.

--- a/stoatpath/admission/features/queues.feature
+++ b/stoatpath/admission/features/queues.feature
@@ -82,3 +82,13 @@
 
   Scenario: The exact fair shares that `stoatpath.measure` compares with are correct
     Then shares of three organisations on two pools match the values computed by hand
+
+  # Guards against a queue that is broken by requests with equal identifiers.
+  Scenario: Requests with equal identifiers in any order
+    Given requests that are offered, granted, ended, cancelled and refused in any order
+    Then no slot is lost or given twice, whatever identifiers they have
+
+  # Guards against an answer that is lost, since the slot it frees can't be granted.
+  Scenario: An entry of a request that doesn't wait costs nobody else a turn
+    Given a queue with an entry of a request that doesn't wait
+    Then the next request gets the slot, and one entry was discarded
--- a/stoatpath/admission/features/steps/queue_steps.py
+++ b/stoatpath/admission/features/steps/queue_steps.py
@@ -76,20 +76,22 @@
                 if isinstance(decision, Grant):
                     running.append(decision)
                 elif decision is QUEUED:
-                    waiting.append(f"req-{context.request_count}")
+                    waiting.append(
+                        context.requests_by_id[f"req-{context.request_count}"]
+                    )
             elif action == "release" and running:
                 granted = context.queue.release(running.pop(0), context.now_ms)
                 running += granted
                 for grant in granted:
-                    waiting.remove(grant.request_id)
-                    assert grant.pool in context.requests_by_id[grant.request_id].pools
+                    waiting.remove(grant.request)
+                    assert grant.pool in grant.request.pools
             elif action == "cancel" and waiting:
                 assert context.queue.remove_waiting(waiting.pop())
             for load in context.queue.pool_loads():
                 held = sum(grant.pool == load.pool for grant in running)
                 assert load.in_use == held <= load.capacity
-        for request_id in waiting:
-            assert context.queue.remove_waiting(request_id)
+        for request in waiting:
+            assert context.queue.remove_waiting(request)
         for grant in running:
             assert context.queue.release(grant, context.now_ms) == []
         assert all(load.in_use == 0 for load in context.queue.pool_loads())
@@ -135,13 +137,13 @@
 @then('the slot goes to "{organisation}"')
 def step_impl(context, organisation):
     (grant,) = context.granted
-    assert grant.organisation == organisation, grant.organisation
+    assert grant.request.organisation == organisation, grant.request.organisation
 
 
 @then("the slot goes to the request with the deadline {deadline:g}")
 def step_impl(context, deadline):
     (grant,) = context.granted
-    assert context.requests_by_id[grant.request_id].deadline_ms == deadline
+    assert grant.request.deadline_ms == deadline
 
 
 @given('pools "{first}" and "{second}" of {slots:d} slots each')
@@ -175,7 +177,8 @@
         context.running += granted
         for each in context.running:
             steps = context.slot_steps
-            steps[each.organisation] = steps.get(each.organisation, 0) + 1
+            name = each.request.organisation
+            steps[name] = steps.get(name, 0) + 1
         for name, pools in getattr(context, "usable", {}).items():
             submit_request(context, name, pools=pools)
     context.count = count
@@ -230,7 +233,7 @@
 
 @then("between {least:d} and {most:d} of the granted are long")
 def step_impl(context, least, most):
-    count = sum(not grant.is_short for grant in context.granted)
+    count = sum(not grant.request.is_short for grant in context.granted)
     assert least <= count <= most, count
 
 
@@ -257,7 +260,7 @@
     assert context.queue.offer(request, context.now_ms) is QUEUED
     context.queue.set_capacity(POOL, 1)
     (grant,) = context.queue.grant_waiting(context.now_ms)
-    assert grant.request_id == request.request_id
+    assert grant.request is request
 
 
 @then("it is refused as {reason}")
@@ -311,8 +314,9 @@
 
 @when("the request is cancelled")
 def step_impl(context):
-    assert context.queue.remove_waiting(f"req-{context.request_count}")
-    assert not context.queue.remove_waiting(f"req-{context.request_count}")
+    request = context.requests_by_id[f"req-{context.request_count}"]
+    assert context.queue.remove_waiting(request)
+    assert not context.queue.remove_waiting(request)
 
 
 @then("no slot is granted to it when both are released")
--- a/stoatpath/admission/messages.py
+++ b/stoatpath/admission/messages.py
@@ -7,7 +7,8 @@
     A pool is a version of a model or a plain service. `expected_ms` is the expected
     time for which the slot is held. `is_short` is set for the work of purposes
     configured as short. `weight` is the fair-share weight of the organisation.
-    `regions` limits the backend servers that it may reach, None if it doesn't.
+    `regions` limits the backend servers that it may reach, None if it doesn't. Callers
+    choose `request_id`, so several open requests may have the same one.
     """
 
     __slots__ = (
@@ -43,16 +44,14 @@
 
 
 class Grant:
-    """A slot held in a pool until it is released."""
+    """A slot held in a pool for an `AdmissionRequest` until it is released."""
 
-    __slots__ = ("request_id", "organisation", "pool", "granted_ms", "is_short")
+    __slots__ = ("request", "pool", "granted_ms")
 
-    def __init__(self, request_id, organisation, pool, granted_ms, is_short=False):
-        self.request_id = request_id
-        self.organisation = organisation
+    def __init__(self, request, pool, granted_ms):
+        self.request = request
         self.pool = pool
         self.granted_ms = granted_ms
-        self.is_short = is_short
 
 
 class PoolLoad:
--- a/stoatpath/admission/queues.py
+++ b/stoatpath/admission/queues.py
@@ -9,11 +9,15 @@
 has used fewer slots comes first, then the earliest deadline.
 """
 
+import logging
+
 from stoatpath.admission.messages import QUEUED, Grant, PoolLoad
 from stoatpath.admission.usages import AVERAGE_TIME_CONSTANT_MS, OrganisationUsage
 from stoatpath.admission.waiting_queues import WaitingQueue
 from stoatpath.outcomes import DEADLINE_UNREACHABLE, OVERLOADED, Failure
 
+logger = logging.getLogger(__name__)
+
 SHORT_WORK_RESERVED_SHARE = 0.05
 SHORT_WORK_RESERVE_DURATION_MS = 60_000.0
 HOLD_TIME_SMOOTHING_FACTOR = 0.05
@@ -99,34 +103,38 @@
         return self.capacity - int(self.capacity * SHORT_WORK_RESERVED_SHARE)
 
 
-class _WaitingRequest:
-    """A waiting request with its sequence number and arrival time."""
+class _Waiting:
+    """The sequence number and arrival time of a waiting request."""
 
-    __slots__ = ("request", "sequence", "queued_ms")
+    __slots__ = ("sequence", "queued_ms")
 
-    def __init__(self, request, sequence, queued_ms):
-        self.request = request
+    def __init__(self, sequence, queued_ms):
         self.sequence = sequence
         self.queued_ms = queued_ms
 
 
 class AdmissionQueue:
-    """Pools, slot usage per organisation, and the waiting requests."""
+    """Pools, slot usage per organisation, and the waiting requests.
+
+    `discarded` counts entries of pools that no waiting request had.
+    """
 
     __slots__ = (
+        "discarded",
         "_pools_by_name",
         "_usages_by_organisation",
         "_waiting_counts_by_organisation",
-        "_waiting_by_id",
+        "_waiting_by_request",
         "_sequence",
         "_max_queued",
     )
 
     def __init__(self, max_queued):
+        self.discarded = 0
         self._pools_by_name = {}
         self._usages_by_organisation = {}
         self._waiting_counts_by_organisation = {}
-        self._waiting_by_id = {}
+        self._waiting_by_request = {}
         self._sequence = 0
         self._max_queued = max_queued
 
@@ -168,11 +176,12 @@
         """Release a slot; return the grants that follow."""
         pool = self._pool(grant.pool)
         pool.in_use -= 1
-        pool.record_hold_time(now_ms - grant.granted_ms, grant.is_short)
-        usage = self._usage(grant.organisation)
-        usage.of_class(grant.is_short).add_running(-1, now_ms)
+        pool.record_hold_time(now_ms - grant.granted_ms, grant.request.is_short)
+        organisation = grant.request.organisation
+        usage = self._usage(organisation)
+        usage.of_class(grant.request.is_short).add_running(-1, now_ms)
         if usage.is_idle(now_ms):
-            del self._usages_by_organisation[grant.organisation]
+            del self._usages_by_organisation[organisation]
         return self._grant_waiting_in_pool(grant.pool, now_ms)
 
     def grant_waiting(self, now_ms):
@@ -184,14 +193,13 @@
 
     def waiting_requests(self):
         """Return the waiting requests."""
-        return [waiting.request for waiting in self._waiting_by_id.values()]
+        return list(self._waiting_by_request)
 
-    def remove_waiting(self, request_id):
+    def remove_waiting(self, request):
         """Remove a waiting request; return whether it was still waiting."""
-        waiting = self._waiting_by_id.pop(request_id, None)
+        waiting = self._waiting_by_request.pop(request, None)
         if waiting is None:
             return False
-        request = waiting.request
         _decrement(self._waiting_counts_by_organisation, request.organisation)
         for name in request.pools:
             queues = self._pool(name).queues_by_organisation
@@ -203,7 +211,7 @@
 
     def expire(self, request, now_ms):
         """Remove a request that can no longer meet its deadline; return its failure."""
-        self.remove_waiting(request.request_id)
+        self.remove_waiting(request)
         wait_ms = self.expected_wait_ms(request, now_ms)
         retry_at_ms = self._retry_at_ms(wait_ms, now_ms)
         detail = "no slot freed in time"
@@ -259,12 +267,11 @@
         own = self._waiting_counts_by_organisation.get(organisation, 0)
         if own >= max(1, int(self._max_queued * MAX_ORGANISATION_QUEUE_SHARE)):
             return True
-        return len(self._waiting_by_id) >= self._max_queued
+        return len(self._waiting_by_request) >= self._max_queued
 
     def _enqueue(self, request, now_ms):
         self._sequence += 1
-        waiting = _WaitingRequest(request, self._sequence, now_ms)
-        self._waiting_by_id[request.request_id] = waiting
+        self._waiting_by_request[request] = _Waiting(self._sequence, now_ms)
         _increment(self._waiting_counts_by_organisation, request.organisation)
         for name in request.pools:
             queues = self._pool(name).queues_by_organisation
@@ -274,13 +281,27 @@
     def _grant_waiting_in_pool(self, name, now_ms):
         grants = []
         while (request := self._next_request(name, now_ms)) is not None:
-            waited_ms = now_ms - self._waiting_by_id[request.request_id].queued_ms
+            waiting = self._waiting_by_request.get(request)
+            if waiting is None:
+                self._discard(name, request)
+                continue
+            waited_ms = now_ms - waiting.queued_ms
             usage = self._usage(request.organisation).of_class(request.is_short)
             usage.record_wait(waited_ms)
-            self.remove_waiting(request.request_id)
+            self.remove_waiting(request)
             grants.append(self._grant(request, name, now_ms))
         return grants
 
+    def _discard(self, pool_name, request):
+        """Drop an entry of a request that doesn't wait; the others get their turn."""
+        self.discarded += 1
+        extra = {"request_id": request.request_id, "pool": pool_name}
+        logger.error("admission.entry-discarded", extra=extra)
+        queues = self._pool(pool_name).queues_by_organisation
+        queues[request.organisation].discard(request)
+        if not len(queues[request.organisation]):
+            del queues[request.organisation]
+
     def _next_request(self, pool_name, now_ms):
         pool = self._pool(pool_name)
         if not pool.has_free_slot(True, now_ms):
@@ -313,13 +334,7 @@
         self._pool(pool_name).in_use += 1
         usage = self._usage(request.organisation).of_class(request.is_short)
         usage.add_running(1, now_ms)
-        return Grant(
-            request.request_id,
-            request.organisation,
-            pool_name,
-            now_ms,
-            request.is_short,
-        )
+        return Grant(request, pool_name, now_ms)
 
     def _usage(self, organisation):
         usage = self._usages_by_organisation.get(organisation)
--- a/stoatpath/admission/waiting_queues.py
+++ b/stoatpath/admission/waiting_queues.py
@@ -31,6 +31,11 @@
         entries = self._entries(request.is_short)
         del entries[bisect_left(entries, (request.deadline_ms, sequence))]
 
+    def discard(self, request):
+        """Remove all entries of a request."""
+        entries = self._entries(request.is_short)
+        entries[:] = [entry for entry in entries if entry[2] is not request]
+
     def first_feasible(self, is_short, now_ms):
         """Return the first request of a class that can meet its deadline, or None."""
         for deadline_ms, _, request in self._entries(is_short):
--- a/stoatpath/gateway_metrics.py
+++ b/stoatpath/gateway_metrics.py
@@ -206,6 +206,11 @@
         "Answers that were read later as too many bytes were held.",
         gateway.memory.waits,
     )
+    yield Sample.counter(
+        "stoatpath_admission_discarded_total",
+        "Entries in the queue for slots that no waiting request had.",
+        gateway.gate.discarded_count(),
+    )
     yield Sample.gauge(
         "stoatpath_entries_unreadable",
         "Entries in the list of backend servers that name none.",
--- a/stoatpath/measure/admission_baselines.py
+++ b/stoatpath/measure/admission_baselines.py
@@ -26,7 +26,7 @@
 
     def release(self, grant, now_ms):
         """Release a slot; return the grants of the requests that start next."""
-        self._running_by_pool[grant.pool, grant.organisation] -= 1
+        self._running_by_pool[grant.pool, grant.request.organisation] -= 1
         return super().release(grant, now_ms)
 
     def _rank(self, request, pool_name, now_ms):
--- a/stoatpath/measure/admission_runs.py
+++ b/stoatpath/measure/admission_runs.py
@@ -37,8 +37,8 @@
         "abandoned_waits_ms",
         "short_request_waits_ms",
         "used_ms_by_organisation",
-        "_items_by_id",
-        "_running_by_id",
+        "_items_by_request",
+        "_running_by_request",
         "_measured_from_ms",
         "_measured_until_ms",
     )
@@ -52,8 +52,8 @@
         self.abandoned_waits_ms = []
         self.short_request_waits_ms = []
         self.used_ms_by_organisation = {}
-        self._items_by_id = {}
-        self._running_by_id = {}
+        self._items_by_request = {}
+        self._running_by_request = {}
         self._measured_from_ms = measured_from_ms
         self._measured_until_ms = measured_until_ms
 
@@ -62,12 +62,12 @@
         for item in items:
             self.events.schedule(item.arrival_ms, self._offer_item, item)
         self.events.run_until(self._measured_until_ms)
-        for grant, item in self._running_by_id.values():
+        for grant, item in self._running_by_request.values():
             self._record_slot_time(grant, item)
 
     def _offer_item(self, item):
         request = item.request
-        self._items_by_id[request.request_id] = item
+        self._items_by_request[request] = item
         decision = self.queue.offer(request, self.events.now_ms)
         if decision is QUEUED:
             latest_start_ms = request.deadline_ms - request.expected_ms
@@ -78,19 +78,19 @@
             self._start(decision)
 
     def _abandon_waiting(self, item):
-        if self.queue.remove_waiting(item.request.request_id):
+        if self.queue.remove_waiting(item.request):
             self.abandoned_waits_ms.append(self.events.now_ms - item.arrival_ms)
 
     def _start(self, grant):
-        item = self._items_by_id[grant.request_id]
+        item = self._items_by_request[grant.request]
         if item.request.is_short:
             self.short_request_waits_ms.append(grant.granted_ms - item.arrival_ms)
-        self._running_by_id[grant.request_id] = (grant, item)
+        self._running_by_request[grant.request] = (grant, item)
         end_ms = min(grant.granted_ms + item.service_ms, item.request.deadline_ms)
         self.events.schedule(end_ms, self._finish, grant, item)
 
     def _finish(self, grant, item):
-        del self._running_by_id[grant.request_id]
+        del self._running_by_request[grant.request]
         self._record_slot_time(grant, item)
         for next_grant in self.queue.release(grant, self.events.now_ms):
             self._start(next_grant)
@@ -99,7 +99,9 @@
         from_ms = max(grant.granted_ms, self._measured_from_ms)
         slot_ms = max(0.0, self.events.now_ms - from_ms)
         used_ms = self.used_ms_by_organisation
-        used_ms[grant.organisation] = used_ms.get(grant.organisation, 0.0) + slot_ms
+        used_ms[grant.request.organisation] = (
+            used_ms.get(grant.request.organisation, 0.0) + slot_ms
+        )
         if grant.granted_ms + item.service_ms <= item.request.deadline_ms:
             self.useful_ms += slot_ms
         else:
--- a/stoatpath/metric_sources.py
+++ b/stoatpath/metric_sources.py
@@ -267,7 +267,12 @@
             "stoatpath_rate_limited_total",
             "Requests refused by an organisation's rate limit.",
             router.rates.refusals,
-        )
+        ),
+        Sample.counter(
+            "stoatpath_admission_discarded_total",
+            "Entries in the queue for slots that no waiting request had.",
+            router.gate.discarded_count(),
+        ),
     ]
     for load in router.gate.pool_loads():
         for name, value in (("capacity", load.capacity), ("in_use", load.in_use)):
