Soak: callers of another organisation who misuse identifiers and connections

Pairs with one identifier, identifiers of open requests of others, callers who leave, pipelined requests and half heads, on new and kept connections, beside real processes without faults. HURT: a request of the others got 500 or was cut.

--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -19,3 +19,11 @@
     When 240 streams are played with seed 2 and planned stops only
     Then at least 180 streams were complete
     And no promise was broken
+
+  # Guards against callers who stop an instance for others: equal identifiers, also those of
+  # another organisation, callers who leave, pipelined requests and half heads.
+  Scenario: Callers who misuse identifiers and connections hurt nobody else
+    When 200 streams are played with seed 3 beside odd callers
+    Then odd callers have sent 10 requests of each kind or more
+    And at least 170 streams were complete
+    And no promise was broken
--- a/features/soak/steps/soak_callers.py
+++ b/features/soak/steps/soak_callers.py
@@ -123,12 +123,15 @@
 class Callers:
     """Send requests over kept and new connections; `answers` holds all results.
 
+    `open_attempts` has the identifiers of the requests that are not answered yet.
+
     With `uses_all`, also to gateways that aren't ready, as the platform does while most
     of a zone aren't; the last byte of some bodies then comes late.
     """
 
     def __init__(self, seed, gateways, uses_all=False):
         self.answers = []
+        self.open_attempts = {}
         self._uses_all = uses_all
         self._seed = seed
         self._gateways = gateways
@@ -155,7 +158,9 @@
             is_new = number > 0 or rng.random() < 0.2
             if self._uses_all and rng.random() < LATE_BODY_SHARE:
                 answer.body_delay_s = rng.uniform(0.0, MAX_BODY_DELAY_S)
+            self.open_attempts[attempt] = answer
             await self._send(answer, gateway, left_s, wait_s, is_new)
+            del self.open_attempts[attempt]
             answer.ended_s = time.monotonic()
             self.answers.append(answer)
             if answer.end == CALLER_LEFT or answer.status in FINAL_STATUSES:
--- a/features/soak/steps/soak_runs.py
+++ b/features/soak/steps/soak_runs.py
@@ -6,7 +6,9 @@
 saw: ORDER, MIXED, TWICE and REFUSED, and that no gateway ends by itself (ENDED). With
 `--planned` nothing happens but stops of gateways and changes of the configuration, and
 requests take longer. Then no accepted request is cut (LOST), and no gateway outlasts
-its grace period (LATE).
+its grace period (LATE). With `--odd-callers` nothing happens but callers of another
+organisation who misuse identifiers and connections. Then no request of the others fails
+(HURT).
 """
 
 import argparse
@@ -25,6 +27,7 @@
 sys.path[:0] = [str(ROOT), str(Path(__file__).parent)]
 
 from soak_callers import PROMISES, Callers  # noqa: E402
+from soak_odd_callers import KEY, ORGANISATION, OddCallers  # noqa: E402
 from soak_processes import (  # noqa: E402
     GRACE_S,
     GatewayProcess,
@@ -77,18 +80,28 @@
 
     `clean_closes` lets proxies and backend servers close such answers too early, which
     no gateway can tell from their end. `root` is the checkout of the gateways. With
-    `planned` only gateways end, by planned stops. `broken` lists the time, rule,
-    attempt, gateway and text of each broken promise.
+    `planned` only gateways end, by planned stops; with `has_odd_callers` nothing ends.
+    `broken` lists the time, rule, attempt, gateway and text of each broken promise.
     """
 
     def __init__(
-        self, seed, streams, unframed, clean_closes=False, root=ROOT, planned=False
+        self,
+        seed,
+        streams,
+        unframed,
+        clean_closes=False,
+        root=ROOT,
+        planned=False,
+        has_odd_callers=False,
     ):
         self.streams = streams
         self.unframed = unframed
         self.clean_closes = clean_closes
         self.planned = planned
+        self.has_odd_callers = has_odd_callers
+        self.odd_callers = None
         kind = "planned" if planned else "unframed" if unframed else "framed"
+        kind = "odd" if has_odd_callers else kind
         self.name = f"seed {seed} {kind}"
         self.broken = []
         self.callers = None
@@ -208,6 +221,12 @@
             at_s = begin_s + rng.uniform(0, length_s)
             calls.append(call(at_s, *request, leaves_after_s))
         faults_per_s = PLANNED_FAULTS_PER_S if self.planned else FAULTS_PER_S
+        if self.has_odd_callers:
+            faults_per_s = {}
+            self.odd_callers = OddCallers(
+                self._seed, self._gateways, self._find_open_attempt
+            )
+            self._spawn(self.odd_callers.run())
         for target, kinds in faults_per_s.items():
             for action, per_s in kinds.items():
                 at_s = rng.expovariate(per_s)
@@ -219,6 +238,9 @@
         await asyncio.gather(*calls)
         self.callers.close()
 
+    def _find_open_attempt(self):
+        return next(iter(self.callers.open_attempts), None)
+
     async def _apply(self, at_s, target, action, rng):
         """Apply a fault to a target that no other fault concerns."""
         await asyncio.sleep(at_s - time.monotonic())
@@ -317,7 +339,7 @@
         await replica.start(
             framing=rng.choice(framings if self.unframed else framings[:2]),
             seed=self._seed,
-            fault_share=0.0 if self.planned else REPLICA_FAULT_SHARE,
+            fault_share=REPLICA_FAULT_SHARE if self._has_faults() else 0.0,
             event_gap_ms=PLANNED_EVENT_GAP_MS if self.planned else EVENT_GAP_MS,
             work_ms=PLANNED_WORK_MS if self.planned else WORK_MS,
             closes_cleanly=self.clean_closes,
@@ -373,11 +395,18 @@
             entry = json.loads(line)
             self._runs_by_attempt.setdefault(entry.pop("attempt"), []).append(entry)
         for answer in self.callers.answers:
-            entries = self._runs_by_attempt.get(answer.attempt, ())
+            entries = [
+                entry
+                for entry in self._runs_by_attempt.get(answer.attempt, ())
+                # Another caller may use the same identifier.
+                if entry.get("path", answer.path) == answer.path
+            ]
             runs = [entry for entry in entries if entry["what"] == "run"]
             found = [answer.find_broken()]
             if self.planned and answer.is_lost():
                 found.append(self._find_loss(answer, entries))
+            if self.has_odd_callers and (answer.status == 500 or answer.is_lost()):
+                found.append(("HURT", f"{answer.status}, {answer.end}"))
             is_once = answer.path.startswith(("/book/", "/tell/"))
             if is_once and len(runs) > 1:
                 found.append(("TWICE", f"ran {len(runs)} times"))
@@ -390,6 +419,9 @@
                 where = rule, answer.attempt, answer.gateway, f"{answer.path} {text}"
                 self.broken.append((answer.ended_s, *where))
 
+    def _has_faults(self):
+        return not self.planned and not self.has_odd_callers
+
     def _find_loss(self, answer, entries):
         """Return LOST and how a request was, unless the platform excuses that."""
         stops = [at for name, at in self._stops if name == answer.gateway]
@@ -421,6 +453,7 @@
         route["timeout_ms"] = 12_000 if is_model else plain_timeout_ms
         route["target_latency_ms"] = 1_500 if is_model else 400
     config["limits"]["header_timeout_ms"] = 3_000
+    config["tenants"].append({"name": ORGANISATION, "api_keys": [KEY]})
     return config
 
 
@@ -434,12 +467,14 @@
     parser.add_argument("--framed", action="store_true", help="no unframed answers")
     parser.add_argument("--clean-closes", action="store_true")
     parser.add_argument("--planned", action="store_true", help="planned stops only")
+    parser.add_argument("--odd-callers", action="store_true", help="no faults")
     options = parser.parse_args()
     root = options.gateway_root.resolve()
     broken = 0
     for seed in range(options.seed, options.seed + options.seeds):
-        is_unframed = not options.framed and not options.planned
+        is_unframed = not (options.framed or options.planned or options.odd_callers)
         settings = is_unframed, options.clean_closes, root, options.planned
+        settings += (options.odd_callers,)
         run = SoakRun(seed, options.streams, *settings)
         asyncio.run(run.run())
         print(run.report(), flush=True)
--- a/features/soak/steps/soak_steps.py
+++ b/features/soak/steps/soak_steps.py
@@ -18,6 +18,18 @@
     asyncio.run(context.run.run())
 
 
+@when("{streams:d} streams are played with seed {seed:d} beside odd callers")
+def step_impl(context, streams, seed):
+    context.run = SoakRun(seed, streams, unframed=False, has_odd_callers=True)
+    asyncio.run(context.run.run())
+
+
+@then("odd callers have sent {count:d} requests of each kind or more")
+def step_impl(context, count):
+    sent = context.run.odd_callers.sent
+    assert min(sent.values()) >= count, sent
+
+
 @then("at least {count:d} streams were complete")
 def step_impl(context, count):
     assert context.run.count_whole() >= count, context.run.report()
