--- a/features/resilience/steps/burst_steps.py
+++ b/features/resilience/steps/burst_steps.py
@@ -17,6 +17,21 @@
 SLOTS = 400
 
 
+OK_LINE = b"HTTP/1.1 200 OK\r\n"
+
+
+async def read_request_id(reader):
+    """Read the head of a request; return its identifier."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    return re.search("(?i)attempt-id: (.*?)\r\n", head)[1]
+
+
+def sealed_fields(request_id):
+    """Return the fields by which an answer belongs to a request."""
+    fields = f"X-Stoatpath-Replica-Seal: s\r\nX-Stoatpath-Attempt-Id: {request_id}\r\n"
+    return fields.encode()
+
+
 class LongAnswers:
     """A backend server whose answers all have the same long body."""
 
@@ -31,14 +46,10 @@
 
     async def _serve(self, reader, writer):
         try:
-            head = (await reader.readuntil(b"\r\n\r\n")).decode()
-            request_id = re.search("(?i)attempt-id: (.*?)\r\n", head)[1]
+            request_id = await read_request_id(reader)
             self.ran_ids.add(request_id)
-            writer.write(
-                b"HTTP/1.1 200 OK\r\nX-Stoatpath-Replica-Seal: s\r\n"
-                + f"X-Stoatpath-Attempt-Id: {request_id}\r\n".encode()
-                + f"Content-Length: {self.size}\r\n\r\n".encode()
-            )
+            length = f"Content-Length: {self.size}\r\n\r\n".encode()
+            writer.write(OK_LINE + sealed_fields(request_id) + length)
             for start in range(0, self.size, SLICE_BYTES):
                 writer.write(bytes(min(SLICE_BYTES, self.size - start)))
                 await writer.drain()
@@ -48,7 +59,6 @@
             writer.close()
 
 
-OK_LINE = b"HTTP/1.1 200 OK\r\n"
 CHUNKED_LINE = b"Transfer-Encoding: chunked\r\n\r\n"
 CHUNK = b"1\r\nx\r\n"
 # What an answer begins with, and what it repeats.
@@ -77,16 +87,11 @@
 
     async def _serve(self, reader, writer):
         try:
-            head = (await reader.readuntil(b"\r\n\r\n")).decode()
-            request_id = re.search("(?i)attempt-id: (.*?)\r\n", head)[1]
-            fields = (
-                "X-Stoatpath-Replica-Seal: s\r\n"
-                f"X-Stoatpath-Attempt-Id: {request_id}\r\n"
-            )
+            fields = sealed_fields(await read_request_id(reader))
             start_bytes = self.start_bytes
             if start_bytes.startswith(OK_LINE):
                 rest = start_bytes.removeprefix(OK_LINE)
-                start_bytes = OK_LINE + fields.encode() + rest
+                start_bytes = OK_LINE + fields + rest
             writer.write(start_bytes)
             while True:
                 writer.write(self.block)
--- a/features/resilience/steps/early_answer_steps.py
+++ b/features/resilience/steps/early_answer_steps.py
@@ -4,6 +4,7 @@
 import re
 
 from behave import given, then, when
+from burst_steps import OK_LINE, read_request_id, sealed_fields
 from memory_steps import head_of, start
 from stop_steps import open_connection
 from task_steps import wait_until
@@ -33,17 +34,10 @@
 
     async def _serve(self, reader, writer):
         try:
-            head = (await reader.readuntil(b"\r\n\r\n")).decode()
-            request_id = re.search("(?i)attempt-id: (.*?)\r\n", head)[1]
+            fields = sealed_fields(await read_request_id(reader))
             await reader.read(1)
             field, part = FRAMING[self.framing]
-            writer.write(
-                b"HTTP/1.1 200 OK\r\nX-Stoatpath-Replica-Seal: s\r\n"
-                + f"X-Stoatpath-Attempt-Id: {request_id}\r\n".encode()
-                + field
-                + b"\r\n"
-                + part
-            )
+            writer.write(OK_LINE + fields + field + b"\r\n" + part)
             self.answers += 1
             await asyncio.sleep(RESET_AFTER_S)
         except (ConnectionError, asyncio.IncompleteReadError):
