Review stand-ins: a feed tells no version without its rows

The store looked for new rows before it waited, and could tell the version of a row that came meanwhile without the row.

--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -224,14 +224,17 @@
             return self._answer(410, {})
         era = self.era
         until = now() + int(fields["wait_ms"]) / 1000
-        while not (newer := self._newer(table, after)) and now() < until:
-            if self.era != era:
-                return self._answer(410, {})
-            try:
-                async with asyncio.timeout(until - now()), self._changed:
-                    await self._changed.wait()
-            except TimeoutError:
-                break
+        async with self._changed:
+            while not self._newer(table, after) and self.era == era:
+                try:
+                    async with asyncio.timeout(max(0.0, until - now())):
+                        await self._changed.wait()
+                except TimeoutError:
+                    break
+        if self.era != era:
+            return self._answer(410, {})
+        # With the version of the same moment: a change after it comes next time.
+        newer = self._newer(table, after)
         for key, row in newer:
             if row[1] is None:
                 self.told.append((now(), writer.get_extra_info("peername"), *key))
