--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -655,6 +655,8 @@
 
     async def run():
         deployment = Deployment(folder)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             async with asyncio.timeout(110):
                 return await main(deployment)
@@ -663,7 +665,7 @@
 
     try:
         code = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case couldn't run: {error!r}", file=sys.stderr)
         code = 2
     sys.exit(code)
